--- /dev/null
+++ b/cmake/catchmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,40 @@
+# Helpers that give each module of src/ the same shape.
+
+# The main function of Catch2, compiled once for all test programs.
+add_library(cranberry_catch_main OBJECT ${CMAKE_SOURCE_DIR}/cmake/catchmain.cpp)
+
+# cranberry_module(NAME SOURCES file... DEPENDS target...)
+# Declares the library cranberry_NAME; a module without sources is an interface library.
+function(cranberry_module name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  if(ARG_SOURCES)
+    add_library(cranberry_${name} STATIC ${ARG_SOURCES})
+    target_include_directories(cranberry_${name} PUBLIC ${CMAKE_SOURCE_DIR}/src)
+    target_compile_options(cranberry_${name} PRIVATE -Wall -Wextra -Wpedantic -Werror)
+    target_link_libraries(cranberry_${name} PUBLIC ${ARG_DEPENDS})
+  else()
+    add_library(cranberry_${name} INTERFACE)
+    target_include_directories(cranberry_${name} INTERFACE ${CMAKE_SOURCE_DIR}/src)
+    target_link_libraries(cranberry_${name} INTERFACE ${ARG_DEPENDS})
+  endif()
+endfunction()
+
+# cranberry_test(NAME SOURCES file... DEPENDS target...)
+# Declares the Catch2 program test_NAME and one CTest entry of the same name.
+function(cranberry_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(test_${name} ${ARG_SOURCES} $<TARGET_OBJECTS:cranberry_catch_main>)
+  target_compile_options(test_${name} PRIVATE -Wall -Wextra -Wpedantic -Werror)
+  target_link_libraries(test_${name} PRIVATE ${ARG_DEPENDS})
+  add_test(NAME ${name} COMMAND test_${name} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
+
+# cranberry_program(NAME SOURCES file... DEPENDS target...)
+function(cranberry_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic -Werror)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/src/decision/action.h
@@ -0,0 +1,38 @@
+#ifndef CRANBERRYSPOOL_DECISION_ACTION_H
+#define CRANBERRYSPOOL_DECISION_ACTION_H
+
+#include "decision/types/actions/answercall.h"
+#include "decision/types/actions/closeconnection.h"
+#include "decision/types/actions/dropkeptanswer.h"
+#include "decision/types/actions/fetchkeptanswer.h"
+#include "decision/types/actions/finishstop.h"
+#include "decision/types/actions/keepanswer.h"
+#include "decision/types/actions/openconnection.h"
+#include "decision/types/actions/probetarget.h"
+#include "decision/types/actions/readdocument.h"
+#include "decision/types/actions/readinstances.h"
+#include "decision/types/actions/refusecall.h"
+#include "decision/types/actions/replaykeptanswer.h"
+#include "decision/types/actions/reportchange.h"
+#include "decision/types/actions/sendattempt.h"
+#include "decision/types/actions/sendpeermessage.h"
+#include "decision/types/actions/setreadiness.h"
+
+#include <variant>
+#include <vector>
+
+namespace cranberryspool::decision {
+
+/// All that a core asks for.
+using Action =
+    std::variant<AnswerCall, CloseConnection, DropKeptAnswer, FetchKeptAnswer,
+                 FinishStop, KeepAnswer, OpenConnection, ProbeTarget,
+                 ReadDocument, ReadInstances, RefuseCall, ReplayKeptAnswer,
+                 ReportChange, SendAttempt, SendPeerMessage, SetReadiness>;
+
+/// Actions in the order in which they must be carried out.
+using ActionList = std::vector<Action>;
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_ACTION_H
--- /dev/null
+++ b/src/decision/event.h
@@ -0,0 +1,36 @@
+#ifndef CRANBERRYSPOOL_DECISION_EVENT_H
+#define CRANBERRYSPOOL_DECISION_EVENT_H
+
+#include "decision/types/events/answerbegan.h"
+#include "decision/types/events/attemptanswered.h"
+#include "decision/types/events/attemptfailed.h"
+#include "decision/types/events/callarrived.h"
+#include "decision/types/events/callergone.h"
+#include "decision/types/events/connectionclosed.h"
+#include "decision/types/events/connectionopened.h"
+#include "decision/types/events/documentpublished.h"
+#include "decision/types/events/documentunavailable.h"
+#include "decision/types/events/instancespublished.h"
+#include "decision/types/events/instancesunavailable.h"
+#include "decision/types/events/keptanswerfetched.h"
+#include "decision/types/events/peermessagereceived.h"
+#include "decision/types/events/probeanswered.h"
+#include "decision/types/events/probefailed.h"
+#include "decision/types/events/stoprequested.h"
+#include "decision/types/events/tick.h"
+
+#include <variant>
+
+namespace cranberryspool::decision {
+
+/// All that a core is told.
+using Event =
+    std::variant<AnswerBegan, AttemptAnswered, AttemptFailed, CallArrived,
+                 CallerGone, ConnectionClosed, ConnectionOpened,
+                 DocumentPublished, DocumentUnavailable, InstancesPublished,
+                 InstancesUnavailable, KeptAnswerFetched, PeerMessageReceived,
+                 ProbeAnswered, ProbeFailed, StopRequested, Tick>;
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_EVENT_H
--- /dev/null
+++ b/src/decision/types/actions/closeconnection.h
@@ -0,0 +1,15 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_CLOSECONNECTION_H
+#define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_CLOSECONNECTION_H
+
+#include "framework/ids.h"
+
+namespace cranberryspool::decision {
+
+/// Close a connection; what is on it is abandoned and no event follows.
+struct CloseConnection {
+  framework::ConnectionId Connection_;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_CLOSECONNECTION_H
--- /dev/null
+++ b/src/decision/types/actions/probetarget.h
@@ -0,0 +1,19 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_PROBETARGET_H
+#define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_PROBETARGET_H
+
+#include "framework/ids.h"
+
+#include <string>
+
+namespace cranberryspool::decision {
+
+/// Ask a target for its load. Answered by `ProbeAnswered` or `ProbeFailed`.
+struct ProbeTarget {
+  framework::ProbeId Probe_;
+  framework::TargetId Target_;
+  std::string Address_;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_PROBETARGET_H
--- /dev/null
+++ b/src/decision/types/actions/sendattempt.h
@@ -0,0 +1,27 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDATTEMPT_H
+#define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDATTEMPT_H
+
+#include "framework/ids.h"
+#include "framework/time.h"
+
+#include <cstdint>
+
+namespace cranberryspool::decision {
+
+/// Send the call's request on an open connection that carries nothing else.
+struct SendAttempt {
+  framework::AttemptId Attempt_;
+  framework::CallId Call_;
+  framework::ConnectionId Connection_;
+  framework::TargetId Target_;
+  /// The time left for the answer, told to the target.
+  framework::Duration Timeout_{};
+  /// The depth told to the target.
+  std::uint32_t Depth_ = 0;
+  /// The repeat mark told to the target.
+  std::uint32_t AttemptMark_ = 1;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDATTEMPT_H
--- /dev/null
+++ b/src/decision/types/actions/sendpeermessage.h
@@ -0,0 +1,18 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDPEERMESSAGE_H
+#define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDPEERMESSAGE_H
+
+#include "fleet/peermessage.h"
+
+#include <string>
+
+namespace cranberryspool::decision {
+
+/// Send a message to another instance. It may be lost, doubled or late.
+struct SendPeerMessage {
+  std::string PeerAddress_;
+  fleet::PeerMessage Message_;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDPEERMESSAGE_H
--- /dev/null
+++ b/src/decision/types/changekind.h
@@ -0,0 +1,29 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_CHANGEKIND_H
+#define CRANBERRYSPOOL_DECISION_TYPES_CHANGEKIND_H
+
+namespace cranberryspool::decision {
+
+/// The changes of state that are logged.
+enum class ChangeKind {
+  DocumentInForce,
+  DocumentRejected,
+  DocumentOlderIgnored,
+  TargetEjected,
+  TargetRestored,
+  TargetCold,
+  TargetWarm,
+  TargetLeaving,
+  ZoneOut,
+  ZoneIn,
+  PeerJoined,
+  PeerLost,
+  ViewLost,
+  ViewRestored,
+  PauseDetected,
+  StopStarted,
+  StopFinished,
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_CHANGEKIND_H
--- /dev/null
+++ b/src/decision/types/events/attemptfailed.h
@@ -0,0 +1,20 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_EVENTS_ATTEMPTFAILED_H
+#define CRANBERRYSPOOL_DECISION_TYPES_EVENTS_ATTEMPTFAILED_H
+
+#include "calls/types/attemptfailure.h"
+#include "calls/types/writestate.h"
+#include "framework/ids.h"
+
+namespace cranberryspool::decision {
+
+/// The transport gave up on an attempt; its connection is gone.
+struct AttemptFailed {
+  framework::AttemptId Attempt_;
+  framework::ConnectionId Connection_;
+  calls::AttemptFailure Failure_ = calls::AttemptFailure::ConnectionClosed;
+  calls::WriteState Written_ = calls::WriteState::MaybeWritten;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_EVENTS_ATTEMPTFAILED_H
--- /dev/null
+++ b/src/document/types/coldstartbudget.h
@@ -0,0 +1,23 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_TYPES_COLDSTARTBUDGET_H
+#define CRANBERRYSPOOL_DOCUMENT_TYPES_COLDSTARTBUDGET_H
+
+#include "framework/time.h"
+
+#include <cstdint>
+
+namespace cranberryspool::document {
+
+/// The work that a target bears while it is cold, summed over all instances.
+struct ColdStartBudget {
+  /// Requests in flight at most.
+  std::uint32_t MaxInFlight_ = 1;
+  /// How long a target counts as cold after its start.
+  framework::Duration Warmup_{};
+
+  friend bool operator==(const ColdStartBudget &,
+                         const ColdStartBudget &) = default;
+};
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_TYPES_COLDSTARTBUDGET_H
--- /dev/null
+++ b/src/framework/moment.h
@@ -0,0 +1,16 @@
+#ifndef CRANBERRYSPOOL_FRAMEWORK_MOMENT_H
+#define CRANBERRYSPOOL_FRAMEWORK_MOMENT_H
+
+#include "framework/time.h"
+
+namespace cranberryspool::framework {
+
+/// Both readings of the clocks at which an event is handled.
+struct Moment {
+  Instant Monotonic_{};
+  WallTime Wall_{};
+};
+
+} // namespace cranberryspool::framework
+
+#endif // CRANBERRYSPOOL_FRAMEWORK_MOMENT_H
--- /dev/null
+++ b/src/routing/types/choicerequest.h
@@ -0,0 +1,21 @@
+#ifndef CRANBERRYSPOOL_ROUTING_TYPES_CHOICEREQUEST_H
+#define CRANBERRYSPOOL_ROUTING_TYPES_CHOICEREQUEST_H
+
+#include "document/types/urgency.h"
+#include "framework/ids.h"
+
+#include <vector>
+
+namespace cranberryspool::routing {
+
+/// What a policy needs to know of the attempt that it chooses a target for.
+struct ChoiceRequest {
+  framework::ServiceId Service_;
+  document::Urgency Urgency_ = document::Urgency::Ordinary;
+  /// Targets that earlier attempts of the call have used.
+  std::vector<framework::TargetId> Excluded_;
+};
+
+} // namespace cranberryspool::routing
+
+#endif // CRANBERRYSPOOL_ROUTING_TYPES_CHOICEREQUEST_H
--- /dev/null
+++ b/src/routing/types/loadreport.h
@@ -0,0 +1,22 @@
+#ifndef CRANBERRYSPOOL_ROUTING_TYPES_LOADREPORT_H
+#define CRANBERRYSPOOL_ROUTING_TYPES_LOADREPORT_H
+
+#include <cstdint>
+
+namespace cranberryspool::routing {
+
+/// What a target says of its own load, on an answer or to a probe. It may be
+/// late or wrong.
+struct LoadReport {
+  std::uint32_t InFlight_ = 0;
+  std::uint32_t Queued_ = 0;
+  std::uint32_t Slots_ = 0;
+  bool IsCold_ = false;
+  bool IsDraining_ = false;
+
+  friend bool operator==(const LoadReport &, const LoadReport &) = default;
+};
+
+} // namespace cranberryspool::routing
+
+#endif // CRANBERRYSPOOL_ROUTING_TYPES_LOADREPORT_H
--- /dev/null
+++ b/src/routing/types/targetbounds.h
@@ -0,0 +1,22 @@
+#ifndef CRANBERRYSPOOL_ROUTING_TYPES_TARGETBOUNDS_H
+#define CRANBERRYSPOOL_ROUTING_TYPES_TARGETBOUNDS_H
+
+#include "framework/time.h"
+
+#include <cstdint>
+
+namespace cranberryspool::routing {
+
+/// This instance's share of the bounds that hold at a target for the sum of
+/// all instances.
+struct TargetBounds {
+  /// Requests in flight that this instance may have at the target while it is
+  /// cold; 0 when another instance is responsible for it.
+  std::uint32_t ColdInFlight_ = 0;
+  std::uint32_t MaxConnections_ = 1;
+  framework::Duration ColdWarmup_{};
+};
+
+} // namespace cranberryspool::routing
+
+#endif // CRANBERRYSPOOL_ROUTING_TYPES_TARGETBOUNDS_H
