--- /dev/null
+++ b/src/admission/internal/admissionqueue.cpp
@@ -0,0 +1,112 @@
+#include "admission/admissionqueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryspool::admission {
+
+using framework::CallId;
+using framework::Duration;
+using framework::Instant;
+using framework::ServiceId;
+using routing::AttemptResult;
+
+namespace {
+
+constexpr Duration UnknownServiceRetry = std::chrono::seconds(1);
+
+} // namespace
+
+void AdmissionQueue::setCapacity(ServiceId Service, ServiceCapacity Capacity) {
+  Services_[Service].limit().setCapacity(Capacity);
+}
+
+framework::Result<void, Refusal> AdmissionQueue::offer(const QueuedCall &Call,
+                                                       Instant Now) {
+  const auto Found = Services_.find(Call.Service_);
+  if (Found == Services_.end())
+    return Refusal{RefusalReason::UnknownService, UnknownServiceRetry};
+  ServiceQueue &Queue = Found->second;
+  BOOST_OUTCOME_TRYV(Queue.offer(Call, Now));
+  Waiting_.emplace(Call.Call_, Call);
+  if (const auto Victim = Queue.shedOrdinary()) {
+    Waiting_.erase(Victim->Call_);
+    Shed_.push_back(Victim->Call_);
+  }
+  return framework::success();
+}
+
+std::optional<CallId> AdmissionQueue::next(ServiceId Service, Instant) const {
+  const auto Found = Services_.find(Service);
+  return Found == Services_.end() ? std::nullopt : Found->second.next();
+}
+
+bool AdmissionQueue::remove(CallId Call) {
+  const auto Found = Waiting_.find(Call);
+  if (Found == Waiting_.end())
+    return false;
+  Services_[Found->second.Service_].remove(Found->second);
+  Waiting_.erase(Found);
+  return true;
+}
+
+std::vector<CallId> AdmissionQueue::takeExpired(Instant Now) {
+  std::vector<CallId> Taken = std::exchange(Shed_, {});
+  std::vector<QueuedCall> Expired;
+  for (auto &[Service, Queue] : Services_)
+    Queue.takeExpired(Now, Expired);
+  for (const QueuedCall &Call : Expired) {
+    Waiting_.erase(Call.Call_);
+    Taken.push_back(Call.Call_);
+  }
+  return Taken;
+}
+
+void AdmissionQueue::noteStarted(CallId Call, Instant) {
+  const auto Found = Waiting_.find(Call);
+  if (Found == Waiting_.end())
+    return;
+  ServiceQueue &Queue = Services_[Found->second.Service_];
+  Queue.remove(Found->second);
+  Queue.noteStarted(Found->second.Urgency_);
+  Waiting_.erase(Found);
+}
+
+void AdmissionQueue::noteEnded(ServiceId Service, document::Urgency Urgency,
+                               AttemptResult Result, Duration Elapsed,
+                               Instant Now) {
+  const auto Found = Services_.find(Service);
+  if (Found == Services_.end())
+    return;
+  ServiceQueue &Queue = Found->second;
+  const bool WasAtLimit = Queue.isAtLimit();
+  Queue.noteEnded(Urgency);
+  if (Result == AttemptResult::Answered)
+    Queue.limit().noteAnswered(Elapsed, WasAtLimit);
+  if (Result == AttemptResult::NotRun || Result == AttemptResult::TimedOut)
+    Queue.limit().noteOverload(Now);
+}
+
+std::vector<ServiceId> AdmissionQueue::servicesWithWork() const {
+  std::vector<ServiceId> Found;
+  for (const auto &[Service, Queue] : Services_)
+    if (Queue.next())
+      Found.push_back(Service);
+  return Found;
+}
+
+std::size_t AdmissionQueue::waiting(ServiceId Service,
+                                    document::Urgency Urgency) const {
+  const auto Found = Services_.find(Service);
+  return Found == Services_.end() ? 0 : Found->second.waiting(Urgency);
+}
+
+Instant AdmissionQueue::nextWakeUp() const {
+  Instant Earliest = Shed_.empty() ? Instant::max() : Instant{};
+  for (const auto &[Service, Queue] : Services_)
+    if (const auto Expiry = Queue.nextExpiry())
+      Earliest = std::min(Earliest, *Expiry);
+  return Earliest;
+}
+
+} // namespace cranberryspool::admission
--- /dev/null
+++ b/src/admission/internal/servicequeue.cpp
@@ -0,0 +1,125 @@
+#include "admission/internal/servicequeue.h"
+
+#include <algorithm>
+
+namespace cranberryspool::admission {
+
+namespace {
+
+using document::Urgency;
+using framework::CallId;
+using framework::Duration;
+using framework::Instant;
+
+constexpr std::size_t MaxWaiting = 512;
+/// An ordinary call that is older than an urgent one by this goes first.
+constexpr Duration OrdinarySetback = std::chrono::milliseconds(250);
+/// The part of an answer's average time without which a call is not started.
+constexpr double NeededShareOfAverage = 0.5;
+constexpr Duration MinRetryAfter = std::chrono::milliseconds(10);
+
+} // namespace
+
+framework::Result<void, Refusal> ServiceQueue::offer(const QueuedCall &Call,
+                                                     Instant Now) {
+  const Duration Wait = expectedWait(Call.Urgency_);
+  const Duration RetryAfter = std::max(Wait, MinRetryAfter);
+  if (Now + Wait + timeToRun() >= Call.Deadline_)
+    return Refusal{RefusalReason::DeadlineTooShort, RetryAfter};
+  const std::size_t Waiting = Waiting_[0].size() + Waiting_[1].size();
+  const bool HasWay = Call.Urgency_ == Urgency::Urgent && !Waiting_[1].empty();
+  if (Waiting >= MaxWaiting && !HasWay)
+    return Refusal{RefusalReason::QueueFull, RetryAfter};
+  Waiting_[index(Call.Urgency_)].insert(Call);
+  Deadlines_.insert(Call);
+  return framework::success();
+}
+
+std::optional<QueuedCall> ServiceQueue::shedOrdinary() {
+  const std::size_t Waiting = Waiting_[0].size() + Waiting_[1].size();
+  if (Waiting <= MaxWaiting || Waiting_[1].empty())
+    return std::nullopt;
+  const QueuedCall Newest = *Waiting_[1].rbegin();
+  remove(Newest);
+  return Newest;
+}
+
+std::optional<CallId> ServiceQueue::next() const {
+  const auto &Urgent = Waiting_[0];
+  const auto &Ordinary = Waiting_[1];
+  const bool HasUrgent = !Urgent.empty() && mayStart(Urgency::Urgent);
+  const bool HasOrdinary = !Ordinary.empty() && mayStart(Urgency::Ordinary);
+  if (!HasUrgent && !HasOrdinary)
+    return std::nullopt;
+  if (!HasOrdinary)
+    return Urgent.begin()->Call_;
+  if (!HasUrgent)
+    return Ordinary.begin()->Call_;
+  const bool IsOverdue =
+      Ordinary.begin()->Arrival_ + OrdinarySetback < Urgent.begin()->Arrival_;
+  return IsOverdue ? Ordinary.begin()->Call_ : Urgent.begin()->Call_;
+}
+
+bool ServiceQueue::remove(const QueuedCall &Call) {
+  Deadlines_.erase(Call);
+  return Waiting_[index(Call.Urgency_)].erase(Call) > 0;
+}
+
+void ServiceQueue::takeExpired(Instant Now, std::vector<QueuedCall> &Output) {
+  const Duration Needed = timeToRun();
+  while (!Deadlines_.empty() && Deadlines_.begin()->Deadline_ <= Now + Needed) {
+    Output.push_back(*Deadlines_.begin());
+    remove(Output.back());
+  }
+}
+
+void ServiceQueue::noteStarted(Urgency Urgency) { ++Running_[index(Urgency)]; }
+
+void ServiceQueue::noteEnded(Urgency Urgency) {
+  auto &Running = Running_[index(Urgency)];
+  Running -= std::min(Running, 1U);
+}
+
+bool ServiceQueue::isAtLimit() const { return !mayStart(Urgency::Ordinary); }
+
+bool ServiceQueue::isEmpty() const {
+  return Waiting_[0].empty() && Waiting_[1].empty();
+}
+
+std::size_t ServiceQueue::waiting(Urgency Urgency) const {
+  return Waiting_[index(Urgency)].size();
+}
+
+std::uint32_t ServiceQueue::running() const {
+  return Running_[0] + Running_[1];
+}
+
+std::optional<Instant> ServiceQueue::nextExpiry() const {
+  if (Deadlines_.empty())
+    return std::nullopt;
+  return Deadlines_.begin()->Deadline_ - timeToRun();
+}
+
+bool ServiceQueue::mayStart(Urgency Urgency) const {
+  if (running() >= Limit_.limit(Urgency::Urgent))
+    return false;
+  return Urgency == Urgency::Urgent ||
+         Running_[1] < Limit_.limit(Urgency::Ordinary);
+}
+
+Duration ServiceQueue::expectedWait(Urgency Urgency) const {
+  std::size_t Before = Waiting_[0].size();
+  if (Urgency == Urgency::Ordinary)
+    Before += Waiting_[1].size();
+  if (Before == 0 && mayStart(Urgency))
+    return Duration::zero();
+  const auto Limit = Limit_.limit(Urgency);
+  return Limit_.averageTime() * static_cast<Duration::rep>(Before) / Limit;
+}
+
+Duration ServiceQueue::timeToRun() const {
+  return std::chrono::duration_cast<Duration>(Limit_.averageTime() *
+                                              NeededShareOfAverage);
+}
+
+} // namespace cranberryspool::admission
--- /dev/null
+++ b/src/admission/tests/admissionqueue_test.cpp
@@ -0,0 +1,147 @@
+#include "admission/admissionqueue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::admission;
+using namespace cranberryspool::framework;
+using document::Urgency;
+using routing::AttemptResult;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration Answer = milliseconds(10);
+
+Instant at(Duration Time) { return Instant(seconds(100)) + Time; }
+
+QueuedCall call(std::uint64_t Id, Urgency Urgency, Duration Arrival,
+                Duration Allowed = seconds(1), std::uint32_t Service = 0) {
+  return {CallId(Id), ServiceId(Service), Urgency, at(Arrival),
+          at(Arrival) + Allowed};
+}
+
+/// Starts calls until the limit is met; returns those started.
+std::vector<CallId> startAll(AdmissionQueue &Queue, Instant Now) {
+  std::vector<CallId> Started;
+  while (const auto Next = Queue.next(ServiceId(0), Now)) {
+    Queue.noteStarted(*Next, Now);
+    Started.push_back(*Next);
+  }
+  return Started;
+}
+
+void fill(AdmissionQueue &Queue, std::uint64_t Count, Urgency Urgency) {
+  for (std::uint64_t Id = 0; Id < Count; ++Id)
+    REQUIRE(Queue.offer(call(1000 + Id, Urgency, {}), at({})));
+}
+
+} // namespace
+
+TEST_CASE("slots stay free for urgent calls", "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {10, 1});
+  fill(Queue, 20, Urgency::Ordinary);
+  const auto Started = startAll(Queue, at({}));
+  CHECK(Started.size() == 8);
+  REQUIRE(Queue.offer(call(1, Urgency::Urgent, milliseconds(1)), at({})));
+  CHECK(Queue.next(ServiceId(0), at({})) == CallId(1));
+}
+
+TEST_CASE("urgent goes first, but an ordinary call is not starved",
+          "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {10, 1});
+  REQUIRE(Queue.offer(call(1, Urgency::Ordinary, {}), at({})));
+  REQUIRE(Queue.offer(call(2, Urgency::Urgent, milliseconds(5)), at({})));
+  CHECK(Queue.next(ServiceId(0), at({})) == CallId(2));
+  Queue.remove(CallId(2));
+  REQUIRE(Queue.offer(call(3, Urgency::Urgent, milliseconds(400)), at({})));
+  CHECK(Queue.next(ServiceId(0), at({})) == CallId(1));
+}
+
+TEST_CASE("one service does not hold up another", "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {2, 1});
+  Queue.setCapacity(ServiceId(1), {2, 1});
+  fill(Queue, 100, Urgency::Urgent);
+  startAll(Queue, at({}));
+  const auto Other = call(1, Urgency::Ordinary, {}, milliseconds(50), 1);
+  REQUIRE(Queue.offer(Other, at({})));
+  CHECK(Queue.next(ServiceId(1), at({})) == CallId(1));
+  CHECK(Queue.servicesWithWork() == std::vector<ServiceId>{ServiceId(1)});
+}
+
+TEST_CASE("a call that cannot be answered in time is refused early",
+          "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {10, 1});
+  fill(Queue, 1, Urgency::Ordinary);
+  startAll(Queue, at({}));
+  Queue.noteEnded(ServiceId(0), Urgency::Ordinary, AttemptResult::Answered,
+                  Answer, at({}));
+  fill(Queue, 200, Urgency::Ordinary);
+  startAll(Queue, at({}));
+  const auto Refused =
+      Queue.offer(call(1, Urgency::Ordinary, {}, milliseconds(60)), at({}));
+  REQUIRE_FALSE(Refused);
+  CHECK(Refused.error().Reason_ == RefusalReason::DeadlineTooShort);
+  CHECK(Refused.error().RetryAfter_ > milliseconds(100));
+  CHECK(Queue.offer(call(2, Urgency::Urgent, {}, milliseconds(60)), at({})));
+}
+
+TEST_CASE("a waiting call is given up before it costs a slot", "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {1, 1});
+  REQUIRE(
+      Queue.offer(call(1, Urgency::Ordinary, {}, milliseconds(50)), at({})));
+  REQUIRE(Queue.offer(call(2, Urgency::Ordinary, {}), at({})));
+  CHECK(Queue.nextWakeUp() == at(milliseconds(50)));
+  CHECK(Queue.takeExpired(at(milliseconds(49))).empty());
+  CHECK(Queue.takeExpired(at(milliseconds(50))) ==
+        std::vector<CallId>{CallId(1)});
+  CHECK_FALSE(Queue.remove(CallId(1)));
+}
+
+TEST_CASE("a full queue sheds the newest ordinary call for an urgent one",
+          "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {10, 1});
+  std::uint64_t Id = 0;
+  while (Queue.offer(call(Id, Urgency::Ordinary, Duration(Id)), at({})))
+    ++Id;
+  CHECK(Queue.waiting(ServiceId(0), Urgency::Ordinary) == Id);
+  REQUIRE(Queue.offer(call(5000, Urgency::Urgent, {}), at({})));
+  CHECK(Queue.nextWakeUp() <= at({}));
+  CHECK(Queue.takeExpired(at({})) == std::vector<CallId>{CallId(Id - 1)});
+  CHECK(Queue.waiting(ServiceId(0), Urgency::Urgent) == 1);
+}
+
+TEST_CASE("the limit falls under overload and rises again", "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {30, 10});
+  fill(Queue, 300, Urgency::Urgent);
+  auto Running = startAll(Queue, at({})).size();
+  const auto Before = Running;
+  const auto End = [&](AttemptResult Result, Instant Now) {
+    Queue.noteEnded(ServiceId(0), Urgency::Urgent, Result, Answer, Now);
+    --Running;
+    Running += startAll(Queue, Now).size();
+  };
+  for (int Index = 0; Index < 20; ++Index)
+    End(AttemptResult::NotRun, at(milliseconds(30 * Index)));
+  const auto Low = Running;
+  CHECK(Low < Before);
+  CHECK(Low >= 3);
+  for (int Index = 0; Index < 100; ++Index)
+    End(AttemptResult::Answered, at(seconds(1)));
+  CHECK(Running > Low);
+}
+
+TEST_CASE("an unknown service is refused", "[admission]") {
+  AdmissionQueue Queue;
+  const auto Refused = Queue.offer(call(1, Urgency::Urgent, {}), at({}));
+  REQUIRE_FALSE(Refused);
+  CHECK(Refused.error().Reason_ == RefusalReason::UnknownService);
+}
--- /dev/null
+++ b/src/admission/types/refusal.h
@@ -0,0 +1,18 @@
+#ifndef CRANBERRYSPOOL_ADMISSION_TYPES_REFUSAL_H
+#define CRANBERRYSPOOL_ADMISSION_TYPES_REFUSAL_H
+
+#include "admission/types/refusalreason.h"
+#include "framework/time.h"
+
+namespace cranberryspool::admission {
+
+/// The failure of an offer.
+struct Refusal {
+  RefusalReason Reason_ = RefusalReason::QueueFull;
+  /// The time after which a new try is likely to be queued.
+  framework::Duration RetryAfter_{};
+};
+
+} // namespace cranberryspool::admission
+
+#endif // CRANBERRYSPOOL_ADMISSION_TYPES_REFUSAL_H
--- /dev/null
+++ b/src/admission/types/servicecapacity.h
@@ -0,0 +1,19 @@
+#ifndef CRANBERRYSPOOL_ADMISSION_TYPES_SERVICECAPACITY_H
+#define CRANBERRYSPOOL_ADMISSION_TYPES_SERVICECAPACITY_H
+
+#include <cstdint>
+
+namespace cranberryspool::admission {
+
+/// What the live targets of a service bear, and how many instances share it.
+struct ServiceCapacity {
+  std::uint32_t Slots_ = 1;
+  std::uint32_t Instances_ = 1;
+
+  friend bool operator==(const ServiceCapacity &,
+                         const ServiceCapacity &) = default;
+};
+
+} // namespace cranberryspool::admission
+
+#endif // CRANBERRYSPOOL_ADMISSION_TYPES_SERVICECAPACITY_H
--- /dev/null
+++ b/src/routing/internal/blendpolicy.cpp
@@ -0,0 +1,72 @@
+#include "routing/policies/blendpolicy.h"
+#include "routing/sampling.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberryspool::routing {
+
+namespace {
+
+using framework::Duration;
+using framework::Instant;
+
+double weightByAge(std::optional<Instant> At, Instant Now, Duration HalfLife) {
+  if (!At)
+    return 0;
+  const double Ages = static_cast<double>((Now - *At).count()) /
+                      static_cast<double>(HalfLife.count());
+  return std::exp2(-Ages);
+}
+
+} // namespace
+
+std::optional<std::size_t> BlendPolicy::choose(const Candidates &From,
+                                               framework::Random &Rng) const {
+  if (From.size() == 0)
+    return std::nullopt;
+  const bool HasFew = From.size() <= Settings_.Samples_;
+  const auto Samples = std::min(Settings_.Samples_, From.size());
+  // With few candidates all are compared, from a random start for fair ties.
+  const std::size_t Start = HasFew ? Rng.index(From.size()) : 0;
+  std::optional<std::size_t> Best;
+  double BestMicros = 0;
+  for (std::size_t Sample = 0; Sample < Samples; ++Sample) {
+    const std::size_t Position =
+        HasFew ? (Start + Sample) % From.size() : Rng.index(From.size());
+    if (From.isExcluded(Position))
+      continue;
+    const double Micros = expectedMicros(From, Position);
+    if (Best && Micros >= BestMicros)
+      continue;
+    Best = Position;
+    BestMicros = Micros;
+  }
+  return Best ? Best : sampleAllowed(From, Rng);
+}
+
+double BlendPolicy::expectedMicros(const Candidates &From,
+                                   std::size_t Position) const {
+  const TargetState &State = From.state(Position);
+  const Instant Now = From.now();
+  const double Slots = std::max(State.Description_.Slots_, 1U);
+  const double Reported =
+      weightByAge(State.ReportedAt_, Now, Settings_.HalfLife_) *
+      (State.Report_.InFlight_ + State.Report_.Queued_);
+  const double Peers =
+      weightByAge(State.PeerInFlightAt_, Now, Settings_.HalfLife_) *
+      State.PeerInFlight_;
+  const double Others = std::max(Reported - State.InFlight_, Peers);
+  const double Work = State.InFlight_ + std::max(Others, 0.0);
+  const double Service = std::max(From.serviceLatencyMicros(), 1.0);
+  const double Latency =
+      State.LatencyMicros_ > 0 ? State.LatencyMicros_ : Service;
+  // Attempts that are older than an answer takes show a target that stalls.
+  const double Overdue =
+      std::max(State.ageSumMicros(Now) - Service * State.InFlight_, 0.0);
+  const double ZoneCost =
+      State.IsInOwnZone_ ? 0 : static_cast<double>(Settings_.ZoneCost_.count());
+  return Latency * (Work + 1) / Slots + Overdue + ZoneCost;
+}
+
+} // namespace cranberryspool::routing
--- /dev/null
+++ b/src/routing/policies/randompolicy.h
@@ -0,0 +1,20 @@
+#ifndef CRANBERRYSPOOL_ROUTING_POLICIES_RANDOMPOLICY_H
+#define CRANBERRYSPOOL_ROUTING_POLICIES_RANDOMPOLICY_H
+
+#include "routing/choicepolicy.h"
+#include "routing/sampling.h"
+
+namespace cranberryspool::routing {
+
+/// Each candidate with the same probability; a baseline.
+class RandomPolicy {
+public:
+  std::optional<std::size_t> choose(const Candidates &From,
+                                    framework::Random &Rng) const {
+    return sampleAllowed(From, Rng);
+  }
+};
+
+} // namespace cranberryspool::routing
+
+#endif // CRANBERRYSPOOL_ROUTING_POLICIES_RANDOMPOLICY_H
--- /dev/null
+++ b/src/routing/targettable.h
@@ -0,0 +1,122 @@
+#ifndef CRANBERRYSPOOL_ROUTING_TARGETTABLE_H
+#define CRANBERRYSPOOL_ROUTING_TARGETTABLE_H
+
+#include "framework/random.h"
+#include "routing/choicepolicy.h"
+#include "routing/internal/targetregistry.h"
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace cranberryspool::routing {
+
+/// Chooses targets for attempts. Holds what is known of each target, applies
+/// the rules that no policy may break (leaving, draining, ejected and cold
+/// targets, limits) and leaves the choice among the rest to `Policy`.
+template <ChoicePolicy Policy> class TargetTable {
+public:
+  TargetTable(framework::ZoneId OwnZone, Policy Chooser, framework::Random Rng)
+      : Registry_(OwnZone), Policy_(std::move(Chooser)), Rng_(Rng) {}
+
+  /// Replaces the whole picture. The targets of the first one may have just
+  /// started or not: until a report or a peer says that one is warm it gets no
+  /// more than `TargetBounds::ColdInFlight_`, like targets that appear later.
+  void setTargets(const std::vector<TargetDescription> &Targets,
+                  framework::Instant Now) {
+    Registry_.setTargets(Targets, Now);
+  }
+
+  /// Sets this instance's share of a listed target's bounds.
+  void setBounds(framework::TargetId Target, const TargetBounds &Bounds) {
+    Registry_.setBounds(Target, Bounds);
+  }
+
+  /// Returns the target for the attempt, or nothing when none may take one more
+  /// now. The caller of this function tells the send by `noteSent`.
+  std::optional<framework::TargetId> choose(const ChoiceRequest &Request,
+                                            framework::Instant Now) {
+    Registry_.advance(Now);
+    const Candidates From = Registry_.candidates(Request, Now);
+    const auto Position = Policy_.choose(From, Rng_);
+    if (!Position)
+      return std::nullopt;
+    return From.target(*Position);
+  }
+
+  void noteSent(framework::TargetId Target, framework::Instant Now) {
+    Registry_.advance(Now);
+    Registry_.noteSent(Target, Now);
+  }
+
+  /// Takes the end of an attempt; `Elapsed` is the time since `noteSent`.
+  void noteEnded(framework::TargetId Target, AttemptResult Result,
+                 framework::Duration Elapsed, framework::Instant Now) {
+    Registry_.advance(Now);
+    Registry_.noteEnded(Target, Result, Elapsed, Now);
+  }
+
+  void noteReport(framework::TargetId Target, const LoadReport &Report,
+                  framework::Instant Now) {
+    Registry_.noteReport(Target, Report, Now);
+  }
+
+  /// Takes the start id of an answer or a probe. Returns true when the target
+  /// has started anew since it was last seen and so counts as cold.
+  bool noteStart(framework::TargetId Target, framework::Incarnation Start,
+                 framework::Instant Now) {
+    return Registry_.noteStart(Target, Start, Now);
+  }
+
+  /// Takes other evidence of a new start: all connections reset at once, or a
+  /// peer's word.
+  void noteTurnedCold(framework::TargetId Target, framework::Instant Now) {
+    Registry_.noteTurnedCold(Target, Now);
+  }
+
+  /// Takes a peer's word that the target is warm.
+  void noteTurnedWarm(framework::TargetId Target, framework::Instant Now) {
+    Registry_.noteTurnedWarm(Target, Now);
+  }
+
+  /// Takes the sum of the attempts that all other instances have in flight.
+  void notePeerInFlight(framework::TargetId Target, std::uint32_t Sum,
+                        framework::Instant Now) {
+    Registry_.notePeerInFlight(Target, Sum, Now);
+  }
+
+  /// Returns this instance's attempts in flight at the target.
+  std::uint32_t inFlight(framework::TargetId Target) const {
+    return Registry_.inFlight(Target);
+  }
+
+  bool isCold(framework::TargetId Target) const {
+    return Registry_.isCold(Target);
+  }
+
+  /// Appends at most `Max` listed targets without a fresh report, the longest
+  /// unseen first. Whether this instance may probe them is the fleet's matter.
+  void nextProbeCandidates(std::size_t Max, framework::Instant Now,
+                           std::vector<framework::TargetId> &Output) const {
+    Registry_.probeCandidates(Max, Now, Output);
+  }
+
+  /// Returns the changes since the last call, in their order.
+  std::vector<TargetChange> takeChanges() { return Registry_.takeChanges(); }
+
+  /// Ends what has run out by now: ejections, pauses and cold starts.
+  void advance(framework::Instant Now) { Registry_.advance(Now); }
+
+  /// Returns the time at which `advance` is due, or `Instant::max()`.
+  framework::Instant nextWakeUp() const { return Registry_.nextWakeUp(); }
+
+private:
+  TargetRegistry Registry_;
+  Policy Policy_;
+  framework::Random Rng_;
+};
+
+} // namespace cranberryspool::routing
+
+#endif // CRANBERRYSPOOL_ROUTING_TARGETTABLE_H
--- /dev/null
+++ b/src/routing/tests/targettable_test.cpp
@@ -0,0 +1,227 @@
+#include "routing/policies/blendpolicy.h"
+#include "routing/policies/randompolicy.h"
+#include "routing/targettable.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+
+using namespace cranberryspool;
+using namespace cranberryspool::framework;
+using namespace cranberryspool::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration Warmup = seconds(5);
+
+Instant at(Duration Time) { return Instant(seconds(100)) + Time; }
+
+std::vector<TargetDescription> describe(std::uint32_t Count,
+                                        std::uint32_t Slots = 4) {
+  std::vector<TargetDescription> Targets;
+  for (std::uint32_t Index = 0; Index < Count; ++Index)
+    Targets.push_back(
+        {TargetId(Index), ServiceId(0), ZoneId(Index % 3), Slots, false});
+  return Targets;
+}
+
+/// A table of warm targets of one service.
+template <typename Policy> struct WarmTable {
+  TargetTable<Policy> Table_;
+  std::vector<TargetDescription> Targets_;
+
+  WarmTable(Policy Chooser, std::uint32_t Count, std::uint64_t Seed = 7)
+      : Table_(ZoneId(0), Chooser, Random(Seed)), Targets_(describe(Count)) {
+    Table_.setTargets(Targets_, at({}));
+    for (const auto &Target : Targets_) {
+      Table_.setBounds(Target.Target_, {0, 10, Warmup});
+      Table_.noteReport(Target.Target_, {0, 0, 4, false, false}, at({}));
+    }
+    Table_.takeChanges();
+  }
+
+  std::vector<int> chooseMany(int Count, Instant Now) {
+    std::vector<int> Chosen(Targets_.size());
+    for (int Index = 0; Index < Count; ++Index)
+      if (const auto Target = Table_.choose({ServiceId(0)}, Now))
+        ++Chosen[Target->value()];
+    return Chosen;
+  }
+
+  void endAttempt(TargetId Target, AttemptResult Result, Instant Now) {
+    Table_.noteSent(Target, Now);
+    Table_.noteEnded(Target, Result, milliseconds(5), Now + milliseconds(5));
+  }
+};
+
+} // namespace
+
+TEST_CASE("a leaving or unlisted target gets nothing", "[routing]") {
+  WarmTable Fixture(RandomPolicy{}, 3);
+  Fixture.Targets_[1].IsLeaving_ = true;
+  Fixture.Targets_.pop_back();
+  Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(1)));
+  Fixture.Targets_.resize(3);
+  const auto Chosen = Fixture.chooseMany(200, at(seconds(1)));
+  CHECK(Chosen == std::vector<int>{200, 0, 0});
+}
+
+TEST_CASE("a draining target gets nothing until it reports otherwise",
+          "[routing]") {
+  WarmTable Fixture(RandomPolicy{}, 2);
+  Fixture.Table_.noteReport(TargetId(0), {0, 0, 4, false, true}, at({}));
+  CHECK(Fixture.chooseMany(50, at({}))[0] == 0);
+  Fixture.Table_.noteReport(TargetId(0), {0, 0, 4, false, false},
+                            at(milliseconds(1)));
+  CHECK(Fixture.chooseMany(50, at(milliseconds(1)))[0] > 0);
+}
+
+TEST_CASE("a target of unknown or cold state stays within its bound",
+          "[routing]") {
+  TargetTable<RandomPolicy> Table(ZoneId(0), {}, Random(1));
+  Table.setTargets(describe(1), at({}));
+  const ChoiceRequest Request{ServiceId(0)};
+  CHECK_FALSE(Table.choose(Request, at({})));
+  Table.setBounds(TargetId(0), {1, 10, Warmup});
+  REQUIRE(Table.choose(Request, at({})));
+  Table.noteSent(TargetId(0), at({}));
+  CHECK_FALSE(Table.choose(Request, at({})));
+  Table.noteReport(TargetId(0), {1, 0, 4, false, false}, at(milliseconds(1)));
+  CHECK(Table.choose(Request, at(milliseconds(1))));
+
+  SECTION("a new start id makes it cold at once, also against late reports") {
+    CHECK_FALSE(Table.noteStart(TargetId(0), Incarnation(5), at(seconds(1))));
+    CHECK(Table.noteStart(TargetId(0), Incarnation(6), at(seconds(1))));
+    CHECK_FALSE(Table.noteStart(TargetId(0), Incarnation(5), at(seconds(1))));
+    Table.noteReport(TargetId(0), {1, 0, 4, false, false}, at(seconds(2)));
+    CHECK_FALSE(Table.choose(Request, at(seconds(2))));
+    CHECK(Table.choose(Request, at(seconds(1) + Warmup)));
+  }
+  SECTION("a target that says that it is cold is so beyond its warm-up") {
+    Table.noteTurnedCold(TargetId(0), at(seconds(1)));
+    Table.noteReport(TargetId(0), {1, 0, 4, true, false}, at(seconds(5)));
+    CHECK_FALSE(Table.choose(Request, at(seconds(1) + Warmup)));
+    CHECK(Table.isCold(TargetId(0)));
+  }
+  SECTION("a step up of the time of answers makes it cold") {
+    for (int Index = 0; Index < 50; ++Index) {
+      Table.noteSent(TargetId(0), at({}));
+      Table.noteEnded(TargetId(0), AttemptResult::Answered, milliseconds(5),
+                      at(milliseconds(5)));
+    }
+    CHECK_FALSE(Table.isCold(TargetId(0)));
+    for (int Index = 0; Index < 6; ++Index) {
+      Table.noteSent(TargetId(0), at({}));
+      Table.noteEnded(TargetId(0), AttemptResult::Answered, milliseconds(90),
+                      at(milliseconds(90)));
+    }
+    CHECK(Table.isCold(TargetId(0)));
+  }
+}
+
+TEST_CASE("a target that fails fast leaves and returns gradually",
+          "[routing]") {
+  WarmTable Fixture(RandomPolicy{}, 6);
+  for (int Index = 0; Index < 3; ++Index)
+    Fixture.endAttempt(TargetId(2), AttemptResult::ServerError, at({}));
+  CHECK(Fixture.chooseMany(300, at(milliseconds(6)))[2] == 0);
+  CHECK(Fixture.Table_.takeChanges() ==
+        std::vector<TargetChange>{{TargetId(2), TargetChangeKind::Ejected}});
+
+  const Instant Back = Fixture.Table_.nextWakeUp();
+  REQUIRE(Back < at(seconds(1)));
+  CHECK(Fixture.chooseMany(300, Back)[2] > 0);
+  Fixture.Table_.noteSent(TargetId(2), Back);
+  CHECK(Fixture.chooseMany(300, Back)[2] == 0);
+
+  SECTION("a success widens its limit") {
+    Fixture.Table_.noteEnded(TargetId(2), AttemptResult::Answered,
+                             milliseconds(5), Back);
+    Fixture.Table_.noteSent(TargetId(2), Back);
+    CHECK(Fixture.chooseMany(300, Back)[2] > 0);
+  }
+  SECTION("one more failure ejects it for longer") {
+    Fixture.Table_.noteEnded(TargetId(2), AttemptResult::ServerError,
+                             milliseconds(5), Back);
+    CHECK(Fixture.Table_.nextWakeUp() - Back > Back - at({}));
+  }
+}
+
+TEST_CASE("never most of a service is ejected", "[routing]") {
+  const auto Count = GENERATE(1U, 2U, 6U);
+  WarmTable Fixture(RandomPolicy{}, Count);
+  for (std::uint32_t Target = 0; Target < Count; ++Target)
+    for (int Index = 0; Index < 9; ++Index)
+      Fixture.endAttempt(TargetId(Target), AttemptResult::ConnectionFailed,
+                         at({}));
+  const auto Chosen = Fixture.chooseMany(300, at(milliseconds(6)));
+  const auto Ejected = std::count(Chosen.begin(), Chosen.end(), 0);
+  CHECK(Ejected == (Count == 1 ? 0 : Count == 2 ? 1 : 2));
+}
+
+TEST_CASE("a shedding target pauses; silence and cancellation blame nobody",
+          "[routing]") {
+  WarmTable Fixture(RandomPolicy{}, 3);
+  Fixture.endAttempt(TargetId(0), AttemptResult::NotRun, at({}));
+  for (int Index = 0; Index < 20; ++Index) {
+    Fixture.endAttempt(TargetId(1), AttemptResult::ConnectionSilent, at({}));
+    Fixture.endAttempt(TargetId(1), AttemptResult::Cancelled, at({}));
+  }
+  const auto Chosen = Fixture.chooseMany(200, at(milliseconds(6)));
+  CHECK(Chosen[0] == 0);
+  CHECK(Chosen[1] > 0);
+  CHECK(Fixture.chooseMany(200, at(milliseconds(11)))[0] > 0);
+}
+
+TEST_CASE("a call goes to no target that it has used", "[routing]") {
+  WarmTable Fixture(BlendPolicy(BlendSettings{}), 3);
+  const ChoiceRequest Request{
+      ServiceId(0), document::Urgency::Urgent, {TargetId(0), TargetId(2)}};
+  for (int Index = 0; Index < 50; ++Index)
+    CHECK(Fixture.Table_.choose(Request, at({})) == TargetId(1));
+  const ChoiceRequest Hopeless{ServiceId(0),
+                               document::Urgency::Urgent,
+                               {TargetId(0), TargetId(1), TargetId(2)}};
+  CHECK_FALSE(Fixture.Table_.choose(Hopeless, at({})));
+}
+
+TEST_CASE("the blend prefers its zone until that is loaded", "[routing]") {
+  WarmTable Fixture(BlendPolicy(BlendSettings{8}), 3);
+  CHECK(Fixture.chooseMany(100, at(milliseconds(1)))[0] > 90);
+  Fixture.Table_.noteReport(TargetId(0), {4, 9, 4, false, false},
+                            at(milliseconds(1)));
+  for (int Index = 0; Index < 30; ++Index)
+    Fixture.endAttempt(TargetId(1), AttemptResult::Answered, at({}));
+  CHECK(Fixture.chooseMany(100, at(milliseconds(6)))[0] == 0);
+}
+
+TEST_CASE("targets without a fresh report are offered for probes",
+          "[routing]") {
+  WarmTable Fixture(RandomPolicy{}, 3);
+  std::vector<TargetId> Found;
+  Fixture.Table_.nextProbeCandidates(2, at(milliseconds(10)), Found);
+  CHECK(Found.empty());
+  Fixture.Table_.noteReport(TargetId(0), {}, at(seconds(3)));
+  Fixture.Table_.nextProbeCandidates(5, at(seconds(3)), Found);
+  CHECK(Found == std::vector<TargetId>{TargetId(1), TargetId(2)});
+}
+
+TEST_CASE("the same events give the same choices", "[routing]") {
+  const auto Run = [] {
+    WarmTable Fixture(BlendPolicy(BlendSettings{}), 9, 42);
+    std::vector<TargetId> Chosen;
+    for (int Index = 0; Index < 100; ++Index) {
+      const auto Target =
+          Fixture.Table_.choose({ServiceId(0)}, at(milliseconds(Index)));
+      REQUIRE(Target);
+      Chosen.push_back(*Target);
+      Fixture.endAttempt(*Target, AttemptResult::Answered,
+                         at(milliseconds(Index)));
+    }
+    return Chosen;
+  };
+  CHECK(Run() == Run());
+}
--- a/src/routing/types/choicerequest.h
+++ b/src/routing/types/choicerequest.h
@@ -13,7 +13,7 @@
   framework::ServiceId Service_;
   document::Urgency Urgency_ = document::Urgency::Ordinary;
   /// Targets that earlier attempts of the call have used.
-  std::vector<framework::TargetId> Excluded_;
+  std::vector<framework::TargetId> Excluded_ = {};
 };
 
 } // namespace cranberryspool::routing
--- /dev/null
+++ b/src/routing/types/targetstate.h
@@ -0,0 +1,48 @@
+#ifndef CRANBERRYSPOOL_ROUTING_TYPES_TARGETSTATE_H
+#define CRANBERRYSPOOL_ROUTING_TYPES_TARGETSTATE_H
+
+#include "framework/time.h"
+#include "routing/types/loadreport.h"
+#include "routing/types/targetbounds.h"
+#include "routing/types/targetdescription.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace cranberryspool::routing {
+
+/// The signals about a target that policies choose by.
+struct TargetState {
+  TargetDescription Description_;
+  TargetBounds Bounds_;
+  bool IsInOwnZone_ = false;
+
+  /// Attempts of this instance that have not ended.
+  std::uint32_t InFlight_ = 0;
+  /// The sum of the send times of the attempts in flight, in microseconds
+  /// since the clock's epoch; with it the sum of their ages costs O(1).
+  std::int64_t SentTimeSum_ = 0;
+
+  LoadReport Report_;
+  std::optional<framework::Instant> ReportedAt_;
+
+  /// Attempts in flight of all other instances, as they told last.
+  std::uint32_t PeerInFlight_ = 0;
+  std::optional<framework::Instant> PeerInFlightAt_;
+  /// Attempts that this instance has sent since the peers told.
+  std::uint32_t SentSincePeers_ = 0;
+
+  /// Moving average of the time of an answer; zero before the first answer.
+  double LatencyMicros_ = 0;
+  framework::Instant LatencyAt_{};
+
+  /// The sum of the ages of the attempts in flight, in microseconds.
+  double ageSumMicros(framework::Instant Now) const {
+    const auto NowMicros = Now.time_since_epoch().count();
+    return static_cast<double>(NowMicros * InFlight_ - SentTimeSum_);
+  }
+};
+
+} // namespace cranberryspool::routing
+
+#endif // CRANBERRYSPOOL_ROUTING_TYPES_TARGETSTATE_H
