--- /dev/null
+++ b/src/routing/experiment/internal/deployment.cpp
@@ -0,0 +1,40 @@
+#include "routing/experiment/deployment.h"
+
+namespace cranberryspool::experiment {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::uint32_t Deployment::targets() const {
+  std::uint32_t Sum = 0;
+  for (const ServiceModel &Service : Services_)
+    Sum += Service.Targets_;
+  return Sum;
+}
+
+Deployment lagos() {
+  return {"lagos",
+          3,
+          15,
+          microseconds(100),
+          microseconds(500),
+          {{"ledger-read", 15, 6, milliseconds(8), 0.3, seconds(2), true},
+           {"certdesk", 10, 6, milliseconds(20), 0.2, seconds(2), false},
+           {"assay-pay", 6, 6, milliseconds(15), 0.2, seconds(2), false},
+           {"quickcheck", 6, 6, milliseconds(6), 0.6, seconds(2), true}}};
+}
+
+Deployment centralBelt() {
+  return {"central-belt",
+          3,
+          15,
+          microseconds(100),
+          milliseconds(1),
+          {{"records", 15, 3, milliseconds(8), 0.3, seconds(2), true},
+           {"enrolment", 6, 3, milliseconds(30), 0.2, seconds(2), false},
+           {"activation", 6, 3, milliseconds(25), 0.3, seconds(2), false},
+           {"compliance", 6, 3, milliseconds(10), 0.3, seconds(2), true}}};
+}
+
+} // namespace cranberryspool::experiment
--- /dev/null
+++ b/src/routing/experiment/internal/policyexperiment.cpp
@@ -0,0 +1,104 @@
+#include "routing/experiment/policyexperiment.h"
+
+#include "routing/experiment/oraclepolicy.h"
+#include "routing/experiment/virtualfleet.h"
+#include "routing/policies/blendpolicy.h"
+#include "routing/policies/hotcoldpolicy.h"
+#include "routing/policies/leastoutstandingpolicy.h"
+#include "routing/policies/randompolicy.h"
+#include "routing/policies/roundrobinpolicy.h"
+
+#include <functional>
+#include <map>
+
+namespace cranberryspool::experiment {
+
+namespace {
+
+using framework::Duration;
+using std::chrono::milliseconds;
+
+using Runner = std::function<std::vector<PolicyResult>(
+    const Deployment &, FleetSettings, const Workload &)>;
+
+template <typename Policy, typename MakePolicy>
+Runner makeRunner(bool HasLimits, Duration ShareInterval, MakePolicy Make) {
+  return [=](const Deployment &Fleet, FleetSettings Settings,
+             const Workload &Work) {
+    Settings.HasLimits_ = HasLimits;
+    Settings.ShareInterval_ = ShareInterval;
+    VirtualFleet<Policy> Run(Fleet, Settings, Work, Make);
+    Run.run();
+    std::vector<PolicyResult> Output;
+    for (std::uint32_t Service = 0; Service < Fleet.Services_.size(); ++Service)
+      for (const auto Urgency :
+           {document::Urgency::Urgent, document::Urgency::Ordinary}) {
+        const CallResults &Found = Run.results(Service, Urgency);
+        Output.push_back({"", Fleet.Services_[Service].Name_, Urgency,
+                          Found.Latencies_.size(), Found.NotRun_,
+                          Found.quantile(0.5), Found.quantile(0.99),
+                          Found.quantile(0.999)});
+      }
+    return Output;
+  };
+}
+
+template <typename Policy> Runner makeBaseline() {
+  return makeRunner<Policy>(false, {},
+                            [](const TargetTruth &) { return Policy(); });
+}
+
+template <bool KnowsSpeed> Runner makeOracle() {
+  using Oracle = OraclePolicy<TargetTruth, KnowsSpeed>;
+  return makeRunner<Oracle>(
+      false, {}, [](const TargetTruth &Truth) { return Oracle(Truth); });
+}
+
+Runner makeBlend(Duration ShareInterval) {
+  return makeRunner<routing::BlendPolicy>(
+      true, ShareInterval, [](const TargetTruth &) {
+        return routing::BlendPolicy(routing::BlendSettings{});
+      });
+}
+
+std::vector<std::pair<std::string, Runner>> makeRunners() {
+  return {{"blend", makeBlend(milliseconds(50))},
+          {"blend-alone", makeBlend({})},
+          {"hot-cold", makeBaseline<routing::HotColdPolicy>()},
+          {"random", makeBaseline<routing::RandomPolicy>()},
+          {"round-robin", makeBaseline<routing::RoundRobinPolicy>()},
+          {"least-own", makeBaseline<routing::LeastOutstandingPolicy>()},
+          {"oracle", makeOracle<false>()},
+          {"oracle-speed", makeOracle<true>()}};
+}
+
+} // namespace
+
+std::vector<std::string> policyNames() {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Run] : makeRunners())
+    Names.push_back(Name);
+  return Names;
+}
+
+std::vector<PolicyResult> runPolicy(const std::string &Policy,
+                                    const Deployment &Fleet,
+                                    const PolicyExperimentSettings &Settings) {
+  WorkloadSettings Offered;
+  Offered.Load_ = Settings.Load_;
+  Offered.Length_ = Settings.Length_;
+  const Workload Work = makeWorkload(Fleet, Offered, Settings.Seed_);
+  FleetSettings Instances;
+  Instances.Seed_ = Settings.Seed_;
+  for (const auto &[Name, Run] : makeRunners()) {
+    if (Name != Policy)
+      continue;
+    auto Output = Run(Fleet, Instances, Work);
+    for (PolicyResult &Result : Output)
+      Result.Policy_ = Name;
+    return Output;
+  }
+  return {};
+}
+
+} // namespace cranberryspool::experiment
--- /dev/null
+++ b/src/routing/experiment/servicemodel.h
@@ -0,0 +1,25 @@
+#ifndef CRANBERRYSPOOL_ROUTING_EXPERIMENT_SERVICEMODEL_H
+#define CRANBERRYSPOOL_ROUTING_EXPERIMENT_SERVICEMODEL_H
+
+#include "framework/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace cranberryspool::experiment {
+
+/// A service of a virtual run. The work of a request is a constant quarter of
+/// the mean plus an exponentially distributed rest.
+struct ServiceModel {
+  std::string Name_;
+  std::uint32_t Targets_ = 1;
+  std::uint32_t SlotsPerTarget_ = 1;
+  framework::Duration MeanWork_{};
+  double UrgentShare_ = 0;
+  framework::Duration Deadline_ = std::chrono::seconds(2);
+  bool IsIdempotent_ = true;
+};
+
+} // namespace cranberryspool::experiment
+
+#endif // CRANBERRYSPOOL_ROUTING_EXPERIMENT_SERVICEMODEL_H
