--- a/src/apps/cranberry-experiment/main.cpp
+++ b/src/apps/cranberry-experiment/main.cpp
@@ -15,6 +15,9 @@
 DEFINE_string(policies, "", "policies to run; all when empty");
 DEFINE_uint64(seconds, 20, "virtual length of each run in seconds");
 DEFINE_uint64(jobs, 4, "runs at the same time");
+DEFINE_double(constant_share, 0.5,
+              "part of the mean work that is the same for all requests");
+DEFINE_double(work_scale, 1, "multiplies the mean work of each service");
 DEFINE_bool(table, true, "print the table of each run");
 
 namespace {
@@ -55,9 +58,12 @@
   for (const std::string &Load : split(FLAGS_load))
     for (std::uint64_t Seed = 1; Seed <= FLAGS_seeds; ++Seed) {
       PolicyExperimentSettings Settings;
-      Settings.Load_ = std::strtod(Load.c_str(), nullptr) / 100;
       Settings.Seed_ = Seed;
-      Settings.Length_ = std::chrono::seconds(FLAGS_seconds);
+      WorkloadSettings &Offered = Settings.Offered_;
+      Offered.Load_ = std::strtod(Load.c_str(), nullptr) / 100;
+      Offered.Length_ = std::chrono::seconds(FLAGS_seconds);
+      Offered.ConstantShareOfWork_ = FLAGS_constant_share;
+      Offered.WorkScale_ = FLAGS_work_scale;
       const auto Results = runAll(Policies, Fleet, Settings);
       std::cout << "== " << Fleet.Name_ << ", load " << Load << " %, seed "
                 << Seed << '\n';
--- /dev/null
+++ b/src/routing/defaultpolicy.h
@@ -0,0 +1,13 @@
+#ifndef CRANBERRYSPOOL_ROUTING_DEFAULTPOLICY_H
+#define CRANBERRYSPOOL_ROUTING_DEFAULTPOLICY_H
+
+#include "routing/policies/affinitypolicy.h"
+
+namespace cranberryspool::routing {
+
+/// The policy that instances run; docs/DESIGN.md gives the comparison.
+using DefaultPolicy = AffinityPolicy;
+
+} // namespace cranberryspool::routing
+
+#endif // CRANBERRYSPOOL_ROUTING_DEFAULTPOLICY_H
--- a/src/routing/experiment/internal/policyexperiment.cpp
+++ b/src/routing/experiment/internal/policyexperiment.cpp
@@ -1,5 +1,6 @@
 #include "routing/experiment/policyexperiment.h"
 
+#include "routing/defaultpolicy.h"
 #include "routing/experiment/oraclepolicy.h"
 #include "routing/experiment/virtualfleet.h"
 #include "routing/policies/blendpolicy.h"
@@ -61,8 +62,16 @@
       });
 }
 
+Runner makeAffinity(bool HasLimits) {
+  return makeRunner<routing::DefaultPolicy>(
+      HasLimits, {},
+      [](const TargetTruth &) { return routing::DefaultPolicy(); });
+}
+
 std::vector<std::pair<std::string, Runner>> makeRunners() {
-  return {{"blend", makeBlend(milliseconds(50))},
+  return {{"affinity", makeAffinity(true)},
+          {"affinity-free", makeAffinity(false)},
+          {"blend", makeBlend(milliseconds(50))},
           {"blend-alone", makeBlend({})},
           {"hot-cold", makeBaseline<routing::HotColdPolicy>()},
           {"random", makeBaseline<routing::RandomPolicy>()},
@@ -84,10 +93,7 @@
 std::vector<PolicyResult> runPolicy(const std::string &Policy,
                                     const Deployment &Fleet,
                                     const PolicyExperimentSettings &Settings) {
-  WorkloadSettings Offered;
-  Offered.Load_ = Settings.Load_;
-  Offered.Length_ = Settings.Length_;
-  const Workload Work = makeWorkload(Fleet, Offered, Settings.Seed_);
+  const Workload Work = makeWorkload(Fleet, Settings.Offered_, Settings.Seed_);
   FleetSettings Instances;
   Instances.Seed_ = Settings.Seed_;
   for (const auto &[Name, Run] : makeRunners()) {
--- a/src/routing/experiment/internal/virtualtarget.cpp
+++ b/src/routing/experiment/internal/virtualtarget.cpp
@@ -21,11 +21,10 @@
 std::optional<VirtualTarget::Completion> VirtualTarget::nextCompletion() const {
   if (Running_.empty())
     return std::nullopt;
-  const auto First = std::min_element(
-      Running_.begin(), Running_.end(),
-      [](const auto &Left, const auto &Right) {
-        return Left.Left_ < Right.Left_;
-      });
+  const auto First = std::min_element(Running_.begin(), Running_.end(),
+                                      [](const auto &Left, const auto &Right) {
+                                        return Left.Left_ < Right.Left_;
+                                      });
   const auto Micros = std::llround(std::ceil(First->Left_ / Speed_));
   return Completion{First->Job_, WorkedUntil_ + Duration(Micros)};
 }
@@ -56,7 +55,8 @@
 }
 
 void VirtualTarget::work(Instant Now) {
-  const double Done = Speed_ * static_cast<double>((Now - WorkedUntil_).count());
+  const double Done =
+      Speed_ * static_cast<double>((Now - WorkedUntil_).count());
   for (RunningJob &Entry : Running_)
     Entry.Left_ = std::max(Entry.Left_ - Done, 0.0);
   WorkedUntil_ = Now;
@@ -72,10 +72,10 @@
 
 void VirtualTarget::remember(Instant Now) {
   report(Now);
-  Past_.push_back({Now,
-                   {static_cast<std::uint32_t>(Running_.size()),
-                    static_cast<std::uint32_t>(Queue_.size()), Slots_, false,
-                    false}});
+  Past_.push_back(
+      {Now,
+       {static_cast<std::uint32_t>(Running_.size()),
+        static_cast<std::uint32_t>(Queue_.size()), Slots_, false, false}});
 }
 
 } // namespace cranberryspool::experiment
--- a/src/routing/experiment/internal/workload.cpp
+++ b/src/routing/experiment/internal/workload.cpp
@@ -18,7 +18,6 @@
 constexpr double SlowSpeed = 1.0 / 3;
 constexpr Duration ShortestSlowness = milliseconds(50);
 constexpr Duration LongestSlowness = milliseconds(200);
-constexpr double ConstantShareOfWork = 0.25;
 
 double loadAt(const WorkloadSettings &Settings, Instant Now) {
   const Duration Since = Now - startOfRun();
@@ -30,7 +29,9 @@
 void addArrivals(const Deployment &Fleet, const WorkloadSettings &Settings,
                  std::uint32_t Service, Random &Rng, Workload &Output) {
   const ServiceModel &Model = Fleet.Services_[Service];
-  const auto Mean = static_cast<double>(Model.MeanWork_.count());
+  const double Constant = Settings.ConstantShareOfWork_;
+  const double Mean =
+      Settings.WorkScale_ * static_cast<double>(Model.MeanWork_.count());
   const double Slots = Model.Targets_ * Model.SlotsPerTarget_;
   const Instant End = startOfRun() + Settings.Length_;
   double Now = static_cast<double>(startOfRun().time_since_epoch().count());
@@ -40,8 +41,8 @@
     const Instant At{Duration(std::llround(Now))};
     if (At >= End)
       return;
-    const double Work = ConstantShareOfWork * Mean +
-                        Rng.exponential((1 - ConstantShareOfWork) * Mean);
+    const double Work =
+        Constant * Mean + Rng.exponential((1 - Constant) * Mean);
     const bool IsUrgent = Rng.fraction() < Model.UrgentShare_;
     Output.Arrivals_.push_back(
         {At, Service, static_cast<std::uint32_t>(Rng.index(Fleet.Instances_)),
--- a/src/routing/experiment/policyexperiment.h
+++ b/src/routing/experiment/policyexperiment.h
@@ -3,6 +3,7 @@
 
 #include "routing/experiment/deployment.h"
 #include "routing/experiment/policyresult.h"
+#include "routing/experiment/workload.h"
 
 #include <cstdint>
 #include <string>
@@ -12,9 +13,8 @@
 
 /// What one comparison of the policies runs.
 struct PolicyExperimentSettings {
-  double Load_ = 0.7;
+  WorkloadSettings Offered_;
   std::uint64_t Seed_ = 1;
-  framework::Duration Length_ = std::chrono::seconds(20);
 };
 
 /// The names of the policies that are compared, ours first.
--- a/src/routing/experiment/virtualfleet.h
+++ b/src/routing/experiment/virtualfleet.h
@@ -7,6 +7,7 @@
 #include "routing/experiment/fleetsettings.h"
 #include "routing/experiment/targettruth.h"
 #include "routing/experiment/workload.h"
+#include "routing/ringdistance.h"
 #include "routing/targettable.h"
 
 #include <algorithm>
@@ -112,8 +113,7 @@
       const ServiceModel &Model = Fleet_.Services_[Service];
       for (std::uint32_t Count = 0; Count < Model.Targets_; ++Count) {
         const auto Index = static_cast<std::uint32_t>(Descriptions_.size());
-        Descriptions_.push_back({TargetId(Index),
-                                 framework::ServiceId(Service),
+        Descriptions_.push_back({TargetId(Index), framework::ServiceId(Service),
                                  framework::ZoneId(Count % Fleet_.Zones_),
                                  Model.SlotsPerTarget_, false});
         Truth_.Targets_.emplace_back(Model.SlotsPerTarget_,
@@ -129,38 +129,51 @@
     framework::Random Seeds(Settings_.Seed_);
     for (std::uint32_t Index = 0; Index < Fleet_.Instances_; ++Index) {
       const framework::ZoneId Zone(Index % Fleet_.Zones_);
-      Instances_.push_back({Zone,
-                            {Zone, MakePolicy(Truth_),
-                             framework::Random(Seeds.bits())},
-                            {},
-                            Instant::max()});
-      setUp(Instances_.back());
+      Instances_.push_back(
+          {Zone,
+           {Zone, MakePolicy(Truth_), framework::Random(Seeds.bits())},
+           {},
+           Instant::max()});
+      setUp(Instances_.back(), Index);
     }
   }
 
-  void setUp(Instance &Self) {
+  /// Targets alternate over the availability zones, as instances do.
+  double distance(std::uint32_t Index, std::uint32_t Rank,
+                  std::uint32_t Targets) const {
+    const std::uint32_t Zones = Fleet_.Zones_;
+    const std::uint32_t InZone = (Targets + Zones - 1 - Rank % Zones) / Zones;
+    return routing::ringDistance(Index / Zones, Fleet_.Instances_ / Zones,
+                                 Rank / Zones, InZone);
+  }
+
+  void setUp(Instance &Self, std::uint32_t Index) {
     Self.Table_.setTargets(Descriptions_, startOfRun());
-    for (const auto &Target : Descriptions_) {
-      Self.Table_.setBounds(Target.Target_,
-                            {0, 1000, std::chrono::seconds(5)});
-      Self.Table_.noteReport(Target.Target_,
-                             {0, 0, Target.Slots_, false, false},
-                             startOfRun());
-    }
-    constexpr admission::ServiceCapacity Unlimited{1U << 20U, 1};
+    std::uint32_t First = 0;
     for (std::uint32_t Service = 0; Service < Fleet_.Services_.size();
          ++Service) {
       const ServiceModel &Model = Fleet_.Services_[Service];
+      const std::uint32_t Slots = Model.Targets_ * Model.SlotsPerTarget_;
+      constexpr admission::ServiceCapacity Unlimited{1U << 20U, 1};
       Self.Queue_.setCapacity(
           framework::ServiceId(Service),
           Settings_.HasLimits_
-              ? admission::ServiceCapacity{Model.Targets_ *
-                                               Model.SlotsPerTarget_,
-                                           Fleet_.Instances_}
+              ? admission::ServiceCapacity{Slots, Fleet_.Instances_}
               : Unlimited);
+      for (std::uint32_t Rank = 0; Rank < Model.Targets_; ++Rank)
+        setUpTarget(Self, TargetId(First + Rank),
+                    distance(Index, Rank, Model.Targets_));
+      First += Model.Targets_;
     }
   }
 
+  void setUpTarget(Instance &Self, TargetId Target, double Distance) {
+    constexpr std::uint32_t MaxConnections = 1000;
+    constexpr framework::Duration Warmup = std::chrono::seconds(5);
+    Self.Table_.setBounds(Target, {0, MaxConnections, Warmup, Distance});
+    Self.Table_.noteReport(Target, {}, startOfRun());
+  }
+
   void post(Instant At, EventKind Kind, std::uint64_t Subject,
             std::uint64_t Generation = 0) {
     Events_.push({At, Order_++, Kind, Subject, Generation});
@@ -192,11 +205,10 @@
     if (Call + 1 < Work_.Arrivals_.size())
       post(Work_.Arrivals_[Call + 1].At_, EventKind::Arrival, Call + 1);
     const auto &Arrival = Work_.Arrivals_[Call];
-    const auto Deadline =
-        Now_ + Fleet_.Services_[Arrival.Service_].Deadline_;
-    const admission::QueuedCall Queued{
-        framework::CallId(Call), framework::ServiceId(Arrival.Service_),
-        Arrival.Urgency_, Now_, Deadline};
+    const auto Deadline = Now_ + Fleet_.Services_[Arrival.Service_].Deadline_;
+    const admission::QueuedCall Queued{framework::CallId(Call),
+                                       framework::ServiceId(Arrival.Service_),
+                                       Arrival.Urgency_, Now_, Deadline};
     if (!Instances_[Arrival.Instance_].Queue_.offer(Queued, Now_))
       return countNotRun(Call);
     pump(Arrival.Instance_);
@@ -216,9 +228,9 @@
         Self.Queue_.noteStarted(*Call, Now_);
         send(Index, Number, *Target);
       }
-    const Instant At = std::max(
-        std::min(Self.Table_.nextWakeUp(), Self.Queue_.nextWakeUp()),
-        Now_ + framework::Duration(1));
+    const Instant At =
+        std::max(std::min(Self.Table_.nextWakeUp(), Self.Queue_.nextWakeUp()),
+                 Now_ + framework::Duration(1));
     if (At == Instant::max() || (Self.WakeAt_ > Now_ && Self.WakeAt_ <= At))
       return;
     Self.WakeAt_ = At;
@@ -245,8 +257,7 @@
     Self.Table_.noteSent(Target, Now_);
     Attempts_.push_back({Call, Target, Now_, false, {}});
     ++Truth_.OnTheWay_[Target.value()];
-    post(Now_ + delay(Self, Target), EventKind::AtTarget,
-         Attempts_.size() - 1);
+    post(Now_ + delay(Self, Target), EventKind::AtTarget, Attempts_.size() - 1);
   }
 
   framework::Duration delay(const Instance &Self, TargetId Target) const {
--- a/src/routing/experiment/workload.h
+++ b/src/routing/experiment/workload.h
@@ -41,6 +41,11 @@
   framework::Duration Length_ = std::chrono::seconds(20);
   /// The share of targets that are slow at any time.
   double SlowShare_ = 0.1;
+  /// The part of a request's mean work that is the same for all; the rest is
+  /// distributed exponentially.
+  double ConstantShareOfWork_ = 0.5;
+  /// Multiplies the mean work of each service.
+  double WorkScale_ = 1;
 };
 
 /// The time at which runs start.
--- a/src/routing/internal/blendpolicy.cpp
+++ b/src/routing/internal/blendpolicy.cpp
@@ -1,5 +1,5 @@
 #include "routing/policies/blendpolicy.h"
-#include "routing/sampling.h"
+#include "routing/leastcost.h"
 
 #include <algorithm>
 #include <cmath>
@@ -23,26 +23,9 @@
 
 std::optional<std::size_t> BlendPolicy::choose(const Candidates &From,
                                                framework::Random &Rng) const {
-  if (From.size() == 0)
-    return std::nullopt;
-  const bool HasFew = From.size() <= Settings_.Samples_;
-  const auto Samples = std::min(Settings_.Samples_, From.size());
-  // With few candidates all are compared, from a random start for fair ties.
-  const std::size_t Start = HasFew ? Rng.index(From.size()) : 0;
-  std::optional<std::size_t> Best;
-  double BestMicros = 0;
-  for (std::size_t Sample = 0; Sample < Samples; ++Sample) {
-    const std::size_t Position =
-        HasFew ? (Start + Sample) % From.size() : Rng.index(From.size());
-    if (From.isExcluded(Position))
-      continue;
-    const double Micros = expectedMicros(From, Position);
-    if (Best && Micros >= BestMicros)
-      continue;
-    Best = Position;
-    BestMicros = Micros;
-  }
-  return Best ? Best : sampleAllowed(From, Rng);
+  return leastCost(From, Settings_.Samples_, Rng, [&](std::size_t Position) {
+    return expectedMicros(From, Position);
+  });
 }
 
 double BlendPolicy::expectedMicros(const Candidates &From,
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -131,7 +131,7 @@
   const bool IsFirst = State.LatencyMicros_ == 0;
   State.LatencyMicros_ +=
       (IsFirst ? 1.0 : LatencyWeight) * (Sample - State.LatencyMicros_);
-  State.LatencyAt_ = Now;
+  State.Recent_.note(Elapsed, Now);
   if (Service.LatencyMicros_ == 0)
     Service.LatencyMicros_ = Sample;
   const bool IsSlow = Sample > SlownessOfColdStart * Service.LatencyMicros_ &&
@@ -219,6 +219,7 @@
   Entry.ColdSince_ = Now;
   Entry.SlowStreak_ = 0;
   States_[Target.value()].LatencyMicros_ = 0;
+  States_[Target.value()].Recent_ = RecentAnswers();
   wakeAt(Now + States_[Target.value()].Bounds_.ColdWarmup_, Target);
 }
 
@@ -297,7 +298,8 @@
     return false;
   if (Entry.Health_.isEjected() || Entry.Health_.isPaused(Now))
     return false;
-  std::uint32_t Limit = Entry.Health_.limit(State.Description_.Slots_);
+  std::uint32_t Limit = std::min(Entry.Health_.limit(State.Description_.Slots_),
+                                 State.Bounds_.MaxConnections_);
   if (isCold(Entry))
     Limit = std::min(Limit, State.Bounds_.ColdInFlight_);
   return State.InFlight_ < Limit;
--- a/src/routing/policies/leastoutstandingpolicy.h
+++ b/src/routing/policies/leastoutstandingpolicy.h
@@ -19,8 +19,7 @@
       const std::size_t Position = (Start + Step) % From.size();
       if (From.isExcluded(Position))
         continue;
-      if (!Best ||
-          From.state(Position).InFlight_ < From.state(*Best).InFlight_)
+      if (!Best || From.state(Position).InFlight_ < From.state(*Best).InFlight_)
         Best = Position;
     }
     return Best;
--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -37,7 +37,7 @@
       : Table_(ZoneId(0), Chooser, Random(Seed)), Targets_(describe(Count)) {
     Table_.setTargets(Targets_, at({}));
     for (const auto &Target : Targets_) {
-      Table_.setBounds(Target.Target_, {0, 10, Warmup});
+      Table_.setBounds(Target.Target_, {0, 10, Warmup, 0});
       Table_.noteReport(Target.Target_, {0, 0, 4, false, false}, at({}));
     }
     Table_.takeChanges();
@@ -85,7 +85,7 @@
   Table.setTargets(describe(1), at({}));
   const ChoiceRequest Request{ServiceId(0)};
   CHECK_FALSE(Table.choose(Request, at({})));
-  Table.setBounds(TargetId(0), {1, 10, Warmup});
+  Table.setBounds(TargetId(0), {1, 10, Warmup, 0});
   REQUIRE(Table.choose(Request, at({})));
   Table.noteSent(TargetId(0), at({}));
   CHECK_FALSE(Table.choose(Request, at({})));
--- a/src/routing/types/targetbounds.h
+++ b/src/routing/types/targetbounds.h
@@ -15,6 +15,9 @@
   std::uint32_t ColdInFlight_ = 0;
   std::uint32_t MaxConnections_ = 1;
   framework::Duration ColdWarmup_{};
+  /// How far the target is from this instance on the ring on which all
+  /// instances and the targets of a service are spread evenly, from 0 to 0.5.
+  double RingDistance_ = 0;
 };
 
 } // namespace cranberryspool::routing
--- a/src/routing/types/targetstate.h
+++ b/src/routing/types/targetstate.h
@@ -3,6 +3,7 @@
 
 #include "framework/time.h"
 #include "routing/types/loadreport.h"
+#include "routing/types/recentanswers.h"
 #include "routing/types/targetbounds.h"
 #include "routing/types/targetdescription.h"
 
@@ -32,9 +33,11 @@
   /// Attempts that this instance has sent since the peers told.
   std::uint32_t SentSincePeers_ = 0;
 
+  /// How fast this instance's attempts were lately answered.
+  RecentAnswers Recent_;
+
   /// Moving average of the time of an answer; zero before the first answer.
   double LatencyMicros_ = 0;
-  framework::Instant LatencyAt_{};
 
   /// The sum of the ages of the attempts in flight, in microseconds.
   double ageSumMicros(framework::Instant Now) const {
