--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -62,13 +62,11 @@
   return Taken;
 }
 
-void AdmissionQueue::noteStarted(CallId Call, Instant) {
+void AdmissionQueue::noteStarted(CallId Call, Instant Now) {
   const auto Found = Waiting_.find(Call);
   if (Found == Waiting_.end())
     return;
-  ServiceQueue &Queue = Services_[Found->second.Service_];
-  Queue.remove(Found->second);
-  Queue.noteStarted(Found->second.Urgency_);
+  Services_[Found->second.Service_].noteStarted(Found->second, Now);
   Waiting_.erase(Found);
 }
 
@@ -82,7 +80,7 @@
   const bool WasAtLimit = Queue.isAtLimit();
   Queue.noteEnded(Urgency);
   if (Result == AttemptResult::Answered)
-    Queue.limit().noteAnswered(Elapsed, WasAtLimit);
+    Queue.limit().noteAnswered(Elapsed, WasAtLimit, Now);
   if (Result == AttemptResult::NotRun || Result == AttemptResult::TimedOut)
     Queue.limit().noteOverload(Now);
 }
--- a/src/admission/internal/concurrencylimit.h
+++ b/src/admission/internal/concurrencylimit.h
@@ -17,28 +17,29 @@
   void setCapacity(ServiceCapacity Capacity);
 
   /// Takes the time of an answer.
-  void noteAnswered(framework::Duration Elapsed, bool WasAtLimit);
+  void noteAnswered(framework::Duration Elapsed, bool WasAtLimit,
+                    framework::Instant Now);
 
   /// Takes a shed attempt or a timeout.
   void noteOverload(framework::Instant Now);
 
-  /// The limit for calls of the urgency. A share is kept for urgent ones.
+  /// The limit for calls of the urgency; that for urgent ones counts all calls
+  /// and leaves them room when ordinary calls have met theirs.
   std::uint32_t limit(document::Urgency Urgency) const;
 
   /// Moving average of the time of an answer; zero before the first.
   framework::Duration averageTime() const;
 
 private:
-  void grow();
-  void shrink();
+  void shrink(framework::Instant Now);
 
+  double Slots_ = 1;
   double Floor_ = 1;
-  double Ceiling_ = 1;
-  double Limit_ = 1;
+  double Limit_ = 0;
   double AverageMicros_ = 0;
-  /// The average at low load, which follows upwards slowly.
+  /// The average at low load; it follows upwards slowly.
   double BaseMicros_ = 0;
-  framework::Instant LastOverload_{};
+  framework::Instant ShrunkAt_{};
 };
 
 } // namespace cranberryspool::admission
--- a/src/admission/internal/servicequeue.cpp
+++ b/src/admission/internal/servicequeue.cpp
@@ -12,9 +12,13 @@
 using framework::Instant;
 
 constexpr std::size_t MaxWaiting = 512;
-/// An ordinary call that is older than an urgent one by this goes first.
+/// An ordinary call that is older than an urgent one by this is overdue.
 constexpr Duration OrdinarySetback = std::chrono::milliseconds(250);
-/// The part of an answer's average time without which a call is not started.
+/// So many urgent calls start between two overdue ordinary ones. In overload
+/// all ordinary calls are overdue; they must not displace the urgent ones.
+constexpr std::uint32_t UrgentPerOverdue = 3;
+/// The part of an answer's average time that a call needs to be tried when it
+/// can start at once; one that has to wait needs all of it.
 constexpr double NeededShareOfAverage = 0.5;
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(10);
 
@@ -24,7 +28,11 @@
                                                      Instant Now) {
   const Duration Wait = expectedWait(Call.Urgency_);
   const Duration RetryAfter = std::max(Wait, MinRetryAfter);
-  if (Now + Wait + timeToRun() >= Call.Deadline_)
+  const Duration Needed = Wait == Duration::zero()
+                              ? std::chrono::duration_cast<Duration>(
+                                    timeToRun() * NeededShareOfAverage)
+                              : Wait + timeToRun();
+  if (Now + Needed >= Call.Deadline_)
     return Refusal{RefusalReason::DeadlineTooShort, RetryAfter};
   const std::size_t Waiting = Waiting_[0].size() + Waiting_[1].size();
   const bool HasWay = Call.Urgency_ == Urgency::Urgent && !Waiting_[1].empty();
@@ -57,7 +65,8 @@
     return Ordinary.begin()->Call_;
   const bool IsOverdue =
       Ordinary.begin()->Arrival_ + OrdinarySetback < Urgent.begin()->Arrival_;
-  return IsOverdue ? Ordinary.begin()->Call_ : Urgent.begin()->Call_;
+  return IsOverdue && UrgentInRow_ >= UrgentPerOverdue ? Ordinary.begin()->Call_
+                                                       : Urgent.begin()->Call_;
 }
 
 bool ServiceQueue::remove(const QueuedCall &Call) {
@@ -73,7 +82,13 @@
   }
 }
 
-void ServiceQueue::noteStarted(Urgency Urgency) { ++Running_[index(Urgency)]; }
+void ServiceQueue::noteStarted(const QueuedCall &Call, Instant Now) {
+  const bool IsUrgent = Call.Urgency_ == Urgency::Urgent;
+  remove(Call);
+  ++Running_[index(Call.Urgency_)];
+  LastWait_[index(Call.Urgency_)] = Now - Call.Arrival_;
+  UrgentInRow_ = IsUrgent ? UrgentInRow_ + 1 : 0;
+}
 
 void ServiceQueue::noteEnded(Urgency Urgency) {
   auto &Running = Running_[index(Urgency)];
@@ -114,12 +129,13 @@
   if (Before == 0 && mayStart(Urgency))
     return Duration::zero();
   const auto Limit = Limit_.limit(Urgency);
-  return Limit_.averageTime() * static_cast<Duration::rep>(Before) / Limit;
+  const Duration ByLength =
+      Limit_.averageTime() * static_cast<Duration::rep>(Before) / Limit;
+  // Urgent calls keep ordinary ones waiting for longer than the length tells.
+  const bool HasLast = !Waiting_[index(Urgency)].empty();
+  return HasLast ? std::max(ByLength, LastWait_[index(Urgency)]) : ByLength;
 }
 
-Duration ServiceQueue::timeToRun() const {
-  return std::chrono::duration_cast<Duration>(Limit_.averageTime() *
-                                              NeededShareOfAverage);
-}
+Duration ServiceQueue::timeToRun() const { return Limit_.averageTime(); }
 
 } // namespace cranberryspool::admission
--- a/src/admission/internal/servicequeue.h
+++ b/src/admission/internal/servicequeue.h
@@ -15,9 +15,8 @@
 
 namespace cranberryspool::admission {
 
-/// The waiting calls of one service and its limit. A call's rank is its
-/// arrival, set back for ordinary calls, so that an ordinary call that has
-/// waited long enough goes before a newer urgent one.
+/// The waiting calls of one service and its limit. Urgent calls go first; an
+/// ordinary one that has waited much longer gets every fourth start.
 class ServiceQueue {
 public:
   framework::Result<void, Refusal> offer(const QueuedCall &Call,
@@ -35,7 +34,8 @@
   /// Moves the call that gives way to a new urgent one to the result.
   std::optional<QueuedCall> shedOrdinary();
 
-  void noteStarted(document::Urgency Urgency);
+  /// Takes a waiting call out because it starts.
+  void noteStarted(const QueuedCall &Call, framework::Instant Now);
   void noteEnded(document::Urgency Urgency);
 
   ConcurrencyLimit &limit() { return Limit_; }
@@ -72,6 +72,9 @@
   std::array<std::set<QueuedCall, ByArrival>, 2> Waiting_;
   std::set<QueuedCall, ByDeadline> Deadlines_;
   std::array<std::uint32_t, 2> Running_{};
+  /// How long the call that started last had waited.
+  std::array<framework::Duration, 2> LastWait_{};
+  std::uint32_t UrgentInRow_ = 0;
 };
 
 } // namespace cranberryspool::admission
