--- /dev/null
+++ b/src/calls/callending.h
@@ -0,0 +1,40 @@
+#ifndef CRANBERRYSPOOL_CALLS_CALLENDING_H
+#define CRANBERRYSPOOL_CALLS_CALLENDING_H
+
+#include "calls/types/ending.h"
+#include "calls/types/endingreason.h"
+#include "framework/ids.h"
+#include "framework/time.h"
+
+#include <optional>
+
+namespace cranberryspool::calls {
+
+class PendingEnding;
+
+/// The one ending of a call. Only a `PendingEnding` can make one.
+class CallEnding {
+public:
+  framework::CallId call() const { return Call_; }
+  Ending ending() const { return Ending_; }
+  EndingReason reason() const { return Reason_; }
+  /// When the caller may come back; zero when that makes no sense.
+  framework::Duration retryAfter() const { return RetryAfter_; }
+  /// The attempt whose answer is given; absent for a refusal and for the
+  /// answer of an earlier call.
+  std::optional<framework::AttemptId> attempt() const { return Attempt_; }
+
+private:
+  friend class PendingEnding;
+  CallEnding() = default;
+
+  framework::CallId Call_;
+  Ending Ending_ = Ending::NotRun;
+  EndingReason Reason_ = EndingReason::None;
+  framework::Duration RetryAfter_{};
+  std::optional<framework::AttemptId> Attempt_;
+};
+
+} // namespace cranberryspool::calls
+
+#endif // CRANBERRYSPOOL_CALLS_CALLENDING_H
--- /dev/null
+++ b/src/calls/internal/calltable.cpp
@@ -0,0 +1,50 @@
+#include "calls/calltable.h"
+
+#include <utility>
+
+namespace cranberryspool::calls {
+
+Call &CallTable::accept(const CallRequest &Request) {
+  Call Accepted{.Request_ = Request,
+                .Ending_ = PendingEnding(Request.Call_),
+                .Live_ = {},
+                .Tried_ = {},
+                .FallbackAnswer_ = {}};
+  return Calls_.emplace(Request.Call_, std::move(Accepted)).first->second;
+}
+
+Call *CallTable::find(framework::CallId Id) {
+  const auto Position = Calls_.find(Id);
+  return Position == Calls_.end() ? nullptr : &Position->second;
+}
+
+PendingEnding CallTable::remove(framework::CallId Id) {
+  const auto Position = Calls_.find(Id);
+  PendingEnding Right = std::move(Position->second.Ending_);
+  Calls_.erase(Position);
+  return Right;
+}
+
+Attempt &CallTable::start(Call &Owner, const Attempt &Started) {
+  Owner.State_ = CallState::Running;
+  Owner.Live_.push_back(Started.Attempt_);
+  Owner.Tried_.push_back(Started.Target_);
+  ++Owner.Started_;
+  return Attempts_.emplace(Started.Attempt_, Started).first->second;
+}
+
+Attempt *CallTable::findAttempt(framework::AttemptId Id) {
+  const auto Position = Attempts_.find(Id);
+  return Position == Attempts_.end() ? nullptr : &Position->second;
+}
+
+void CallTable::finish(framework::AttemptId Id) {
+  const auto Position = Attempts_.find(Id);
+  if (Position == Attempts_.end())
+    return;
+  if (Call *Owner = find(Position->second.Call_))
+    std::erase(Owner->Live_, Id);
+  Attempts_.erase(Position);
+}
+
+} // namespace cranberryspool::calls
--- /dev/null
+++ b/src/calls/pendingending.h
@@ -0,0 +1,39 @@
+#ifndef CRANBERRYSPOOL_CALLS_PENDINGENDING_H
+#define CRANBERRYSPOOL_CALLS_PENDINGENDING_H
+
+#include "calls/callending.h"
+
+namespace cranberryspool::calls {
+
+/// The right to end one call. It can be moved but not copied, and each way of
+/// ending the call consumes it, so that a call ends once.
+class PendingEnding {
+public:
+  explicit PendingEnding(framework::CallId Call) : Call_(Call) {}
+  PendingEnding(const PendingEnding &) = delete;
+  PendingEnding &operator=(const PendingEnding &) = delete;
+  PendingEnding(PendingEnding &&Other) noexcept;
+  PendingEnding &operator=(PendingEnding &&Other) noexcept;
+  ~PendingEnding() = default;
+
+  /// Ends the call with the whole answer of a target.
+  CallEnding answer(framework::AttemptId Attempt) &&;
+  /// Ends the call with the kept answer of an earlier call of the same key.
+  CallEnding replay() &&;
+  /// Ends the call without an answer. `How` must not be `Ending::Answered`.
+  CallEnding refuse(Ending How, EndingReason Why,
+                    framework::Duration RetryAfter) &&;
+
+  /// False once the call has been ended or the right was moved elsewhere.
+  bool isPending() const { return IsPending_; }
+
+private:
+  CallEnding consume();
+
+  framework::CallId Call_;
+  bool IsPending_ = true;
+};
+
+} // namespace cranberryspool::calls
+
+#endif // CRANBERRYSPOOL_CALLS_PENDINGENDING_H
--- /dev/null
+++ b/src/calls/types/attempt.h
@@ -0,0 +1,32 @@
+#ifndef CRANBERRYSPOOL_CALLS_TYPES_ATTEMPT_H
+#define CRANBERRYSPOOL_CALLS_TYPES_ATTEMPT_H
+
+#include "calls/types/attemptkind.h"
+#include "calls/types/attemptstate.h"
+#include "calls/types/kindid.h"
+#include "framework/ids.h"
+#include "framework/time.h"
+
+namespace cranberryspool::calls {
+
+/// One live try of a call at one target.
+struct Attempt {
+  framework::AttemptId Attempt_;
+  framework::CallId Call_;
+  framework::ServiceId Service_;
+  KindId RequestKind_;
+  bool IsIdempotent_ = false;
+  framework::TargetId Target_;
+  framework::ConnectionId Connection_;
+  AttemptKind Kind_ = AttemptKind::First;
+  AttemptState State_ = AttemptState::WaitingForConnection;
+  /// When its target was chosen.
+  framework::Instant StartedAt_{};
+  framework::Instant SentAt_{};
+  /// True once the first byte of the answer has arrived.
+  bool HasAnswerBegun_ = false;
+};
+
+} // namespace cranberryspool::calls
+
+#endif // CRANBERRYSPOOL_CALLS_TYPES_ATTEMPT_H
--- /dev/null
+++ b/src/decision/corecounters.h
@@ -0,0 +1,46 @@
+#ifndef CRANBERRYSPOOL_DECISION_CORECOUNTERS_H
+#define CRANBERRYSPOOL_DECISION_CORECOUNTERS_H
+
+#include <cstdint>
+
+namespace cranberryspool::decision {
+
+/// What a core has counted since it started, as plain values.
+struct CoreCounters {
+  std::uint64_t CallsAccepted_ = 0;
+  std::uint64_t CallsAnswered_ = 0;
+  std::uint64_t CallsReplayed_ = 0;
+  std::uint64_t CallsNotRun_ = 0;
+  std::uint64_t CallsUnknown_ = 0;
+  std::uint64_t CallsDeadlinePassed_ = 0;
+  std::uint64_t CallersGone_ = 0;
+
+  std::uint64_t AttemptsSent_ = 0;
+  /// Attempts sent after an earlier one of the call had failed.
+  std::uint64_t RetriesSent_ = 0;
+  /// Attempts sent while an earlier one of the call was running.
+  std::uint64_t HedgesSent_ = 0;
+  std::uint64_t HedgesWon_ = 0;
+  std::uint64_t RetriesOverBudget_ = 0;
+  std::uint64_t AttemptsCancelled_ = 0;
+  std::uint64_t AttemptsAbandoned_ = 0;
+  std::uint64_t AnswersLate_ = 0;
+  std::uint64_t AnswersMismatched_ = 0;
+
+  std::uint64_t ConnectionsOpened_ = 0;
+  std::uint64_t ConnectionsFailed_ = 0;
+  std::uint64_t ConnectionsSilent_ = 0;
+
+  std::uint64_t ProbesSent_ = 0;
+  std::uint64_t ProbesFailed_ = 0;
+
+  std::uint64_t Pauses_ = 0;
+  std::uint64_t DocumentsRejected_ = 0;
+  std::uint64_t DocumentsOlderIgnored_ = 0;
+
+  friend bool operator==(const CoreCounters &, const CoreCounters &) = default;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_CORECOUNTERS_H
--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_CORESETTINGS_H
 
 #include "framework/ids.h"
+#include "framework/time.h"
 
 namespace cranberryspool::decision {
 
@@ -10,6 +11,11 @@
   framework::InstanceName Self_;
   framework::Incarnation Incarnation_;
   framework::ZoneName Zone_;
+  /// How long a stopping instance goes on accepting calls, so that the
+  /// platform's balancer can notice that it is not ready any more.
+  framework::Duration StopLinger_ = std::chrono::seconds(3);
+  /// A longer time between two events means that the process was paused.
+  framework::Duration MaxEventGap_ = std::chrono::milliseconds(500);
 };
 
 } // namespace cranberryspool::decision
--- /dev/null
+++ b/src/decision/internal/coreparts.h
@@ -0,0 +1,52 @@
+#ifndef CRANBERRYSPOOL_DECISION_INTERNAL_COREPARTS_H
+#define CRANBERRYSPOOL_DECISION_INTERNAL_COREPARTS_H
+
+#include "admission/admissionqueue.h"
+#include "calls/calltable.h"
+#include "calls/connectionpool.h"
+#include "calls/silencedetector.h"
+#include "calls/timerqueue.h"
+#include "decision/corecounters.h"
+#include "decision/coresettings.h"
+#include "decision/internal/callsettings.h"
+#include "decision/internal/environment.h"
+#include "decision/internal/servicelearning.h"
+#include "decision/internal/simpletargettable.h"
+#include "framework/random.h"
+
+#include <utility>
+
+namespace cranberryspool::decision {
+
+/// The state of a core, shared by the classes that each handle one part of the
+/// life of a call.
+struct CoreParts {
+  CoreParts(CoreSettings Settings, framework::Random Rng)
+      : Settings_(std::move(Settings)), Rng_(Rng), Learning_(Calling_),
+        Silence_(Calling_.SilenceIdempotent_, Calling_.SilenceNonIdempotent_) {}
+  CoreParts(const CoreParts &) = delete;
+  CoreParts &operator=(const CoreParts &) = delete;
+  ~CoreParts() = default;
+
+  CoreSettings Settings_;
+  CallSettings Calling_;
+  framework::Random Rng_;
+  CoreCounters Counters_;
+
+  Environment Environment_;
+  SimpleTargetTable Targets_;
+  admission::AdmissionQueue Queue_;
+  ServiceLearning Learning_;
+
+  calls::CallTable Calls_;
+  calls::ConnectionPool Connections_;
+  calls::SilenceDetector Silence_;
+  calls::TimerQueue<framework::CallId> Deadlines_;
+  calls::TimerQueue<framework::CallId> Hedges_;
+  calls::TimerQueue<framework::AttemptId> Abandoned_;
+  std::uint64_t LastAttempt_ = 0;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_INTERNAL_COREPARTS_H
--- /dev/null
+++ b/src/decision/internal/dispatcher.cpp
@@ -0,0 +1,63 @@
+#include "decision/internal/dispatcher.h"
+
+namespace cranberryspool::decision {
+
+void Dispatcher::startQueued(const Step &At) {
+  for (const framework::ServiceId Service : Parts_.Queue_.servicesWithWork()) {
+    while (const auto Next = Parts_.Queue_.next(Service, At.now())) {
+      if (!startNext(At, *Parts_.Calls_.find(*Next)))
+        break;
+    }
+  }
+}
+
+bool Dispatcher::startNext(const Step &At, calls::Call &Owner) {
+  const auto Target = choose(At, Owner);
+  if (!Target)
+    return false;
+  Parts_.Queue_.noteStarted(Owner.Request_.Call_, At.now());
+  Owner.StartedAt_ = At.now();
+  const auto Kind = Owner.Started_ == 0 ? calls::AttemptKind::First
+                                        : calls::AttemptKind::Retry;
+  Attempts_.start(At, Owner, *Target, Kind);
+  return true;
+}
+
+std::optional<framework::TargetId>
+Dispatcher::choose(const Step &At, const calls::Call &Owner) {
+  routing::ChoiceRequest Request{.Service_ = Owner.Request_.Service_,
+                                 .Urgency_ = Owner.Request_.Urgency_,
+                                 .Excluded_ = Owner.Tried_};
+  const auto Fresh = Parts_.Targets_.choose(Request, At.now());
+  if (Fresh || Request.Excluded_.empty())
+    return Fresh;
+  // A target that was tried before is better than none.
+  Request.Excluded_.clear();
+  return Parts_.Targets_.choose(Request, At.now());
+}
+
+void Dispatcher::startHedges(const Step &At) {
+  while (const auto Id = Parts_.Hedges_.takeDue(At.now())) {
+    calls::Call *Owner = Parts_.Calls_.find(*Id);
+    if (!Owner || Owner->Live_.size() != 1 || Owner->IsCallerGone_)
+      continue;
+    const calls::Attempt &First = Parts_.Calls_.attempts().at(Owner->Live_[0]);
+    if (First.HasAnswerBegun_)
+      continue;
+    const auto Target = Parts_.Targets_.choose(
+        routing::ChoiceRequest{.Service_ = Owner->Request_.Service_,
+                               .Urgency_ = Owner->Request_.Urgency_,
+                               .Excluded_ = Owner->Tried_},
+        At.now());
+    if (!Target)
+      continue;
+    if (!Parts_.Learning_.extra(Owner->Request_.Service_).tryTake()) {
+      ++Parts_.Counters_.RetriesOverBudget_;
+      continue;
+    }
+    Owner->WasHedged_ = true;
+    Attempts_.start(At, *Owner, *Target, calls::AttemptKind::Hedge);
+  }
+}
+
+} // namespace cranberryspool::decision
--- /dev/null
+++ b/src/decision/internal/dispatcher.h
@@ -0,0 +1,35 @@
+#ifndef CRANBERRYSPOOL_DECISION_INTERNAL_DISPATCHER_H
+#define CRANBERRYSPOOL_DECISION_INTERNAL_DISPATCHER_H
+
+#include "decision/internal/attemptflow.h"
+#include "decision/internal/coreparts.h"
+#include "decision/internal/step.h"
+
+#include <optional>
+
+namespace cranberryspool::decision {
+
+/// Chooses targets for queued calls and for hedges.
+class Dispatcher {
+public:
+  Dispatcher(CoreParts &Parts, AttemptFlow &Attempts)
+      : Parts_(Parts), Attempts_(Attempts) {}
+
+  /// Starts every queued call that may start and for which there is a target.
+  void startQueued(const Step &At);
+  /// Starts a second attempt of calls whose first one takes unusually long.
+  void startHedges(const Step &At);
+
+private:
+  /// Returns false when no target may take one more attempt.
+  bool startNext(const Step &At, calls::Call &Owner);
+  std::optional<framework::TargetId> choose(const Step &At,
+                                            const calls::Call &Owner);
+
+  CoreParts &Parts_;
+  AttemptFlow &Attempts_;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_INTERNAL_DISPATCHER_H
--- /dev/null
+++ b/src/decision/internal/environment.h
@@ -0,0 +1,82 @@
+#ifndef CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENT_H
+#define CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENT_H
+
+#include "calls/types/kindid.h"
+#include "decision/internal/matchedkind.h"
+#include "document/kindindex.h"
+#include "document/types/environmentdocument.h"
+#include "document/types/publishedinstance.h"
+#include "framework/ids.h"
+#include "framework/interner.h"
+#include "routing/types/targetdescription.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cranberryspool::decision {
+
+/// The document and the list in force, in the dense numbers of this instance.
+class Environment {
+public:
+  void setDocument(const document::EnvironmentDocument &Document);
+  void setInstances(std::vector<document::PublishedInstance> Instances);
+
+  bool hasDocument() const { return Document_.has_value(); }
+  bool hasInstances() const { return HasInstances_; }
+  const std::optional<document::EnvironmentDocument> &document() const {
+    return Document_;
+  }
+
+  /// Returns the kind that a request belongs to under the document in force.
+  std::optional<MatchedKind> match(std::string_view Method,
+                                   std::string_view Path) const;
+
+  /// Returns the targets of the list that belong to a service of the document,
+  /// in the order of their numbers.
+  const std::vector<routing::TargetDescription> &targets() const {
+    return Targets_;
+  }
+  /// True when the target is listed and neither it nor its zone is leaving.
+  bool takesWork(framework::TargetId Target) const;
+  const document::Service *service(framework::ServiceId Service) const;
+  const std::string &address(framework::TargetId Target) const;
+  framework::TargetName targetName(framework::TargetId Target) const;
+  std::optional<framework::TargetId>
+  findTarget(const framework::TargetName &Name) const;
+  const framework::ServiceName &serviceName(framework::ServiceId Service) const;
+  framework::ZoneId internZone(const framework::ZoneName &Name);
+
+private:
+  struct GroupPlace {
+    framework::ServiceId Service_;
+    framework::ZoneName Zone_;
+    std::uint32_t Slots_ = 1;
+    bool IsZoneOut_ = false;
+  };
+  using KindKey = std::pair<framework::ServiceName, framework::KindName>;
+
+  void rebuildTargets();
+  std::map<framework::GroupName, GroupPlace> placeGroups();
+
+  std::optional<document::EnvironmentDocument> Document_;
+  document::KindIndex Kinds_;
+  std::vector<document::PublishedInstance> Instances_;
+  bool HasInstances_ = false;
+
+  framework::Interner<framework::ServiceName, framework::ServiceId> Services_;
+  framework::Interner<framework::TargetName, framework::TargetId> TargetNames_;
+  framework::Interner<framework::ZoneName, framework::ZoneId> Zones_;
+  framework::Interner<KindKey, calls::KindId> KindNames_;
+  /// By position of service and kind in the document.
+  std::vector<std::vector<calls::KindId>> KindIds_;
+  std::map<framework::ServiceId, const document::Service *> ByService_;
+  std::vector<std::string> Addresses_;
+  std::vector<routing::TargetDescription> Targets_;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENT_H
--- /dev/null
+++ b/src/decision/internal/intake.cpp
@@ -0,0 +1,118 @@
+#include "decision/internal/intake.h"
+
+namespace cranberryspool::decision {
+
+void Intake::handle(const Step &At, const CallArrived &Input) {
+  if (IsClosed_) {
+    Ender_.turnAway(At, Input.Call_, calls::EndingReason::InstanceStopping);
+    return;
+  }
+  if (!Fleet_.mayAccept(At.now())) {
+    Ender_.turnAway(At, Input.Call_, calls::EndingReason::ViewTooOld);
+    return;
+  }
+  const auto Kind = Parts_.Environment_.match(Input.Method_, Input.Path_);
+  if (!Kind) {
+    Ender_.turnAway(At, Input.Call_, calls::EndingReason::NoSuchKind);
+    return;
+  }
+  accept(At, Input, *Kind);
+}
+
+void Intake::accept(const Step &At, const CallArrived &Input,
+                    const MatchedKind &Kind) {
+  const framework::Duration Timeout =
+      Input.Timeout_.value_or(Kind.Rules_->Deadline_);
+  calls::Call &Owner = Parts_.Calls_.accept(calls::CallRequest{
+      .Call_ = Input.Call_,
+      .Service_ = Kind.Service_,
+      .Kind_ = Kind.Kind_,
+      .Urgency_ = Input.Urgency_.value_or(Kind.Rules_->Urgency_),
+      .IsIdempotent_ = Kind.Rules_->IsIdempotent_,
+      .IsHedgingAllowed_ = Kind.Rules_->IsHedgingAllowed_,
+      .Arrival_ = At.now(),
+      .Deadline_ = At.now() + Timeout,
+      .Depth_ = Input.Depth_,
+      .AttemptMark_ = Input.Attempt_,
+      .Key_ = Input.Key_});
+  ++Parts_.Counters_.CallsAccepted_;
+  if (Timeout <= framework::Duration::zero()) {
+    Ender_.giveUp(At, Owner, calls::EndingReason::DeadlinePassed);
+    return;
+  }
+  Parts_.Deadlines_.set(Input.Call_, Owner.Request_.Deadline_);
+  // Repeating an idempotent request does no harm, so its key decides nothing.
+  if (!Input.Key_ || Kind.Rules_->IsIdempotent_) {
+    Waiting_.enqueue(At, Owner);
+    return;
+  }
+  Owner.State_ = calls::CallState::AwaitingKey;
+  Fleet_.requestKey(At, Input.Call_, *Input.Key_);
+}
+
+void Intake::handle(const Step &At, const fleet::KeyDecided &Input) {
+  calls::Call *Owner = Parts_.Calls_.find(Input.Call_);
+  if (!Owner || Owner->State_ != calls::CallState::AwaitingKey)
+    return;
+  switch (Input.Decision_) {
+  case fleet::KeyDecision::Run:
+    Owner->HoldsKey_ = true;
+    Waiting_.enqueue(At, *Owner);
+    return;
+  case fleet::KeyDecision::Replay:
+    Owner->State_ = calls::CallState::FetchingAnswer;
+    At.Output_.push_back(
+        FetchKeptAnswer{Input.Call_, Input.PeerAddress_, Input.PeerCall_});
+    return;
+  case fleet::KeyDecision::InProgress:
+    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
+                  calls::EndingReason::KeyInProgress);
+    return;
+  case fleet::KeyDecision::TooOld:
+    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
+                  calls::EndingReason::KeyTooOld);
+    return;
+  case fleet::KeyDecision::HomeUnreachable:
+    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
+                  calls::EndingReason::KeyHomeUnreachable);
+    return;
+  case fleet::KeyDecision::Invalid:
+    Ender_.refuse(At, *Owner, calls::Ending::NotRun,
+                  calls::EndingReason::KeyInvalid);
+    return;
+  }
+}
+
+void Intake::handle(const Step &At, const KeptAnswerFetched &Input) {
+  calls::Call *Owner = Parts_.Calls_.find(Input.Call_);
+  if (!Owner || Owner->State_ != calls::CallState::FetchingAnswer)
+    return;
+  if (Input.IsFound_)
+    Ender_.replay(At, *Owner);
+  else
+    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
+                  calls::EndingReason::KeyAnswerGone);
+}
+
+void Intake::handle(const Step &At, const CallerGone &Input) {
+  calls::Call *Owner = Parts_.Calls_.find(Input.Call_);
+  if (!Owner)
+    return;
+  ++Parts_.Counters_.CallersGone_;
+  Owner->IsCallerGone_ = true;
+  for (const framework::AttemptId Id : Owner->Live_) {
+    const calls::Attempt &Live = Parts_.Calls_.attempts().at(Id);
+    // What must not run twice runs to its end, so that its answer can be kept.
+    if (!Live.IsIdempotent_ && Live.State_ == calls::AttemptState::Sent)
+      return;
+  }
+  Ender_.giveUp(At, *Owner, calls::EndingReason::CallerGone);
+}
+
+void Intake::dropOverdue(const Step &At) {
+  while (const auto Id = Parts_.Deadlines_.takeDue(At.now()))
+    if (calls::Call *Owner = Parts_.Calls_.find(*Id))
+      Ender_.giveUp(At, *Owner, calls::EndingReason::DeadlinePassed);
+}
+
+} // namespace cranberryspool::decision
--- /dev/null
+++ b/src/decision/internal/intake.h
@@ -0,0 +1,50 @@
+#ifndef CRANBERRYSPOOL_DECISION_INTERNAL_INTAKE_H
+#define CRANBERRYSPOOL_DECISION_INTERNAL_INTAKE_H
+
+#include "calls/types/callrequest.h"
+#include "decision/internal/admissionflow.h"
+#include "decision/internal/callender.h"
+#include "decision/internal/coreparts.h"
+#include "decision/internal/fleetlink.h"
+#include "decision/internal/matchedkind.h"
+#include "decision/internal/step.h"
+#include "decision/types/events/callarrived.h"
+#include "decision/types/events/callergone.h"
+#include "decision/types/events/keptanswerfetched.h"
+#include "fleet/types/outputs/keydecided.h"
+
+namespace cranberryspool::decision {
+
+/// Takes calls in, from their arrival to the admission queue, and ends them
+/// when their time is over or their caller has gone.
+class Intake {
+public:
+  Intake(CoreParts &Parts, CallEnder &Ender, AdmissionFlow &Waiting,
+         FleetLink &Fleet)
+      : Parts_(Parts), Ender_(Ender), Waiting_(Waiting), Fleet_(Fleet) {}
+
+  void handle(const Step &At, const CallArrived &Input);
+  void handle(const Step &At, const CallerGone &Input);
+  void handle(const Step &At, const KeptAnswerFetched &Input);
+  /// The home of a key has decided about a call.
+  void handle(const Step &At, const fleet::KeyDecided &Input);
+
+  /// Ends the calls whose deadline has passed.
+  void dropOverdue(const Step &At);
+  /// From now on calls are refused.
+  void close() { IsClosed_ = true; }
+
+private:
+  void accept(const Step &At, const CallArrived &Input,
+              const MatchedKind &Kind);
+
+  CoreParts &Parts_;
+  CallEnder &Ender_;
+  AdmissionFlow &Waiting_;
+  FleetLink &Fleet_;
+  bool IsClosed_ = false;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_INTERNAL_INTAKE_H
--- /dev/null
+++ b/src/decision/internal/outcomes.cpp
@@ -0,0 +1,277 @@
+#include "decision/internal/outcomes.h"
+
+#include <algorithm>
+
+namespace cranberryspool::decision {
+
+namespace {
+
+constexpr std::uint32_t FirstServerError = 500;
+
+calls::EndingReason reasonOf(calls::AttemptFailure Failure) {
+  switch (Failure) {
+  case calls::AttemptFailure::Truncated:
+  case calls::AttemptFailure::Malformed:
+  case calls::AttemptFailure::AnswerTooLarge:
+    return calls::EndingReason::AnswerTruncated;
+  case calls::AttemptFailure::ConnectionClosed:
+  case calls::AttemptFailure::ConnectionReset:
+    break;
+  }
+  return calls::EndingReason::ConnectionLost;
+}
+
+routing::AttemptResult resultOf(const AttemptAnswered &Input) {
+  if (Input.IsNotRun_)
+    return routing::AttemptResult::NotRun;
+  if (Input.Status_ >= FirstServerError)
+    return routing::AttemptResult::ServerError;
+  return routing::AttemptResult::Answered;
+}
+
+} // namespace
+
+void Outcomes::handle(const Step &At, const ConnectionOpened &Input) {
+  const calls::Connection *Conn = Parts_.Connections_.find(Input.Connection_);
+  if (!Conn || Conn->State_ != calls::ConnectionState::Opening)
+    return;
+  Parts_.Connections_.markIdle(Input.Connection_, At.now());
+  Attempts_.serveWaiter(At, Input.Connection_);
+}
+
+void Outcomes::handle(const Step &At, const ConnectionClosed &Input) {
+  const calls::Connection *Conn = Parts_.Connections_.find(Input.Connection_);
+  if (!Conn)
+    return;
+  if (Conn->Carries_) {
+    handle(At, AttemptFailed{.Attempt_ = *Conn->Carries_,
+                             .Connection_ = Input.Connection_});
+    return;
+  }
+  if (Conn->State_ == calls::ConnectionState::Opening) {
+    failOpening(At, Input.Connection_);
+    return;
+  }
+  Parts_.Connections_.remove(Input.Connection_);
+}
+
+void Outcomes::failOpening(const Step &At, framework::ConnectionId Id) {
+  const framework::TargetId Target = Parts_.Connections_.find(Id)->Target_;
+  Parts_.Connections_.remove(Id);
+  ++Parts_.Counters_.ConnectionsFailed_;
+  const auto Waiter = Parts_.Connections_.takeWaiter(Target);
+  if (!Waiter)
+    return;
+  const calls::Attempt Unsent = *Parts_.Calls_.findAttempt(*Waiter);
+  Attempts_.finish(At, Unsent, routing::AttemptResult::ConnectionFailed);
+  followUnsent(At, Unsent);
+}
+
+void Outcomes::handle(const Step &At, const AnswerBegan &Input) {
+  calls::Attempt *Running = Parts_.Calls_.findAttempt(Input.Attempt_);
+  if (!Running || Running->Connection_ != Input.Connection_)
+    return;
+  Running->HasAnswerBegun_ = true;
+  Parts_.Connections_.noteAlive(Input.Connection_, At.now());
+  Parts_.Silence_.forget(*Running);
+}
+
+void Outcomes::handle(const Step &At, const AttemptAnswered &Input) {
+  const calls::Attempt *Found = Parts_.Calls_.findAttempt(Input.Attempt_);
+  if (!Found || Found->Connection_ != Input.Connection_) {
+    ++Parts_.Counters_.AnswersLate_;
+    return;
+  }
+  const calls::Attempt Ended = *Found;
+  const Correlation Match = correlate(Input, Ended);
+  if (Match == Correlation::Mismatched) {
+    ++Parts_.Counters_.AnswersMismatched_;
+    Keeper_.close(At, Input.Connection_);
+    Attempts_.finish(At, Ended, routing::AttemptResult::ServerError);
+    followLoss(At, Ended, calls::EndingReason::AnswerMismatched);
+    return;
+  }
+  learn(At, Input, Ended);
+  Attempts_.finish(At, Ended, resultOf(Input));
+  calls::Call *Owner = Parts_.Calls_.find(Ended.Call_);
+  if (!Owner)
+    ++Parts_.Counters_.AnswersLate_;
+  else if (!Input.IsNotRun_)
+    followAnswer(At, *Owner, Ended, Input.Status_);
+  else if (Match == Correlation::Confirmed)
+    followNotRun(At, *Owner);
+  else
+    followLoss(At, Ended, calls::EndingReason::AnswerMismatched);
+  giveBack(At, Input, Ended);
+}
+
+Outcomes::Correlation Outcomes::correlate(const AttemptAnswered &Input,
+                                          const calls::Attempt &Of) {
+  const std::size_t Target = Of.Target_.value();
+  if (Target >= Echoes_.size())
+    Echoes_.resize(Target + 1, false);
+  if (!Input.EchoedAttempt_)
+    return Echoes_[Target] ? Correlation::Mismatched : Correlation::Assumed;
+  Echoes_[Target] = true;
+  if (*Input.EchoedAttempt_ != Of.Attempt_)
+    return Correlation::Mismatched;
+  return Correlation::Confirmed;
+}
+
+void Outcomes::learn(const Step &At, const AttemptAnswered &Input,
+                     const calls::Attempt &Of) {
+  const framework::Duration Elapsed = At.now() - Of.SentAt_;
+  Parts_.Silence_.noteAnswered(Of, Elapsed);
+  if (Input.StartId_)
+    Parts_.Targets_.noteStart(Of.Target_, *Input.StartId_, At.now());
+  if (Input.Report_)
+    Parts_.Targets_.noteReport(Of.Target_, *Input.Report_, At.now());
+  if (resultOf(Input) == routing::AttemptResult::Answered)
+    Parts_.Learning_.latency(Of.RequestKind_).note(Elapsed);
+}
+
+void Outcomes::giveBack(const Step &At, const AttemptAnswered &Input,
+                        const calls::Attempt &Of) {
+  const bool IsAbandoned = Of.State_ == calls::AttemptState::Abandoned;
+  if (IsAbandoned || !Input.IsReusable_) {
+    Keeper_.close(At, Input.Connection_);
+    Keeper_.openForWaiters(At, Of.Target_);
+    return;
+  }
+  Parts_.Connections_.markIdle(Input.Connection_, At.now());
+  Attempts_.serveWaiter(At, Input.Connection_);
+}
+
+void Outcomes::handle(const Step &At, const AttemptFailed &Input) {
+  const calls::Attempt *Found = Parts_.Calls_.findAttempt(Input.Attempt_);
+  if (!Found || Found->Connection_ != Input.Connection_)
+    return;
+  const calls::Attempt Ended = *Found;
+  Parts_.Connections_.remove(Input.Connection_);
+  Attempts_.finish(At, Ended, routing::AttemptResult::ConnectionFailed);
+  Keeper_.openForWaiters(At, Ended.Target_);
+  if (Input.Written_ == calls::WriteState::NothingWritten)
+    followUnsent(At, Ended);
+  else
+    followLoss(At, Ended, reasonOf(Input.Failure_));
+}
+
+void Outcomes::followAnswer(const Step &At, calls::Call &Owner,
+                            const calls::Attempt &Ended, std::uint32_t Status) {
+  const bool IsFailure = Status >= FirstServerError;
+  if (IsFailure && Owner.Request_.IsIdempotent_) {
+    Owner.MayHaveRun_ = true;
+    Owner.FallbackAnswer_ = Ended.Attempt_;
+    if (!Owner.Live_.empty())
+      return;
+    if (mayRetry(Owner)) {
+      Waiting_.enqueueAgain(At, Owner);
+      return;
+    }
+  }
+  if (!IsFailure) {
+    Parts_.Learning_.extra(Ended.Service_).noteSuccess();
+    Parts_.Learning_.resends(Ended.Service_).noteSuccess();
+    if (Ended.Kind_ == calls::AttemptKind::Hedge)
+      ++Parts_.Counters_.HedgesWon_;
+  }
+  Ender_.answer(At, Owner, Ended.Attempt_);
+}
+
+void Outcomes::followLoss(const Step &At, const calls::Attempt &Lost,
+                          calls::EndingReason Why) {
+  calls::Call *Owner = Parts_.Calls_.find(Lost.Call_);
+  if (!Owner)
+    return;
+  Owner->MayHaveRun_ = true;
+  if (!Owner->Live_.empty())
+    return;
+  if (Owner->Request_.IsIdempotent_ && mayRetry(*Owner))
+    Waiting_.enqueueAgain(At, *Owner);
+  else
+    Ender_.giveUp(At, *Owner, Why);
+}
+
+void Outcomes::followUnsent(const Step &At, const calls::Attempt &Unsent) {
+  calls::Call *Owner = Parts_.Calls_.find(Unsent.Call_);
+  if (!Owner || !Owner->Live_.empty())
+    return;
+  if (Owner->IsCallerGone_)
+    Ender_.giveUp(At, *Owner, calls::EndingReason::CallerGone);
+  else if (Owner->Started_ < Parts_.Calling_.MaxAttempts_)
+    Waiting_.enqueueAgain(At, *Owner);
+  else
+    Ender_.giveUp(At, *Owner, calls::EndingReason::ConnectFailed);
+}
+
+void Outcomes::followNotRun(const Step &At, calls::Call &Owner) {
+  Owner.WasShed_ = true;
+  if (!Owner.Live_.empty())
+    return;
+  if (Owner.IsCallerGone_) {
+    Ender_.giveUp(At, Owner, calls::EndingReason::CallerGone);
+    return;
+  }
+  if (Owner.Started_ < Parts_.Calling_.MaxAttempts_ &&
+      Parts_.Learning_.resends(Owner.Request_.Service_).tryTake()) {
+    Waiting_.enqueueAgain(At, Owner);
+    return;
+  }
+  ++Parts_.Counters_.RetriesOverBudget_;
+  Ender_.giveUp(At, Owner, calls::EndingReason::Shed);
+}
+
+bool Outcomes::mayRetry(const calls::Call &Owner) {
+  if (Owner.IsCallerGone_ || Owner.Request_.AttemptMark_ > 1)
+    return false;
+  if (Owner.Started_ >= Parts_.Calling_.MaxAttempts_)
+    return false;
+  if (Parts_.Learning_.extra(Owner.Request_.Service_).tryTake())
+    return true;
+  ++Parts_.Counters_.RetriesOverBudget_;
+  return false;
+}
+
+void Outcomes::dropSilent(const Step &At) {
+  while (const auto Id = Parts_.Silence_.takeSilent(At.now())) {
+    const calls::Attempt *Found = Parts_.Calls_.findAttempt(*Id);
+    if (!Found)
+      continue;
+    const calls::Attempt Lost = *Found;
+    const framework::Instant LastAlive =
+        Parts_.Connections_.find(Lost.Connection_)->LastAlive_;
+    ++Parts_.Counters_.ConnectionsSilent_;
+    Keeper_.close(At, Lost.Connection_);
+    // Whatever cut this connection may have cut those unheard for longer.
+    Keeper_.closeIdleBefore(At, Lost.Target_, LastAlive);
+    Attempts_.finish(At, Lost, routing::AttemptResult::ConnectionSilent);
+    Keeper_.openForWaiters(At, Lost.Target_);
+    followLoss(At, Lost, calls::EndingReason::ConnectionSilent);
+  }
+}
+
+void Outcomes::takeBackUnsent(const Step &At) {
+  std::vector<calls::Attempt> Unsent;
+  for (const auto &[Id, Live] : Parts_.Calls_.attempts())
+    if (Live.State_ == calls::AttemptState::WaitingForConnection &&
+        !Parts_.Environment_.takesWork(Live.Target_))
+      Unsent.push_back(Live);
+  for (const calls::Attempt &Taken : Unsent) {
+    Attempts_.cancel(At, Taken.Attempt_, routing::AttemptResult::Cancelled);
+    followUnsent(At, Taken);
+  }
+}
+
+void Outcomes::dropUnopened(const Step &At) {
+  std::vector<framework::ConnectionId> Stuck;
+  for (const auto &[Id, Conn] : Parts_.Connections_.connections())
+    if (Conn.State_ == calls::ConnectionState::Opening &&
+        Conn.OpenedAt_ + Parts_.Calling_.ConnectTimeout_ < At.now())
+      Stuck.push_back(Id);
+  for (const framework::ConnectionId Id : Stuck) {
+    At.Output_.push_back(CloseConnection{Id});
+    failOpening(At, Id);
+  }
+}
+
+} // namespace cranberryspool::decision
