Parse and check environment documents, index request kinds

Cause: every other module needs the document's values, and its verdict must be the same on every instance. Conclusion: overlapping paths, non-idempotent hedging and unknown zones are refused from the text alone.

--- /dev/null
+++ b/src/document/internal/documentreader.cpp
@@ -0,0 +1,215 @@
+#include "document/internal/documentreader.h"
+
+#include "document/internal/pathpattern.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cranberryspool::document {
+
+namespace {
+
+using namespace std::chrono_literals;
+using framework::Duration;
+
+constexpr Range<std::uint32_t> AllowedInstances{1, 1'000};
+constexpr Range<Duration> AllowedListLag{100ms, 5min};
+constexpr Range<std::size_t> AllowedZones{1, 16};
+constexpr Range<std::size_t> AllowedServices{1, 128};
+constexpr Range<std::size_t> AllowedKinds{1, 64};
+constexpr Range<std::size_t> AllowedGroups{1, 64};
+constexpr Range<std::size_t> AllowedObjectives{0, 2};
+constexpr Range<std::uint32_t> AllowedSlots{1, 10'000};
+constexpr std::uint32_t MaxConnections = 100'000;
+constexpr Range<std::uint32_t> AllowedProbes{0, 6'000};
+constexpr Range<Duration> AllowedWarmup{0s, 1h};
+constexpr Range<Duration> AllowedDeadline{1ms, 5min};
+constexpr Range<Duration> AllowedLatency{100us, 5min};
+
+constexpr std::array<std::string_view, 7> Methods = {
+    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+
+const std::vector<Word<ZoneState>> &zoneStates() {
+  static const std::vector<Word<ZoneState>> Words = {{"in", ZoneState::In},
+                                                     {"out", ZoneState::Out}};
+  return Words;
+}
+
+const std::vector<Word<Urgency>> &urgencies() {
+  static const std::vector<Word<Urgency>> Words = {
+      {"urgent", Urgency::Urgent}, {"ordinary", Urgency::Ordinary}};
+  return Words;
+}
+
+template <typename Item> void sortByName(std::vector<Item> &Items) {
+  std::sort(Items.begin(), Items.end(),
+            [](const Item &Left, const Item &Right) {
+              return Left.Name_ < Right.Name_;
+            });
+}
+
+} // namespace
+
+DocumentReader::DocumentReader(const JsonTree &Tree, FaultCollector &Faults)
+    : Tree_(Tree), Faults_(Faults) {}
+
+EnvironmentDocument DocumentReader::read() {
+  ObjectReader Reader(Tree_, {JsonTree::root(), ""}, Faults_);
+  EnvironmentDocument Document;
+  Document.MaxInstances_ = Reader.number("max-instances", AllowedInstances);
+  MaxInstances_ = Document.MaxInstances_;
+  Document.ListLag_ = Reader.duration("list-lag", AllowedListLag);
+  for (const JsonPlace &Each : Reader.list("zones", AllowedZones))
+    Document.Zones_.push_back(readZone(Each));
+  for (const JsonPlace &Each : Reader.list("services", AllowedServices))
+    Document.Services_.push_back(readService(Each));
+  Reader.finish();
+  sortByName(Document.Zones_);
+  sortByName(Document.Services_);
+  return Document;
+}
+
+void DocumentReader::checkUnique(ObjectReader &Reader, std::string_view Key,
+                                 std::set<std::string> &Names,
+                                 const std::string &Name) {
+  if (!Name.empty() && !Names.insert(Name).second)
+    Reader.report(Key, FaultKind::DuplicateName, "a name not used before");
+}
+
+Zone DocumentReader::readZone(const JsonPlace &Place) {
+  ObjectReader Reader(Tree_, Place, Faults_);
+  Zone Result;
+  Result.Name_ = framework::ZoneName(Reader.name("name"));
+  checkUnique(Reader, "name", ZoneNames_, Result.Name_.value());
+  Result.State_ = Reader.word("state", zoneStates(), ZoneState::In);
+  Reader.finish();
+  return Result;
+}
+
+Service DocumentReader::readService(const JsonPlace &Place) {
+  ObjectReader Reader(Tree_, Place, Faults_);
+  Service Result;
+  KindNames_.clear();
+  ObjectiveUrgencies_.clear();
+  Result.Name_ = framework::ServiceName(Reader.name("name"));
+  checkUnique(Reader, "name", ServiceNames_, Result.Name_.value());
+  Result.SlotsPerTarget_ = Reader.number("slots-per-target", AllowedSlots);
+  // Every instance needs a connection of its own, and every slot needs one.
+  const std::uint32_t LeastConnections =
+      std::max(MaxInstances_, Result.SlotsPerTarget_);
+  Result.ConnectionsPerTarget_ = Reader.number(
+      "connections-per-target", {LeastConnections, MaxConnections});
+  Result.ProbesPerTargetPerMinute_ =
+      Reader.number("probes-per-target-per-minute", AllowedProbes);
+  if (const auto ColdStart = Reader.object("cold-start"))
+    Result.ColdStart_ = readColdStart(*ColdStart, Result.SlotsPerTarget_);
+  for (const JsonPlace &Each : Reader.list("groups", AllowedGroups))
+    Result.Groups_.push_back(readGroup(Each));
+  for (const JsonPlace &Each : Reader.list("kinds", AllowedKinds))
+    Result.Kinds_.push_back(readKind(Each));
+  for (const JsonPlace &Each : Reader.list("objectives", AllowedObjectives))
+    Result.Objectives_.push_back(readObjective(Each));
+  Reader.finish();
+  sortByName(Result.Groups_);
+  sortByName(Result.Kinds_);
+  std::sort(Result.Objectives_.begin(), Result.Objectives_.end(),
+            [](const Objective &Left, const Objective &Right) {
+              return Left.Urgency_ < Right.Urgency_;
+            });
+  return Result;
+}
+
+ColdStartBudget DocumentReader::readColdStart(const JsonPlace &Place,
+                                              std::uint32_t Slots) {
+  ObjectReader Reader(Tree_, Place, Faults_);
+  ColdStartBudget Result;
+  Result.MaxInFlight_ = Reader.number("max-in-flight", {1, Slots});
+  Result.Warmup_ = Reader.duration("warmup", AllowedWarmup);
+  Reader.finish();
+  return Result;
+}
+
+TargetGroup DocumentReader::readGroup(const JsonPlace &Place) {
+  ObjectReader Reader(Tree_, Place, Faults_);
+  TargetGroup Result;
+  Result.Name_ = framework::GroupName(Reader.name("name"));
+  checkUnique(Reader, "name", GroupNames_, Result.Name_.value());
+  Result.Zone_ = framework::ZoneName(Reader.name("zone"));
+  const std::string &Zone = Result.Zone_.value();
+  if (!Zone.empty() && !ZoneNames_.contains(Zone))
+    Reader.report("zone", FaultKind::UnknownZone, "the name of one of zones");
+  Reader.finish();
+  return Result;
+}
+
+RequestKind DocumentReader::readKind(const JsonPlace &Place) {
+  ObjectReader Reader(Tree_, Place, Faults_);
+  RequestKind Result;
+  Result.Name_ = framework::KindName(Reader.name("name"));
+  checkUnique(Reader, "name", KindNames_, Result.Name_.value());
+  if (auto Method = Reader.text("method")) {
+    Result.Method_ = std::move(*Method);
+    checkMethod(Reader, Result.Method_);
+  }
+  if (auto Path = Reader.text("path")) {
+    Result.PathPattern_ = std::move(*Path);
+    checkPath(Reader, Result, Place.Pointer_);
+  }
+  Result.IsIdempotent_ = Reader.flag("idempotent", std::nullopt);
+  Result.Urgency_ = Reader.word("urgency", urgencies(), Urgency::Ordinary);
+  Result.Deadline_ = Reader.duration("deadline", AllowedDeadline);
+  Result.IsHedgingAllowed_ = Reader.flag("hedging", false);
+  if (Result.IsHedgingAllowed_ && !Result.IsIdempotent_)
+    Reader.report("hedging", FaultKind::HedgingNotIdempotent,
+                  "false, since the kind is not idempotent");
+  Reader.finish();
+  return Result;
+}
+
+void DocumentReader::checkMethod(ObjectReader &Reader,
+                                 const std::string &Method) {
+  if (std::find(Methods.begin(), Methods.end(), Method) != Methods.end())
+    return;
+  std::string Expected = "one of";
+  for (const std::string_view Each : Methods)
+    Expected += " " + std::string(Each);
+  Reader.report("method", FaultKind::InvalidMethod, Expected);
+}
+
+void DocumentReader::checkPath(ObjectReader &Reader, const RequestKind &Kind,
+                               const std::string &Pointer) {
+  const auto Pattern = parsePathPattern(Kind.PathPattern_);
+  if (!Pattern) {
+    Reader.report("path", FaultKind::InvalidPath,
+                  "a path such as \"/pieces/*\": at most " +
+                      std::to_string(MaxPatternSegments) +
+                      " segments of letters, digits and -._~, or * for any "
+                      "one, or a last ** for any rest; no leading underscore");
+    return;
+  }
+  PathTrie &Trie = Paths_[Kind.Method_];
+  if (const auto Other = Trie.findOverlap(*Pattern)) {
+    Reader.report("path", FaultKind::OverlappingPaths,
+                  "no request in common with the path of " +
+                      KindPointers_[Other->Kind_.value()]);
+    return;
+  }
+  const auto Position = static_cast<std::uint32_t>(KindPointers_.size());
+  KindPointers_.push_back(Pointer);
+  Trie.insert(*Pattern, {ServicePosition(0), KindPosition(Position)});
+}
+
+Objective DocumentReader::readObjective(const JsonPlace &Place) {
+  ObjectReader Reader(Tree_, Place, Faults_);
+  Objective Result;
+  Result.Urgency_ = Reader.word("urgency", urgencies(), Urgency::Ordinary);
+  const bool IsUrgent = Result.Urgency_ == Urgency::Urgent;
+  checkUnique(Reader, "urgency", ObjectiveUrgencies_,
+              IsUrgent ? "urgent" : "ordinary");
+  Result.Latency_ = Reader.duration("latency", AllowedLatency);
+  Result.GoodPerMillion_ = Reader.share("good");
+  Reader.finish();
+  return Result;
+}
+
+} // namespace cranberryspool::document
--- /dev/null
+++ b/src/document/internal/faultcollector.cpp
@@ -0,0 +1,38 @@
+#include "document/internal/faultcollector.h"
+
+#include "document/parsedocument.h"
+
+#include <algorithm>
+
+namespace cranberryspool::document {
+
+void FaultCollector::add(std::size_t Offset, DocumentFault Fault) {
+  if (Faults_.size() < MaxReportedFaults)
+    Faults_.emplace_back(Offset, std::move(Fault));
+}
+
+DocumentFaults FaultCollector::take(std::string_view Text) {
+  std::stable_sort(Faults_.begin(), Faults_.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
+                   });
+  DocumentFaults Sorted;
+  std::size_t Line = 1;
+  std::size_t LineStart = 0;
+  std::size_t At = 0;
+  for (auto &[Offset, Fault] : Faults_) {
+    for (; At < Offset && At < Text.size(); ++At) {
+      if (Text[At] != '\n')
+        continue;
+      ++Line;
+      LineStart = At + 1;
+    }
+    Fault.Line_ = Line;
+    Fault.Column_ = Offset - LineStart + 1;
+    Sorted.push_back(std::move(Fault));
+  }
+  Faults_.clear();
+  return Sorted;
+}
+
+} // namespace cranberryspool::document
--- /dev/null
+++ b/src/document/internal/jsontreebuilder.h
@@ -0,0 +1,84 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_JSONTREEBUILDER_H
+#define CRANBERRYSPOOL_DOCUMENT_INTERNAL_JSONTREEBUILDER_H
+
+#include "document/internal/jsontree.h"
+
+#include <boost/json/error.hpp>
+#include <boost/json/string_view.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cranberryspool::document {
+
+/// Receives the events of `boost::json::basic_parser` and builds a tree.
+///
+/// The parser tells no positions. When the text is fed byte by byte and
+/// `moveTo` names each byte, they are found here: a token starts at the first
+/// byte after the end of the token before that is neither space nor comment.
+class JsonTreeBuilder {
+public:
+  /// `Text` must outlive the builder; without `KeepsPositions` all offsets
+  /// are zero.
+  JsonTreeBuilder(std::string_view Text, bool KeepsPositions);
+
+  /// Says which byte of the text the parser reads now.
+  void moveTo(std::size_t Offset) { Offset_ = Offset; }
+
+  /// Returns the tree and leaves the builder empty.
+  JsonTree takeTree() { return std::move(Tree_); }
+
+  // The names and signatures that basic_parser asks for.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using ErrorCode = boost::json::error_code;
+  using View = boost::json::string_view;
+  static constexpr std::size_t max_object_size = 100'000;
+  static constexpr std::size_t max_array_size = 100'000;
+  static constexpr std::size_t max_key_size = 1'000'000;
+  static constexpr std::size_t max_string_size = 1'000'000;
+  bool on_document_begin(ErrorCode &) { return true; }
+  bool on_document_end(ErrorCode &) { return true; }
+  bool on_object_begin(ErrorCode &);
+  bool on_object_end(std::size_t, ErrorCode &);
+  bool on_array_begin(ErrorCode &);
+  bool on_array_end(std::size_t, ErrorCode &);
+  bool on_key_part(View Part, std::size_t, ErrorCode &);
+  bool on_key(View Part, std::size_t, ErrorCode &);
+  bool on_string_part(View Part, std::size_t, ErrorCode &);
+  bool on_string(View Part, std::size_t, ErrorCode &);
+  bool on_number_part(View, ErrorCode &) { return true; }
+  bool on_int64(std::int64_t Value, View, ErrorCode &);
+  bool on_uint64(std::uint64_t Value, View, ErrorCode &);
+  bool on_double(double Value, View, ErrorCode &);
+  bool on_bool(bool Value, ErrorCode &);
+  bool on_null(ErrorCode &);
+  bool on_comment_part(View, ErrorCode &) { return true; }
+  bool on_comment(View, ErrorCode &) { return true; }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  /// The offset at which the token that is being read started.
+  std::size_t tokenStart() const;
+  /// Adds a value to the innermost open array or object.
+  JsonNodeId add(JsonTree::Content Content);
+  bool open(JsonTree::Content Content);
+  bool close();
+  bool addScalar(JsonTree::Content Content, std::size_t End);
+
+  std::string_view Text_;
+  bool KeepsPositions_;
+  std::size_t Offset_ = 0;
+  std::size_t PreviousEnd_ = 0;
+  std::size_t KeyOffset_ = 0;
+  std::string Partial_;
+  std::string Key_;
+  std::vector<JsonNodeId> Open_;
+  JsonTree Tree_;
+};
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_INTERNAL_JSONTREEBUILDER_H
--- /dev/null
+++ b/src/document/internal/kindindex.cpp
@@ -0,0 +1,82 @@
+#include "document/kindindex.h"
+
+#include "document/internal/pathpattern.h"
+#include "document/types/environmentdocument.h"
+
+namespace cranberryspool::document {
+
+namespace {
+
+bool hasEncodedSeparator(std::string_view Segment) {
+  for (std::size_t At = Segment.find('%'); At != std::string_view::npos;
+       At = Segment.find('%', At + 1)) {
+    const std::string_view Code = Segment.substr(At + 1, 2);
+    if (Code == "2f" || Code == "2F" || Code == "5c" || Code == "5C")
+      return true;
+  }
+  return Segment.find('\\') != std::string_view::npos;
+}
+
+/// True for `.` and `..`, also with their dots percent-encoded.
+bool isDotSegment(std::string_view Segment) {
+  std::size_t Dots = 0;
+  while (!Segment.empty()) {
+    const bool IsEncoded =
+        Segment.starts_with("%2e") || Segment.starts_with("%2E");
+    if (!IsEncoded && !Segment.starts_with('.'))
+      return false;
+    Segment.remove_prefix(IsEncoded ? 3 : 1);
+    ++Dots;
+  }
+  return Dots == 1 || Dots == 2;
+}
+
+bool isPlainSegment(std::string_view Segment) {
+  return !Segment.empty() && !isDotSegment(Segment) &&
+         !hasEncodedSeparator(Segment);
+}
+
+/// True when every reader splits the path into the same segments.
+bool isUnambiguous(std::string_view Path) {
+  while (true) {
+    const std::size_t Slash = Path.find('/');
+    if (!isPlainSegment(Path.substr(0, Slash)))
+      return false;
+    if (Slash == std::string_view::npos)
+      return true;
+    Path.remove_prefix(Slash + 1);
+  }
+}
+
+} // namespace
+
+KindIndex::KindIndex(const EnvironmentDocument &Document) {
+  std::uint32_t ServiceAt = 0;
+  for (const Service &Each : Document.Services_) {
+    std::uint32_t KindAt = 0;
+    for (const RequestKind &Kind : Each.Kinds_) {
+      if (const auto Pattern = parsePathPattern(Kind.PathPattern_))
+        Methods_[Kind.Method_].insert(
+            *Pattern, {ServicePosition(ServiceAt), KindPosition(KindAt)});
+      ++KindAt;
+    }
+    ++ServiceAt;
+  }
+}
+
+std::optional<KindMatch>
+KindIndex::match(std::string_view Method,
+                 std::string_view RequestTarget) const {
+  const auto Trie = Methods_.find(Method);
+  if (Trie == Methods_.end())
+    return std::nullopt;
+  std::string_view Path = RequestTarget.substr(0, RequestTarget.find('?'));
+  if (!Path.starts_with('/') || Path.starts_with("/_"))
+    return std::nullopt;
+  Path.remove_prefix(1);
+  if (!Path.empty() && !isUnambiguous(Path))
+    return std::nullopt;
+  return Trie->second.match(Path);
+}
+
+} // namespace cranberryspool::document
--- /dev/null
+++ b/src/document/internal/objectreader.cpp
@@ -0,0 +1,293 @@
+#include "document/internal/objectreader.h"
+
+#include "document/internal/units.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/string_view.hpp>
+
+#include <algorithm>
+
+namespace cranberryspool::document {
+
+namespace {
+
+using framework::Duration;
+
+constexpr std::size_t MaxNameLength = 63;
+constexpr std::size_t MaxFoundLength = 60;
+
+std::string escapePointer(std::string_view Key) {
+  std::string Escaped;
+  for (const char Character : Key) {
+    if (Character == '~')
+      Escaped += "~0";
+    else if (Character == '/')
+      Escaped += "~1";
+    else
+      Escaped += Character;
+  }
+  return Escaped;
+}
+
+std::string quoted(std::string_view Text) {
+  std::string Quoted = boost::json::serialize(
+      boost::json::string_view(Text.data(), Text.size()));
+  if (Quoted.size() <= MaxFoundLength)
+    return Quoted;
+  std::size_t End = MaxFoundLength;
+  while ((static_cast<unsigned char>(Quoted[End]) & 0xC0U) == 0x80U)
+    --End;
+  return Quoted.substr(0, End) + "...";
+}
+
+struct Describe {
+  std::string operator()(std::nullptr_t) const { return "null"; }
+  std::string operator()(bool Value) const { return Value ? "true" : "false"; }
+  std::string operator()(std::int64_t Value) const {
+    return std::to_string(Value);
+  }
+  std::string operator()(double Value) const {
+    return boost::json::serialize(boost::json::value(Value));
+  }
+  std::string operator()(const std::string &Value) const {
+    return quoted(Value);
+  }
+  std::string operator()(const JsonTree::Array &Value) const {
+    return "an array of " + std::to_string(Value.size());
+  }
+  std::string operator()(const JsonTree::Object &) const { return "an object"; }
+};
+
+bool isNameCharacter(char Character) {
+  return (Character >= 'a' && Character <= 'z') ||
+         (Character >= '0' && Character <= '9') || Character == '-';
+}
+
+bool isName(std::string_view Text) {
+  if (Text.empty() || Text.size() > MaxNameLength)
+    return false;
+  if (Text.front() == '-' || Text.back() == '-')
+    return false;
+  return std::all_of(Text.begin(), Text.end(), isNameCharacter);
+}
+
+template <typename Value> std::string rangeText(Range<Value> Allowed) {
+  return std::to_string(Allowed.Least_) + " to " +
+         std::to_string(Allowed.Most_);
+}
+
+} // namespace
+
+ObjectReader::ObjectReader(const JsonTree &Tree, JsonPlace Place,
+                           FaultCollector &Faults)
+    : Tree_(Tree), Place_(std::move(Place)), Faults_(Faults) {
+  const JsonTree::Node &Node = Tree_.node(Place_.Node_);
+  Members_ = std::get_if<JsonTree::Object>(&Node.Content_);
+  if (Members_ == nullptr)
+    Faults_.add(Node.Offset_,
+                {FaultKind::WrongType, Place_.Pointer_, 0, 0, "an object",
+                 std::visit(Describe(), Node.Content_)});
+}
+
+std::string ObjectReader::pointerTo(std::string_view Key) const {
+  return Place_.Pointer_ + "/" + escapePointer(Key);
+}
+
+const JsonTree::Member *ObjectReader::find(std::string_view Key) {
+  Known_.emplace(Key);
+  if (Members_ == nullptr)
+    return nullptr;
+  const auto Found = std::find_if(
+      Members_->begin(), Members_->end(),
+      [Key](const JsonTree::Member &Each) { return Each.Key_ == Key; });
+  return Found == Members_->end() ? nullptr : &*Found;
+}
+
+const JsonTree::Member *ObjectReader::require(std::string_view Key) {
+  const JsonTree::Member *Found = find(Key);
+  if (Found == nullptr && Members_ != nullptr)
+    Faults_.add(Tree_.node(Place_.Node_).Offset_,
+                {FaultKind::MissingKey, Place_.Pointer_, 0, 0,
+                 "the key " + quoted(Key), ""});
+  return Found;
+}
+
+void ObjectReader::reportAt(const JsonTree::Member &At, FaultKind Kind,
+                            std::string Expected) {
+  const JsonTree::Node &Node = Tree_.node(At.Value_);
+  Faults_.add(Node.Offset_,
+              {Kind, pointerTo(At.Key_), 0, 0, std::move(Expected),
+               std::visit(Describe(), Node.Content_)});
+}
+
+void ObjectReader::report(std::string_view Key, FaultKind Kind,
+                          std::string Expected) {
+  if (const JsonTree::Member *At = find(Key))
+    reportAt(*At, Kind, std::move(Expected));
+  else
+    Faults_.add(Tree_.node(Place_.Node_).Offset_,
+                {Kind, Place_.Pointer_, 0, 0, std::move(Expected), ""});
+}
+
+std::uint32_t ObjectReader::number(std::string_view Key,
+                                   Range<std::uint32_t> Allowed) {
+  const JsonTree::Member *At = require(Key);
+  if (At == nullptr)
+    return Allowed.Least_;
+  const JsonTree::Content &Content = Tree_.node(At->Value_).Content_;
+  const std::string Expected = "a whole number, " + rangeText(Allowed);
+  const auto *Value = std::get_if<std::int64_t>(&Content);
+  if (Value == nullptr) {
+    reportAt(*At, FaultKind::WrongType, Expected);
+    return Allowed.Least_;
+  }
+  if (*Value < Allowed.Least_ || *Value > Allowed.Most_) {
+    reportAt(*At, FaultKind::OutOfRange, Expected);
+    return Allowed.Least_;
+  }
+  return static_cast<std::uint32_t>(*Value);
+}
+
+const std::string *ObjectReader::stringAt(std::string_view Key,
+                                          std::string_view Expected) {
+  const JsonTree::Member *At = require(Key);
+  if (At == nullptr)
+    return nullptr;
+  const auto *Text = std::get_if<std::string>(&Tree_.node(At->Value_).Content_);
+  if (Text == nullptr)
+    reportAt(*At, FaultKind::WrongType, std::string(Expected));
+  return Text;
+}
+
+Duration ObjectReader::duration(std::string_view Key, Range<Duration> Allowed) {
+  const std::string Expected = "a whole number with us, ms, s, m or h, \"" +
+                               durationText(Allowed.Least_) + "\" to \"" +
+                               durationText(Allowed.Most_) + "\"";
+  const std::string *Text = stringAt(Key, Expected);
+  if (Text == nullptr)
+    return Allowed.Least_;
+  const auto Value = parseDuration(*Text);
+  if (!Value) {
+    report(Key, FaultKind::InvalidDuration, Expected);
+    return Allowed.Least_;
+  }
+  if (*Value < Allowed.Least_ || *Value > Allowed.Most_) {
+    report(Key, FaultKind::OutOfRange, Expected);
+    return Allowed.Least_;
+  }
+  return *Value;
+}
+
+std::uint32_t ObjectReader::share(std::string_view Key) {
+  constexpr std::uint32_t Whole = 1'000'000;
+  const std::string Expected = "a percentage with at most four decimals, above "
+                               "\"0%\" and below \"100%\", such as \"99.9%\"";
+  const std::string *Text = stringAt(Key, Expected);
+  if (Text == nullptr)
+    return 0;
+  const auto Value = parseShare(*Text);
+  if (!Value) {
+    report(Key, FaultKind::InvalidShare, Expected);
+    return 0;
+  }
+  if (*Value == 0 || *Value == Whole)
+    report(Key, FaultKind::OutOfRange, Expected);
+  return *Value;
+}
+
+std::string ObjectReader::name(std::string_view Key) {
+  const std::string Expected = "a name of 1 to " +
+                               std::to_string(MaxNameLength) +
+                               " lower-case letters, digits and inner hyphens";
+  const std::string *Text = stringAt(Key, Expected);
+  if (Text == nullptr)
+    return {};
+  if (!isName(*Text))
+    report(Key, FaultKind::InvalidName, Expected);
+  return *Text;
+}
+
+std::optional<std::string> ObjectReader::text(std::string_view Key) {
+  const std::string *Text = stringAt(Key, "a string");
+  if (Text == nullptr)
+    return std::nullopt;
+  return *Text;
+}
+
+bool ObjectReader::flag(std::string_view Key, std::optional<bool> Default) {
+  const JsonTree::Member *At = Default ? find(Key) : require(Key);
+  if (At == nullptr)
+    return Default.value_or(false);
+  const auto *Value = std::get_if<bool>(&Tree_.node(At->Value_).Content_);
+  if (Value != nullptr)
+    return *Value;
+  reportAt(*At, FaultKind::WrongType, "true or false");
+  return Default.value_or(false);
+}
+
+std::optional<std::string> ObjectReader::wordAt(std::string_view Key,
+                                                std::string_view Expected) {
+  if (find(Key) == nullptr)
+    return std::nullopt;
+  const std::string *Text = stringAt(Key, Expected);
+  if (Text == nullptr)
+    return std::nullopt;
+  return *Text;
+}
+
+std::vector<JsonPlace> ObjectReader::list(std::string_view Key,
+                                          Range<std::size_t> AllowedCount) {
+  const JsonTree::Member *At =
+      AllowedCount.Least_ == 0 ? find(Key) : require(Key);
+  if (At == nullptr)
+    return {};
+  const std::string Expected =
+      "an array of " + rangeText(AllowedCount) + " elements";
+  const auto *Items =
+      std::get_if<JsonTree::Array>(&Tree_.node(At->Value_).Content_);
+  if (Items == nullptr) {
+    reportAt(*At, FaultKind::WrongType, Expected);
+    return {};
+  }
+  if (Items->size() < AllowedCount.Least_ ||
+      Items->size() > AllowedCount.Most_) {
+    reportAt(*At, FaultKind::WrongCount, Expected);
+    return {};
+  }
+  std::vector<JsonPlace> Places;
+  const std::string Pointer = pointerTo(Key) + "/";
+  for (const JsonNodeId Item : *Items)
+    Places.push_back({Item, Pointer + std::to_string(Places.size())});
+  return Places;
+}
+
+std::optional<JsonPlace> ObjectReader::object(std::string_view Key) {
+  const JsonTree::Member *At = require(Key);
+  if (At == nullptr)
+    return std::nullopt;
+  return JsonPlace{At->Value_, pointerTo(Key)};
+}
+
+void ObjectReader::finish() {
+  if (Members_ == nullptr)
+    return;
+  std::set<std::string_view> Seen;
+  for (const JsonTree::Member &Each : *Members_) {
+    if (!Seen.insert(Each.Key_).second)
+      Faults_.add(Each.KeyOffset_,
+                  {FaultKind::DoubledKey, pointerTo(Each.Key_), 0, 0,
+                   "each key once", quoted(Each.Key_) + " again"});
+    else if (!Known_.contains(Each.Key_))
+      Faults_.add(Each.KeyOffset_, {FaultKind::UnknownKey, pointerTo(Each.Key_),
+                                    0, 0, knownKeys(), quoted(Each.Key_)});
+  }
+}
+
+std::string ObjectReader::knownKeys() const {
+  std::string Keys = "one of the keys";
+  for (const std::string &Each : Known_)
+    Keys += " " + Each;
+  return Keys;
+}
+
+} // namespace cranberryspool::document
--- /dev/null
+++ b/src/document/internal/objectreader.h
@@ -0,0 +1,112 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_OBJECTREADER_H
+#define CRANBERRYSPOOL_DOCUMENT_INTERNAL_OBJECTREADER_H
+
+#include "document/internal/faultcollector.h"
+#include "document/internal/jsontree.h"
+#include "framework/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cranberryspool::document {
+
+/// A value of the text and the JSON pointer to it.
+struct JsonPlace {
+  JsonNodeId Node_;
+  std::string Pointer_;
+};
+
+/// The smallest and the largest value allowed.
+template <typename Value> struct Range {
+  Value Least_;
+  Value Most_;
+};
+
+/// One of the words that a key accepts, and its value.
+template <typename Value> struct Word {
+  std::string_view Text_;
+  Value Value_;
+};
+
+/// Reads the members of one JSON object by key and reports what is wrong with
+/// them. After a fault the reading functions return a harmless value.
+class ObjectReader {
+public:
+  ObjectReader(const JsonTree &Tree, JsonPlace Place, FaultCollector &Faults);
+
+  /// False when the place holds no object; every read then yields nothing.
+  bool isObject() const { return Members_ != nullptr; }
+
+  std::uint32_t number(std::string_view Key, Range<std::uint32_t> Allowed);
+  framework::Duration duration(std::string_view Key,
+                               Range<framework::Duration> Allowed);
+  /// Reads a share of calls, above 0 % and below 100 %, in parts per million.
+  std::uint32_t share(std::string_view Key);
+  /// Reads a name of lower-case letters, digits and inner hyphens.
+  std::string name(std::string_view Key);
+  /// Reads any string; nothing after a fault.
+  std::optional<std::string> text(std::string_view Key);
+  /// Reads a boolean; the key is required when there is no default.
+  bool flag(std::string_view Key, std::optional<bool> Default);
+  /// Reads one of a few words; the key may be left out.
+  template <typename Value>
+  Value word(std::string_view Key, const std::vector<Word<Value>> &Words,
+             Value Default);
+  /// Reads an array whose length must be within the range. The key may be left
+  /// out when no element is needed.
+  std::vector<JsonPlace> list(std::string_view Key,
+                              Range<std::size_t> AllowedCount);
+  /// Returns the value of a required key, to be read as an object.
+  std::optional<JsonPlace> object(std::string_view Key);
+
+  /// Reports the keys that were never asked for, and doubled ones.
+  void finish();
+
+  /// Reports a fault at the value of a key, or at the object without one.
+  void report(std::string_view Key, FaultKind Kind, std::string Expected);
+
+private:
+  const JsonTree::Member *find(std::string_view Key);
+  const JsonTree::Member *require(std::string_view Key);
+  std::string pointerTo(std::string_view Key) const;
+  std::string knownKeys() const;
+  void reportAt(const JsonTree::Member &At, FaultKind Kind,
+                std::string Expected);
+  const std::string *stringAt(std::string_view Key, std::string_view Expected);
+  std::optional<std::string> wordAt(std::string_view Key,
+                                    std::string_view Expected);
+
+  const JsonTree &Tree_;
+  JsonPlace Place_;
+  FaultCollector &Faults_;
+  const JsonTree::Object *Members_ = nullptr;
+  std::set<std::string, std::less<>> Known_;
+};
+
+template <typename Value>
+Value ObjectReader::word(std::string_view Key,
+                         const std::vector<Word<Value>> &Words, Value Default) {
+  std::string Expected;
+  for (const Word<Value> &Each : Words) {
+    Expected += Expected.empty() ? "\"" : " or \"";
+    Expected += std::string(Each.Text_) + "\"";
+  }
+  const auto Text = wordAt(Key, Expected);
+  if (!Text)
+    return Default;
+  for (const Word<Value> &Each : Words) {
+    if (Each.Text_ == *Text)
+      return Each.Value_;
+  }
+  report(Key, FaultKind::UnknownWord, Expected);
+  return Default;
+}
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_INTERNAL_OBJECTREADER_H
--- /dev/null
+++ b/src/document/internal/parsedocument.cpp
@@ -0,0 +1,54 @@
+#include "document/parsedocument.h"
+
+#include "document/internal/documentreader.h"
+#include "document/internal/faultcollector.h"
+#include "document/internal/readjson.h"
+#include "document/internal/utf8.h"
+
+namespace cranberryspool::document {
+
+namespace {
+
+using ParseResult = framework::Result<EnvironmentDocument, DocumentFaults>;
+
+ParseResult parse(std::string_view Text, PositionMode Mode) {
+  FaultCollector Faults;
+  auto Tree = readJson(Text, Mode);
+  if (!Tree) {
+    const JsonFailure &Failure = Tree.error();
+    Faults.add(Failure.Offset_,
+               {Failure.Kind_, "", 0, 0, Failure.Expected_, ""});
+    return framework::failure(Faults.take(Text));
+  }
+  EnvironmentDocument Document = DocumentReader(Tree.value(), Faults).read();
+  if (!Faults.isEmpty())
+    return framework::failure(Faults.take(Text));
+  return Document;
+}
+
+ParseResult refuse(std::string_view Text, std::size_t Offset,
+                   DocumentFault Fault) {
+  FaultCollector Faults;
+  Faults.add(Offset, std::move(Fault));
+  return framework::failure(Faults.take(Text));
+}
+
+} // namespace
+
+ParseResult parseDocument(std::string_view Text) {
+  if (Text.size() > MaxDocumentBytes)
+    return refuse(Text, 0,
+                  {FaultKind::DocumentTooLarge, "", 0, 0,
+                   "at most " + std::to_string(MaxDocumentBytes) + " bytes",
+                   std::to_string(Text.size())});
+  if (const auto Invalid = findInvalidUtf8(Text))
+    return refuse(Text, *Invalid,
+                  {FaultKind::InvalidUtf8, "", 0, 0, "UTF-8 text", ""});
+  auto Fast = parse(Text, PositionMode::Without);
+  if (Fast)
+    return Fast;
+  // Positions are costly to find, so only a refused text is read for them.
+  return parse(Text, PositionMode::With);
+}
+
+} // namespace cranberryspool::document
--- /dev/null
+++ b/src/document/internal/pathtrie.h
@@ -0,0 +1,58 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_PATHTRIE_H
+#define CRANBERRYSPOOL_DOCUMENT_INTERNAL_PATHTRIE_H
+
+#include "document/types/kindmatch.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cranberryspool::document {
+
+struct PathPattern;
+
+/// The path patterns of one method, as a tree of segments.
+class PathTrie {
+public:
+  PathTrie();
+
+  /// Returns a kind whose pattern matches a path that this one matches too.
+  std::optional<KindMatch> findOverlap(const PathPattern &Pattern) const;
+
+  /// Adds a pattern that overlaps with none of the trie.
+  void insert(const PathPattern &Pattern, KindMatch Kind);
+
+  /// Returns the kind of a path, given without its leading slash and query.
+  std::optional<KindMatch> match(std::string_view Path) const;
+
+private:
+  using NodeIndex = std::size_t;
+
+  struct Node {
+    std::map<std::string, NodeIndex, std::less<>> Literals_;
+    std::optional<NodeIndex> Any_;
+    /// The kind whose pattern ends here.
+    std::optional<KindMatch> Exact_;
+    /// The kind whose pattern goes on with `**` here.
+    std::optional<KindMatch> Rest_;
+  };
+
+  std::optional<KindMatch> matchFrom(NodeIndex At, std::string_view Path,
+                                     bool IsAtEnd) const;
+  std::optional<KindMatch> overlapFrom(NodeIndex At, const PathPattern &Pattern,
+                                       std::size_t Depth) const;
+  std::optional<KindMatch> overlapBelow(NodeIndex At,
+                                        const PathPattern &Pattern,
+                                        std::size_t Depth) const;
+  std::optional<KindMatch> anyBelow(NodeIndex At) const;
+  NodeIndex childFor(NodeIndex At, const std::string &Segment);
+
+  std::vector<Node> Nodes_;
+};
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_INTERNAL_PATHTRIE_H
--- /dev/null
+++ b/src/document/internal/readjson.cpp
@@ -0,0 +1,76 @@
+#include "document/internal/readjson.h"
+
+#include "document/internal/jsontreebuilder.h"
+#include "document/parsedocument.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+#include <boost/json/parse_options.hpp>
+
+namespace cranberryspool::document {
+
+namespace {
+
+using Parser = boost::json::basic_parser<JsonTreeBuilder>;
+using ErrorCode = boost::json::error_code;
+
+boost::json::parse_options options() {
+  boost::json::parse_options Options;
+  Options.max_depth = MaxDocumentDepth;
+  Options.allow_comments = true;
+  return Options;
+}
+
+JsonFailure failureOf(ErrorCode Error, std::size_t Offset) {
+  if (Error == boost::json::error::too_deep)
+    return {FaultKind::NestedTooDeep, Offset,
+            "at most " + std::to_string(MaxDocumentDepth) + " levels"};
+  if (Error == boost::json::error::expected_utf16_escape ||
+      Error == boost::json::error::illegal_leading_surrogate ||
+      Error == boost::json::error::illegal_trailing_surrogate)
+    return {FaultKind::InvalidUtf8, Offset, "a complete surrogate pair"};
+  if (Error == boost::json::error::incomplete)
+    return {FaultKind::InvalidSyntax, Offset,
+            "the text to go on (" + Error.message() + ")"};
+  return {FaultKind::InvalidSyntax, Offset,
+          "JSON with comments (" + Error.message() + ")"};
+}
+
+/// Feeds the text and returns the offset of the byte where reading stopped.
+std::size_t feedWhole(Parser &Reader, std::string_view Text, ErrorCode &Error) {
+  const std::size_t Used =
+      Reader.write_some(false, Text.data(), Text.size(), Error);
+  if (!Error && Used < Text.size())
+    Error = boost::json::error::extra_data;
+  return Used;
+}
+
+std::size_t feedBytes(Parser &Reader, std::string_view Text, ErrorCode &Error) {
+  for (std::size_t Offset = 0; Offset < Text.size(); ++Offset) {
+    Reader.handler().moveTo(Offset);
+    const std::size_t Used =
+        Reader.write_some(true, Text.data() + Offset, 1, Error);
+    if (!Error && Used == 0)
+      Error = boost::json::error::extra_data;
+    if (Error)
+      return Offset;
+  }
+  Reader.handler().moveTo(Text.size());
+  Reader.write_some(false, Text.data() + Text.size(), 0, Error);
+  return Text.size();
+}
+
+} // namespace
+
+framework::Result<JsonTree, JsonFailure> readJson(std::string_view Text,
+                                                  PositionMode Mode) {
+  const bool KeepsPositions = Mode == PositionMode::With;
+  Parser Reader(options(), Text, KeepsPositions);
+  ErrorCode Error;
+  const std::size_t Offset = KeepsPositions ? feedBytes(Reader, Text, Error)
+                                            : feedWhole(Reader, Text, Error);
+  if (Error)
+    return framework::failure(failureOf(Error, Offset));
+  return Reader.handler().takeTree();
+}
+
+} // namespace cranberryspool::document
--- /dev/null
+++ b/src/document/internal/units.h
@@ -0,0 +1,29 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_UNITS_H
+#define CRANBERRYSPOOL_DOCUMENT_INTERNAL_UNITS_H
+
+#include "framework/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cranberryspool::document {
+
+/// Reads a whole number followed by `us`, `ms`, `s`, `m` or `h`, such as
+/// `800ms`. No sign, fraction, space or leading zero; nothing otherwise.
+std::optional<framework::Duration> parseDuration(std::string_view Text);
+
+/// Writes a duration in the largest unit that holds it exactly.
+std::string durationText(framework::Duration Value);
+
+/// Reads a percentage with at most four decimals, such as `99.9%`, and returns
+/// it in parts per million; nothing when malformed or above 100 %.
+std::optional<std::uint32_t> parseShare(std::string_view Text);
+
+/// Writes parts per million as a percentage without needless zeros.
+std::string shareText(std::uint32_t PerMillion);
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_INTERNAL_UNITS_H
--- /dev/null
+++ b/src/document/types/faultkind.h
@@ -0,0 +1,37 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_TYPES_FAULTKIND_H
+#define CRANBERRYSPOOL_DOCUMENT_TYPES_FAULTKIND_H
+
+#include <string_view>
+
+namespace cranberryspool::document {
+
+/// Why a part of a document is refused.
+enum class FaultKind {
+  DocumentTooLarge,
+  InvalidSyntax,
+  InvalidUtf8,
+  NestedTooDeep,
+  DoubledKey,
+  UnknownKey,
+  MissingKey,
+  WrongType,
+  InvalidName,
+  InvalidDuration,
+  InvalidShare,
+  InvalidMethod,
+  InvalidPath,
+  UnknownWord,
+  OutOfRange,
+  WrongCount,
+  DuplicateName,
+  UnknownZone,
+  OverlappingPaths,
+  HedgingNotIdempotent
+};
+
+/// Returns the name of the kind as tools print it, such as `unknown-key`.
+std::string_view faultKindName(FaultKind Kind);
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_TYPES_FAULTKIND_H
--- /dev/null
+++ b/src/document/types/kindmatch.h
@@ -0,0 +1,28 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_TYPES_KINDMATCH_H
+#define CRANBERRYSPOOL_DOCUMENT_TYPES_KINDMATCH_H
+
+#include "framework/strongid.h"
+
+#include <cstdint>
+
+namespace cranberryspool::document {
+
+/// The position of a service in `EnvironmentDocument::Services_`.
+using ServicePosition =
+    framework::StrongId<struct ServicePositionTag, std::uint32_t>;
+
+/// The position of a kind in `Service::Kinds_`.
+using KindPosition = framework::StrongId<struct KindPositionTag, std::uint32_t>;
+
+/// The one kind of one service that a request belongs to. Valid for the
+/// document that the index was built from.
+struct KindMatch {
+  ServicePosition Service_;
+  KindPosition Kind_;
+
+  friend auto operator<=>(const KindMatch &, const KindMatch &) = default;
+};
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_TYPES_KINDMATCH_H
