--- a/src/document/internal/objectreader.cpp
+++ b/src/document/internal/objectreader.cpp
@@ -1,6 +1,6 @@
 #include "document/internal/objectreader.h"
 
-#include "document/internal/units.h"
+#include "framework/units.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/string_view.hpp>
@@ -12,6 +12,9 @@
 namespace {
 
 using framework::Duration;
+using framework::durationText;
+using framework::parseDuration;
+using framework::parseShare;
 
 constexpr std::size_t MaxNameLength = 63;
 constexpr std::size_t MaxFoundLength = 60;
--- a/src/document/tests/examples_test.cpp
+++ b/src/document/tests/examples_test.cpp
@@ -1,25 +1,11 @@
 #include "document/kindindex.h"
 #include "document/parsedocument.h"
+#include "document/tests/readfile.h"
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
-#include <sstream>
-
 using namespace cranberryspool::document;
 
-namespace {
-
-std::string readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  REQUIRE(File);
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
-} // namespace
-
 TEST_CASE("the example documents are accepted", "[document]") {
   const std::string Path = GENERATE(std::string("examples/lagos.json"),
                                     std::string("examples/central-belt.json"));
--- /dev/null
+++ b/src/document/tests/readfile.h
@@ -0,0 +1,23 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_TESTS_READFILE_H
+#define CRANBERRYSPOOL_DOCUMENT_TESTS_READFILE_H
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+namespace cranberryspool::document {
+
+/// Returns the content of a file of the project; the test fails without it.
+inline std::string readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  REQUIRE(File);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_TESTS_READFILE_H
--- a/src/document/internal/units.cpp
+++ b/src/framework/internal/units.cpp
@@ -1,15 +1,13 @@
-#include "document/internal/units.h"
+#include "framework/units.h"
 
 #include <array>
 #include <charconv>
 #include <limits>
 
-namespace cranberryspool::document {
+namespace cranberryspool::framework {
 
 namespace {
 
-using framework::Duration;
-
 struct Unit {
   std::string_view Suffix_;
   std::int64_t Microseconds_;
@@ -119,4 +117,4 @@
   return Text + "%";
 }
 
-} // namespace cranberryspool::document
+} // namespace cranberryspool::framework
--- a/src/document/internal/units.h
+++ b/src/framework/units.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_UNITS_H
-#define CRANBERRYSPOOL_DOCUMENT_INTERNAL_UNITS_H
+#ifndef CRANBERRYSPOOL_FRAMEWORK_UNITS_H
+#define CRANBERRYSPOOL_FRAMEWORK_UNITS_H
 
 #include "framework/time.h"
 
@@ -8,14 +8,14 @@
 #include <string>
 #include <string_view>
 
-namespace cranberryspool::document {
+namespace cranberryspool::framework {
 
 /// Reads a whole number followed by `us`, `ms`, `s`, `m` or `h`, such as
 /// `800ms`. No sign, fraction, space or leading zero; nothing otherwise.
-std::optional<framework::Duration> parseDuration(std::string_view Text);
+std::optional<Duration> parseDuration(std::string_view Text);
 
 /// Writes a duration in the largest unit that holds it exactly.
-std::string durationText(framework::Duration Value);
+std::string durationText(Duration Value);
 
 /// Reads a percentage with at most four decimals, such as `99.9%`, and returns
 /// it in parts per million; nothing when malformed or above 100 %.
@@ -24,6 +24,6 @@
 /// Writes parts per million as a percentage without needless zeros.
 std::string shareText(std::uint32_t PerMillion);
 
-} // namespace cranberryspool::document
+} // namespace cranberryspool::framework
 
-#endif // CRANBERRYSPOOL_DOCUMENT_INTERNAL_UNITS_H
+#endif // CRANBERRYSPOOL_FRAMEWORK_UNITS_H
