Carry calls through the core from arrival to ending

The core answered every call with a refusal. It now takes the document and the list into force, queues calls, chooses targets, opens and reuses connections, sends attempts, retries and hedges within budgets, and ends each call once: PendingEnding can only be consumed.

A request that is not idempotent is sent again only when nothing was written or the target said in a correlated answer that it did not run; otherwise it ends as unknown at once. An attempt that outlives its call's deadline is left to finish when it is not idempotent; its connection is then closed.

Keys and the fleet-wide shares come with the fleet module: until then a key is not looked at, and shares are computed from the document's max-instances.

--- a/src/decision/core.h
+++ b/src/decision/core.h
@@ -2,30 +2,39 @@
 #define CRANBERRYSPOOL_DECISION_CORE_H
 
 #include "decision/action.h"
+#include "decision/corecounters.h"
 #include "decision/coresettings.h"
 #include "decision/event.h"
 #include "framework/moment.h"
 #include "framework/random.h"
 
+#include <memory>
+
 namespace cranberryspool::decision {
 
+class Engine;
+
 /// All decisions of one instance, without I/O. The same settings, seed and
 /// events give the same actions. Not thread-safe: one duty owns a core.
 class Core {
 public:
   Core(CoreSettings Settings, framework::Random Rng);
+  Core(Core &&) noexcept;
+  Core &operator=(Core &&) noexcept;
+  ~Core();
 
   /// Handles one event and appends the actions that follow from it. `Now` must
-  /// not be earlier than that of the event before.
+  /// not be earlier than that of the event before. A `Tick` right after the
+  /// start makes the core read the platform.
   void handle(framework::Moment Now, const Event &Input, ActionList &Output);
 
   /// Returns the time at which the core wants a `Tick` at the latest.
   framework::Instant nextWakeUp() const;
 
+  const CoreCounters &counters() const;
+
 private:
-  CoreSettings Settings_;
-  framework::Random Rng_;
-  framework::Instant LastHandled_{};
+  std::unique_ptr<Engine> Engine_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/admissionflow.cpp
+++ b/src/decision/internal/admissionflow.cpp
@@ -23,13 +23,13 @@
 void AdmissionFlow::enqueue(const Step &At, calls::Call &Owner) {
   const calls::CallRequest &Request = Owner.Request_;
   Owner.State_ = calls::CallState::Queued;
-  const auto Offered = Parts_.Queue_.offer(
-      admission::QueuedCall{.Call_ = Request.Call_,
-                            .Service_ = Request.Service_,
-                            .Urgency_ = Request.Urgency_,
-                            .Arrival_ = Request.Arrival_,
-                            .Deadline_ = Request.Deadline_},
-      At.now());
+  const auto Offered =
+      Parts_.Queue_.offer(admission::QueuedCall{.Call_ = Request.Call_,
+                                                .Service_ = Request.Service_,
+                                                .Urgency_ = Request.Urgency_,
+                                                .Arrival_ = Request.Arrival_,
+                                                .Deadline_ = Request.Deadline_},
+                          At.now());
   if (!Offered)
     Ender_.giveUp(At, Owner, reasonOf(Offered.error().Reason_));
 }
--- a/src/decision/internal/callsettings.h
+++ b/src/decision/internal/callsettings.h
@@ -45,10 +45,10 @@
                                           .WaitFactor_ = 4,
                                           .MinWait_ =
                                               std::chrono::milliseconds(20)};
-  calls::SilenceBounds SilenceNonIdempotent_{.LaterAnswers_ = 16,
-                                             .WaitFactor_ = 10,
-                                             .MinWait_ =
-                                                 std::chrono::milliseconds(250)};
+  calls::SilenceBounds SilenceNonIdempotent_{
+      .LaterAnswers_ = 16,
+      .WaitFactor_ = 10,
+      .MinWait_ = std::chrono::milliseconds(250)};
 
   /// How long an attempt that must not be cut may go on after its call ended.
   framework::Duration MaxAbandoned_ = std::chrono::seconds(30);
--- a/src/decision/internal/connectionkeeper.cpp
+++ b/src/decision/internal/connectionkeeper.cpp
@@ -43,9 +43,9 @@
        Parts_.Environment_.targets()) {
     if (Target.IsLeaving_)
       continue;
-    const std::uint32_t Missing = std::min(
-        Room, Parts_.Connections_.missing(Target.Target_,
-                                          Parts_.Calling_.SpareConnections_));
+    const std::uint32_t Missing =
+        std::min(Room, Parts_.Connections_.missing(
+                           Target.Target_, Parts_.Calling_.SpareConnections_));
     for (std::uint32_t Count = 0; Count < Missing; ++Count)
       open(At, Target.Target_);
     Room -= Missing;
@@ -53,8 +53,7 @@
 }
 
 void ConnectionKeeper::open(const Step &At, framework::TargetId Target) {
-  const framework::ConnectionId Id =
-      Parts_.Connections_.open(Target, At.now());
+  const framework::ConnectionId Id = Parts_.Connections_.open(Target, At.now());
   At.Output_.push_back(
       OpenConnection{Id, Target, Parts_.Environment_.address(Target)});
   ++Parts_.Counters_.ConnectionsOpened_;
--- a/src/decision/internal/core.cpp
+++ b/src/decision/internal/core.cpp
@@ -1,28 +1,27 @@
 #include "decision/core.h"
 
-namespace cranberryspool::decision {
-
-namespace {
+#include "decision/internal/engine.h"
 
-constexpr framework::Duration TickInterval = std::chrono::milliseconds(100);
+#include <utility>
 
-} // namespace
+namespace cranberryspool::decision {
 
 Core::Core(CoreSettings Settings, framework::Random Rng)
-    : Settings_(std::move(Settings)), Rng_(Rng) {}
+    : Engine_(std::make_unique<Engine>(std::move(Settings), Rng)) {}
+
+Core::Core(Core &&) noexcept = default;
+Core &Core::operator=(Core &&) noexcept = default;
+Core::~Core() = default;
 
 void Core::handle(framework::Moment Now, const Event &Input,
                   ActionList &Output) {
-  LastHandled_ = Now.Monotonic_;
-  const auto *Arrived = std::get_if<CallArrived>(&Input);
-  if (!Arrived)
-    return;
-  Output.push_back(RefuseCall{Arrived->Call_, calls::Ending::NotRun,
-                              calls::EndingReason::NoTarget, TickInterval});
+  Engine_->handle(Step{Now, Output}, Input);
 }
 
-framework::Instant Core::nextWakeUp() const {
-  return LastHandled_ + TickInterval;
+framework::Instant Core::nextWakeUp() const { return Engine_->nextWakeUp(); }
+
+const CoreCounters &Core::counters() const {
+  return Engine_->parts().Counters_;
 }
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/coreparts.h
+++ b/src/decision/internal/coreparts.h
@@ -11,8 +11,9 @@
 #include "decision/internal/callsettings.h"
 #include "decision/internal/environment.h"
 #include "decision/internal/servicelearning.h"
-#include "decision/internal/simpletargettable.h"
 #include "framework/random.h"
+#include "routing/policies/blendpolicy.h"
+#include "routing/targettable.h"
 
 #include <utility>
 
@@ -22,7 +23,11 @@
 /// life of a call.
 struct CoreParts {
   CoreParts(CoreSettings Settings, framework::Random Rng)
-      : Settings_(std::move(Settings)), Rng_(Rng), Learning_(Calling_),
+      : Settings_(std::move(Settings)), Rng_(Rng),
+        Targets_(Environment_.internZone(Settings_.Zone_),
+                 routing::BlendPolicy(routing::BlendSettings{}),
+                 framework::Random(Rng_.bits())),
+        Learning_(Calling_),
         Silence_(Calling_.SilenceIdempotent_, Calling_.SilenceNonIdempotent_) {}
   CoreParts(const CoreParts &) = delete;
   CoreParts &operator=(const CoreParts &) = delete;
@@ -34,7 +39,7 @@
   CoreCounters Counters_;
 
   Environment Environment_;
-  SimpleTargetTable Targets_;
+  routing::TargetTable<routing::BlendPolicy> Targets_;
   admission::AdmissionQueue Queue_;
   ServiceLearning Learning_;
 
--- a/src/decision/internal/dispatcher.cpp
+++ b/src/decision/internal/dispatcher.cpp
@@ -36,10 +36,10 @@
   return Parts_.Targets_.choose(Request, At.now());
 }
 
-void Dispatcher::startHedges(const Step &At) {
+void Dispatcher::startHedges(const Step &At, bool MayStart) {
   while (const auto Id = Parts_.Hedges_.takeDue(At.now())) {
     calls::Call *Owner = Parts_.Calls_.find(*Id);
-    if (!Owner || Owner->Live_.size() != 1 || Owner->IsCallerGone_)
+    if (!MayStart || !Owner || Owner->Live_.size() != 1)
       continue;
     const calls::Attempt &First = Parts_.Calls_.attempts().at(Owner->Live_[0]);
     if (First.HasAnswerBegun_)
--- a/src/decision/internal/dispatcher.h
+++ b/src/decision/internal/dispatcher.h
@@ -17,8 +17,9 @@
 
   /// Starts every queued call that may start and for which there is a target.
   void startQueued(const Step &At);
-  /// Starts a second attempt of calls whose first one takes unusually long.
-  void startHedges(const Step &At);
+  /// Starts a second attempt of calls whose first one takes unusually long; a
+  /// call whose time for it comes while none may start gets none.
+  void startHedges(const Step &At, bool MayStart);
 
 private:
   /// Returns false when no target may take one more attempt.
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -26,6 +26,13 @@
   rebuildTargets();
 }
 
+std::uint32_t Environment::instanceCount() const {
+  const auto Count = std::count_if(
+      Instances_.begin(), Instances_.end(),
+      [](const auto &Instance) { return !Instance.Group_.has_value(); });
+  return std::max(static_cast<std::uint32_t>(Count), 1U);
+}
+
 std::optional<MatchedKind> Environment::match(std::string_view Method,
                                               std::string_view Path) const {
   if (!Document_)
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -30,6 +30,9 @@
     return Document_;
   }
 
+  /// Returns the number of instances of this system on the list, at least 1.
+  std::uint32_t instanceCount() const;
+
   /// Returns the kind that a request belongs to under the document in force.
   std::optional<MatchedKind> match(std::string_view Method,
                                    std::string_view Path) const;
--- /dev/null
+++ b/src/decision/internal/environmentkeeper.cpp
@@ -0,0 +1,57 @@
+#include "decision/internal/environmentkeeper.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace cranberryspool::decision {
+
+void EnvironmentKeeper::setDocument(
+    const Step &At, const document::EnvironmentDocument &Document) {
+  Parts_.Environment_.setDocument(Document);
+  apply(At);
+}
+
+void EnvironmentKeeper::setInstances(
+    const Step &At, std::vector<document::PublishedInstance> Instances) {
+  Parts_.Environment_.setInstances(std::move(Instances));
+  apply(At);
+}
+
+void EnvironmentKeeper::apply(const Step &At) {
+  Parts_.Targets_.setTargets(Parts_.Environment_.targets(), At.now());
+  applyBounds();
+  applyCapacities();
+  Results_.takeBackUnsent(At);
+}
+
+void EnvironmentKeeper::applyBounds() {
+  for (const routing::TargetDescription &Target :
+       Parts_.Environment_.targets()) {
+    const document::Service &Service =
+        *Parts_.Environment_.service(Target.Service_);
+    const std::uint32_t Instances =
+        Parts_.Environment_.document()->MaxInstances_;
+    const std::uint32_t Connections =
+        std::max(Service.ConnectionsPerTarget_ / Instances, 1U);
+    Parts_.Targets_.setBounds(
+        Target.Target_,
+        routing::TargetBounds{.ColdInFlight_ = Service.ColdStart_.MaxInFlight_,
+                              .MaxConnections_ = Connections,
+                              .ColdWarmup_ = Service.ColdStart_.Warmup_});
+    Parts_.Connections_.setLimit(Target.Target_, Connections);
+  }
+}
+
+void EnvironmentKeeper::applyCapacities() {
+  std::map<framework::ServiceId, std::uint32_t> Slots;
+  for (const routing::TargetDescription &Target : Parts_.Environment_.targets())
+    if (!Target.IsLeaving_)
+      Slots[Target.Service_] += Target.Slots_;
+  for (const auto &[Service, Sum] : Slots)
+    Parts_.Queue_.setCapacity(
+        Service,
+        {.Slots_ = Sum, .Instances_ = Parts_.Environment_.instanceCount()});
+}
+
+} // namespace cranberryspool::decision
--- /dev/null
+++ b/src/decision/internal/environmentkeeper.h
@@ -0,0 +1,36 @@
+#ifndef CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENTKEEPER_H
+#define CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENTKEEPER_H
+
+#include "decision/internal/coreparts.h"
+#include "decision/internal/outcomes.h"
+#include "decision/internal/step.h"
+#include "document/types/environmentdocument.h"
+#include "document/types/publishedinstance.h"
+
+#include <vector>
+
+namespace cranberryspool::decision {
+
+/// Brings a new document or list into force in all parts of the core.
+class EnvironmentKeeper {
+public:
+  EnvironmentKeeper(CoreParts &Parts, Outcomes &Results)
+      : Parts_(Parts), Results_(Results) {}
+
+  void setDocument(const Step &At,
+                   const document::EnvironmentDocument &Document);
+  void setInstances(const Step &At,
+                    std::vector<document::PublishedInstance> Instances);
+
+private:
+  void apply(const Step &At);
+  void applyBounds();
+  void applyCapacities();
+
+  CoreParts &Parts_;
+  Outcomes &Results_;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENTKEEPER_H
--- a/src/decision/internal/intake.cpp
+++ b/src/decision/internal/intake.cpp
@@ -42,56 +42,10 @@
   }
   Parts_.Deadlines_.set(Input.Call_, Owner.Request_.Deadline_);
   // Repeating an idempotent request does no harm, so its key decides nothing.
-  if (!Input.Key_ || Kind.Rules_->IsIdempotent_) {
-    Waiting_.enqueue(At, Owner);
-    return;
-  }
-  Owner.State_ = calls::CallState::AwaitingKey;
-  Fleet_.requestKey(At, Input.Call_, *Input.Key_);
-}
-
-void Intake::handle(const Step &At, const fleet::KeyDecided &Input) {
-  calls::Call *Owner = Parts_.Calls_.find(Input.Call_);
-  if (!Owner || Owner->State_ != calls::CallState::AwaitingKey)
-    return;
-  switch (Input.Decision_) {
-  case fleet::KeyDecision::Run:
-    Owner->HoldsKey_ = true;
-    Waiting_.enqueue(At, *Owner);
-    return;
-  case fleet::KeyDecision::Replay:
-    Owner->State_ = calls::CallState::FetchingAnswer;
-    At.Output_.push_back(
-        FetchKeptAnswer{Input.Call_, Input.PeerAddress_, Input.PeerCall_});
-    return;
-  case fleet::KeyDecision::InProgress:
-    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
-                  calls::EndingReason::KeyInProgress);
-    return;
-  case fleet::KeyDecision::TooOld:
-    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
-                  calls::EndingReason::KeyTooOld);
-    return;
-  case fleet::KeyDecision::HomeUnreachable:
-    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
-                  calls::EndingReason::KeyHomeUnreachable);
-    return;
-  case fleet::KeyDecision::Invalid:
-    Ender_.refuse(At, *Owner, calls::Ending::NotRun,
-                  calls::EndingReason::KeyInvalid);
-    return;
-  }
-}
-
-void Intake::handle(const Step &At, const KeptAnswerFetched &Input) {
-  calls::Call *Owner = Parts_.Calls_.find(Input.Call_);
-  if (!Owner || Owner->State_ != calls::CallState::FetchingAnswer)
-    return;
-  if (Input.IsFound_)
-    Ender_.replay(At, *Owner);
+  if (Input.Key_ && !Kind.Rules_->IsIdempotent_)
+    Keyed_.ask(At, Owner);
   else
-    Ender_.refuse(At, *Owner, calls::Ending::Unknown,
-                  calls::EndingReason::KeyAnswerGone);
+    Waiting_.enqueue(At, Owner);
 }
 
 void Intake::handle(const Step &At, const CallerGone &Input) {
--- a/src/decision/internal/intake.h
+++ b/src/decision/internal/intake.h
@@ -6,12 +6,11 @@
 #include "decision/internal/callender.h"
 #include "decision/internal/coreparts.h"
 #include "decision/internal/fleetlink.h"
+#include "decision/internal/keyedcalls.h"
 #include "decision/internal/matchedkind.h"
 #include "decision/internal/step.h"
 #include "decision/types/events/callarrived.h"
 #include "decision/types/events/callergone.h"
-#include "decision/types/events/keptanswerfetched.h"
-#include "fleet/types/outputs/keydecided.h"
 
 namespace cranberryspool::decision {
 
@@ -20,14 +19,12 @@
 class Intake {
 public:
   Intake(CoreParts &Parts, CallEnder &Ender, AdmissionFlow &Waiting,
-         FleetLink &Fleet)
-      : Parts_(Parts), Ender_(Ender), Waiting_(Waiting), Fleet_(Fleet) {}
+         KeyedCalls &Keyed, FleetLink &Fleet)
+      : Parts_(Parts), Ender_(Ender), Waiting_(Waiting), Keyed_(Keyed),
+        Fleet_(Fleet) {}
 
   void handle(const Step &At, const CallArrived &Input);
   void handle(const Step &At, const CallerGone &Input);
-  void handle(const Step &At, const KeptAnswerFetched &Input);
-  /// The home of a key has decided about a call.
-  void handle(const Step &At, const fleet::KeyDecided &Input);
 
   /// Ends the calls whose deadline has passed.
   void dropOverdue(const Step &At);
@@ -41,6 +38,7 @@
   CoreParts &Parts_;
   CallEnder &Ender_;
   AdmissionFlow &Waiting_;
+  KeyedCalls &Keyed_;
   FleetLink &Fleet_;
   bool IsClosed_ = false;
 };
--- /dev/null
+++ b/src/decision/internal/stopsequence.cpp
@@ -0,0 +1,29 @@
+#include "decision/internal/stopsequence.h"
+
+namespace cranberryspool::decision {
+
+void StopSequence::request(const Step &At) {
+  if (RequestedAt_)
+    return;
+  RequestedAt_ = At.now();
+  At.Output_.push_back(
+      ReportChange{ChangeKind::StopStarted, Parts_.Settings_.Self_.value()});
+}
+
+void StopSequence::advance(const Step &At, bool IsHandoverDone) {
+  if (!RequestedAt_ || IsFinished_)
+    return;
+  if (At.now() < *RequestedAt_ + Parts_.Settings_.StopLinger_)
+    return;
+  Calls_.close();
+  const bool IsIdle =
+      Parts_.Calls_.calls().empty() && Parts_.Calls_.attempts().empty();
+  if (!IsIdle || !IsHandoverDone)
+    return;
+  IsFinished_ = true;
+  At.Output_.push_back(
+      ReportChange{ChangeKind::StopFinished, Parts_.Settings_.Self_.value()});
+  At.Output_.push_back(FinishStop{});
+}
+
+} // namespace cranberryspool::decision
--- a/src/decision/tests/core_test.cpp
+++ b/src/decision/tests/core_test.cpp
@@ -1,21 +1,124 @@
-#include "decision/core.h"
+#include "decision/tests/corefixture.h"
 
 #include <catch2/catch.hpp>
 
 using namespace cranberryspool;
 using namespace cranberryspool::decision;
+using framework::CallId;
+using std::chrono::milliseconds;
+
+namespace {
+
+SendAttempt sentOf(const ActionList &Actions) {
+  const auto Sent = CoreFixture::only<SendAttempt>(Actions);
+  REQUIRE(Sent.size() == 1);
+  return Sent.front();
+}
+
+RefuseCall refusalOf(const ActionList &Actions) {
+  const auto Refused = CoreFixture::only<RefuseCall>(Actions);
+  REQUIRE(Refused.size() == 1);
+  return Refused.front();
+}
+
+} // namespace
 
 TEST_CASE("a call without a document is refused as not run", "[decision]") {
-  Core Instance(CoreSettings{framework::InstanceName("entry-1"),
-                             framework::Incarnation(1),
-                             framework::ZoneName("ikeja")},
-                framework::Random(1));
-  ActionList Actions;
-  CallArrived Arrival;
-  Arrival.Call_ = framework::CallId(1);
-  Instance.handle(framework::Moment{}, Arrival, Actions);
-  REQUIRE(Actions.size() == 1);
-  const auto &Refusal = std::get<RefuseCall>(Actions.front());
-  CHECK(Refusal.Call_ == framework::CallId(1));
+  CoreFixture Fixture;
+  const auto Refusal = refusalOf(Fixture.tell(Fixture.call(1)));
+  CHECK(Refusal.Call_ == CallId(1));
   CHECK(Refusal.Ending_ == calls::Ending::NotRun);
 }
+
+TEST_CASE("a call goes over a warm connection and is answered", "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  const auto Sent = sentOf(Fixture.tell(Fixture.call(1)));
+  CHECK(Sent.Call_ == CallId(1));
+  CHECK(Sent.Depth_ == 1);
+  CHECK(Sent.AttemptMark_ == 1);
+  CHECK(Sent.Timeout_ == milliseconds(500));
+  const auto Actions = Fixture.tell(Fixture.answerTo(Sent));
+  const auto Answered = CoreFixture::only<AnswerCall>(Actions);
+  REQUIRE(Answered.size() == 1);
+  CHECK(Answered.front().Attempt_ == Sent.Attempt_);
+}
+
+TEST_CASE("a request of no kind is refused as not run", "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  CallArrived Arrival = Fixture.call(1);
+  Arrival.Path_ = "/elsewhere";
+  const auto Refusal = refusalOf(Fixture.tell(Arrival));
+  CHECK(Refusal.Reason_ == calls::EndingReason::NoSuchKind);
+}
+
+TEST_CASE("a lost attempt that must not run twice ends as unknown at once",
+          "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  const auto Actions = Fixture.tell(AttemptFailed{
+      .Attempt_ = Sent.Attempt_, .Connection_ = Sent.Connection_});
+  CHECK(CoreFixture::only<SendAttempt>(Actions).empty());
+  const auto Refusal = refusalOf(Actions);
+  CHECK(Refusal.Ending_ == calls::Ending::Unknown);
+  CHECK(Refusal.RetryAfter_ > framework::Duration::zero());
+}
+
+TEST_CASE("an attempt of which nothing was written is sent again",
+          "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  const auto First = sentOf(Fixture.tell(Fixture.call(1, false)));
+  const auto Actions = Fixture.tell(
+      AttemptFailed{.Attempt_ = First.Attempt_,
+                    .Connection_ = First.Connection_,
+                    .Written_ = calls::WriteState::NothingWritten});
+  const auto Second = sentOf(Actions);
+  CHECK(Second.Target_ != First.Target_);
+}
+
+TEST_CASE("an answer to another attempt is not an answer", "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  auto Crossed = Fixture.answerTo(Sent);
+  Crossed.EchoedAttempt_ = framework::AttemptId(99);
+  const auto Actions = Fixture.tell(Crossed);
+  CHECK(CoreFixture::only<AnswerCall>(Actions).empty());
+  CHECK(refusalOf(Actions).Ending_ == calls::Ending::Unknown);
+  const auto Closed = CoreFixture::only<CloseConnection>(Actions);
+  REQUIRE(Closed.size() == 1);
+  CHECK(Closed.front().Connection_ == Sent.Connection_);
+}
+
+TEST_CASE("a deadline ends the call but not a run that must not be cut",
+          "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  const auto Late = Fixture.pass(milliseconds(2001));
+  CHECK(refusalOf(Late).Ending_ == calls::Ending::Unknown);
+  CHECK(CoreFixture::only<CloseConnection>(Late).empty());
+  const auto After = Fixture.tell(Fixture.answerTo(Sent));
+  CHECK(CoreFixture::only<AnswerCall>(After).empty());
+  REQUIRE(CoreFixture::only<CloseConnection>(After).size() == 1);
+}
+
+TEST_CASE("a stopping instance answers what it accepted, then finishes",
+          "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  const auto Unready = Fixture.tell(StopRequested{});
+  REQUIRE(CoreFixture::only<SetReadiness>(Unready).size() == 1);
+  CHECK_FALSE(CoreFixture::only<SetReadiness>(Unready).front().IsReady_);
+  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  Fixture.pass(milliseconds(1900));
+  const auto Answered = Fixture.tell(Fixture.answerTo(Sent));
+  CHECK(CoreFixture::only<AnswerCall>(Answered).size() == 1);
+  const auto Finished = Fixture.pass(milliseconds(1200));
+  CHECK(CoreFixture::only<FinishStop>(Finished).size() == 1);
+  const auto Refusal = refusalOf(Fixture.tell(Fixture.call(2)));
+  CHECK(Refusal.Reason_ == calls::EndingReason::InstanceStopping);
+}
