--- /dev/null
+++ b/src/standins/tests/publishedvalue_test.cpp
@@ -0,0 +1,20 @@
+#include "standins/publishedvalue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool::standins;
+
+TEST_CASE("a stale value stays, a value gone back has the lower revision",
+          "[standins]") {
+  PublishedValue Value;
+  Value.publish("one");
+  Value.publish("two");
+  CHECK(Value.served().Revision_ == 2);
+  Value.setMode(PlatformMode::Stale);
+  Value.publish("three");
+  CHECK(Value.served().Text_ == "two");
+  Value.setMode(PlatformMode::Back);
+  CHECK(Value.served().Text_ == "two");
+  Value.setMode(PlatformMode::Up);
+  CHECK(Value.served().Revision_ == 3);
+}
