--- a/src/standins/deployment.h
+++ b/src/standins/deployment.h
@@ -3,6 +3,7 @@
 
 #include "framework/random.h"
 #include "standins/deploymentsettings.h"
+#include "standins/peerlink.h"
 #include "standins/platformstandin.h"
 #include "standins/runrecord.h"
 #include "standins/targetstandin.h"
@@ -20,6 +21,7 @@
              const DeploymentSettings &Settings, framework::Random Rng);
 
   PlatformStandin &platform() { return Platform_; }
+  PeerLink &link() { return Link_; }
   const RunRecord &record() const { return Record_; }
   const std::vector<std::unique_ptr<TargetStandin>> &targets() const {
     return Targets_;
@@ -35,6 +37,7 @@
 private:
   RunRecord Record_;
   PlatformStandin Platform_;
+  PeerLink Link_;
   std::vector<std::unique_ptr<TargetStandin>> Targets_;
 };
 
--- a/src/standins/deploymentsettings.h
+++ b/src/standins/deploymentsettings.h
@@ -3,6 +3,7 @@
 
 #include "document/types/publishedinstance.h"
 #include "framework/time.h"
+#include "standins/linkendpoint.h"
 #include "standins/targetsettings.h"
 
 #include <cstdint>
@@ -21,6 +22,8 @@
   std::vector<TargetSettings> Targets_;
   /// The entry instances that the list names from the start.
   std::vector<document::PublishedInstance> Instances_;
+  /// The network between instances; empty when they reach each other directly.
+  std::vector<LinkEndpoint> Link_;
 };
 
 } // namespace cranberryspool::standins
--- a/src/standins/internal/controlport.cpp
+++ b/src/standins/internal/controlport.cpp
@@ -36,6 +36,18 @@
   return framework::Duration(static_cast<std::int64_t>(Value));
 }
 
+std::set<std::string> texts(const json::object &Command,
+                            std::string_view Name) {
+  std::set<std::string> Result;
+  const json::value *Given = Command.if_contains(Name);
+  if (!Given || !Given->is_array())
+    return Result;
+  for (const json::value &Entry : Given->as_array())
+    if (Entry.is_string())
+      Result.insert(std::string(Entry.as_string()));
+  return Result;
+}
+
 std::optional<PlatformMode> parseMode(const std::string &Name) {
   if (Name == "up")
     return PlatformMode::Up;
@@ -136,11 +148,11 @@
     return true;
   }
   if (Name == "block-readers") {
-    std::set<std::string> Names;
-    if (const json::value *Given = Command.if_contains("names"))
-      for (const json::value &Entry : Given->as_array())
-        Names.insert(std::string(Entry.as_string()));
-    Platform.setBlockedReaders(std::move(Names));
+    Platform.setBlockedReaders(texts(Command, "names"));
+    return true;
+  }
+  if (Name == "part") {
+    Behind_->link().part(texts(Command, "names"));
     return true;
   }
   if (Name == "remove-instance") {
--- a/src/standins/internal/deployment.cpp
+++ b/src/standins/internal/deployment.cpp
@@ -8,7 +8,8 @@
                        const DeploymentSettings &Settings,
                        framework::Random Rng)
     : Platform_(Context, parseAddress(Settings.PlatformAddress_),
-                Settings.PlatformCallsPerSecond_) {
+                Settings.PlatformCallsPerSecond_),
+      Link_(Context, Settings.Link_) {
   for (const TargetSettings &Target : Settings.Targets_) {
     Targets_.push_back(std::make_unique<TargetStandin>(
         Context, Target, Record_, framework::Random(Rng.bits())));
--- a/src/standins/internal/standinsettings.cpp
+++ b/src/standins/internal/standinsettings.cpp
@@ -139,6 +139,10 @@
   Reader.each("instances", [&Settings](MemberReader Entry) {
     Settings.Instances_.push_back(readInstance(Entry));
   });
+  Reader.each("link", [&Settings](MemberReader Entry) {
+    Settings.Link_.push_back(LinkEndpoint{
+        Entry.text("name"), Entry.text("published"), Entry.text("real")});
+  });
   return Settings;
 }
 
