Count calls for the report on service-level burn

Cause: instances keep nothing on disk, so the counters that the report is made from must be bounded and readable from each instance.

--- /dev/null
+++ b/src/report/burnjson.h
@@ -0,0 +1,35 @@
+#ifndef CRANBERRYSPOOL_REPORT_BURNJSON_H
+#define CRANBERRYSPOOL_REPORT_BURNJSON_H
+
+#include "framework/result.h"
+#include "report/types/burninput.h"
+#include "report/types/burninputfailure.h"
+
+#include <boost/json/object.hpp>
+
+#include <string_view>
+
+namespace cranberryspool::document {
+struct EnvironmentDocument;
+} // namespace cranberryspool::document
+
+namespace cranberryspool::report {
+
+/// Returns the objectives of a document by what they cover.
+std::map<BurnKey, document::Objective>
+objectivesOf(const document::EnvironmentDocument &Document);
+
+/// Writes the `burn` member of an instance's status.
+boost::json::object burnObject(const BurnInput &Input);
+
+/// Reads the `burn` member of an instance's status, given the whole status.
+framework::Result<BurnInput, BurnInputFailure>
+parseBurn(std::string_view StatusText);
+
+/// Adds the counters of one instance to those of others. The objectives of the
+/// later one replace earlier ones.
+void mergeBurn(BurnInput &Into, const BurnInput &From);
+
+} // namespace cranberryspool::report
+
+#endif // CRANBERRYSPOOL_REPORT_BURNJSON_H
