Spread published state among instances without a shared store

Cause: the bounds and the configuration hold for the sum of all instances, and nothing of the system may write shared state. Change: membership by round trips, few platform readers in an order that all compute alike, documents and lists fetched from peers by changed sections and accepted by revision only, freshness of the view by the age of the platform's confirmation, shares of cold-start, probe and connection bounds from the published list and the document. Conclusion: the interface of fleet/fleet.h is ready to be composed.

--- a/src/decision/action.h
+++ b/src/decision/action.h
@@ -5,6 +5,7 @@
 #include "decision/types/actions/closeconnection.h"
 #include "decision/types/actions/dropkeptanswer.h"
 #include "decision/types/actions/fetchkeptanswer.h"
+#include "decision/types/actions/fetchsections.h"
 #include "decision/types/actions/finishstop.h"
 #include "decision/types/actions/keepanswer.h"
 #include "decision/types/actions/openconnection.h"
@@ -16,6 +17,7 @@
 #include "decision/types/actions/reportchange.h"
 #include "decision/types/actions/sendattempt.h"
 #include "decision/types/actions/sendpeermessage.h"
+#include "decision/types/actions/servesections.h"
 #include "decision/types/actions/setreadiness.h"
 
 #include <variant>
@@ -26,9 +28,10 @@
 /// All that a core asks for.
 using Action =
     std::variant<AnswerCall, CloseConnection, DropKeptAnswer, FetchKeptAnswer,
-                 FinishStop, KeepAnswer, OpenConnection, ProbeTarget,
-                 ReadDocument, ReadInstances, RefuseCall, ReplayKeptAnswer,
-                 ReportChange, SendAttempt, SendPeerMessage, SetReadiness>;
+                 FetchSections, FinishStop, KeepAnswer, OpenConnection,
+                 ProbeTarget, ReadDocument, ReadInstances, RefuseCall,
+                 ReplayKeptAnswer, ReportChange, SendAttempt, SendPeerMessage,
+                 ServeSections, SetReadiness>;
 
 /// Actions in the order in which they must be carried out.
 using ActionList = std::vector<Action>;
--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -10,12 +10,17 @@
 #include "decision/types/events/connectionopened.h"
 #include "decision/types/events/documentpublished.h"
 #include "decision/types/events/documentunavailable.h"
+#include "decision/types/events/documentunchanged.h"
 #include "decision/types/events/instancespublished.h"
 #include "decision/types/events/instancesunavailable.h"
+#include "decision/types/events/instancesunchanged.h"
 #include "decision/types/events/keptanswerfetched.h"
 #include "decision/types/events/peermessagereceived.h"
 #include "decision/types/events/probeanswered.h"
 #include "decision/types/events/probefailed.h"
+#include "decision/types/events/sectionsfetched.h"
+#include "decision/types/events/sectionsrequested.h"
+#include "decision/types/events/sectionsunavailable.h"
 #include "decision/types/events/stoprequested.h"
 #include "decision/types/events/tick.h"
 
@@ -27,9 +32,11 @@
 using Event =
     std::variant<AnswerBegan, AttemptAnswered, AttemptFailed, CallArrived,
                  CallerGone, ConnectionClosed, ConnectionOpened,
-                 DocumentPublished, DocumentUnavailable, InstancesPublished,
-                 InstancesUnavailable, KeptAnswerFetched, PeerMessageReceived,
-                 ProbeAnswered, ProbeFailed, StopRequested, Tick>;
+                 DocumentPublished, DocumentUnavailable, DocumentUnchanged,
+                 InstancesPublished, InstancesUnchanged, InstancesUnavailable,
+                 KeptAnswerFetched, PeerMessageReceived, ProbeAnswered,
+                 ProbeFailed, SectionsFetched, SectionsRequested,
+                 SectionsUnavailable, StopRequested, Tick>;
 
 } // namespace cranberryspool::decision
 
--- a/src/decision/types/actions/readdocument.h
+++ b/src/decision/types/actions/readdocument.h
@@ -2,15 +2,19 @@
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_READDOCUMENT_H
 
 #include "framework/ids.h"
+#include "framework/time.h"
 
 #include <optional>
 
 namespace cranberryspool::decision {
 
 /// Read the configuration service, or watch it for a revision above the given
-/// one. Answered by `DocumentPublished` or `DocumentUnavailable`.
+/// one. Answered by exactly one of `DocumentPublished`, `DocumentUnchanged` and
+/// `DocumentUnavailable`.
 struct ReadDocument {
   std::optional<framework::Revision> NewerThan_;
+  /// How long the service may hold the answer back; zero for a plain read.
+  framework::Duration Wait_{};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/actions/readinstances.h
+++ b/src/decision/types/actions/readinstances.h
@@ -2,15 +2,19 @@
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_READINSTANCES_H
 
 #include "framework/ids.h"
+#include "framework/time.h"
 
 #include <optional>
 
 namespace cranberryspool::decision {
 
 /// Read the platform's list, or watch it for a revision above the given one.
-/// Answered by `InstancesPublished` or `InstancesUnavailable`.
+/// Answered by exactly one of `InstancesPublished`, `InstancesUnchanged` and
+/// `InstancesUnavailable`.
 struct ReadInstances {
   std::optional<framework::Revision> NewerThan_;
+  /// How long the platform may hold the answer back; zero for a plain read.
+  framework::Duration Wait_{};
 };
 
 } // namespace cranberryspool::decision
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,120 @@
+#ifndef CRANBERRYSPOOL_FLEET_FLEET_H
+#define CRANBERRYSPOOL_FLEET_FLEET_H
+
+#include "calls/types/ending.h"
+#include "document/types/environmentdocument.h"
+#include "document/types/publishedinstance.h"
+#include "fleet/fleetsettings.h"
+#include "fleet/output.h"
+#include "fleet/peermessage.h"
+#include "fleet/types/sectionreply.h"
+#include "fleet/types/sectionrequest.h"
+#include "framework/ids.h"
+#include "framework/moment.h"
+#include "framework/random.h"
+#include "framework/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+class FleetState;
+
+/// One instance's part in the fleet: membership, the spread of published
+/// values, shares of fleet-wide bounds and the homes of idempotency keys. It
+/// does no I/O. All times that it is given must not go back.
+class Fleet {
+public:
+  Fleet(FleetSettings Settings, framework::Random Rng);
+  Fleet(Fleet &&) noexcept;
+  Fleet &operator=(Fleet &&) noexcept;
+  ~Fleet();
+
+  /// Must be called once, before anything else.
+  void start(framework::Moment Now, OutputList &Output);
+
+  /// Must be called at `nextWakeUp` at the latest.
+  void tick(framework::Moment Now, OutputList &Output);
+  framework::Instant nextWakeUp() const;
+
+  /// The platform returned the document.
+  void noteDocument(framework::Revision Revision, const std::string &Text,
+                    framework::Moment Now, OutputList &Output);
+  /// The platform returned the list of instances.
+  void noteInstances(framework::Revision Revision,
+                     const std::vector<document::PublishedInstance> &Instances,
+                     framework::Moment Now, OutputList &Output);
+  /// A watch ended without a newer value.
+  void noteUnchanged(SectionKind Kind, framework::Moment Now,
+                     OutputList &Output);
+  /// A read or watch failed or timed out.
+  void noteUnavailable(SectionKind Kind, framework::Moment Now,
+                       OutputList &Output);
+
+  void notePeerMessage(const PeerMessage &Message, framework::Moment Now,
+                       OutputList &Output);
+  /// A peer answered `FetchSections`.
+  void noteSections(const std::string &PeerAddress, const SectionReply &Reply,
+                    framework::Moment Now, OutputList &Output);
+  void noteSectionsUnavailable(const std::string &PeerAddress);
+  /// Answers a peer's request from the accepted values.
+  SectionReply serveSections(const SectionRequest &Request) const;
+
+  /// This instance leaves: what it leads goes to others.
+  void noteStopRequested(framework::Moment Now, OutputList &Output);
+  /// True when nothing is left to hand over.
+  bool isHandoverDone() const;
+  /// The process did not run for a while: nothing known before counts.
+  void notePause(framework::Moment Now, OutputList &Output);
+  /// This instance saw that a target started again.
+  void noteTurnedCold(const framework::TargetName &Target,
+                      framework::Incarnation StartId, framework::Moment Now,
+                      OutputList &Output);
+
+  /// This instance knows that a target is warm, or no longer knows it.
+  void setWarm(const framework::TargetName &Target, bool IsWarm);
+
+  /// Returns the document in force, or null before there is one. Valid until
+  /// the next `DocumentInForce`.
+  const document::EnvironmentDocument *currentDocument() const;
+  framework::Revision documentRevision() const;
+  framework::Revision listRevision() const;
+  /// Returns the published targets, sorted by name.
+  const std::vector<document::PublishedInstance> &publishedTargets() const;
+  /// Returns the published instances of this system, sorted by name.
+  const std::vector<document::PublishedInstance> &publishedPeers() const;
+
+  /// True while new work may be sent to targets. False as well until a
+  /// starting instance has asked its peers for their document.
+  bool isViewFresh(framework::Instant Now) const;
+  /// The requests in flight that this instance may have at a cold target.
+  std::uint32_t coldShare(const framework::TargetName &Target,
+                          framework::Instant Now) const;
+  /// The connections that this instance may hold to a target.
+  std::uint32_t connectionShare(const framework::TargetName &Target) const;
+  /// True when this instance may probe the target now.
+  bool mayProbe(const framework::TargetName &Target,
+                framework::Instant Now) const;
+  /// Must follow each probe that is sent.
+  void noteProbed(const framework::TargetName &Target, framework::Instant Now);
+
+  /// Asks for leave to run a call with a key. Answered by `KeyDecided`, at once
+  /// or later.
+  void requestKey(framework::CallId Call, const framework::IdempotencyKey &Key,
+                  framework::Moment Now, OutputList &Output);
+  /// Must follow each `KeyDecided` with `Run`, once the call has ended.
+  void noteKeyedCallEnded(framework::CallId Call, calls::Ending Ending,
+                          bool IsAnswerKept, framework::Moment Now,
+                          OutputList &Output);
+
+private:
+  std::unique_ptr<FleetState> State_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_FLEET_H
--- /dev/null
+++ b/src/fleet/internal/fleetstate.h
@@ -0,0 +1,135 @@
+#ifndef CRANBERRYSPOOL_FLEET_INTERNAL_FLEETSTATE_H
+#define CRANBERRYSPOOL_FLEET_INTERNAL_FLEETSTATE_H
+
+#include "fleet/fleetsettings.h"
+#include "fleet/internal/coldnotices.h"
+#include "fleet/internal/confirmation.h"
+#include "fleet/internal/documentstore.h"
+#include "fleet/internal/instancestore.h"
+#include "fleet/internal/peertable.h"
+#include "fleet/internal/platformreader.h"
+#include "fleet/internal/readerorder.h"
+#include "fleet/internal/spread.h"
+#include "fleet/internal/targetshares.h"
+#include "fleet/output.h"
+#include "framework/moment.h"
+#include "framework/random.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// What `Fleet` is made of: the parts, and what flows between them.
+class FleetState {
+public:
+  FleetState(FleetSettings Settings, framework::Random Rng);
+
+  void start(framework::Moment Now, OutputList &Output);
+  void tick(framework::Moment Now, OutputList &Output);
+  framework::Instant nextWakeUp() const;
+
+  void noteDocument(framework::Revision Revision, const std::string &Text,
+                    framework::Moment Now, OutputList &Output);
+  void noteInstances(framework::Revision Revision,
+                     const std::vector<document::PublishedInstance> &Instances,
+                     framework::Moment Now, OutputList &Output);
+  void noteUnchanged(SectionKind Kind, framework::Moment Now,
+                     OutputList &Output);
+  void noteUnavailable(SectionKind Kind, framework::Moment Now,
+                       OutputList &Output);
+  void noteSections(const std::string &PeerAddress, const SectionReply &Reply,
+                    framework::Moment Now, OutputList &Output);
+  void noteSectionsUnavailable(const std::string &PeerAddress);
+
+  void handle(const Heartbeat &Message, framework::Moment Now,
+              OutputList &Output);
+  void handle(const HeartbeatAck &Message, framework::Moment Now,
+              OutputList &Output);
+  template <typename KeyMessage>
+  void handle(const KeyMessage &, framework::Moment, OutputList &) {}
+
+  void notePause(framework::Moment Now, OutputList &Output);
+  void noteTurnedCold(const ColdNotice &Notice, framework::Moment Now,
+                      OutputList &Output);
+  void setWarm(const framework::TargetName &Target, bool IsWarm);
+  void noteStopRequested() { IsStopping_ = true; }
+
+  bool isViewFresh(framework::Instant Now) const;
+  const DocumentStore &documents() const { return Documents_; }
+  const InstanceStore &instances() const { return Instances_; }
+  const PeerTable &peers() const { return Peers_; }
+  TargetShares &shares() { return Shares_; }
+  const TargetShares &shares() const { return Shares_; }
+
+private:
+  struct HeldDocument {
+    framework::Revision Revision_;
+    std::string Text_;
+    framework::Instant AskedAt_;
+  };
+
+  PeerView view(framework::Instant Now) const;
+  bool isStarting() const { return !IsStarted_; }
+  void tryFinishStart(framework::Instant Now, OutputList &Output);
+  bool haveAllPeersAnswered() const;
+
+  bool isReading(const Confirmation &Confirmed, framework::Instant ActingUntil,
+                 framework::Instant Now) const;
+  void readPlatform(framework::Instant Now, OutputList &Output);
+  void applyDocument(OfferResult Result, framework::Revision Revision,
+                     framework::Instant Now, OutputList &Output);
+  void applyInstances(OfferResult Result, framework::Revision Revision,
+                      framework::Instant Now, OutputList &Output);
+  void followPeer(const std::string &PeerAddress, const PeerView &View,
+                  framework::Instant Now, OutputList &Output);
+  void takeNotices(const std::vector<ColdNotice> &Notices,
+                   framework::Instant Now, OutputList &Output);
+
+  std::optional<WarmTargets> warmTargets() const;
+  void takeWarmTargets(const WarmTargets &Warm, OutputList &Output);
+
+  void sendHeartbeat(const std::string &PeerAddress, framework::Instant Now,
+                     OutputList &Output);
+  void sendRound(framework::Instant Now, OutputList &Output);
+  void pushNews(framework::Instant Now, OutputList &Output);
+  std::size_t roundSize(framework::Instant Now) const;
+  bool isUrgent(framework::Instant Now) const;
+  const std::string *nextPeer();
+  const std::string *nextReader();
+  void refresh(framework::Instant Now, OutputList &Output);
+
+  FleetSettings Settings_;
+  framework::Random Rng_;
+  DocumentStore Documents_;
+  InstanceStore Instances_;
+  PeerTable Peers_;
+  ReaderOrder Readers_;
+  TargetShares Shares_;
+  ColdNotices Cold_;
+  PlatformReader DocumentReader_{SectionKind::Document};
+  PlatformReader ListReader_{SectionKind::Instances};
+  Confirmation DocumentConfirmed_;
+  Confirmation ListConfirmed_;
+  Spread DocumentSpread_{SectionKind::Document};
+  Spread ListSpread_{SectionKind::Instances};
+  std::optional<HeldDocument> Held_;
+  std::set<framework::TargetName> Warm_;
+  bool IsStarted_ = false;
+  bool IsStopping_ = false;
+  std::optional<framework::Instant> AskingPeersSince_;
+  framework::Instant ActingUntil_{};
+  framework::Instant FreshUntil_{};
+  bool WasFresh_ = false;
+  bool WasSuperseded_ = false;
+  framework::Instant NextRoundAt_{};
+  std::vector<std::string> Rotation_;
+  std::size_t NextInRotation_ = 0;
+  std::size_t NextReader_ = 0;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_INTERNAL_FLEETSTATE_H
--- /dev/null
+++ b/src/fleet/internal/instancestore.cpp
@@ -0,0 +1,77 @@
+#include "fleet/internal/instancestore.h"
+#include "fleet/internal/instancesections.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+bool isNameLess(const document::PublishedInstance &Left,
+                const document::PublishedInstance &Right) {
+  return Left.Name_ < Right.Name_;
+}
+
+} // namespace
+
+OfferResult InstanceStore::offerList(
+    framework::Revision Revision,
+    const std::vector<document::PublishedInstance> &Instances) {
+  if (HasValue_ && Revision < Revision_)
+    return OfferResult::Older;
+  if (HasValue_ && Revision == Revision_)
+    return OfferResult::Unchanged;
+  return accept(Revision, SectionSet(splitInstances(Instances)));
+}
+
+OfferResult InstanceStore::offerSections(const SectionReply &Reply) {
+  if (HasValue_ && Reply.Revision_ < Revision_)
+    return OfferResult::Older;
+  if (HasValue_ && Reply.Revision_ == Revision_)
+    return OfferResult::Unchanged;
+  auto Merged = Sections_.merge(Reply);
+  if (!Merged)
+    return OfferResult::Incomplete;
+  return accept(Reply.Revision_, std::move(*Merged));
+}
+
+OfferResult InstanceStore::accept(framework::Revision Revision,
+                                  SectionSet Sections) {
+  std::vector<document::PublishedInstance> Members;
+  std::vector<document::PublishedInstance> Targets;
+  framework::Digest MembersDigest;
+  for (const document::DocumentSection &Part : Sections.sections()) {
+    auto Entries = readInstanceSection(Part.Text_);
+    if (!Entries)
+      return OfferResult::Rejected;
+    const bool IsMembers = Part.Name_ == MembersSection;
+    if (IsMembers)
+      MembersDigest = Part.Digest_;
+    std::vector<document::PublishedInstance> &Place =
+        IsMembers ? Members : Targets;
+    Place.insert(Place.end(), Entries->begin(), Entries->end());
+  }
+  std::sort(Members.begin(), Members.end(), isNameLess);
+  std::sort(Targets.begin(), Targets.end(), isNameLess);
+  HasValue_ = true;
+  Revision_ = Revision;
+  Sections_ = std::move(Sections);
+  Members_ = std::move(Members);
+  MembersDigest_ = MembersDigest;
+  Targets_ = std::move(Targets);
+  return OfferResult::Accepted;
+}
+
+const document::PublishedInstance *
+InstanceStore::findTarget(const framework::TargetName &Name) const {
+  document::PublishedInstance Wanted;
+  Wanted.Name_ = framework::InstanceName(Name.value());
+  const auto Position =
+      std::lower_bound(Targets_.begin(), Targets_.end(), Wanted, isNameLess);
+  if (Position == Targets_.end() || Position->Name_ != Wanted.Name_)
+    return nullptr;
+  return &*Position;
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/internal/targetshares.cpp
@@ -0,0 +1,146 @@
+#include "fleet/internal/targetshares.h"
+#include "fleet/internal/timing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+framework::Duration longestDeadline(const document::Service &Service) {
+  framework::Duration Longest{};
+  for (const document::RequestKind &Kind : Service.Kinds_)
+    Longest = std::max(Longest, Kind.Deadline_);
+  return Longest;
+}
+
+using GroupServices = std::map<framework::GroupName, const document::Service *>;
+
+GroupServices indexGroups(const document::EnvironmentDocument &Document) {
+  GroupServices Index;
+  for (const document::Service &Service : Document.Services_)
+    for (const document::TargetGroup &Group : Service.Groups_)
+      Index[Group.Name_] = &Service;
+  return Index;
+}
+
+std::uint32_t fleetSize(const InstanceStore &List,
+                        const document::EnvironmentDocument &Document) {
+  const auto Listed = static_cast<std::uint32_t>(List.members().size());
+  return std::max({Listed, Document.MaxInstances_, std::uint32_t{1}});
+}
+
+} // namespace
+
+TargetShares::TargetShares(framework::InstanceName Self)
+    : Homes_(std::move(Self)) {}
+
+void TargetShares::rebuild(const InstanceStore &List,
+                           const document::EnvironmentDocument *Document,
+                           framework::Instant Now) {
+  if (List.membersDigest() != MembersDigest_) {
+    MembersDigest_ = List.membersDigest();
+    Homes_.noteMembers(List.members(), Now);
+  }
+  std::map<framework::TargetName, Share> Old;
+  Old.swap(Shares_);
+  if (!Document)
+    return;
+  const std::uint32_t Fleet = fleetSize(List, *Document);
+  const GroupServices Services = indexGroups(*Document);
+  for (const document::PublishedInstance &Target : List.targets()) {
+    const auto Found = Services.find(*Target.Group_);
+    if (Found == Services.end())
+      continue;
+    const document::Service &Service = *Found->second;
+    const framework::TargetName Name(Target.Name_.value());
+    Share &Fresh = Shares_[Name];
+    const std::uint32_t Each = Service.ColdStart_.MaxInFlight_ / Fleet;
+    Fresh.IsForAll_ = Each > 0;
+    Fresh.MaxInFlight_ = Each > 0 ? Each : Service.ColdStart_.MaxInFlight_;
+    Fresh.Connections_ =
+        std::max(Service.ConnectionsPerTarget_ / Fleet, std::uint32_t{1});
+    Fresh.ProbeSpacing_ = framework::Duration(std::chrono::minutes(1)) /
+                          std::max(Service.ProbesPerTargetPerMinute_, 1U);
+    Fresh.LongestCall_ = longestDeadline(Service);
+    const auto Before = Old.find(Name);
+    if (Before != Old.end())
+      Fresh.ProbedAt_ = Before->second.ProbedAt_;
+  }
+  rebuildHomes();
+}
+
+void TargetShares::rebuildHomes() {
+  for (auto &[Name, Item] : Shares_)
+    Item.HomeSince_ = Homes_.homeSince(Name.value());
+}
+
+bool TargetShares::noteConfirmed(framework::Instant Until,
+                                 framework::Instant Now) {
+  const framework::Instant Before = LastChange_;
+  const bool HasLapsed = Now > ConfirmedUntil_;
+  const bool IsConfirmed = Now <= Until;
+  const bool IsChanged = WasConfirmed_ != IsConfirmed;
+  ConfirmedUntil_ = Until;
+  WasConfirmed_ = IsConfirmed;
+  LastChange_ = Now;
+  if (HasLapsed) {
+    Homes_.noteLapse(Now);
+    rebuildHomes();
+  }
+  if (IsChanged)
+    return true;
+  for (const auto &[Name, Item] : Shares_) {
+    if (!Item.HomeSince_)
+      continue;
+    const framework::Instant At =
+        *Item.HomeSince_ + TakeoverWait + Item.LongestCall_;
+    if (Before < At && At <= Now)
+      return true;
+  }
+  return false;
+}
+
+std::uint32_t TargetShares::coldShare(const framework::TargetName &Target,
+                                      framework::Instant Now) const {
+  const auto Found = Shares_.find(Target);
+  if (Found == Shares_.end())
+    return 0;
+  const Share &Item = Found->second;
+  if (Item.IsForAll_)
+    return Item.MaxInFlight_;
+  if (Now > ConfirmedUntil_ || !Item.HomeSince_)
+    return 0;
+  if (Now < *Item.HomeSince_ + TakeoverWait + Item.LongestCall_)
+    return 0;
+  return Item.MaxInFlight_;
+}
+
+std::uint32_t
+TargetShares::connectionShare(const framework::TargetName &Target) const {
+  const auto Found = Shares_.find(Target);
+  return Found == Shares_.end() ? 1 : Found->second.Connections_;
+}
+
+bool TargetShares::mayProbe(const framework::TargetName &Target,
+                            framework::Instant Now) const {
+  const auto Found = Shares_.find(Target);
+  if (Found == Shares_.end() || Now > ConfirmedUntil_)
+    return false;
+  const Share &Item = Found->second;
+  if (!Item.HomeSince_)
+    return false;
+  const framework::Instant First =
+      *Item.HomeSince_ + TakeoverWait + Item.ProbeSpacing_;
+  return Now >= std::max(First, Item.ProbedAt_ + Item.ProbeSpacing_);
+}
+
+void TargetShares::noteProbed(const framework::TargetName &Target,
+                              framework::Instant Now) {
+  const auto Found = Shares_.find(Target);
+  if (Found != Shares_.end())
+    Found->second.ProbedAt_ = Now;
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/output.h
@@ -0,0 +1,38 @@
+#ifndef CRANBERRYSPOOL_FLEET_OUTPUT_H
+#define CRANBERRYSPOOL_FLEET_OUTPUT_H
+
+#include "fleet/types/outputs/documentinforce.h"
+#include "fleet/types/outputs/documentrejected.h"
+#include "fleet/types/outputs/fetchsections.h"
+#include "fleet/types/outputs/instanceschanged.h"
+#include "fleet/types/outputs/keptanswerexpired.h"
+#include "fleet/types/outputs/keydecided.h"
+#include "fleet/types/outputs/olderignored.h"
+#include "fleet/types/outputs/peerchanged.h"
+#include "fleet/types/outputs/readpublished.h"
+#include "fleet/types/outputs/sendmessage.h"
+#include "fleet/types/outputs/shareschanged.h"
+#include "fleet/types/outputs/superseded.h"
+#include "fleet/types/outputs/targetreportedcold.h"
+#include "fleet/types/outputs/targetreportedwarm.h"
+#include "fleet/types/outputs/viewchanged.h"
+
+#include <variant>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// All that a fleet member asks for or tells.
+using Output =
+    std::variant<DocumentInForce, DocumentRejected, FetchSections,
+                 InstancesChanged, KeptAnswerExpired, KeyDecided, OlderIgnored,
+                 PeerChanged, ReadPublished, SendMessage, Superseded,
+                 SharesChanged, TargetReportedCold, TargetReportedWarm,
+                 ViewChanged>;
+
+/// Outputs in the order in which they must be carried out.
+using OutputList = std::vector<Output>;
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_OUTPUT_H
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -2,13 +2,23 @@
 #define CRANBERRYSPOOL_FLEET_PEERMESSAGE_H
 
 #include "fleet/types/heartbeat.h"
+#include "fleet/types/heartbeatack.h"
+#include "fleet/types/keyended.h"
+#include "fleet/types/keyendedack.h"
+#include "fleet/types/keyhandover.h"
+#include "fleet/types/keyhandoverack.h"
+#include "fleet/types/keyreply.h"
+#include "fleet/types/keyrequest.h"
 
 #include <variant>
 
 namespace cranberryspool::fleet {
 
-/// All that instances tell each other.
-using PeerMessage = std::variant<Heartbeat>;
+/// All that instances tell each other by datagrams. The order of the
+/// alternatives is part of the encoding.
+using PeerMessage =
+    std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
+                 KeyEndedAck, KeyHandover, KeyHandoverAck>;
 
 } // namespace cranberryspool::fleet
 
--- /dev/null
+++ b/src/fleet/types/outputs/fetchsections.h
@@ -0,0 +1,19 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_FETCHSECTIONS_H
+#define CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_FETCHSECTIONS_H
+
+#include "fleet/types/sectionrequest.h"
+
+#include <string>
+
+namespace cranberryspool::fleet {
+
+/// Fetch sections from a peer. Answered by `noteSections` or
+/// `noteSectionsUnavailable`.
+struct FetchSections {
+  std::string PeerAddress_;
+  SectionRequest Request_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_FETCHSECTIONS_H
--- /dev/null
+++ b/src/fleet/types/outputs/keptanswerexpired.h
@@ -0,0 +1,15 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_KEPTANSWEREXPIRED_H
+#define CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_KEPTANSWEREXPIRED_H
+
+#include "framework/ids.h"
+
+namespace cranberryspool::fleet {
+
+/// The answer kept for a keyed call is no longer needed.
+struct KeptAnswerExpired {
+  framework::CallId Call_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_KEPTANSWEREXPIRED_H
--- /dev/null
+++ b/src/fleet/types/outputs/olderignored.h
@@ -0,0 +1,17 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_OLDERIGNORED_H
+#define CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_OLDERIGNORED_H
+
+#include "fleet/types/sectionkind.h"
+#include "framework/ids.h"
+
+namespace cranberryspool::fleet {
+
+/// The platform or a peer offered an older value than the accepted one.
+struct OlderIgnored {
+  SectionKind Kind_ = SectionKind::Document;
+  framework::Revision Revision_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_OLDERIGNORED_H
--- /dev/null
+++ b/src/fleet/types/outputs/sendmessage.h
@@ -0,0 +1,18 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_SENDMESSAGE_H
+#define CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_SENDMESSAGE_H
+
+#include "fleet/peermessage.h"
+
+#include <string>
+
+namespace cranberryspool::fleet {
+
+/// Send a message to a peer; it may be lost, doubled or late.
+struct SendMessage {
+  std::string PeerAddress_;
+  PeerMessage Message_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_SENDMESSAGE_H
--- /dev/null
+++ b/src/fleet/types/outputs/targetreportedcold.h
@@ -0,0 +1,16 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_TARGETREPORTEDCOLD_H
+#define CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_TARGETREPORTEDCOLD_H
+
+#include "framework/ids.h"
+
+namespace cranberryspool::fleet {
+
+/// A peer saw that a target started again: treat it as cold.
+struct TargetReportedCold {
+  framework::TargetName Target_;
+  framework::Incarnation StartId_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_TARGETREPORTEDCOLD_H
--- /dev/null
+++ b/src/fleet/types/outputs/targetreportedwarm.h
@@ -0,0 +1,15 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_TARGETREPORTEDWARM_H
+#define CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_TARGETREPORTEDWARM_H
+
+#include "framework/ids.h"
+
+namespace cranberryspool::fleet {
+
+/// A peer knows that a target is warm.
+struct TargetReportedWarm {
+  framework::TargetName Target_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_TARGETREPORTEDWARM_H
--- /dev/null
+++ b/src/fleet/types/sectionkind.h
@@ -0,0 +1,11 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_SECTIONKIND_H
+#define CRANBERRYSPOOL_FLEET_TYPES_SECTIONKIND_H
+
+namespace cranberryspool::fleet {
+
+/// The two values that the platform publishes and instances pass on.
+enum class SectionKind { Document, Instances };
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_SECTIONKIND_H
--- /dev/null
+++ b/src/fleet/types/sectionrequest.h
@@ -0,0 +1,20 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_SECTIONREQUEST_H
+#define CRANBERRYSPOOL_FLEET_TYPES_SECTIONREQUEST_H
+
+#include "fleet/types/sectiondigest.h"
+#include "fleet/types/sectionkind.h"
+
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// Asks a peer for the sections of a published value that the sender lacks.
+struct SectionRequest {
+  SectionKind Kind_ = SectionKind::Document;
+  /// What the sender has already, sorted by name.
+  std::vector<SectionDigest> Have_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_SECTIONREQUEST_H
