Join the fleet, keys, probes and pauses to the core

The core computed shares by itself and looked at no key. It now owns a fleet::Fleet and carries out what that asks for; cold-start, connection and probe shares come from it, and calls with a key wait for the decision of the key's home.

Readiness waits for a target that this instance may send to. Spare connections are renewed for targets that got a request that must not run twice, so that such a request finds a connection lately heard alive.

--- a/src/calls/connectionpool.h
+++ b/src/calls/connectionpool.h
@@ -29,6 +29,7 @@
   void assign(framework::ConnectionId Id, framework::AttemptId Attempt);
   /// True when the target may have one more connection.
   bool mayOpen(framework::TargetId Target) const;
+  bool isOpening(framework::TargetId Target) const;
   /// Adds a connection that is being opened.
   framework::ConnectionId open(framework::TargetId Target,
                                framework::Instant Now);
--- a/src/calls/internal/connectionpool.cpp
+++ b/src/calls/internal/connectionpool.cpp
@@ -33,6 +33,11 @@
   return Own && Own->Total_ < Own->Limit_;
 }
 
+bool ConnectionPool::isOpening(framework::TargetId Target) const {
+  const PerTarget *Own = get(Target);
+  return Own && Own->Opening_ > 0;
+}
+
 framework::ConnectionId ConnectionPool::open(framework::TargetId Target,
                                              framework::Instant Now) {
   const framework::ConnectionId Id(++LastId_);
--- a/src/calls/types/call.h
+++ b/src/calls/types/call.h
@@ -24,6 +24,8 @@
   framework::Instant StartedAt_{};
   /// How its last attempt ended.
   routing::AttemptResult LastResult_ = routing::AttemptResult::TimedOut;
+  /// The status of the answer that was read last.
+  std::uint32_t AnswerStatus_ = 0;
   /// Attempts started so far.
   std::uint32_t Started_ = 0;
   /// Attempts of which something may have been written.
--- a/src/decision/internal/attemptflow.cpp
+++ b/src/decision/internal/attemptflow.cpp
@@ -23,6 +23,8 @@
                             .Kind_ = Kind,
                             .StartedAt_ = At.now()});
   Parts_.Targets_.noteSent(Target, At.now());
+  if (!Request.IsIdempotent_)
+    Keeper_.noteFreshNeeded(At, Target);
   connect(At, Started);
 }
 
--- a/src/decision/internal/callender.cpp
+++ b/src/decision/internal/callender.cpp
@@ -8,11 +8,15 @@
 void CallEnder::answer(const Step &At, calls::Call &Owner,
                        framework::AttemptId Attempt) {
   ++Parts_.Counters_.CallsAnswered_;
+  if (Owner.HoldsKey_)
+    At.Output_.push_back(KeepAnswer{Owner.Request_.Call_});
+  note(At, Owner, calls::Ending::Answered);
   tell(At, release(At, Owner).answer(Attempt));
 }
 
 void CallEnder::replay(const Step &At, calls::Call &Owner) {
   ++Parts_.Counters_.CallsReplayed_;
+  note(At, Owner, calls::Ending::Answered);
   tell(At, release(At, Owner).replay());
 }
 
@@ -34,6 +38,7 @@
   if (How == calls::Ending::DeadlinePassed)
     ++Parts_.Counters_.CallsDeadlinePassed_;
   const framework::Duration RetryAfter = retryAfter(Why);
+  note(At, Owner, How);
   tell(At, release(At, Owner).refuse(How, Why, RetryAfter));
 }
 
@@ -77,6 +82,23 @@
   return Base + framework::Duration(static_cast<std::int64_t>(Extra));
 }
 
+void CallEnder::note(const Step &At, const calls::Call &Owner,
+                     calls::Ending How) {
+  const calls::CallRequest &Request = Owner.Request_;
+  Parts_.Ended_.push_back(
+      EndedCall{.Call_ = Request.Call_,
+                .Service_ = Parts_.Environment_.serviceName(Request.Service_),
+                .Urgency_ = Request.Urgency_,
+                .Ending_ = How,
+                .Status_ = Owner.AnswerStatus_,
+                .Elapsed_ = At.now() - Request.Arrival_,
+                .IsCallerGone_ = Owner.IsCallerGone_});
+  if (Owner.HoldsKey_)
+    Parts_.Fleet_.noteKeyedCallEnded(Request.Call_, How,
+                                     How == calls::Ending::Answered, At.Now_,
+                                     Parts_.FleetOutput_);
+}
+
 calls::PendingEnding CallEnder::release(const Step &At, calls::Call &Owner) {
   const framework::CallId Id = Owner.Request_.Call_;
   if (Owner.State_ == calls::CallState::Running)
--- a/src/decision/internal/callender.h
+++ b/src/decision/internal/callender.h
@@ -34,6 +34,8 @@
 private:
   calls::Ending endingOf(const calls::Call &Owner,
                          calls::EndingReason Why) const;
+  /// Tells those who count calls, and the home of its key, of the ending.
+  void note(const Step &At, const calls::Call &Owner, calls::Ending How);
   framework::Duration retryAfter(calls::EndingReason Why);
   calls::PendingEnding release(const Step &At, calls::Call &Owner);
   void tell(const Step &At, const calls::CallEnding &Told);
--- a/src/decision/internal/connectionkeeper.cpp
+++ b/src/decision/internal/connectionkeeper.cpp
@@ -38,6 +38,11 @@
 
 void ConnectionKeeper::tend(const Step &At) {
   closeIdle(At);
+  openSpares(At);
+  refreshSpares(At);
+}
+
+void ConnectionKeeper::openSpares(const Step &At) {
   std::uint32_t Room = Parts_.Calling_.MaxOpensPerRound_;
   for (const routing::TargetDescription &Target :
        Parts_.Environment_.targets()) {
@@ -52,6 +57,22 @@
   }
 }
 
+void ConnectionKeeper::refreshSpares(const Step &At) {
+  const CallSettings &Settings = Parts_.Calling_;
+  // Renewed before it gets too old, so that a fit one is always there.
+  const framework::Instant AliveSince = At.now() - Settings.AliveWithin_ / 2;
+  for (const auto &[Target, NeededAt] : FreshNeededAt_) {
+    if (NeededAt + Settings.MaxIdle_ < At.now())
+      continue;
+    if (!Parts_.Environment_.takesWork(Target))
+      continue;
+    if (Parts_.Connections_.bestIdle(Target, AliveSince) ||
+        Parts_.Connections_.isOpening(Target))
+      continue;
+    openFresh(At, Target);
+  }
+}
+
 void ConnectionKeeper::open(const Step &At, framework::TargetId Target) {
   const framework::ConnectionId Id = Parts_.Connections_.open(Target, At.now());
   At.Output_.push_back(
--- a/src/decision/internal/connectionkeeper.h
+++ b/src/decision/internal/connectionkeeper.h
@@ -4,6 +4,8 @@
 #include "decision/internal/coreparts.h"
 #include "decision/internal/step.h"
 
+#include <map>
+
 namespace cranberryspool::decision {
 
 /// Opens and closes connections to targets.
@@ -15,19 +17,28 @@
   void close(const Step &At, framework::ConnectionId Id);
   /// Opens what the attempts that wait for the target lack.
   void openForWaiters(const Step &At, framework::TargetId Target);
-  /// Makes room for a new connection by closing an idle one.
+  /// Opens a new connection, if need be in place of an idle one.
   void openFresh(const Step &At, framework::TargetId Target);
+  /// Notes that the target gets a request that must not run twice.
+  void noteFreshNeeded(const Step &At, framework::TargetId Target) {
+    FreshNeededAt_[Target] = At.now();
+  }
   /// Closes idle connections that were last heard before the given time.
   void closeIdleBefore(const Step &At, framework::TargetId Target,
                        framework::Instant Before);
-  /// Opens spare connections ahead of demand and closes unused ones.
+  /// Opens spare connections ahead of demand, renews those that are not fit for
+  /// requests that must not run twice, and closes unused ones.
   void tend(const Step &At);
 
 private:
   void open(const Step &At, framework::TargetId Target);
   void closeIdle(const Step &At);
+  void openSpares(const Step &At);
+  void refreshSpares(const Step &At);
 
   CoreParts &Parts_;
+  /// When each target last needed a connection lately heard alive.
+  std::map<framework::TargetId, framework::Instant> FreshNeededAt_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/coreparts.h
+++ b/src/decision/internal/coreparts.h
@@ -11,11 +11,15 @@
 #include "decision/internal/callsettings.h"
 #include "decision/internal/environment.h"
 #include "decision/internal/servicelearning.h"
+#include "decision/types/endedcall.h"
+#include "fleet/fleet.h"
 #include "framework/random.h"
 #include "routing/policies/blendpolicy.h"
 #include "routing/targettable.h"
 
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace cranberryspool::decision {
 
@@ -28,6 +32,12 @@
                  routing::BlendPolicy(routing::BlendSettings{}),
                  framework::Random(Rng_.bits())),
         Learning_(Calling_),
+        Fleet_(fleet::FleetSettings{.Self_ = Settings_.Self_,
+                                    .Incarnation_ = Settings_.Incarnation_,
+                                    .Zone_ = Settings_.Zone_,
+                                    .Address_ = Settings_.PeerAddress_},
+               framework::Random(Rng_.bits())),
+
         Silence_(Calling_.SilenceIdempotent_, Calling_.SilenceNonIdempotent_) {}
   CoreParts(const CoreParts &) = delete;
   CoreParts &operator=(const CoreParts &) = delete;
@@ -42,6 +52,9 @@
   routing::TargetTable<routing::BlendPolicy> Targets_;
   admission::AdmissionQueue Queue_;
   ServiceLearning Learning_;
+  fleet::Fleet Fleet_;
+  /// What the fleet asked for and is not yet carried out.
+  fleet::OutputList FleetOutput_;
 
   calls::CallTable Calls_;
   calls::ConnectionPool Connections_;
@@ -50,6 +63,8 @@
   calls::TimerQueue<framework::CallId> Hedges_;
   calls::TimerQueue<framework::AttemptId> Abandoned_;
   std::uint64_t LastAttempt_ = 0;
+  std::vector<EndedCall> Ended_;
+  std::set<framework::TargetId> Ejected_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -10,37 +10,24 @@
 
 constexpr framework::Duration TickInterval = std::chrono::milliseconds(100);
 
-ChangeKind kindOf(routing::TargetChangeKind Kind) {
-  switch (Kind) {
-  case routing::TargetChangeKind::Ejected:
-    return ChangeKind::TargetEjected;
-  case routing::TargetChangeKind::Restored:
-    return ChangeKind::TargetRestored;
-  case routing::TargetChangeKind::TurnedCold:
-    return ChangeKind::TargetCold;
-  case routing::TargetChangeKind::TurnedWarm:
-    return ChangeKind::TargetWarm;
-  case routing::TargetChangeKind::Draining:
-    break;
-  }
-  return ChangeKind::TargetLeaving;
-}
-
 } // namespace
 
 Engine::Engine(CoreSettings Settings, framework::Random Rng)
     : Parts_(std::move(Settings), Rng), Connections_(Parts_),
       Attempts_(Parts_, Connections_), Ender_(Parts_, Attempts_),
-      Waiting_(Parts_, Ender_),
-      Outcomes_(Parts_, Connections_, Attempts_, Ender_, Waiting_),
-      Environment_(Parts_, Outcomes_), Fleet_(Environment_),
-      Keyed_(Parts_, Ender_, Waiting_),
-      Intake_(Parts_, Ender_, Waiting_, Keyed_, Fleet_),
-      Dispatcher_(Parts_, Attempts_), Stop_(Parts_, Intake_) {}
+      Waiting_(Parts_, Ender_), Notes_(Parts_),
+      Outcomes_(Parts_, Connections_, Attempts_, Ender_, Waiting_, Notes_),
+      Prober_(Parts_, Notes_), Environment_(Parts_, Outcomes_),
+      Keyed_(Parts_, Ender_, Waiting_), View_(Parts_, Ender_),
+      Intake_(Parts_, Ender_, Waiting_, Keyed_, View_), Stop_(Parts_, Intake_),
+      Fleet_(Parts_, Environment_, Keyed_, Stop_),
+      Dispatcher_(Parts_, Attempts_) {}
 
 void Engine::handle(const Step &At, const Event &Input) {
   if (!LastHandled_)
     begin(At);
+  else if (At.now() - *LastHandled_ > Parts_.Settings_.MaxEventGap_)
+    View_.notePause(At);
   LastHandled_ = At.now();
   expire(At);
   std::visit([&](const auto &Event) { dispatch(At, Event); }, Input);
@@ -59,12 +46,13 @@
   Consider(Parts_.Silence_.nextWakeUp());
   Consider(Parts_.Targets_.nextWakeUp());
   Consider(Parts_.Queue_.nextWakeUp());
+  Consider(Parts_.Fleet_.nextWakeUp());
   return Next;
 }
 
 void Engine::begin(const Step &At) {
   At.Output_.push_back(SetReadiness{false});
-  Fleet_.start(At);
+  Parts_.Fleet_.start(At.Now_, Parts_.FleetOutput_);
 }
 
 void Engine::expire(const Step &At) {
@@ -75,40 +63,50 @@
 }
 
 void Engine::settle(const Step &At) {
+  if (At.now() >= Parts_.Fleet_.nextWakeUp())
+    Parts_.Fleet_.tick(At.Now_, Parts_.FleetOutput_);
+  Fleet_.carryOut(At);
   Parts_.Targets_.advance(At.now());
   Waiting_.dropExpired(At);
-  const bool MayStart = Fleet_.isViewFresh(At.now());
+  View_.update(At);
+  const bool MayStart = View_.isFresh(At.now());
   if (MayStart)
     Dispatcher_.startQueued(At);
   Dispatcher_.startHedges(At, MayStart);
   if (At.now() >= LastTended_ + TickInterval)
     tend(At);
-  reportTargets(At);
+  Notes_.report(At);
   updateReadiness(At);
-  Stop_.advance(At, true);
+  Stop_.advance(At);
+  // The calls that ended meanwhile may have told the fleet of their keys.
+  Fleet_.carryOut(At);
 }
 
 void Engine::tend(const Step &At) {
   LastTended_ = At.now();
   Outcomes_.dropUnopened(At);
+  Environment_.applyShares(At);
+  if (!View_.isFresh(At.now()))
+    return;
   Connections_.tend(At);
-}
-
-void Engine::reportTargets(const Step &At) {
-  for (const routing::TargetChange &Change : Parts_.Targets_.takeChanges())
-    At.Output_.push_back(
-        ReportChange{kindOf(Change.Kind_),
-                     Parts_.Environment_.targetName(Change.Target_).value()});
+  Prober_.probe(At);
 }
 
 void Engine::updateReadiness(const Step &At) {
-  const bool IsReady = Fleet_.mayAccept(At.now()) && !Stop_.isRequested();
+  const bool MayAccept = View_.mayAccept(At.now()) && !Stop_.isRequested();
+  // A new instance first waits until it may send somewhere.
+  const bool IsReady =
+      MayAccept && (IsReady_ || Environment_.hasUsableTarget(At.now()));
   if (IsReady == IsReady_)
     return;
   IsReady_ = IsReady;
   At.Output_.push_back(SetReadiness{IsReady});
 }
 
+void Engine::dispatch(const Step &At, const StopRequested &) {
+  Stop_.request(At);
+}
+
 void Engine::dispatch(const Step &At, const CallArrived &Input) {
   Intake_.handle(At, Input);
 }
@@ -117,40 +115,16 @@
   Intake_.handle(At, Input);
 }
 
-void Engine::dispatch(const Step &At, const ConnectionOpened &Input) {
-  Outcomes_.handle(At, Input);
-}
-
-void Engine::dispatch(const Step &At, const ConnectionClosed &Input) {
-  Outcomes_.handle(At, Input);
-}
-
-void Engine::dispatch(const Step &At, const AnswerBegan &Input) {
-  Outcomes_.handle(At, Input);
-}
-
-void Engine::dispatch(const Step &At, const AttemptAnswered &Input) {
-  Outcomes_.handle(At, Input);
-}
-
-void Engine::dispatch(const Step &At, const AttemptFailed &Input) {
-  Outcomes_.handle(At, Input);
-}
-
 void Engine::dispatch(const Step &At, const KeptAnswerFetched &Input) {
   Keyed_.handle(At, Input);
 }
 
-void Engine::dispatch(const Step &At, const DocumentPublished &Input) {
-  Fleet_.handle(At, Input);
-}
-
-void Engine::dispatch(const Step &At, const InstancesPublished &Input) {
-  Fleet_.handle(At, Input);
+void Engine::dispatch(const Step &At, const ProbeAnswered &Input) {
+  Prober_.handle(At, Input);
 }
 
-void Engine::dispatch(const Step &At, const StopRequested &) {
-  Stop_.request(At);
+void Engine::dispatch(const Step &At, const ProbeFailed &Input) {
+  Prober_.handle(At, Input);
 }
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -14,8 +14,11 @@
 #include "decision/internal/intake.h"
 #include "decision/internal/keyedcalls.h"
 #include "decision/internal/outcomes.h"
+#include "decision/internal/prober.h"
 #include "decision/internal/step.h"
 #include "decision/internal/stopsequence.h"
+#include "decision/internal/targetnotes.h"
+#include "decision/internal/viewguard.h"
 #include "framework/random.h"
 
 #include <optional>
@@ -31,40 +34,55 @@
   void handle(const Step &At, const Event &Input);
   framework::Instant nextWakeUp() const;
   const CoreParts &parts() const { return Parts_; }
+  CoreParts &parts() { return Parts_; }
+  bool isReady() const { return IsReady_; }
 
 private:
   void begin(const Step &At);
   void expire(const Step &At);
   void settle(const Step &At);
   void tend(const Step &At);
-  void reportTargets(const Step &At);
   void updateReadiness(const Step &At);
 
-  template <typename Other> void dispatch(const Step &, const Other &) {}
+  void dispatch(const Step &, const Tick &) {}
+  void dispatch(const Step &At, const StopRequested &Input);
   void dispatch(const Step &At, const CallArrived &Input);
   void dispatch(const Step &At, const CallerGone &Input);
-  void dispatch(const Step &At, const ConnectionOpened &Input);
-  void dispatch(const Step &At, const ConnectionClosed &Input);
-  void dispatch(const Step &At, const AnswerBegan &Input);
-  void dispatch(const Step &At, const AttemptAnswered &Input);
-  void dispatch(const Step &At, const AttemptFailed &Input);
   void dispatch(const Step &At, const KeptAnswerFetched &Input);
-  void dispatch(const Step &At, const DocumentPublished &Input);
-  void dispatch(const Step &At, const InstancesPublished &Input);
-  void dispatch(const Step &At, const StopRequested &Input);
+  void dispatch(const Step &At, const ProbeAnswered &Input);
+  void dispatch(const Step &At, const ProbeFailed &Input);
+  /// What the transport tells of connections and attempts.
+  template <typename Other>
+  requires requires(Outcomes &To, const Step &At, const Other &Input) {
+    To.handle(At, Input);
+  }
+  void dispatch(const Step &At, const Other &Input) {
+    Outcomes_.handle(At, Input);
+  }
+  /// What the platform and peers tell.
+  template <typename Other>
+  requires requires(FleetLink &To, const Step &At, const Other &Input) {
+    To.handle(At, Input);
+  }
+  void dispatch(const Step &At, const Other &Input) {
+    Fleet_.handle(At, Input);
+  }
 
   CoreParts Parts_;
   ConnectionKeeper Connections_;
   AttemptFlow Attempts_;
   CallEnder Ender_;
   AdmissionFlow Waiting_;
+  TargetNotes Notes_;
   Outcomes Outcomes_;
+  Prober Prober_;
   EnvironmentKeeper Environment_;
-  FleetLink Fleet_;
   KeyedCalls Keyed_;
+  ViewGuard View_;
   Intake Intake_;
-  Dispatcher Dispatcher_;
   StopSequence Stop_;
+  FleetLink Fleet_;
+  Dispatcher Dispatcher_;
 
   std::optional<framework::Instant> LastHandled_;
   framework::Instant LastTended_{};
--- a/src/decision/internal/environmentkeeper.cpp
+++ b/src/decision/internal/environmentkeeper.cpp
@@ -20,29 +20,41 @@
 
 void EnvironmentKeeper::apply(const Step &At) {
   Parts_.Targets_.setTargets(Parts_.Environment_.targets(), At.now());
-  applyBounds();
+  applyShares(At);
   applyCapacities();
   Results_.takeBackUnsent(At);
 }
 
-void EnvironmentKeeper::applyBounds() {
+void EnvironmentKeeper::applyShares(const Step &At) {
   for (const routing::TargetDescription &Target :
        Parts_.Environment_.targets()) {
     const document::Service &Service =
         *Parts_.Environment_.service(Target.Service_);
-    const std::uint32_t Instances =
-        Parts_.Environment_.document()->MaxInstances_;
-    const std::uint32_t Connections =
-        std::max(Service.ConnectionsPerTarget_ / Instances, 1U);
+    const framework::TargetName Name =
+        Parts_.Environment_.targetName(Target.Target_);
+    const std::uint32_t Connections = Parts_.Fleet_.connectionShare(Name);
     Parts_.Targets_.setBounds(
         Target.Target_,
-        routing::TargetBounds{.ColdInFlight_ = Service.ColdStart_.MaxInFlight_,
+        routing::TargetBounds{.ColdInFlight_ =
+                                  Parts_.Fleet_.coldShare(Name, At.now()),
                               .MaxConnections_ = Connections,
                               .ColdWarmup_ = Service.ColdStart_.Warmup_});
     Parts_.Connections_.setLimit(Target.Target_, Connections);
   }
 }
 
+bool EnvironmentKeeper::hasUsableTarget(framework::Instant Now) const {
+  const auto IsUsable = [&](const routing::TargetDescription &Target) {
+    if (Target.IsLeaving_)
+      return false;
+    return !Parts_.Targets_.isCold(Target.Target_) ||
+           Parts_.Fleet_.coldShare(
+               Parts_.Environment_.targetName(Target.Target_), Now) > 0;
+  };
+  const auto &Targets = Parts_.Environment_.targets();
+  return std::any_of(Targets.begin(), Targets.end(), IsUsable);
+}
+
 void EnvironmentKeeper::applyCapacities() {
   std::map<framework::ServiceId, std::uint32_t> Slots;
   for (const routing::TargetDescription &Target : Parts_.Environment_.targets())
--- a/src/decision/internal/environmentkeeper.h
+++ b/src/decision/internal/environmentkeeper.h
@@ -21,10 +21,13 @@
                    const document::EnvironmentDocument &Document);
   void setInstances(const Step &At,
                     std::vector<document::PublishedInstance> Instances);
+  /// Brings this instance's shares of fleet-wide bounds up to date.
+  void applyShares(const Step &At);
+  /// True when some target may get work from this instance.
+  bool hasUsableTarget(framework::Instant Now) const;
 
 private:
   void apply(const Step &At);
-  void applyBounds();
   void applyCapacities();
 
   CoreParts &Parts_;
--- a/src/decision/internal/fleetlink.h
+++ b/src/decision/internal/fleetlink.h
@@ -1,35 +1,69 @@
 #ifndef CRANBERRYSPOOL_DECISION_INTERNAL_FLEETLINK_H
 #define CRANBERRYSPOOL_DECISION_INTERNAL_FLEETLINK_H
 
+#include "decision/internal/coreparts.h"
 #include "decision/internal/environmentkeeper.h"
+#include "decision/internal/keyedcalls.h"
 #include "decision/internal/step.h"
+#include "decision/internal/stopsequence.h"
 #include "decision/types/events/documentpublished.h"
+#include "decision/types/events/documentunavailable.h"
+#include "decision/types/events/documentunchanged.h"
 #include "decision/types/events/instancespublished.h"
-#include "framework/ids.h"
-#include "framework/time.h"
-
-#include <optional>
+#include "decision/types/events/instancesunavailable.h"
+#include "decision/types/events/instancesunchanged.h"
+#include "decision/types/events/peermessagereceived.h"
+#include "decision/types/events/sectionsfetched.h"
+#include "decision/types/events/sectionsrequested.h"
+#include "decision/types/events/sectionsunavailable.h"
+#include "fleet/output.h"
 
 namespace cranberryspool::decision {
 
-/// Joins this instance's part in the fleet to the core.
+/// Joins this instance's part in the fleet to the core: tells it what the
+/// shells report and carries out what it asks for.
 class FleetLink {
 public:
-  explicit FleetLink(EnvironmentKeeper &Keeper) : Keeper_(Keeper) {}
+  FleetLink(CoreParts &Parts, EnvironmentKeeper &Keeper, KeyedCalls &Keyed,
+            StopSequence &Stop)
+      : Parts_(Parts), Keeper_(Keeper), Keyed_(Keyed), Stop_(Stop) {}
 
-  void start(const Step &At);
   void handle(const Step &At, const DocumentPublished &Input);
+  void handle(const Step &At, const DocumentUnchanged &Input);
+  void handle(const Step &At, const DocumentUnavailable &Input);
   void handle(const Step &At, const InstancesPublished &Input);
+  void handle(const Step &At, const InstancesUnchanged &Input);
+  void handle(const Step &At, const InstancesUnavailable &Input);
+  void handle(const Step &At, const PeerMessageReceived &Input);
+  void handle(const Step &At, const SectionsFetched &Input);
+  void handle(const Step &At, const SectionsUnavailable &Input);
+  void handle(const Step &At, const SectionsRequested &Input);
 
-  /// True when calls may be accepted.
-  bool mayAccept(framework::Instant Now) const;
-  /// True while new work may be sent to targets.
-  bool isViewFresh(framework::Instant Now) const;
+  /// Carries out everything that the fleet has asked for.
+  void carryOut(const Step &At);
 
 private:
+  void apply(const Step &At, const fleet::DocumentInForce &Asked);
+  void apply(const Step &At, const fleet::DocumentRejected &Asked);
+  void apply(const Step &At, const fleet::FetchSections &Asked);
+  void apply(const Step &At, const fleet::InstancesChanged &Asked);
+  void apply(const Step &At, const fleet::KeptAnswerExpired &Asked);
+  void apply(const Step &At, const fleet::KeyDecided &Asked);
+  void apply(const Step &At, const fleet::OlderIgnored &Asked);
+  void apply(const Step &At, const fleet::PeerChanged &Asked);
+  void apply(const Step &At, const fleet::ReadPublished &Asked);
+  void apply(const Step &At, const fleet::SendMessage &Asked);
+  void apply(const Step &At, const fleet::SharesChanged &Asked);
+  void apply(const Step &At, const fleet::Superseded &Asked);
+  void apply(const Step &At, const fleet::TargetReportedCold &Asked);
+  void apply(const Step &At, const fleet::TargetReportedWarm &Asked);
+  void apply(const Step &At, const fleet::ViewChanged &Asked);
+  void report(const Step &At, ChangeKind Kind, std::string Subject);
+
+  CoreParts &Parts_;
   EnvironmentKeeper &Keeper_;
-  std::optional<framework::Revision> Document_;
-  std::optional<framework::Revision> Instances_;
+  KeyedCalls &Keyed_;
+  StopSequence &Stop_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/intake.cpp
+++ b/src/decision/internal/intake.cpp
@@ -7,7 +7,7 @@
     Ender_.turnAway(At, Input.Call_, calls::EndingReason::InstanceStopping);
     return;
   }
-  if (!Fleet_.mayAccept(At.now())) {
+  if (!View_.mayAccept(At.now())) {
     Ender_.turnAway(At, Input.Call_, calls::EndingReason::ViewTooOld);
     return;
   }
--- a/src/decision/internal/intake.h
+++ b/src/decision/internal/intake.h
@@ -5,10 +5,10 @@
 #include "decision/internal/admissionflow.h"
 #include "decision/internal/callender.h"
 #include "decision/internal/coreparts.h"
-#include "decision/internal/fleetlink.h"
 #include "decision/internal/keyedcalls.h"
 #include "decision/internal/matchedkind.h"
 #include "decision/internal/step.h"
+#include "decision/internal/viewguard.h"
 #include "decision/types/events/callarrived.h"
 #include "decision/types/events/callergone.h"
 
@@ -19,9 +19,9 @@
 class Intake {
 public:
   Intake(CoreParts &Parts, CallEnder &Ender, AdmissionFlow &Waiting,
-         KeyedCalls &Keyed, FleetLink &Fleet)
+         KeyedCalls &Keyed, ViewGuard &View)
       : Parts_(Parts), Ender_(Ender), Waiting_(Waiting), Keyed_(Keyed),
-        Fleet_(Fleet) {}
+        View_(View) {}
 
   void handle(const Step &At, const CallArrived &Input);
   void handle(const Step &At, const CallerGone &Input);
@@ -39,7 +39,7 @@
   CallEnder &Ender_;
   AdmissionFlow &Waiting_;
   KeyedCalls &Keyed_;
-  FleetLink &Fleet_;
+  ViewGuard &View_;
   bool IsClosed_ = false;
 };
 
--- a/src/decision/internal/keyedcalls.h
+++ b/src/decision/internal/keyedcalls.h
@@ -7,6 +7,7 @@
 #include "decision/internal/coreparts.h"
 #include "decision/internal/step.h"
 #include "decision/types/events/keptanswerfetched.h"
+#include "fleet/types/outputs/keydecided.h"
 
 namespace cranberryspool::decision {
 
@@ -19,6 +20,8 @@
 
   /// Asks whether the call may run.
   void ask(const Step &At, calls::Call &Owner);
+  /// The home of a key has decided about a call.
+  void handle(const Step &At, const fleet::KeyDecided &Input);
   void handle(const Step &At, const KeptAnswerFetched &Input);
 
 private:
--- a/src/decision/internal/outcomes.cpp
+++ b/src/decision/internal/outcomes.cpp
@@ -122,10 +122,7 @@
                      const calls::Attempt &Of) {
   const framework::Duration Elapsed = At.now() - Of.SentAt_;
   Parts_.Silence_.noteAnswered(Of, Elapsed);
-  if (Input.StartId_)
-    Parts_.Targets_.noteStart(Of.Target_, *Input.StartId_, At.now());
-  if (Input.Report_)
-    Parts_.Targets_.noteReport(Of.Target_, *Input.Report_, At.now());
+  Notes_.noteSeen(At, Of.Target_, Input.StartId_, Input.Report_);
   if (resultOf(Input) == routing::AttemptResult::Answered)
     Parts_.Learning_.latency(Of.RequestKind_).note(Elapsed);
 }
@@ -159,6 +156,7 @@
 void Outcomes::followAnswer(const Step &At, calls::Call &Owner,
                             const calls::Attempt &Ended, std::uint32_t Status) {
   const bool IsFailure = Status >= FirstServerError;
+  Owner.AnswerStatus_ = Status;
   if (IsFailure && Owner.Request_.IsIdempotent_) {
     Owner.MayHaveRun_ = true;
     Owner.FallbackAnswer_ = Ended.Attempt_;
--- a/src/decision/internal/outcomes.h
+++ b/src/decision/internal/outcomes.h
@@ -9,6 +9,7 @@
 #include "decision/internal/connectionkeeper.h"
 #include "decision/internal/coreparts.h"
 #include "decision/internal/step.h"
+#include "decision/internal/targetnotes.h"
 #include "decision/types/events/answerbegan.h"
 #include "decision/types/events/attemptanswered.h"
 #include "decision/types/events/attemptfailed.h"
@@ -24,9 +25,9 @@
 class Outcomes {
 public:
   Outcomes(CoreParts &Parts, ConnectionKeeper &Keeper, AttemptFlow &Attempts,
-           CallEnder &Ender, AdmissionFlow &Waiting)
+           CallEnder &Ender, AdmissionFlow &Waiting, TargetNotes &Notes)
       : Parts_(Parts), Keeper_(Keeper), Attempts_(Attempts), Ender_(Ender),
-        Waiting_(Waiting) {}
+        Waiting_(Waiting), Notes_(Notes) {}
 
   void handle(const Step &At, const ConnectionOpened &Input);
   void handle(const Step &At, const ConnectionClosed &Input);
@@ -66,6 +67,7 @@
   AttemptFlow &Attempts_;
   CallEnder &Ender_;
   AdmissionFlow &Waiting_;
+  TargetNotes &Notes_;
   /// By target: whether it has ever named the attempt that it answers.
   std::vector<bool> Echoes_;
 };
--- a/src/decision/internal/stopsequence.cpp
+++ b/src/decision/internal/stopsequence.cpp
@@ -6,11 +6,12 @@
   if (RequestedAt_)
     return;
   RequestedAt_ = At.now();
+  Parts_.Fleet_.noteStopRequested(At.Now_, Parts_.FleetOutput_);
   At.Output_.push_back(
       ReportChange{ChangeKind::StopStarted, Parts_.Settings_.Self_.value()});
 }
 
-void StopSequence::advance(const Step &At, bool IsHandoverDone) {
+void StopSequence::advance(const Step &At) {
   if (!RequestedAt_ || IsFinished_)
     return;
   if (At.now() < *RequestedAt_ + Parts_.Settings_.StopLinger_)
@@ -18,7 +19,7 @@
   Calls_.close();
   const bool IsIdle =
       Parts_.Calls_.calls().empty() && Parts_.Calls_.attempts().empty();
-  if (!IsIdle || !IsHandoverDone)
+  if (!IsIdle || !Parts_.Fleet_.isHandoverDone())
     return;
   IsFinished_ = true;
   At.Output_.push_back(
--- a/src/decision/internal/stopsequence.h
+++ b/src/decision/internal/stopsequence.h
@@ -19,7 +19,7 @@
   void request(const Step &At);
   bool isRequested() const { return RequestedAt_.has_value(); }
   /// Takes the next steps that are due.
-  void advance(const Step &At, bool IsHandoverDone);
+  void advance(const Step &At);
 
 private:
   CoreParts &Parts_;
--- a/src/decision/tests/core_test.cpp
+++ b/src/decision/tests/core_test.cpp
@@ -15,6 +15,15 @@
   return Sent.front();
 }
 
+/// Lets a call arrive and returns its first attempt, which may need a new
+/// connection first.
+SendAttempt firstAttempt(CoreFixture &Fixture, const CallArrived &Arrival) {
+  ActionList Actions = Fixture.tell(Arrival);
+  const ActionList Later = Fixture.pass(milliseconds(2));
+  Actions.insert(Actions.end(), Later.begin(), Later.end());
+  return sentOf(Actions);
+}
+
 RefuseCall refusalOf(const ActionList &Actions) {
   const auto Refused = CoreFixture::only<RefuseCall>(Actions);
   REQUIRE(Refused.size() == 1);
@@ -57,7 +66,7 @@
           "[decision]") {
   CoreFixture Fixture;
   Fixture.startUp();
-  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  const auto Sent = firstAttempt(Fixture, Fixture.call(1, false));
   const auto Actions = Fixture.tell(AttemptFailed{
       .Attempt_ = Sent.Attempt_, .Connection_ = Sent.Connection_});
   CHECK(CoreFixture::only<SendAttempt>(Actions).empty());
@@ -70,19 +79,18 @@
           "[decision]") {
   CoreFixture Fixture;
   Fixture.startUp();
-  const auto First = sentOf(Fixture.tell(Fixture.call(1, false)));
-  const auto Actions = Fixture.tell(
-      AttemptFailed{.Attempt_ = First.Attempt_,
-                    .Connection_ = First.Connection_,
-                    .Written_ = calls::WriteState::NothingWritten});
-  const auto Second = sentOf(Actions);
+  const auto First = firstAttempt(Fixture, Fixture.call(1, false));
+  Fixture.tell(AttemptFailed{.Attempt_ = First.Attempt_,
+                             .Connection_ = First.Connection_,
+                             .Written_ = calls::WriteState::NothingWritten});
+  const auto Second = sentOf(Fixture.pass(milliseconds(2)));
   CHECK(Second.Target_ != First.Target_);
 }
 
 TEST_CASE("an answer to another attempt is not an answer", "[decision]") {
   CoreFixture Fixture;
   Fixture.startUp();
-  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  const auto Sent = firstAttempt(Fixture, Fixture.call(1, false));
   auto Crossed = Fixture.answerTo(Sent);
   Crossed.EchoedAttempt_ = framework::AttemptId(99);
   const auto Actions = Fixture.tell(Crossed);
@@ -97,13 +105,16 @@
           "[decision]") {
   CoreFixture Fixture;
   Fixture.startUp();
-  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  const auto Sent = firstAttempt(Fixture, Fixture.call(1, false));
   const auto Late = Fixture.pass(milliseconds(2001));
   CHECK(refusalOf(Late).Ending_ == calls::Ending::Unknown);
-  CHECK(CoreFixture::only<CloseConnection>(Late).empty());
+  for (const CloseConnection &Closed : CoreFixture::only<CloseConnection>(Late))
+    CHECK(Closed.Connection_ != Sent.Connection_);
   const auto After = Fixture.tell(Fixture.answerTo(Sent));
   CHECK(CoreFixture::only<AnswerCall>(After).empty());
-  REQUIRE(CoreFixture::only<CloseConnection>(After).size() == 1);
+  const auto Closed = CoreFixture::only<CloseConnection>(After);
+  REQUIRE(Closed.size() == 1);
+  CHECK(Closed.front().Connection_ == Sent.Connection_);
 }
 
 TEST_CASE("a stopping instance answers what it accepted, then finishes",
@@ -113,7 +124,7 @@
   const auto Unready = Fixture.tell(StopRequested{});
   REQUIRE(CoreFixture::only<SetReadiness>(Unready).size() == 1);
   CHECK_FALSE(CoreFixture::only<SetReadiness>(Unready).front().IsReady_);
-  const auto Sent = sentOf(Fixture.tell(Fixture.call(1, false)));
+  const auto Sent = firstAttempt(Fixture, Fixture.call(1, false));
   Fixture.pass(milliseconds(1900));
   const auto Answered = Fixture.tell(Fixture.answerTo(Sent));
   CHECK(CoreFixture::only<AnswerCall>(Answered).size() == 1);
--- a/src/decision/tests/corefixture.cpp
+++ b/src/decision/tests/corefixture.cpp
@@ -1,5 +1,7 @@
 #include "decision/tests/corefixture.h"
 
+#include <algorithm>
+
 namespace cranberryspool::decision {
 
 namespace {
@@ -7,7 +9,7 @@
 constexpr const char *DocumentText = R"({
   "max-instances": 4,
   "list-lag": "1s",
-  "zones": [{"name": "ikeja", "state": "in"}],
+  "zones": [{"name": "ikeja", "state": "STATE"}],
   "services": [{
     "name": "certdesk",
     "slots-per-target": 4,
@@ -35,24 +37,77 @@
                                      .Address_ = Address};
 }
 
+constexpr framework::Duration ReplyTime = std::chrono::milliseconds(1);
+
 } // namespace
 
+CoreFixture::CoreFixture()
+    : Core_(CoreSettings{.Self_ = framework::InstanceName("entry-1"),
+                         .Incarnation_ = framework::Incarnation(1),
+                         .Zone_ = framework::ZoneName("ikeja"),
+                         .PeerAddress_ = "127.0.0.1:7000"},
+            framework::Random(1)) {}
+
 void CoreFixture::startUp() {
+  publishDocument(false);
+  publishInstances(false);
   tell(Tick{});
-  tell(DocumentPublished{framework::Revision(1), DocumentText});
+  pass(std::chrono::seconds(8));
+}
+
+ActionList CoreFixture::tell(const Event &Input) {
+  ActionList Output;
+  Core_.handle(Now_, Input, Output);
+  for (const Action &Asked : Output)
+    reply(Asked);
+  return Output;
+}
+
+ActionList CoreFixture::pass(framework::Duration Time) {
+  ActionList Output;
+  const auto Handle = [&](const Event &Input) {
+    const ActionList Asked = tell(Input);
+    Output.insert(Output.end(), Asked.begin(), Asked.end());
+  };
+  const framework::Instant End = Now_.Monotonic_ + Time;
+  while (true) {
+    framework::Instant Next = Core_.nextWakeUp();
+    const bool IsReply =
+        !Scheduled_.empty() && Scheduled_.begin()->first < Next;
+    Next = IsReply ? Scheduled_.begin()->first : Next;
+    if (Next >= End)
+      break;
+    moveTo(std::max(Now_.Monotonic_, Next));
+    if (IsReply)
+      Handle(Scheduled_.extract(Scheduled_.begin()).mapped());
+    else
+      Handle(Tick{});
+  }
+  moveTo(End);
+  Handle(Tick{});
+  return Output;
+}
+
+void CoreFixture::publishInstances(bool IsFirstLeaving) {
   const document::PublishedInstance Self{.Name_ =
                                              framework::InstanceName("entry-1"),
                                          .Group_ = std::nullopt,
                                          .Zone_ = framework::ZoneName("ikeja"),
                                          .Address_ = "127.0.0.1:7000"};
-  tell(InstancesPublished{framework::Revision(1),
-                          {Self, target("cert-1", "127.0.1.1:80"),
-                           target("cert-2", "127.0.1.2:80")}});
-  pass(std::chrono::milliseconds(100));
-  openAll();
+  Instances_.Revision_ = framework::Revision(Instances_.Revision_.value() + 1);
+  Instances_.Instances_ = {Self, target("cert-1", "127.0.1.1:80"),
+                           target("cert-2", "127.0.1.2:80")};
+  Instances_.Instances_[1].IsLeaving_ = IsFirstLeaving;
+}
+
+void CoreFixture::publishDocument(bool IsZoneOut) {
+  Document_.Revision_ = framework::Revision(Document_.Revision_.value() + 1);
+  Document_.Text_ = DocumentText;
+  Document_.Text_.replace(Document_.Text_.find("STATE"), 5,
+                          IsZoneOut ? "out" : "in");
 }
 
-CallArrived CoreFixture::call(std::uint64_t Id, bool IsIdempotent) const {
+CallArrived CoreFixture::call(std::uint64_t Id, bool IsIdempotent) {
   CallArrived Arrival;
   Arrival.Call_ = framework::CallId(Id);
   Arrival.Method_ = IsIdempotent ? "GET" : "POST";
@@ -60,4 +115,61 @@
   return Arrival;
 }
 
+AttemptAnswered CoreFixture::answerTo(const SendAttempt &Sent,
+                                      std::uint32_t Status) {
+  return AttemptAnswered{.Attempt_ = Sent.Attempt_,
+                         .Connection_ = Sent.Connection_,
+                         .EchoedAttempt_ = Sent.Attempt_,
+                         .Status_ = Status,
+                         .Report_ = routing::LoadReport{},
+                         .StartId_ = framework::Incarnation(1)};
+}
+
+AttemptAnswered CoreFixture::notRunAnswerTo(const SendAttempt &Sent) {
+  AttemptAnswered Answer = answerTo(Sent, 503);
+  Answer.IsNotRun_ = true;
+  return Answer;
+}
+
+void CoreFixture::moveTo(framework::Instant When) {
+  Now_.Wall_ += When - Now_.Monotonic_;
+  Now_.Monotonic_ = When;
+}
+
+void CoreFixture::reply(const Action &Asked) {
+  if (const auto *Open = std::get_if<OpenConnection>(&Asked))
+    schedule(ReplyTime, ConnectionOpened{Open->Connection_, ReplyTime});
+  if (const auto *Probe = std::get_if<ProbeTarget>(&Asked))
+    schedule(ReplyTime, ProbeAnswered{.Probe_ = Probe->Probe_,
+                                      .Report_ = {},
+                                      .StartId_ = framework::Incarnation(1),
+                                      .RoundTrip_ = ReplyTime});
+  if (const auto *Document = std::get_if<ReadDocument>(&Asked))
+    replyTo(*Document);
+  if (const auto *Instances = std::get_if<ReadInstances>(&Asked))
+    replyTo(*Instances);
+}
+
+void CoreFixture::replyTo(const ReadDocument &Asked) {
+  if (IsPlatformDown_)
+    schedule(ReplyTime, DocumentUnavailable{});
+  else if (!Asked.NewerThan_ || *Asked.NewerThan_ < Document_.Revision_)
+    schedule(ReplyTime, Document_);
+  else
+    schedule(Asked.Wait_, DocumentUnchanged{});
+}
+
+void CoreFixture::replyTo(const ReadInstances &Asked) {
+  if (IsPlatformDown_)
+    schedule(ReplyTime, InstancesUnavailable{});
+  else if (!Asked.NewerThan_ || *Asked.NewerThan_ < Instances_.Revision_)
+    schedule(ReplyTime, Instances_);
+  else
+    schedule(Asked.Wait_, InstancesUnchanged{});
+}
+
+void CoreFixture::schedule(framework::Duration Delay, Event Reply) {
+  Scheduled_.emplace(Now_.Monotonic_ + Delay, std::move(Reply));
+}
+
 } // namespace cranberryspool::decision
--- a/src/decision/tests/corefixture.h
+++ b/src/decision/tests/corefixture.h
@@ -3,71 +3,49 @@
 
 #include "decision/core.h"
 
-#include <algorithm>
+#include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace cranberryspool::decision {
 
-/// A core with one service of two targets, driven in virtual time.
+/// A core with one service of two targets, driven in virtual time. The platform
+/// answers reads and watches, connections open and probes are answered, all by
+/// themselves; attempts are left to the test.
 class CoreFixture {
 public:
-  CoreFixture()
-      : Core_(CoreSettings{.Self_ = framework::InstanceName("entry-1"),
-                           .Incarnation_ = framework::Incarnation(1),
-                           .Zone_ = framework::ZoneName("ikeja")},
-              framework::Random(1)) {}
+  CoreFixture();
+
+  /// Publishes the document and two warm targets and waits for the core to be
+  /// ready.
+  void startUp();
 
   /// Handles an event now and returns the actions that follow.
-  ActionList tell(const Event &Input) {
-    ActionList Output;
-    Core_.handle(Now_, Input, Output);
-    for (const Action &Asked : Output)
-      if (const auto *Open = std::get_if<OpenConnection>(&Asked))
-        Opening_.push_back(Open->Connection_);
-    return Output;
-  }
+  ActionList tell(const Event &Input);
 
-  /// Lets time pass, with a `Tick` whenever the core asks for one. Connections
-  /// open as they are asked for.
-  ActionList pass(framework::Duration Time) {
-    ActionList Output;
-    const framework::Instant End = Now_.Monotonic_ + Time;
-    while (Core_.nextWakeUp() < End) {
-      moveTo(std::max(Now_.Monotonic_, Core_.nextWakeUp()));
-      append(Output, tell(Tick{}));
-      append(Output, openAll());
-    }
-    moveTo(End);
-    append(Output, tell(Tick{}));
-    return Output;
-  }
+  /// Lets time pass, with a `Tick` whenever the core asks for one.
+  ActionList pass(framework::Duration Time);
 
-  /// Opens all connections that the core has asked for.
-  ActionList openAll() {
-    ActionList Output;
-    const auto Opening = std::exchange(Opening_, {});
-    for (const framework::ConnectionId Id : Opening)
-      append(Output, tell(ConnectionOpened{Id, std::chrono::milliseconds(1)}));
-    return Output;
-  }
+  /// Lets time pass without any event: the process is paused.
+  void pause(framework::Duration Time) { moveTo(Now_.Monotonic_ + Time); }
 
-  /// Publishes the document and two warm targets.
-  void startUp();
+  /// Publishes the list, with the first target leaving or not.
+  void publishInstances(bool IsFirstLeaving);
+  /// Publishes the document, with the availability zone out or not.
+  void publishDocument(bool IsZoneOut);
+  /// The platform does not answer from now on, or does again.
+  void setPlatformDown(bool IsDown) { IsPlatformDown_ = IsDown; }
 
   /// A call of the kind that may run twice, or of the one that must not.
-  CallArrived call(std::uint64_t Id, bool IsIdempotent = true) const;
+  static CallArrived call(std::uint64_t Id, bool IsIdempotent = true);
 
   /// The answer that a target gives to an attempt that was sent.
-  AttemptAnswered answerTo(const SendAttempt &Sent) const {
-    return AttemptAnswered{.Attempt_ = Sent.Attempt_,
-                           .Connection_ = Sent.Connection_,
-                           .EchoedAttempt_ = Sent.Attempt_,
-                           .Status_ = 200,
-                           .Report_ = routing::LoadReport{},
-                           .StartId_ = framework::Incarnation(1)};
-  }
+  static AttemptAnswered answerTo(const SendAttempt &Sent,
+                                  std::uint32_t Status = 200);
+  /// The answer of a target that did not run the attempt.
+  static AttemptAnswered notRunAnswerTo(const SendAttempt &Sent);
 
   template <typename Kind>
   static std::vector<Kind> only(const ActionList &Actions) {
@@ -78,19 +56,21 @@
     return Found;
   }
 
-  static void append(ActionList &To, const ActionList &From) {
-    To.insert(To.end(), From.begin(), From.end());
-  }
-
-  void moveTo(framework::Instant When) {
-    Now_.Wall_ += When - Now_.Monotonic_;
-    Now_.Monotonic_ = When;
-  }
-
   Core Core_;
   framework::Moment Now_{framework::Instant(std::chrono::seconds(100)),
                          framework::WallTime(std::chrono::seconds(1000000))};
-  std::vector<framework::ConnectionId> Opening_;
+
+private:
+  void moveTo(framework::Instant When);
+  void reply(const Action &Asked);
+  void replyTo(const ReadDocument &Asked);
+  void replyTo(const ReadInstances &Asked);
+  void schedule(framework::Duration Delay, Event Reply);
+
+  std::multimap<framework::Instant, Event> Scheduled_;
+  DocumentPublished Document_;
+  InstancesPublished Instances_;
+  bool IsPlatformDown_ = false;
 };
 
 } // namespace cranberryspool::decision
--- /dev/null
+++ b/src/decision/types/endedcall.h
@@ -0,0 +1,28 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_ENDEDCALL_H
+#define CRANBERRYSPOOL_DECISION_TYPES_ENDEDCALL_H
+
+#include "calls/types/ending.h"
+#include "document/types/urgency.h"
+#include "framework/ids.h"
+#include "framework/time.h"
+
+#include <cstdint>
+
+namespace cranberryspool::decision {
+
+/// A call that has ended, for those who count calls.
+struct EndedCall {
+  framework::CallId Call_;
+  framework::ServiceName Service_;
+  document::Urgency Urgency_ = document::Urgency::Ordinary;
+  calls::Ending Ending_ = calls::Ending::NotRun;
+  /// The status of the last answer that was read; 0 when there was none.
+  std::uint32_t Status_ = 0;
+  /// From the arrival of the whole request.
+  framework::Duration Elapsed_{};
+  bool IsCallerGone_ = false;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_ENDEDCALL_H
