--- /dev/null
+++ b/src/fleet/internal/fieldlists.h
@@ -0,0 +1,116 @@
+#ifndef CRANBERRYSPOOL_FLEET_INTERNAL_FIELDLISTS_H
+#define CRANBERRYSPOOL_FLEET_INTERNAL_FIELDLISTS_H
+
+#include "fleet/peermessage.h"
+
+namespace cranberryspool::fleet {
+
+/// The fields of each message in the order of their encoding. `Visit` is called
+/// with each field.
+template <typename Visitor> void visitFields(PeerView &Item, Visitor &&Visit) {
+  Visit(Item.DocumentRevision_);
+  Visit(Item.DocumentAge_);
+  Visit(Item.ListRevision_);
+  Visit(Item.ListAge_);
+  Visit(Item.MembersDigest_);
+}
+
+template <typename Visitor>
+void visitFields(ColdNotice &Item, Visitor &&Visit) {
+  Visit(Item.Target_);
+  Visit(Item.StartId_);
+}
+
+template <typename Visitor>
+void visitFields(WarmTargets &Item, Visitor &&Visit) {
+  Visit(Item.ListRevision_);
+  Visit(Item.Bits_);
+}
+
+template <typename Visitor> void visitFields(Heartbeat &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Sequence_);
+  Visit(Item.Address_);
+  Visit(Item.View_);
+  Visit(Item.Cold_);
+  Visit(Item.IsWarmthWanted_);
+}
+
+template <typename Visitor>
+void visitFields(HeartbeatAck &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Address_);
+  Visit(Item.EchoIncarnation_);
+  Visit(Item.EchoSequence_);
+  Visit(Item.NewestIncarnation_);
+  Visit(Item.View_);
+  Visit(Item.Cold_);
+  Visit(Item.Warm_);
+}
+
+template <typename Visitor>
+void visitFields(KeyRequest &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Address_);
+  Visit(Item.Call_);
+  Visit(Item.Key_);
+}
+
+template <typename Visitor> void visitFields(KeyReply &Item, Visitor &&Visit) {
+  Visit(Item.EchoIncarnation_);
+  Visit(Item.Call_);
+  Visit(Item.Decision_);
+  Visit(Item.RunnerAddress_);
+  Visit(Item.RunnerCall_);
+}
+
+template <typename Visitor> void visitFields(KeyEnded &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Address_);
+  Visit(Item.Call_);
+  Visit(Item.Key_);
+  Visit(Item.Outcome_);
+}
+
+template <typename Visitor>
+void visitFields(KeyEndedAck &Item, Visitor &&Visit) {
+  Visit(Item.EchoIncarnation_);
+  Visit(Item.Call_);
+}
+
+template <typename Visitor> void visitFields(KeyRecord &Item, Visitor &&Visit) {
+  Visit(Item.Key_);
+  Visit(Item.Runner_);
+  Visit(Item.RunnerIncarnation_);
+  Visit(Item.RunnerAddress_);
+  Visit(Item.RunnerCall_);
+  Visit(Item.Outcome_);
+}
+
+template <typename Visitor>
+void visitFields(KeyHandover &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Address_);
+  Visit(Item.MembersDigest_);
+  Visit(Item.Part_);
+  Visit(Item.Parts_);
+  Visit(Item.Floor_);
+  Visit(Item.Records_);
+}
+
+template <typename Visitor>
+void visitFields(KeyHandoverAck &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.EchoIncarnation_);
+  Visit(Item.MembersDigest_);
+  Visit(Item.Part_);
+}
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_INTERNAL_FIELDLISTS_H
--- /dev/null
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -0,0 +1,112 @@
+#include "fleet/peercodec.h"
+#include "framework/random.h"
+
+#include <catch2/catch.hpp>
+
+#include <type_traits>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+
+namespace {
+
+PeerView makeView() {
+  PeerView View;
+  View.DocumentRevision_ = framework::Revision(70'000);
+  View.DocumentAge_ = std::chrono::milliseconds(1300);
+  View.ListRevision_ = framework::Revision(1'000'000);
+  View.MembersDigest_ = framework::Digest(0xfedcba9876543210);
+  return View;
+}
+
+std::vector<PeerMessage> makeMessages() {
+  const framework::InstanceName Name("entry-12");
+  const framework::Incarnation Incarnation(1'796'000'000'000'000);
+  const framework::IdempotencyKey Key("0190a0f0-0000-7000-8000-000000000001");
+  const std::string Address = "127.0.0.12:7000";
+  const KeyRecord Record{
+      Key, Name, Incarnation, Address, framework::CallId(9), KeyOutcome::Kept};
+  return {
+      Heartbeat{Name,
+                Incarnation,
+                900,
+                Address,
+                makeView(),
+                {ColdNotice{framework::TargetName("t1"), Incarnation}},
+                true},
+      HeartbeatAck{Name,
+                   Incarnation,
+                   Address,
+                   Incarnation,
+                   900,
+                   Incarnation,
+                   makeView(),
+                   {},
+                   WarmTargets{framework::Revision(3), {0xff, 1}}},
+      KeyRequest{Name, Incarnation, Address, framework::CallId(5), Key},
+      KeyReply{Incarnation, framework::CallId(5), KeyDecision::Replay, Address,
+               framework::CallId(8)},
+      KeyEnded{Name, Incarnation, Address, framework::CallId(5), Key,
+               KeyOutcome::NotRun},
+      KeyEndedAck{Incarnation, framework::CallId(5)},
+      KeyHandover{Name,
+                  Incarnation,
+                  Address,
+                  framework::Digest(4),
+                  1,
+                  2,
+                  framework::WallTime(std::chrono::seconds(5)),
+                  {Record, Record}},
+      KeyHandoverAck{Name, Incarnation, framework::Digest(4), 1},
+  };
+}
+
+} // namespace
+
+TEST_CASE("each peer message survives the encoding", "[fleet]") {
+  const std::vector<PeerMessage> Messages = makeMessages();
+  REQUIRE(Messages.size() == std::variant_size_v<PeerMessage>);
+  for (const PeerMessage &Message : Messages) {
+    const auto Encoded = encodePeerMessage(Message);
+    REQUIRE(Encoded.size() <= MaxDatagramBytes);
+    auto Decoded = decodePeerMessage(Encoded);
+    REQUIRE(Decoded);
+    CHECK(Decoded.value() == Message);
+  }
+}
+
+TEST_CASE("a cut or extended message is refused with its failure", "[fleet]") {
+  for (const PeerMessage &Message : makeMessages()) {
+    auto Encoded = encodePeerMessage(Message);
+    for (std::size_t Size = 0; Size < Encoded.size(); ++Size)
+      REQUIRE_FALSE(decodePeerMessage(std::span(Encoded.data(), Size)));
+    Encoded.push_back(0);
+    REQUIRE(decodePeerMessage(Encoded).error() == DecodeFailure::TrailingBytes);
+  }
+}
+
+TEST_CASE("damaged and hostile datagrams do no harm", "[fleet]") {
+  framework::Random Rng(11);
+  const std::vector<PeerMessage> Messages = makeMessages();
+  std::size_t Refused = 0;
+  for (int Round = 0; Round < 20'000; ++Round) {
+    auto Encoded = encodePeerMessage(Messages[Rng.index(Messages.size())]);
+    for (std::size_t Flips = 1 + Rng.index(4); Flips > 0; --Flips)
+      Encoded[Rng.index(Encoded.size())] =
+          static_cast<std::uint8_t>(Rng.index(256));
+    if (!decodePeerMessage(Encoded))
+      ++Refused;
+  }
+  CHECK(Refused > 1'000);
+  const std::vector<std::uint8_t> HugeArray = {0x9b, 0xff, 0xff, 0xff, 0xff,
+                                               0xff, 0xff, 0xff, 0xff};
+  CHECK(decodePeerMessage(HugeArray).error() == DecodeFailure::ValueOutOfRange);
+  CHECK(decodePeerMessage(std::vector<std::uint8_t>(MaxDatagramBytes + 1))
+            .error() == DecodeFailure::TooLarge);
+  const std::vector<std::uint8_t> OtherVersion = {0x83, 2, 0, 0};
+  CHECK(decodePeerMessage(OtherVersion).error() ==
+        DecodeFailure::UnknownVersion);
+  const std::vector<std::uint8_t> OtherMessage = {0x83, 1, 0x17, 0};
+  CHECK(decodePeerMessage(OtherMessage).error() ==
+        DecodeFailure::UnknownMessage);
+}
