Add cranberryctl check and diff

Cause: operators prove a document before they publish it, and want to see whom a change reaches. Change: the commands live in src/operations, cranberryctl only reads flags.

--- a/src/document/internal/readjson.cpp
+++ b/src/document/internal/readjson.cpp
@@ -24,10 +24,6 @@
   if (Error == boost::json::error::too_deep)
     return {FaultKind::NestedTooDeep, Offset,
             "at most " + std::to_string(MaxDocumentDepth) + " levels"};
-  if (Error == boost::json::error::expected_utf16_escape ||
-      Error == boost::json::error::illegal_leading_surrogate ||
-      Error == boost::json::error::illegal_trailing_surrogate)
-    return {FaultKind::InvalidUtf8, Offset, "a complete surrogate pair"};
   if (Error == boost::json::error::incomplete)
     return {FaultKind::InvalidSyntax, Offset,
             "the text to go on (" + Error.message() + ")"};
--- /dev/null
+++ b/src/operations/internal/diffcommand.cpp
@@ -0,0 +1,87 @@
+#include "operations/diffcommand.h"
+
+#include "document/sections.h"
+#include "operations/diffdocuments.h"
+#include "operations/internal/loaddocument.h"
+#include "operations/types/console.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <optional>
+#include <ostream>
+
+namespace cranberryspool::operations {
+
+namespace {
+
+namespace json = boost::json;
+
+json::string view(std::string_view Text) {
+  return json::string(Text.data(), Text.size());
+}
+
+void writeValues(const DocumentChange &Change, std::ostream &Out) {
+  if (Change.Before_.empty())
+    Out << "added, " << Change.After_;
+  else if (Change.After_.empty())
+    Out << "removed, was " << Change.Before_;
+  else
+    Out << Change.Property_ << ' ' << Change.Before_ << " -> " << Change.After_;
+}
+
+void writeText(const std::vector<DocumentChange> &Changes, std::ostream &Out) {
+  std::optional<ChangeConcern> Heading;
+  for (const DocumentChange &Each : Changes) {
+    if (Heading != Each.Concern_)
+      Out << concernName(Each.Concern_) << ":\n";
+    Heading = Each.Concern_;
+    Out << "  " << Each.Subject_ << ": ";
+    writeValues(Each, Out);
+    if (Each.Effect_ != ChangeEffect::None)
+      Out << " (" << effectText(Each.Effect_) << ')';
+    Out << '\n';
+  }
+}
+
+json::array changesArray(const std::vector<DocumentChange> &Changes) {
+  json::array List;
+  for (const DocumentChange &Each : Changes)
+    List.push_back({{"concern", view(concernName(Each.Concern_))},
+                    {"subject", view(Each.Subject_)},
+                    {"property", view(Each.Property_)},
+                    {"before", view(Each.Before_)},
+                    {"after", view(Each.After_)},
+                    {"effect", view(effectText(Each.Effect_))}});
+  return List;
+}
+
+} // namespace
+
+ExitCode diffCommand(const std::string &OldPath, const std::string &NewPath,
+                     const Console &Streams) {
+  const auto Old = loadDocument(OldPath, Streams);
+  const auto New = loadDocument(NewPath, Streams);
+  if (!Old || !New)
+    return ExitCode::BadInput;
+  const std::string OldDigest =
+      document::digestText(document::documentDigest(Old.value()));
+  const std::string NewDigest =
+      document::digestText(document::documentDigest(New.value()));
+  const auto Changes = diffDocuments(Old.value(), New.value());
+  if (Streams.Form_ == OutputForm::Json) {
+    Streams.Out_ << json::serialize(
+                        json::object{{"old-digest", view(OldDigest)},
+                                     {"new-digest", view(NewDigest)},
+                                     {"changes", changesArray(Changes)}})
+                 << '\n';
+  } else {
+    Streams.Out_ << "digest " << OldDigest << " -> " << NewDigest << ", "
+                 << Changes.size()
+                 << (Changes.size() == 1 ? " change\n" : " changes\n");
+    writeText(Changes, Streams.Out_);
+  }
+  return Changes.empty() ? ExitCode::Success : ExitCode::Negative;
+}
+
+} // namespace cranberryspool::operations
--- /dev/null
+++ b/src/operations/internal/documentdiffer.h
@@ -0,0 +1,50 @@
+#ifndef CRANBERRYSPOOL_OPERATIONS_INTERNAL_DOCUMENTDIFFER_H
+#define CRANBERRYSPOOL_OPERATIONS_INTERNAL_DOCUMENTDIFFER_H
+
+#include "document/types/environmentdocument.h"
+#include "operations/types/documentchange.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberryspool::operations {
+
+/// Compares two documents part by part and gathers the differences.
+class DocumentDiffer {
+public:
+  DocumentDiffer(const document::EnvironmentDocument &Old,
+                 const document::EnvironmentDocument &New);
+
+  std::vector<DocumentChange> run();
+
+private:
+  void compareZones();
+  void compareServices();
+  void compareService(const document::Service &Old,
+                      const document::Service &New);
+  void compareLimits(const document::Service &Old,
+                     const document::Service &New);
+  void compareGroups(const document::Service &Old,
+                     const document::Service &New);
+  void compareKinds(const document::Service &Old, const document::Service &New);
+  void compareKind(const std::string &Subject, const document::RequestKind &Old,
+                   const document::RequestKind &New);
+  void compareObjectives(const document::Service &Old,
+                         const document::Service &New);
+  void findServicesWithoutZone();
+  bool hasZone(const document::EnvironmentDocument &Document,
+               const document::Service &Owner) const;
+  void add(DocumentChange Change);
+  /// Adds a change when the two values differ.
+  void compare(ChangeConcern Concern, const std::string &Subject,
+               const std::string &Property, std::string Before,
+               std::string After, ChangeEffect Effect = ChangeEffect::None);
+
+  const document::EnvironmentDocument &Old_;
+  const document::EnvironmentDocument &New_;
+  std::vector<DocumentChange> Changes_;
+};
+
+} // namespace cranberryspool::operations
+
+#endif // CRANBERRYSPOOL_OPERATIONS_INTERNAL_DOCUMENTDIFFER_H
--- /dev/null
+++ b/src/operations/tests/diffcommand_test.cpp
@@ -0,0 +1,106 @@
+#include "operations/diffcommand.h"
+
+#include "document/parsedocument.h"
+#include "document/tests/readfile.h"
+#include "operations/diffdocuments.h"
+#include "operations/types/console.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace cranberryspool::operations;
+using namespace cranberryspool::document;
+using namespace cranberryspool::framework;
+using namespace std::chrono_literals;
+
+namespace {
+
+EnvironmentDocument lagos() {
+  const auto Parsed = parseDocument(readFile("examples/lagos.json"));
+  REQUIRE(Parsed);
+  return Parsed.value();
+}
+
+} // namespace
+
+TEST_CASE("equal documents have no changes", "[operations]") {
+  CHECK(diffDocuments(lagos(), lagos()).empty());
+}
+
+TEST_CASE("each change names whom it reaches", "[operations]") {
+  const EnvironmentDocument Old = lagos();
+  EnvironmentDocument New = Old;
+  New.Zones_[2].State_ = ZoneState::Out;
+  New.Services_[1].SlotsPerTarget_ = 8;
+  New.Services_[1].Groups_.pop_back();
+  RequestKind &Issue = New.Services_[1].Kinds_[1];
+  Issue.IsIdempotent_ = true;
+  Issue.Deadline_ = 3s;
+  New.Services_[1].Objectives_[0].GoodPerMillion_ = 990'000;
+  New.MaxInstances_ = 30;
+  using Concern = ChangeConcern;
+  using Effect = ChangeEffect;
+  CHECK(diffDocuments(Old, New) ==
+        std::vector<DocumentChange>{
+            {Concern::Zones, "zone yaba", "state", "in", "out",
+             Effect::StopsNewWork},
+            {Concern::Targets, "certdesk/certdesk-yaba", "", "yaba", "",
+             Effect::StopsNewWork},
+            {Concern::Targets, "certdesk", "slots-per-target", "6", "8",
+             Effect::None},
+            {Concern::Calls, "certdesk/issue-certificate", "idempotent",
+             "false", "true", Effect::AllowsRepeats},
+            {Concern::Calls, "certdesk/issue-certificate", "deadline", "2s",
+             "3s", Effect::None},
+            {Concern::Objectives, "certdesk urgent", "objective",
+             "99.9% within 50ms", "99% within 50ms", Effect::None},
+            {Concern::Instances, "instances", "max-instances", "20", "30",
+             Effect::None}});
+}
+
+TEST_CASE("a service that comes or goes changes its calls and targets",
+          "[operations]") {
+  const EnvironmentDocument Old = lagos();
+  EnvironmentDocument New = Old;
+  New.Services_.erase(New.Services_.begin());
+  const auto Gone = diffDocuments(Old, New);
+  const auto Back = diffDocuments(New, Old);
+  // Three groups, two kinds and two objectives.
+  REQUIRE(Gone.size() == 7);
+  REQUIRE(Back.size() == 7);
+  CHECK(Gone[3] == DocumentChange{ChangeConcern::Calls, "assay-pay/get-deposit",
+                                  "", "GET /assay-pay/deposits/*", "",
+                                  ChangeEffect::RefusesCalls});
+  CHECK(Back[3].After_ == "GET /assay-pay/deposits/*");
+  CHECK(Back[3].Effect_ == ChangeEffect::AcceptsCalls);
+}
+
+TEST_CASE("a service whose last zone goes out is named", "[operations]") {
+  const EnvironmentDocument Old = lagos();
+  EnvironmentDocument New = Old;
+  for (Zone &Each : New.Zones_)
+    Each.State_ = ZoneState::Out;
+  const auto Changes = diffDocuments(Old, New);
+  REQUIRE(Changes.size() == 7);
+  CHECK(Changes[3].Effect_ == ChangeEffect::LeavesServiceWithoutZone);
+  CHECK(diffDocuments(New, New).empty());
+}
+
+TEST_CASE("diff writes text and ends with its code", "[operations]") {
+  std::ostringstream Out;
+  std::ostringstream Error;
+  const Console Streams{Out, Error, OutputForm::Text};
+  CHECK(diffCommand("examples/lagos.json", "examples/lagos.json", Streams) ==
+        ExitCode::Success);
+  CHECK_THAT(Out.str(), Catch::EndsWith(", 0 changes\n"));
+  CHECK(diffCommand("examples/lagos.json", "examples/central-belt.json",
+                    Streams) == ExitCode::Negative);
+  CHECK_THAT(Out.str(),
+             Catch::Contains("  zone gla: added, in\n") &&
+                 Catch::Contains("  certdesk/issue-certificate: removed, was "
+                                 "POST /certdesk/certificates (such calls are "
+                                 "refused)\n"));
+  CHECK(diffCommand("examples/lagos.json", "README.md", Streams) ==
+        ExitCode::BadInput);
+}
--- /dev/null
+++ b/src/operations/types/console.h
@@ -0,0 +1,19 @@
+#ifndef CRANBERRYSPOOL_OPERATIONS_TYPES_CONSOLE_H
+#define CRANBERRYSPOOL_OPERATIONS_TYPES_CONSOLE_H
+
+#include "operations/types/outputform.h"
+
+#include <iosfwd>
+
+namespace cranberryspool::operations {
+
+/// Where a command writes its result and its errors.
+struct Console {
+  std::ostream &Out_;
+  std::ostream &Error_;
+  OutputForm Form_ = OutputForm::Text;
+};
+
+} // namespace cranberryspool::operations
+
+#endif // CRANBERRYSPOOL_OPERATIONS_TYPES_CONSOLE_H
--- /dev/null
+++ b/src/operations/types/readfailure.h
@@ -0,0 +1,11 @@
+#ifndef CRANBERRYSPOOL_OPERATIONS_TYPES_READFAILURE_H
+#define CRANBERRYSPOOL_OPERATIONS_TYPES_READFAILURE_H
+
+namespace cranberryspool::operations {
+
+/// Why a file was not read.
+enum class ReadFailure { CannotOpen, CannotRead, TooLarge };
+
+} // namespace cranberryspool::operations
+
+#endif // CRANBERRYSPOOL_OPERATIONS_TYPES_READFAILURE_H
--- a/src/report/tests/burnjson_test.cpp
+++ b/src/report/tests/burnjson_test.cpp
@@ -14,6 +14,12 @@
 
 const BurnKey Key{ServiceName("shop"), Urgency::Urgent};
 
+BurnInputFailure failureOf(std::string_view Text) {
+  const auto Parsed = parseBurn(Text);
+  REQUIRE_FALSE(Parsed);
+  return Parsed.error();
+}
+
 } // namespace
 
 TEST_CASE("burn counters survive their JSON", "[report]") {
@@ -28,11 +34,6 @@
 }
 
 TEST_CASE("malformed burn counters are refused with their place", "[report]") {
-  const auto failureOf = [](std::string_view Text) {
-    const auto Parsed = parseBurn(Text);
-    REQUIRE_FALSE(Parsed);
-    return Parsed.error();
-  };
   CHECK(failureOf("{").Reason_ == BurnInputFailure::Reason::InvalidJson);
   CHECK(failureOf("[]").Reason_ == BurnInputFailure::Reason::NoBurnMember);
   CHECK(failureOf(R"({"burn": {}})").Pointer_ == "/burn/rows");
