Name the command apart from its members

Cause: a command with a member called name clashed with the parameter that named the command, so that no phase could be told. Change: the parameter is called do. Before: TypeError at the first phase.

--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -304,11 +304,11 @@
 
     # Steering
 
-    def tell_behind(self, name, **members):
-        command(self.behind_control, do=name, **members)
+    def tell_behind(self, do, **members):
+        command(self.behind_control, do=do, **members)
 
-    def tell_callers(self, name, **members):
-        command(self.callers_control, do=name, **members)
+    def tell_callers(self, do, **members):
+        command(self.callers_control, do=do, **members)
 
     def publish(self, text):
         """Publishes a document."""
