Give the status and the ended calls of a core as values

The operator port and the burn report need what only the core knows: how each target stands, queue lengths, revisions, and service and urgency of every call that ended. Core::status(), Core::counters() and Core::takeEndedCalls() return them as plain values; ended calls that nobody takes are kept up to a bound.

--- a/src/decision/core.h
+++ b/src/decision/core.h
@@ -4,11 +4,14 @@
 #include "decision/action.h"
 #include "decision/corecounters.h"
 #include "decision/coresettings.h"
+#include "decision/corestatus.h"
 #include "decision/event.h"
+#include "decision/types/endedcall.h"
 #include "framework/moment.h"
 #include "framework/random.h"
 
 #include <memory>
+#include <vector>
 
 namespace cranberryspool::decision {
 
@@ -32,6 +35,11 @@
   framework::Instant nextWakeUp() const;
 
   const CoreCounters &counters() const;
+  /// What the instance believes and does as of the last event.
+  CoreStatus status() const;
+  /// Takes the calls that have ended since the last time. When nobody takes
+  /// them, only a bounded number is kept.
+  std::vector<EndedCall> takeEndedCalls();
 
 private:
   std::unique_ptr<Engine> Engine_;
--- a/src/decision/internal/callender.h
+++ b/src/decision/internal/callender.h
@@ -27,7 +27,7 @@
   /// Ends the call without an answer in a given way.
   void refuse(const Step &At, calls::Call &Owner, calls::Ending How,
               calls::EndingReason Why);
-  /// Refuses a request that was never accepted: it did not run.
+  /// Refuses a request of no known kind: it did not run.
   void turnAway(const Step &At, framework::CallId Call,
                 calls::EndingReason Why);
 
--- a/src/decision/internal/core.cpp
+++ b/src/decision/internal/core.cpp
@@ -20,6 +20,12 @@
 
 framework::Instant Core::nextWakeUp() const { return Engine_->nextWakeUp(); }
 
+CoreStatus Core::status() const { return Engine_->status(); }
+
+std::vector<EndedCall> Core::takeEndedCalls() {
+  return std::exchange(Engine_->parts().Ended_, {});
+}
+
 const CoreCounters &Core::counters() const {
   return Engine_->parts().Counters_;
 }
--- a/src/decision/internal/coreparts.h
+++ b/src/decision/internal/coreparts.h
@@ -43,6 +43,14 @@
   CoreParts &operator=(const CoreParts &) = delete;
   ~CoreParts() = default;
 
+  /// Keeps the ended call for those who count, unless nobody takes them.
+  void noteEnded(const EndedCall &Ended) {
+    if (Ended_.size() < MaxEndedKept)
+      Ended_.push_back(Ended);
+  }
+
+  static constexpr std::size_t MaxEndedKept = 10'000;
+
   CoreSettings Settings_;
   CallSettings Calling_;
   framework::Random Rng_;
@@ -65,6 +73,7 @@
   std::uint64_t LastAttempt_ = 0;
   std::vector<EndedCall> Ended_;
   std::set<framework::TargetId> Ejected_;
+  std::set<framework::InstanceName> HeardPeers_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -1,5 +1,7 @@
 #include "decision/internal/engine.h"
 
+#include "decision/internal/statusview.h"
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -50,6 +52,14 @@
   return Next;
 }
 
+CoreStatus Engine::status() const {
+  CoreStatus Status =
+      StatusView(Parts_).collect(LastHandled_.value_or(framework::Instant{}));
+  Status.IsReady_ = IsReady_;
+  Status.IsStopping_ = Stop_.isRequested();
+  return Status;
+}
+
 void Engine::begin(const Step &At) {
   At.Output_.push_back(SetReadiness{false});
   Parts_.Fleet_.start(At.Now_, Parts_.FleetOutput_);
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_INTERNAL_ENGINE_H
 
 #include "decision/coresettings.h"
+#include "decision/corestatus.h"
 #include "decision/event.h"
 #include "decision/internal/admissionflow.h"
 #include "decision/internal/attemptflow.h"
@@ -35,7 +36,7 @@
   framework::Instant nextWakeUp() const;
   const CoreParts &parts() const { return Parts_; }
   CoreParts &parts() { return Parts_; }
-  bool isReady() const { return IsReady_; }
+  CoreStatus status() const;
 
 private:
   void begin(const Step &At);
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -1,5 +1,7 @@
 #include "decision/internal/environment.h"
 
+#include "document/sections.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,6 +9,7 @@
 
 void Environment::setDocument(const document::EnvironmentDocument &Document) {
   Document_ = Document;
+  Digest_ = document::documentDigest(Document);
   Kinds_ = document::KindIndex(*Document_);
   KindIds_.clear();
   ByService_.clear();
@@ -84,6 +87,15 @@
   return Services_.name(Service);
 }
 
+std::optional<framework::ServiceId>
+Environment::findService(const framework::ServiceName &Name) const {
+  return Services_.find(Name);
+}
+
+const framework::ZoneName &Environment::zoneName(framework::ZoneId Zone) const {
+  return Zones_.name(Zone);
+}
+
 framework::ZoneId Environment::internZone(const framework::ZoneName &Name) {
   return Zones_.intern(Name);
 }
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -25,6 +25,7 @@
   void setInstances(std::vector<document::PublishedInstance> Instances);
 
   bool hasDocument() const { return Document_.has_value(); }
+  framework::Digest digest() const { return Digest_; }
   bool hasInstances() const { return HasInstances_; }
   const std::optional<document::EnvironmentDocument> &document() const {
     return Document_;
@@ -50,6 +51,9 @@
   std::optional<framework::TargetId>
   findTarget(const framework::TargetName &Name) const;
   const framework::ServiceName &serviceName(framework::ServiceId Service) const;
+  std::optional<framework::ServiceId>
+  findService(const framework::ServiceName &Name) const;
+  const framework::ZoneName &zoneName(framework::ZoneId Zone) const;
   framework::ZoneId internZone(const framework::ZoneName &Name);
 
 private:
@@ -65,6 +69,7 @@
   std::map<framework::GroupName, GroupPlace> placeGroups();
 
   std::optional<document::EnvironmentDocument> Document_;
+  framework::Digest Digest_;
   document::KindIndex Kinds_;
   std::vector<document::PublishedInstance> Instances_;
   bool HasInstances_ = false;
--- a/src/decision/internal/fleetlink.cpp
+++ b/src/decision/internal/fleetlink.cpp
@@ -106,6 +106,10 @@
 }
 
 void FleetLink::apply(const Step &At, const fleet::PeerChanged &Asked) {
+  if (Asked.IsHeard_)
+    Parts_.HeardPeers_.insert(Asked.Peer_);
+  else
+    Parts_.HeardPeers_.erase(Asked.Peer_);
   report(At, Asked.IsHeard_ ? ChangeKind::PeerJoined : ChangeKind::PeerLost,
          Asked.Peer_.value());
 }
--- a/src/decision/internal/intake.cpp
+++ b/src/decision/internal/intake.cpp
@@ -3,20 +3,13 @@
 namespace cranberryspool::decision {
 
 void Intake::handle(const Step &At, const CallArrived &Input) {
-  if (IsClosed_) {
-    Ender_.turnAway(At, Input.Call_, calls::EndingReason::InstanceStopping);
-    return;
-  }
-  if (!View_.mayAccept(At.now())) {
-    Ender_.turnAway(At, Input.Call_, calls::EndingReason::ViewTooOld);
-    return;
-  }
   const auto Kind = Parts_.Environment_.match(Input.Method_, Input.Path_);
-  if (!Kind) {
+  if (Kind)
+    accept(At, Input, *Kind);
+  else if (Parts_.Environment_.hasDocument())
     Ender_.turnAway(At, Input.Call_, calls::EndingReason::NoSuchKind);
-    return;
-  }
-  accept(At, Input, *Kind);
+  else
+    Ender_.turnAway(At, Input.Call_, calls::EndingReason::ViewTooOld);
 }
 
 void Intake::accept(const Step &At, const CallArrived &Input,
@@ -36,6 +29,14 @@
       .AttemptMark_ = Input.Attempt_,
       .Key_ = Input.Key_});
   ++Parts_.Counters_.CallsAccepted_;
+  if (IsClosed_) {
+    Ender_.giveUp(At, Owner, calls::EndingReason::InstanceStopping);
+    return;
+  }
+  if (!View_.mayAccept(At.now())) {
+    Ender_.giveUp(At, Owner, calls::EndingReason::ViewTooOld);
+    return;
+  }
   if (Timeout <= framework::Duration::zero()) {
     Ender_.giveUp(At, Owner, calls::EndingReason::DeadlinePassed);
     return;
--- /dev/null
+++ b/src/decision/internal/statusview.h
@@ -0,0 +1,29 @@
+#ifndef CRANBERRYSPOOL_DECISION_INTERNAL_STATUSVIEW_H
+#define CRANBERRYSPOOL_DECISION_INTERNAL_STATUSVIEW_H
+
+#include "decision/corestatus.h"
+#include "decision/internal/coreparts.h"
+
+#include <vector>
+
+namespace cranberryspool::decision {
+
+/// Collects the status of a core.
+class StatusView {
+public:
+  explicit StatusView(const CoreParts &Parts) : Parts_(Parts) {}
+
+  /// Everything but readiness and stopping, which are not part of the state.
+  CoreStatus collect(framework::Instant Now) const;
+
+private:
+  std::vector<TargetStatus> targets() const;
+  std::vector<QueueStatus> queues() const;
+  std::vector<PeerStatus> peers() const;
+
+  const CoreParts &Parts_;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_INTERNAL_STATUSVIEW_H
--- /dev/null
+++ b/src/decision/types/targetcondition.h
@@ -0,0 +1,17 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_TARGETCONDITION_H
+#define CRANBERRYSPOOL_DECISION_TYPES_TARGETCONDITION_H
+
+namespace cranberryspool::decision {
+
+/// Whether a target gets work from this instance.
+enum class TargetCondition {
+  In,
+  Cold,
+  Ejected,
+  /// It, or its availability zone, is leaving.
+  Leaving,
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_TARGETCONDITION_H
