Add the report on service-level burn, cranberryctl burn and status

Cause: operators need to see how fast an error budget goes, and which document and targets each instance has. Change: burn rates over 5m/1h, 30m/6h and 6h/72h with the thresholds of The Site Reliability Workbook, a verdict a service and urgency, as text, JSON and SVG; both commands read /status from operator ports by Beast, all instances at once and within a timeout. Conclusion: an instance that does not answer is named and left out.

--- a/src/apps/cranberryctl/main.cpp
+++ b/src/apps/cranberryctl/main.cpp
@@ -1,17 +1,27 @@
 // The operators' command line: reads flags, picks a command, returns its code.
 
 #include "apps/cranberryctl/usage.h"
+#include "framework/units.h"
+#include "operations/burncommand.h"
 #include "operations/checkcommand.h"
 #include "operations/diffcommand.h"
+#include "operations/statuscommand.h"
 #include "operations/types/console.h"
 
 #include <gflags/gflags.h>
 
+#include <chrono>
 #include <iostream>
+#include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
 DEFINE_bool(json, false, "write JSON");
+DEFINE_string(timeout, "2s", "how long status and burn wait for an instance");
+DEFINE_string(file, "", "files with saved statuses, separated by commas");
+DEFINE_string(document, "", "the document whose objectives burn takes");
+DEFINE_string(svg, "", "the file into which burn draws the burn rates");
 
 namespace {
 
@@ -30,6 +40,37 @@
   return ExitCode::Usage;
 }
 
+Arguments splitAtCommas(const std::string &Text) {
+  Arguments Parts;
+  std::istringstream Stream(Text);
+  for (std::string Part; std::getline(Stream, Part, ',');)
+    Parts.push_back(Part);
+  return Parts;
+}
+
+ExitCode runBurn(const Arguments &Addresses, framework::Duration Timeout,
+                 const operations::Console &Streams) {
+  const operations::BurnOptions Options{Addresses, splitAtCommas(FLAGS_file),
+                                        FLAGS_document, FLAGS_svg, Timeout};
+  if (Options.Addresses_.empty() && Options.Files_.empty())
+    return refuseUsage("burn needs addresses or --file");
+  const auto Now = std::chrono::time_point_cast<framework::Duration>(
+      std::chrono::system_clock::now());
+  return operations::burnCommand(Options, Now, Streams);
+}
+
+ExitCode runRemote(const std::string &Command, const Arguments &Addresses,
+                   const operations::Console &Streams) {
+  const auto Timeout = framework::parseDuration(FLAGS_timeout);
+  if (!Timeout || *Timeout == framework::Duration::zero())
+    return refuseUsage("--timeout needs a time such as 2s");
+  if (Command == "burn")
+    return runBurn(Addresses, *Timeout, Streams);
+  if (Addresses.empty())
+    return refuseUsage("status needs addresses");
+  return operations::statusCommand(Addresses, *Timeout, Streams);
+}
+
 ExitCode run(const std::string &Command, const Arguments &Rest,
              const operations::Console &Streams) {
   if (Command == "check") {
@@ -42,6 +83,8 @@
       return refuseUsage("diff needs two documents");
     return operations::diffCommand(Rest[0], Rest[1], Streams);
   }
+  if (Command == "status" || Command == "burn")
+    return runRemote(Command, Rest, Streams);
   return refuseUsage("unknown command " + Command);
 }
 
--- /dev/null
+++ b/src/operations/internal/burncommand.cpp
@@ -0,0 +1,120 @@
+#include "operations/burncommand.h"
+
+#include "operations/internal/fetchstatus.h"
+#include "operations/internal/loaddocument.h"
+#include "operations/internal/readtextfile.h"
+#include "operations/types/console.h"
+#include "report/burnjson.h"
+#include "report/computeburn.h"
+#include "report/writeburn.h"
+
+#include <fstream>
+#include <optional>
+#include <ostream>
+
+namespace cranberryspool::operations {
+
+namespace {
+
+using report::BurnInput;
+using report::BurnInputFailure;
+
+std::string_view reasonText(BurnInputFailure::Reason Reason) {
+  switch (Reason) {
+  case BurnInputFailure::Reason::InvalidJson:
+    return "is not JSON";
+  case BurnInputFailure::Reason::NoBurnMember:
+    return "has no burn counters";
+  case BurnInputFailure::Reason::InvalidMember:
+    return "has malformed burn counters";
+  }
+  return "";
+}
+
+/// Adds the counters of one status; says why on the error stream if it cannot.
+bool addStatus(const std::string &Source, std::string_view Text,
+               BurnInput &Into, const Console &Streams) {
+  const auto Parsed = report::parseBurn(Text);
+  if (Parsed) {
+    report::mergeBurn(Into, Parsed.value());
+    return true;
+  }
+  Streams.Error_ << Source << ": " << reasonText(Parsed.error().Reason_);
+  if (!Parsed.error().Pointer_.empty())
+    Streams.Error_ << " at " << Parsed.error().Pointer_;
+  Streams.Error_ << '\n';
+  return false;
+}
+
+bool addFiles(const BurnOptions &Options, BurnInput &Into,
+              const Console &Streams) {
+  bool IsWhole = true;
+  for (const std::string &Path : Options.Files_) {
+    const auto Text = readTextFile(Path);
+    if (!Text) {
+      Streams.Error_ << Path << ": " << readFailureText(Text.error()) << '\n';
+      IsWhole = false;
+      continue;
+    }
+    IsWhole &= addStatus(Path, Text.value(), Into, Streams);
+  }
+  return IsWhole;
+}
+
+bool addInstances(const BurnOptions &Options, BurnInput &Into,
+                  const Console &Streams) {
+  bool IsWhole = true;
+  const auto Results = fetchStatus(Options.Addresses_, Options.Timeout_);
+  for (std::size_t At = 0; At < Results.size(); ++At) {
+    const std::string &Address = Options.Addresses_[At];
+    if (Results[At]) {
+      IsWhole &= addStatus(Address, Results[At].value(), Into, Streams);
+      continue;
+    }
+    Streams.Error_ << Address << ": " << fetchFailureText(Results[At].error())
+                   << '\n';
+    IsWhole = false;
+  }
+  return IsWhole;
+}
+
+bool writeSvg(const std::string &Path, const BurnInput &Input,
+              const report::BurnReport &Report, const Console &Streams) {
+  std::ofstream File(Path);
+  report::writeBurnSvg(Input, Report, File);
+  File.close();
+  if (File)
+    return true;
+  Streams.Error_ << Path << ": cannot be written\n";
+  return false;
+}
+
+} // namespace
+
+ExitCode burnCommand(const BurnOptions &Options, framework::WallTime Now,
+                     const Console &Streams) {
+  BurnInput Input;
+  if (!addFiles(Options, Input, Streams))
+    return ExitCode::BadInput;
+  const bool IsWhole = addInstances(Options, Input, Streams);
+  if (!Options.DocumentPath_.empty()) {
+    const auto Document = loadDocument(Options.DocumentPath_, Streams);
+    if (!Document)
+      return ExitCode::BadInput;
+    Input.Objectives_ = report::objectivesOf(Document.value());
+  }
+  const auto Report = report::computeBurn(
+      Input, Options.Addresses_.empty() ? report::latestEnd(Input) : Now);
+  if (Streams.Form_ == OutputForm::Json)
+    report::writeBurnJson(Report, Streams.Out_);
+  else
+    report::writeBurnText(Report, Streams.Out_);
+  if (!Options.SvgPath_.empty() &&
+      !writeSvg(Options.SvgPath_, Input, Report, Streams))
+    return ExitCode::BadInput;
+  if (Report.worst() >= report::BurnAlarm::Ticket)
+    return ExitCode::Negative;
+  return IsWhole ? ExitCode::Success : ExitCode::Unreachable;
+}
+
+} // namespace cranberryspool::operations
--- /dev/null
+++ b/src/report/tests/computeburn_test.cpp
@@ -0,0 +1,106 @@
+#include "report/computeburn.h"
+
+#include "report/writeburn.h"
+
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace cranberryspool::report;
+using namespace std::chrono_literals;
+using cranberryspool::document::Objective;
+using cranberryspool::document::Urgency;
+using cranberryspool::framework::ServiceName;
+using cranberryspool::framework::WallTime;
+
+namespace {
+
+const BurnKey Key{ServiceName("shop"), Urgency::Urgent};
+const WallTime Now(480'000h);
+
+/// An objective of 99.9 % and counts at an age before now.
+BurnInput inputOf(std::vector<std::pair<std::chrono::minutes, CallCount>> At) {
+  BurnInput Input;
+  Input.Objectives_[Key] = Objective{Urgency::Urgent, 50ms, 999'000};
+  for (const auto &[Age, Count] : At)
+    Input.Rows_.push_back({Key, Now - Age, 10s, Count});
+  return Input;
+}
+
+BurnAlarm verdictOf(const BurnInput &Input) {
+  return computeBurn(Input, Now).worst();
+}
+
+} // namespace
+
+TEST_CASE("a burn rate of 1 uses the budget exactly", "[report]") {
+  CHECK(burnRate({999, 1}, 999'000) == Approx(1));
+  CHECK(burnRate({985'600, 14'400}, 999'000) == Approx(14.4));
+  CHECK(burnRate({0, 5}, 990'000) == Approx(100));
+  CHECK(burnRate({5, 0}, 999'000) == 0);
+  CHECK(burnRate({0, 0}, 999'000) == 0);
+}
+
+TEST_CASE("a fast burn pages while it goes on", "[report]") {
+  CHECK(verdictOf(inputOf({{2min, {9'800, 200}}})) == BurnAlarm::Page);
+  // The same calls, but the short windows are clean: it is over.
+  CHECK(verdictOf(inputOf({{40min, {9'800, 200}}, {2min, {1'000, 0}}})) !=
+        BurnAlarm::Page);
+  // A short burst inside a long clean time is no fast burn.
+  CHECK(verdictOf(inputOf({{50min, {90'000, 0}}, {2min, {980, 20}}})) ==
+        BurnAlarm::None);
+}
+
+TEST_CASE("a slower burn pages by the middle windows", "[report]") {
+  CHECK(verdictOf(inputOf({{5h, {99'300, 700}}, {20min, {9'930, 70}}})) ==
+        BurnAlarm::Page);
+  CHECK(verdictOf(inputOf({{5h, {99'500, 500}}, {20min, {9'950, 50}}})) ==
+        BurnAlarm::Ticket);
+}
+
+TEST_CASE("a slow burn over days asks for a ticket", "[report]") {
+  CHECK(verdictOf(inputOf({{70h, {99'890, 110}}, {5h, {9'989, 11}}})) ==
+        BurnAlarm::Ticket);
+  CHECK(verdictOf(inputOf({{70h, {99'910, 90}}, {5h, {9'991, 9}}})) ==
+        BurnAlarm::None);
+  // Older than the longest window.
+  CHECK(verdictOf(inputOf({{73h, {0, 1'000}}})) == BurnAlarm::NoCalls);
+}
+
+TEST_CASE("calls without an objective are named", "[report]") {
+  BurnInput Input = inputOf({});
+  const BurnKey Other{ServiceName("till"), Urgency::Ordinary};
+  Input.Rows_.push_back({Other, Now - 1min, 10s, {1, 1}});
+  const BurnReport Report = computeBurn(Input, Now);
+  CHECK(Report.WithoutObjective_ == std::vector<BurnKey>{Other});
+  CHECK(Report.worst() == BurnAlarm::NoCalls);
+  std::ostringstream Text;
+  writeBurnText(Report, Text);
+  CHECK_THAT(Text.str(), Catch::Contains("till ordinary: counted, but"));
+}
+
+TEST_CASE("the burn report is written as text, JSON and SVG", "[report]") {
+  BurnInput Input = inputOf({{2min, {9'800, 200}}});
+  Input.Objectives_[{ServiceName("a<b&c"), Urgency::Ordinary}] =
+      Objective{Urgency::Ordinary, 1s, 990'000};
+  const BurnReport Report = computeBurn(Input, Now);
+  std::ostringstream Text;
+  writeBurnText(Report, Text);
+  CHECK_THAT(Text.str(), Catch::Contains("99.9% within 50ms") &&
+                             Catch::Contains("20.0/20.0") &&
+                             Catch::Contains("!") &&
+                             Catch::EndsWith("overall: page\n"));
+  std::ostringstream Json;
+  writeBurnJson(Report, Json);
+  const auto Parsed = boost::json::parse(Json.str());
+  CHECK(Parsed.at("verdict").as_string() == "page");
+  CHECK(Parsed.at("objectives").as_array().size() == 2);
+  std::ostringstream Svg;
+  writeBurnSvg(Input, Report, Svg);
+  CHECK_THAT(Svg.str(), Catch::StartsWith("<svg ") &&
+                            Catch::EndsWith("</svg>\n") &&
+                            Catch::Contains("a&lt;b&amp;c ordinary"));
+  // The rate of 20 is at the top edge of its panel, in the second panel.
+  CHECK_THAT(Svg.str(), Catch::Contains(",130.0 "));
+}
--- /dev/null
+++ b/src/report/types/burnline.h
@@ -0,0 +1,24 @@
+#ifndef CRANBERRYSPOOL_REPORT_TYPES_BURNLINE_H
+#define CRANBERRYSPOOL_REPORT_TYPES_BURNLINE_H
+
+#include "document/types/objective.h"
+#include "report/types/burnkey.h"
+#include "report/types/burnwindow.h"
+#include "report/types/windowburn.h"
+
+#include <array>
+
+namespace cranberryspool::report {
+
+/// The verdict on one service-level objective.
+struct BurnLine {
+  BurnKey Key_;
+  document::Objective Objective_;
+  /// In the order of `BurnWindows`.
+  std::array<WindowBurn, BurnWindows.size()> Windows_;
+  BurnAlarm Alarm_ = BurnAlarm::NoCalls;
+};
+
+} // namespace cranberryspool::report
+
+#endif // CRANBERRYSPOOL_REPORT_TYPES_BURNLINE_H
