--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -38,3 +38,27 @@
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
+
+# cranberry_fuzz(NAME SOURCES file... DEPENDS target... SEEDS file... RUNS count)
+# With CRANBERRY_FUZZ, declares the libFuzzer program fuzz_NAME and a CTest entry that starts from
+# the seed files and runs a fixed number of inputs with a fixed random seed. No file is written
+# but for an input that fails.
+function(cranberry_fuzz name)
+  if(NOT CRANBERRY_FUZZ)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "RUNS" "SOURCES;DEPENDS;SEEDS" ${ARGN})
+  add_executable(fuzz_${name} ${ARG_SOURCES})
+  target_link_libraries(fuzz_${name} PRIVATE ${ARG_DEPENDS})
+  target_link_options(fuzz_${name} PRIVATE -fsanitize=fuzzer)
+  list(JOIN ARG_SEEDS "," SeedInputs)
+  add_test(NAME fuzz_${name}
+    COMMAND fuzz_${name} -seed=1 -runs=${ARG_RUNS} -max_len=8192 -seed_inputs=${SeedInputs}
+      -artifact_prefix=${CMAKE_BINARY_DIR}/fuzz_${name}- -print_final_stats=1
+    WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  set_tests_properties(fuzz_${name} PROPERTIES TIMEOUT 300 LABELS fuzz)
+  if(NOT TARGET fuzz_all)
+    add_custom_target(fuzz_all)
+  endif()
+  add_dependencies(fuzz_all fuzz_${name})
+endfunction()
--- a/src/document/internal/jsontreebuilder.cpp
+++ b/src/document/internal/jsontreebuilder.cpp
@@ -6,26 +6,11 @@
 
 namespace {
 
-/// Returns the offset of the first byte at or after `At` that is no space,
-/// separator or comment.
+/// Returns the offset of the first byte at or after `At` that is no space or
+/// separator.
 std::size_t skipToToken(std::string_view Text, std::size_t At) {
-  constexpr std::string_view Skipped = " \t\r\n,:";
-  while (At < Text.size()) {
-    const std::string_view Rest = Text.substr(At);
-    if (Skipped.find(Rest.front()) != std::string_view::npos) {
-      ++At;
-      continue;
-    }
-    const bool IsBlock = Rest.starts_with("/*");
-    if (!IsBlock && !Rest.starts_with("//"))
-      return At;
-    const std::size_t End =
-        IsBlock ? Text.find("*/", At + 2) : Text.find('\n', At);
-    if (End == std::string_view::npos)
-      return At;
-    At = End + (IsBlock ? 2 : 1);
-  }
-  return At;
+  const std::size_t Start = Text.find_first_not_of(" \t\r\n,:", At);
+  return Start == std::string_view::npos ? Text.size() : Start;
 }
 
 } // namespace
--- a/src/document/internal/jsontreebuilder.h
+++ b/src/document/internal/jsontreebuilder.h
@@ -18,11 +18,11 @@
 ///
 /// The parser tells no positions. When the text is fed byte by byte and
 /// `moveTo` names each byte, they are found here: a token starts at the first
-/// byte after the end of the token before that is neither space nor comment.
+/// byte after the end of the token before that is no space.
 class JsonTreeBuilder {
 public:
-  /// `Text` must outlive the builder; without `KeepsPositions` all offsets
-  /// are zero.
+  /// `Text` holds no comments and must outlive the builder; without
+  /// `KeepsPositions` all offsets are zero.
   JsonTreeBuilder(std::string_view Text, bool KeepsPositions);
 
   /// Says which byte of the text the parser reads now.
--- a/src/document/internal/readjson.cpp
+++ b/src/document/internal/readjson.cpp
@@ -1,5 +1,6 @@
 #include "document/internal/readjson.h"
 
+#include "document/internal/blankcomments.h"
 #include "document/internal/jsontreebuilder.h"
 #include "document/parsedocument.h"
 
@@ -16,7 +17,6 @@
 boost::json::parse_options options() {
   boost::json::parse_options Options;
   Options.max_depth = MaxDocumentDepth;
-  Options.allow_comments = true;
   return Options;
 }
 
@@ -60,10 +60,11 @@
 framework::Result<JsonTree, JsonFailure> readJson(std::string_view Text,
                                                   PositionMode Mode) {
   const bool KeepsPositions = Mode == PositionMode::With;
-  Parser Reader(options(), Text, KeepsPositions);
+  const std::string Blanked = blankComments(Text);
+  Parser Reader(options(), Blanked, KeepsPositions);
   ErrorCode Error;
-  const std::size_t Offset = KeepsPositions ? feedBytes(Reader, Text, Error)
-                                            : feedWhole(Reader, Text, Error);
+  const std::size_t Offset = KeepsPositions ? feedBytes(Reader, Blanked, Error)
+                                            : feedWhole(Reader, Blanked, Error);
   if (Error)
     return framework::failure(failureOf(Error, Offset));
   return Reader.handler().takeTree();
