Test the spread of configuration in virtual time

Change: a fixture with several instances, a lossy link and a platform; addresses of peers come from the list; ticks every 100 ms; a read that brought nothing new waits before the next.

--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -33,6 +33,7 @@
 
 void FleetState::tick(framework::Moment Now, OutputList &Output) {
   const framework::Instant At = Now.Monotonic_;
+  LastTickAt_ = At;
   readPlatform(At, Output);
   if (At >= NextRoundAt_)
     sendRound(At, Output);
@@ -41,8 +42,7 @@
 }
 
 framework::Instant FleetState::nextWakeUp() const {
-  return std::min(
-      {NextRoundAt_, DocumentReader_.nextWakeUp(), ListReader_.nextWakeUp()});
+  return std::min(NextRoundAt_, LastTickAt_ + TickInterval);
 }
 
 bool FleetState::isReading(const Confirmation &Confirmed,
@@ -101,6 +101,8 @@
     DocumentConfirmed_.note(IsBehind ? Documents_.revision() : Revision,
                             *AskedAt, Documents_.revision());
   }
+  if (Result != OfferResult::Accepted)
+    DocumentReader_.holdBack(Now.Monotonic_);
   applyDocument(Result, Revision, Now.Monotonic_, Output);
   readPlatform(Now.Monotonic_, Output);
   refresh(Now.Monotonic_, Output);
@@ -130,6 +132,8 @@
     Output.push_back(OlderIgnored{SectionKind::Instances, Revision});
   else
     ListConfirmed_.note(Revision, *AskedAt, Instances_.revision());
+  if (Result != OfferResult::Accepted)
+    ListReader_.holdBack(Now.Monotonic_);
   applyInstances(Result, Revision, Now.Monotonic_, Output);
   readPlatform(Now.Monotonic_, Output);
   refresh(Now.Monotonic_, Output);
@@ -254,11 +258,13 @@
   Ack.Cold_ = Cold_.recent(Now.Monotonic_);
   if (Message.IsWarmthWanted_)
     Ack.Warm_ = warmTargets();
-  Output.push_back(SendMessage{Message.Address_, std::move(Ack)});
+  Output.push_back(
+      SendMessage{addressOf(Message.From_, Message.Address_), std::move(Ack)});
   if (Message.Incarnation_ < Peers_.newestIncarnation(Message.From_))
     return;
   takeNotices(Message.Cold_, Now.Monotonic_, Output);
-  followPeer(Message.Address_, Message.View_, Now.Monotonic_, Output);
+  followPeer(addressOf(Message.From_, Message.Address_), Message.View_,
+             Now.Monotonic_, Output);
 }
 
 void FleetState::handle(const HeartbeatAck &Message, framework::Moment Now,
@@ -286,11 +292,21 @@
   takeNotices(Message.Cold_, Now.Monotonic_, Output);
   if (Message.Warm_)
     takeWarmTargets(*Message.Warm_, Output);
-  followPeer(Message.Address_, View, Now.Monotonic_, Output);
+  followPeer(addressOf(Message.From_, Message.Address_), View, Now.Monotonic_,
+             Output);
   tryFinishStart(Now.Monotonic_, Output);
   refresh(Now.Monotonic_, Output);
 }
 
+const std::string &FleetState::addressOf(const framework::InstanceName &Peer,
+                                         const std::string &Claimed) const {
+  for (const document::PublishedInstance &Member : Instances_.members()) {
+    if (Member.Name_ == Peer)
+      return Member.Address_;
+  }
+  return Claimed;
+}
+
 void FleetState::followPeer(const std::string &PeerAddress,
                             const PeerView &View, framework::Instant Now,
                             OutputList &Output) {
@@ -328,14 +344,22 @@
 }
 
 void FleetState::refresh(framework::Instant Now, OutputList &Output) {
-  const FreshnessEvidence OfDocument{
-      SectionKind::Document,        DocumentConfirmed_,
-      Documents_.revision(),        Peers_,
-      Instances_.members(),         Settings_.Self_,
-      DocumentReader_.failedSince()};
-  const FreshnessEvidence OfList{
-      SectionKind::Instances, ListConfirmed_,  Instances_.revision(),    Peers_,
-      Instances_.members(),   Settings_.Self_, ListReader_.failedSince()};
+  const FreshnessEvidence OfDocument{Now,
+                                     SectionKind::Document,
+                                     DocumentConfirmed_,
+                                     Documents_.revision(),
+                                     Peers_,
+                                     Instances_.members(),
+                                     Settings_.Self_,
+                                     DocumentReader_.failedSince()};
+  const FreshnessEvidence OfList{Now,
+                                 SectionKind::Instances,
+                                 ListConfirmed_,
+                                 Instances_.revision(),
+                                 Peers_,
+                                 Instances_.members(),
+                                 Settings_.Self_,
+                                 ListReader_.failedSince()};
   FreshUntil_ = std::min(freshUntil(OfDocument), freshUntil(OfList));
   const auto ConfirmedAt = ListConfirmed_.confirmedAt();
   const bool IsActive = ConfirmedAt && !Peers_.isSuperseded();
--- a/src/fleet/internal/fleetstate.h
+++ b/src/fleet/internal/fleetstate.h
@@ -83,6 +83,10 @@
                      framework::Instant Now, OutputList &Output);
   void applyInstances(OfferResult Result, framework::Revision Revision,
                       framework::Instant Now, OutputList &Output);
+  /// Returns the published address of a peer; what the peer says of itself
+  /// counts only until the list names it.
+  const std::string &addressOf(const framework::InstanceName &Peer,
+                               const std::string &Claimed) const;
   void followPeer(const std::string &PeerAddress, const PeerView &View,
                   framework::Instant Now, OutputList &Output);
   void takeNotices(const std::vector<ColdNotice> &Notices,
@@ -124,6 +128,7 @@
   framework::Instant FreshUntil_{};
   bool WasFresh_ = false;
   bool WasSuperseded_ = false;
+  framework::Instant LastTickAt_{};
   framework::Instant NextRoundAt_{};
   std::vector<std::string> Rotation_;
   std::size_t NextInRotation_ = 0;
--- a/src/fleet/internal/freshness.cpp
+++ b/src/fleet/internal/freshness.cpp
@@ -54,10 +54,13 @@
 } // namespace
 
 framework::Instant freshUntil(const FreshnessEvidence &Evidence) {
-  framework::Instant Until = cutOffUntil(Evidence);
-  if (const auto At = Evidence.Confirmed_.confirmedAt())
-    Until = std::max(Until, *At + FreshBound);
-  return Until;
+  const auto ConfirmedAt = Evidence.Confirmed_.confirmedAt();
+  if (!ConfirmedAt)
+    return cutOffUntil(Evidence);
+  const framework::Instant Until = *ConfirmedAt + FreshBound;
+  if (Evidence.Now_ - *ConfirmedAt <= SuspicionAge)
+    return Until;
+  return std::max(Until, cutOffUntil(Evidence));
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/freshness.h
+++ b/src/fleet/internal/freshness.h
@@ -14,6 +14,7 @@
 
 /// What `freshUntil` judges by.
 struct FreshnessEvidence {
+  framework::Instant Now_;
   SectionKind Kind_;
   const Confirmation &Confirmed_;
   framework::Revision Accepted_;
--- a/src/fleet/internal/platformreader.cpp
+++ b/src/fleet/internal/platformreader.cpp
@@ -51,6 +51,10 @@
   return std::min(Earliest, Now);
 }
 
+void PlatformReader::holdBack(framework::Instant Now) {
+  NextAt_ = Now + WatchWait;
+}
+
 void PlatformReader::noteFailed(framework::Instant Now) {
   if (!Outstanding_)
     return;
@@ -61,10 +65,4 @@
   NextAt_ = Now + std::max(ReadRetry, Scaled);
 }
 
-framework::Instant PlatformReader::nextWakeUp() const {
-  if (Outstanding_)
-    return framework::Instant::max();
-  return NextAt_;
-}
-
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/platformreader.h
+++ b/src/fleet/internal/platformreader.h
@@ -27,8 +27,9 @@
   /// The watch ended unchanged. Returns when it was still the newest.
   std::optional<framework::Instant> noteUnchanged(framework::Instant Now);
   void noteFailed(framework::Instant Now);
+  /// The value was of no use: the next read waits.
+  void holdBack(framework::Instant Now);
 
-  framework::Instant nextWakeUp() const;
   std::uint64_t reads() const { return Reads_; }
   /// When the latest read began that has ended with a failure, unless a later
   /// one has succeeded.
--- /dev/null
+++ b/src/fleet/tests/virtualclock.h
@@ -0,0 +1,43 @@
+#ifndef CRANBERRYSPOOL_FLEET_TESTS_VIRTUALCLOCK_H
+#define CRANBERRYSPOOL_FLEET_TESTS_VIRTUALCLOCK_H
+
+#include "framework/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// Runs scheduled tasks in the order of their virtual time.
+class VirtualClock {
+public:
+  using Task = std::function<void()>;
+
+  framework::Instant now() const { return Now_; }
+  void after(framework::Duration Delay, Task Run);
+  /// Runs all tasks that are due within the time.
+  void advance(framework::Duration Length);
+
+private:
+  struct Item {
+    framework::Instant At_;
+    std::uint64_t Order_ = 0;
+    Task Run_;
+
+    friend bool operator<(const Item &Left, const Item &Right) {
+      if (Left.At_ != Right.At_)
+        return Left.At_ > Right.At_;
+      return Left.Order_ > Right.Order_;
+    }
+  };
+
+  framework::Instant Now_{std::chrono::seconds(1000)};
+  std::uint64_t NextOrder_ = 0;
+  std::priority_queue<Item> Items_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TESTS_VIRTUALCLOCK_H
--- /dev/null
+++ b/src/fleet/tests/virtualfleet.cpp
@@ -0,0 +1,270 @@
+#include "fleet/tests/virtualfleet.h"
+#include "fleet/peercodec.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+constexpr framework::Duration FetchTimeout = std::chrono::milliseconds(500);
+constexpr framework::Duration MaxWallSkew = std::chrono::milliseconds(400);
+constexpr framework::Duration MinTickDelay = std::chrono::milliseconds(1);
+
+/// The headers of IPv4 and UDP.
+constexpr std::uint64_t HeaderBytes = 28;
+
+const char *const ZoneNames[] = {"ikeja", "lekki", "yaba"};
+
+} // namespace
+
+VirtualFleet::VirtualFleet(std::size_t Count, std::uint64_t Seed)
+    : Platform_(Clock_), Rng_(Seed), Leaving_(Count, false) {
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    VirtualInstance &Fresh = Instances_.emplace_back();
+    Fresh.Name_ = framework::InstanceName("entry-" + std::to_string(Index));
+    Fresh.Zone_ = framework::ZoneName(ZoneNames[Index % 3]);
+    Fresh.Address_ = "10.0.0." + std::to_string(Index) + ":7000";
+    Fresh.BootOffset_ = std::chrono::seconds(Rng_.index(100'000));
+    Fresh.WallSkew_ = framework::Duration(
+        static_cast<std::int64_t>(Rng_.index(2 * MaxWallSkew.count())) -
+        MaxWallSkew.count());
+  }
+}
+
+void VirtualFleet::startAll() {
+  publishList();
+  for (std::size_t Index = 0; Index < size(); ++Index)
+    start(Index);
+}
+
+void VirtualFleet::start(std::size_t Index) {
+  VirtualInstance &Item = Instances_[Index];
+  Item.Incarnation_ = framework::Incarnation(
+      static_cast<std::uint64_t>(Clock_.now().time_since_epoch().count()));
+  ++Item.Process_;
+  Item.IsPaused_ = false;
+  Item.Deferred_.clear();
+  Item.HighestApplied_ = framework::Revision{};
+  Item.Decisions_.clear();
+  Item.Fleet_ = std::make_unique<Fleet>(
+      FleetSettings{Item.Name_, Item.Incarnation_, Item.Zone_, Item.Address_},
+      framework::Random(Rng_.bits()));
+  run(Index, [](Fleet &Self, framework::Moment Now, OutputList &Output) {
+    Self.start(Now, Output);
+  });
+  scheduleTick(Index, Item.Process_);
+}
+
+void VirtualFleet::kill(std::size_t Index) {
+  Instances_[Index].Fleet_.reset();
+  ++Instances_[Index].Process_;
+}
+
+void VirtualFleet::pause(std::size_t Index) {
+  Instances_[Index].IsPaused_ = true;
+}
+
+void VirtualFleet::wake(std::size_t Index) {
+  VirtualInstance &Item = Instances_[Index];
+  Item.IsPaused_ = false;
+  const auto Steps = std::exchange(Item.Deferred_, {});
+  for (const auto &Step : Steps)
+    Step();
+}
+
+void VirtualFleet::setLeaving(std::size_t Index, bool IsLeaving) {
+  Leaving_[Index] = IsLeaving;
+}
+
+void VirtualFleet::setTargets(
+    std::vector<document::PublishedInstance> Targets) {
+  Targets_ = std::move(Targets);
+}
+
+void VirtualFleet::publishList() {
+  std::vector<document::PublishedInstance> List = Targets_;
+  for (std::size_t Index = 0; Index < size(); ++Index) {
+    document::PublishedInstance Entry;
+    Entry.Name_ = Instances_[Index].Name_;
+    Entry.Zone_ = Instances_[Index].Zone_;
+    Entry.Address_ = Instances_[Index].Address_;
+    Entry.IsLeaving_ = Leaving_[Index];
+    List.push_back(Entry);
+  }
+  Platform_.publishInstances(std::move(List));
+}
+
+bool VirtualFleet::isRunning(std::size_t Index) const {
+  const VirtualInstance &Item = Instances_[Index];
+  return Item.Fleet_ && !Item.IsPaused_;
+}
+
+framework::Moment VirtualFleet::momentOf(std::size_t Index) const {
+  const VirtualInstance &Item = Instances_[Index];
+  framework::Moment Now;
+  Now.Monotonic_ = Clock_.now() + Item.BootOffset_;
+  Now.Wall_ =
+      framework::WallTime(Clock_.now().time_since_epoch() +
+                          std::chrono::hours(24 * 365) + Item.WallSkew_);
+  return Now;
+}
+
+bool VirtualFleet::isFresh(std::size_t Index) const {
+  return isRunning(Index) &&
+         Instances_[Index].Fleet_->isViewFresh(instantOf(Index));
+}
+
+void VirtualFleet::run(
+    std::size_t Index,
+    const std::function<void(Fleet &, framework::Moment, OutputList &)> &Step) {
+  VirtualInstance &Item = Instances_[Index];
+  if (!Item.Fleet_)
+    return;
+  OutputList Output;
+  Step(*Item.Fleet_, momentOf(Index), Output);
+  carryOut(Index, Output);
+}
+
+void VirtualFleet::scheduleTick(std::size_t Index, std::uint64_t Process) {
+  const VirtualInstance &Item = Instances_[Index];
+  if (!Item.Fleet_ || Item.Process_ != Process)
+    return;
+  const framework::Duration Delay =
+      std::max(Item.Fleet_->nextWakeUp() - instantOf(Index), MinTickDelay);
+  Clock_.after(Delay, [=, this] {
+    deliver(Index, Process, [=, this] {
+      run(Index, [](Fleet &Self, framework::Moment Now, OutputList &Output) {
+        Self.tick(Now, Output);
+      });
+      scheduleTick(Index, Process);
+    });
+  });
+}
+
+void VirtualFleet::deliver(std::size_t Index, std::uint64_t Process,
+                           std::function<void()> Step) {
+  VirtualInstance &Item = Instances_[Index];
+  if (!Item.Fleet_ || Item.Process_ != Process)
+    return;
+  if (Item.IsPaused_) {
+    Item.Deferred_.push_back(std::move(Step));
+    return;
+  }
+  Step();
+}
+
+void VirtualFleet::carryOut(std::size_t Index, const OutputList &Output) {
+  for (const auto &Action : Output)
+    std::visit([&](const auto &Item) { carryOut(Index, Item); }, Action);
+}
+
+std::size_t VirtualFleet::find(const std::string &Address) const {
+  for (std::size_t Index = 0; Index < Instances_.size(); ++Index) {
+    if (Instances_[Index].Address_ == Address)
+      return Index;
+  }
+  throw std::logic_error("no instance at " + Address);
+}
+
+bool VirtualFleet::areConnected(std::size_t From, std::size_t To) const {
+  return Instances_[From].Part_ == Instances_[To].Part_;
+}
+
+framework::Duration VirtualFleet::linkDelay() {
+  framework::Duration Delay =
+      Faults_.Delay_ / 2 +
+      framework::Duration(
+          Rng_.index(static_cast<std::size_t>(Faults_.Delay_.count())));
+  if (Rng_.fraction() < Faults_.Lateness_)
+    Delay += framework::Duration(
+        Rng_.index(static_cast<std::size_t>(Faults_.LongDelay_.count())));
+  return Delay;
+}
+
+void VirtualFleet::carryOut(std::size_t Index, const SendMessage &Action) {
+  VirtualInstance &Sender = Instances_[Index];
+  const auto Encoded = encodePeerMessage(Action.Message_);
+  if (Encoded.size() > MaxDatagramBytes)
+    throw std::logic_error("datagram too large");
+  Sender.SentBytes_ += Encoded.size() + HeaderBytes;
+  ++Sender.SentMessages_;
+  const std::size_t To = find(Action.PeerAddress_);
+  if (!areConnected(Index, To) || Rng_.fraction() < Faults_.Loss_)
+    return;
+  const int Copies = Rng_.fraction() < Faults_.Duplication_ ? 2 : 1;
+  const std::uint64_t Process = Instances_[To].Process_;
+  for (int Copy = 0; Copy < Copies; ++Copy) {
+    Clock_.after(linkDelay(), [=, this, Message = Action.Message_] {
+      deliver(To, Process, [=, this] {
+        run(To, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+          Self.notePeerMessage(Message, Now, Output);
+        });
+      });
+    });
+  }
+}
+
+void VirtualFleet::carryOut(std::size_t Index, const ReadPublished &Action) {
+  const std::uint64_t Process = Instances_[Index].Process_;
+  const SectionKind Kind = Action.Kind_;
+  const auto IsReachable = [=, this] {
+    return Instances_[Index].CanReachPlatform_;
+  };
+  const auto Done = [=, this](VirtualPlatform::Answer Answer) {
+    const framework::Revision Revision = Platform_.revision(Kind);
+    const std::string Text = Platform_.text();
+    const auto List = Platform_.instances();
+    deliver(Index, Process, [=, this] {
+      run(Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+        if (Answer == VirtualPlatform::Answer::Unavailable)
+          Self.noteUnavailable(Kind, Now, Output);
+        else if (Answer == VirtualPlatform::Answer::Unchanged)
+          Self.noteUnchanged(Kind, Now, Output);
+        else if (Kind == SectionKind::Document)
+          Self.noteDocument(Revision, Text, Now, Output);
+        else
+          Self.noteInstances(Revision, List, Now, Output);
+      });
+    });
+  };
+  Platform_.read(Kind, Action.NewerThan_, Action.Wait_, IsReachable, Done);
+}
+
+void VirtualFleet::carryOut(std::size_t Index, const FetchSections &Action) {
+  const std::uint64_t Process = Instances_[Index].Process_;
+  const std::size_t Peer = find(Action.PeerAddress_);
+  const bool IsServed = areConnected(Index, Peer) && isRunning(Peer);
+  if (!IsServed) {
+    Clock_.after(FetchTimeout, [=, this] {
+      deliver(Index, Process, [=, this] {
+        Instances_[Index].Fleet_->noteSectionsUnavailable(Action.PeerAddress_);
+      });
+    });
+    return;
+  }
+  const SectionReply Reply =
+      Instances_[Peer].Fleet_->serveSections(Action.Request_);
+  Clock_.after(2 * Faults_.Delay_, [=, this] {
+    deliver(Index, Process, [=, this] {
+      run(Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+        Self.noteSections(Action.PeerAddress_, Reply, Now, Output);
+      });
+    });
+  });
+}
+
+void VirtualFleet::carryOut(std::size_t Index, const DocumentInForce &Action) {
+  VirtualInstance &Item = Instances_[Index];
+  if (Action.Revision_ <= Item.HighestApplied_)
+    Item.HasGoneBack_ = true;
+  Item.HighestApplied_ = std::max(Item.HighestApplied_, Action.Revision_);
+}
+
+void VirtualFleet::carryOut(std::size_t Index, const KeyDecided &Action) {
+  Instances_[Index].Decisions_[Action.Call_] = Action;
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/tests/virtualinstance.h
@@ -0,0 +1,43 @@
+#ifndef CRANBERRYSPOOL_FLEET_TESTS_VIRTUALINSTANCE_H
+#define CRANBERRYSPOOL_FLEET_TESTS_VIRTUALINSTANCE_H
+
+#include "fleet/fleet.h"
+#include "framework/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// One instance of a virtual fleet and what was seen of it.
+struct VirtualInstance {
+  framework::InstanceName Name_;
+  framework::ZoneName Zone_;
+  std::string Address_;
+  framework::Incarnation Incarnation_;
+  std::unique_ptr<Fleet> Fleet_;
+  /// Changes when the process is replaced: what was meant for the old one is
+  /// dropped.
+  std::uint64_t Process_ = 0;
+  /// The offset of the boot clock.
+  framework::Duration BootOffset_{};
+  framework::Duration WallSkew_{};
+  bool IsPaused_ = false;
+  std::vector<std::function<void()>> Deferred_;
+  bool CanReachPlatform_ = true;
+  /// Instances of different parts cannot reach each other.
+  int Part_ = 0;
+  framework::Revision HighestApplied_{};
+  bool HasGoneBack_ = false;
+  std::uint64_t SentBytes_ = 0;
+  std::uint64_t SentMessages_ = 0;
+  std::map<framework::CallId, KeyDecided> Decisions_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TESTS_VIRTUALINSTANCE_H
--- /dev/null
+++ b/src/fleet/tests/virtualplatform.cpp
@@ -0,0 +1,60 @@
+#include "fleet/tests/virtualplatform.h"
+
+#include <utility>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+constexpr framework::Duration CallDelay = std::chrono::milliseconds(2);
+constexpr framework::Duration PollInterval = std::chrono::milliseconds(20);
+constexpr framework::Duration DownDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
+void VirtualPlatform::publishDocument(framework::Revision Revision,
+                                      std::string Text) {
+  DocumentRevision_ = Revision;
+  Text_ = std::move(Text);
+}
+
+void VirtualPlatform::publishInstances(
+    std::vector<document::PublishedInstance> Instances) {
+  ListRevision_ = framework::Revision(ListRevision_.value() + 1);
+  Instances_ = std::move(Instances);
+}
+
+framework::Revision VirtualPlatform::revision(SectionKind Kind) const {
+  return Kind == SectionKind::Document ? DocumentRevision_ : ListRevision_;
+}
+
+void VirtualPlatform::read(SectionKind Kind,
+                           std::optional<framework::Revision> NewerThan,
+                           framework::Duration Wait,
+                           std::function<bool()> IsReachable, Reply Done) {
+  ++Calls_;
+  Clock_.after(CallDelay, [=, this] {
+    poll(Kind, NewerThan, Clock_.now() + Wait, IsReachable, Done);
+  });
+}
+
+void VirtualPlatform::poll(SectionKind Kind,
+                           std::optional<framework::Revision> NewerThan,
+                           framework::Instant Until,
+                           const std::function<bool()> &IsReachable,
+                           const Reply &Done) {
+  if (IsDown_ || !IsReachable()) {
+    Clock_.after(DownDelay, [Done] { Done(Answer::Unavailable); });
+    return;
+  }
+  const bool HasNews = !NewerThan || revision(Kind) > *NewerThan;
+  if (HasNews || Clock_.now() >= Until) {
+    const Answer Outcome = HasNews ? Answer::Value : Answer::Unchanged;
+    Done(Outcome);
+    return;
+  }
+  Clock_.after(PollInterval,
+               [=, this] { poll(Kind, NewerThan, Until, IsReachable, Done); });
+}
+
+} // namespace cranberryspool::fleet
