--- /dev/null
+++ b/src/entry/internal/callfields.cpp
@@ -0,0 +1,154 @@
+#include "entry/internal/callfields.h"
+
+#include "entry/internal/fieldtext.h"
+#include "protocol/headers.h"
+
+#include <algorithm>
+#include <array>
+#include <initializer_list>
+#include <limits>
+
+namespace cranberryspool::entry {
+
+namespace {
+
+using framework::Result;
+
+constexpr std::size_t LongestKey = 255;
+constexpr std::uint64_t LongestTimeoutMs = 24ULL * 3600 * 1000;
+constexpr std::uint64_t HighestCount = 1000;
+
+constexpr std::array<std::string_view, 10> HopByHop = {
+    "Connection", "Keep-Alive", "Proxy-Connection",    "Proxy-Authenticate",
+    "TE",         "Trailer",    "Proxy-Authorization", "Transfer-Encoding",
+    "Upgrade",    "Expect"};
+
+std::optional<document::Urgency> readUrgency(std::string_view Value) {
+  std::optional<document::Urgency> Urgency;
+  for (const std::string_view Item : splitList(Value)) {
+    if (!Item.starts_with("u=") || Item.size() < 3)
+      continue;
+    const char Level = Item[2];
+    const bool IsEnded = Item.size() == 3 || Item[3] == ';';
+    if (!IsEnded || Level < '0' || Level > '7')
+      continue;
+    Urgency = Level <= '2' ? document::Urgency::Urgent
+                           : document::Urgency::Ordinary;
+  }
+  return Urgency;
+}
+
+/// The key as a structured string (RFC 8941) or bare.
+std::optional<framework::IdempotencyKey> readKey(std::string_view Value) {
+  if (Value.size() >= 2 && Value.starts_with('"') && Value.ends_with('"'))
+    Value = Value.substr(1, Value.size() - 2);
+  if (Value.empty() || Value.size() > LongestKey ||
+      Value.find('"') != std::string_view::npos)
+    return std::nullopt;
+  return framework::IdempotencyKey(std::string(Value));
+}
+
+Result<std::uint32_t, HeadFault> readCountIn(std::string_view Value,
+                                             std::uint64_t Lowest,
+                                             HeadFault Fault) {
+  const std::optional<std::uint64_t> Count = parseCount(Value);
+  if (!Count || *Count < Lowest || *Count > HighestCount)
+    return Fault;
+  return static_cast<std::uint32_t>(*Count);
+}
+
+Result<void, HeadFault> readField(const HeaderField &Field, CallHead &Head) {
+  const std::string_view Value = trimmed(Field.Value_);
+  if (isSameField(Field.Name_, protocol::PriorityHeader)) {
+    if (const auto Urgency = readUrgency(Value))
+      Head.Urgency_ = Urgency;
+  } else if (isSameField(Field.Name_, protocol::TimeoutHeader)) {
+    const std::optional<std::uint64_t> Count = parseCount(Value);
+    if (!Count || *Count == 0 || *Count > LongestTimeoutMs || Head.Timeout_)
+      return HeadFault::Timeout;
+    Head.Timeout_ = std::chrono::milliseconds(*Count);
+  } else if (isSameField(Field.Name_, protocol::IdempotencyKeyHeader)) {
+    const auto Key = readKey(Value);
+    if (!Key || Head.Key_)
+      return HeadFault::Key;
+    Head.Key_ = Key;
+  } else if (isSameField(Field.Name_, protocol::DepthHeader)) {
+    BOOST_OUTCOME_TRY(Head.Depth_, readCountIn(Value, 0, HeadFault::Depth));
+  } else if (isSameField(Field.Name_, protocol::AttemptHeader)) {
+    BOOST_OUTCOME_TRY(Head.Attempt_, readCountIn(Value, 1, HeadFault::Attempt));
+  }
+  return framework::success();
+}
+
+bool isOneOf(std::string_view Name,
+             std::initializer_list<std::string_view> Names) {
+  return std::any_of(Names.begin(), Names.end(),
+                     [Name](std::string_view One) {
+                       return isSameField(Name, One);
+                     });
+}
+
+bool isHopByHop(std::string_view Name) {
+  return std::any_of(HopByHop.begin(), HopByHop.end(),
+                     [Name](std::string_view One) {
+                       return isSameField(Name, One);
+                     });
+}
+
+/// Tells whether a `Connection` field names the field.
+bool isNamedByConnection(const std::vector<HeaderField> &Fields,
+                         std::string_view Name) {
+  for (const HeaderField &Field : Fields) {
+    if (!isSameField(Field.Name_, "Connection"))
+      continue;
+    for (const std::string_view Item : splitList(Field.Value_)) {
+      if (isSameField(Item, Name))
+        return true;
+    }
+  }
+  return false;
+}
+
+std::vector<HeaderField>
+forwardableFields(const std::vector<HeaderField> &Fields,
+                  std::initializer_list<std::string_view> Own) {
+  std::vector<HeaderField> Kept;
+  Kept.reserve(Fields.size());
+  for (const HeaderField &Field : Fields) {
+    if (isHopByHop(Field.Name_) || isOneOf(Field.Name_, Own) ||
+        isNamedByConnection(Fields, Field.Name_))
+      continue;
+    Kept.push_back(Field);
+  }
+  return Kept;
+}
+
+} // namespace
+
+Result<CallHead, HeadFault>
+readCallFields(const std::vector<HeaderField> &Fields) {
+  CallHead Head;
+  for (const HeaderField &Field : Fields)
+    BOOST_OUTCOME_TRY(readField(Field, Head));
+  return Head;
+}
+
+std::vector<HeaderField>
+forwardableRequestFields(const std::vector<HeaderField> &Fields) {
+  return forwardableFields(
+      Fields, {"Content-Length", protocol::TimeoutHeader, protocol::DepthHeader,
+               protocol::AttemptHeader, protocol::AttemptIdHeader,
+               protocol::NotRunHeader, protocol::StartIdHeader,
+               protocol::LoadReportHeader, protocol::EndingHeader,
+               protocol::EndingReasonHeader});
+}
+
+std::vector<HeaderField>
+forwardableAnswerFields(const std::vector<HeaderField> &Fields) {
+  return forwardableFields(
+      Fields, {protocol::AttemptIdHeader, protocol::NotRunHeader,
+               protocol::StartIdHeader, protocol::LoadReportHeader,
+               protocol::EndingHeader, protocol::EndingReasonHeader});
+}
+
+} // namespace cranberryspool::entry
--- /dev/null
+++ b/src/entry/internal/dispatcher.cpp
@@ -0,0 +1,145 @@
+#include "entry/internal/dispatcher.h"
+
+#include "framework/runtime/clocks.h"
+
+namespace cranberryspool::entry {
+
+using framework::Instant;
+
+Dispatcher::Dispatcher(boost::asio::io_context &Io, decision::Core Core,
+                       Mailboxes &Rings, InstanceState &Shared)
+    : Core_(std::move(Core)), Rings_(Rings), Shared_(Shared),
+      Callers_(Io, Rings.Callers_), Targets_(Io, Rings.Targets_),
+      Platform_(Io, Rings.Platform_), Timer_(Io) {
+  Rings_.Dispatch_.attach(Io,
+                          [this](DispatchInput &Input) { onInput(Input); });
+  handle(decision::Tick{});
+}
+
+Dispatcher::~Dispatcher() { Rings_.Dispatch_.detach(); }
+
+void Dispatcher::onInput(DispatchInput &Input) {
+  keep(Input);
+  handle(Input.Event_);
+}
+
+void Dispatcher::keep(const DispatchInput &Input) {
+  if (const auto *Arrived = std::get_if<decision::CallArrived>(&Input.Event_)) {
+    Calls_[Arrived->Call_].Request_ = Input.Request_;
+    return;
+  }
+  const auto *Answered = std::get_if<decision::AttemptAnswered>(&Input.Event_);
+  if (Answered && CallOfAttempt_.contains(Answered->Attempt_))
+    Answers_[Answered->Attempt_] = Input.Answer_;
+}
+
+void Dispatcher::handle(const decision::Event &Event) {
+  // Read for each event: after a pause the first one shows the gap.
+  Core_.handle(framework::readMoment(), Event, Actions_);
+  for (const decision::Action &Next : Actions_)
+    std::visit([this](const auto &One) { carryOut(One); }, Next);
+  Actions_.clear();
+  forgetEnded();
+  wakeUpInTime();
+}
+
+void Dispatcher::forgetEnded() {
+  for (const framework::CallId Call : Ended_) {
+    const auto Position = Calls_.find(Call);
+    if (Position == Calls_.end())
+      continue;
+    for (const framework::AttemptId Attempt : Position->second.Attempts_) {
+      CallOfAttempt_.erase(Attempt);
+      Answers_.erase(Attempt);
+    }
+    Calls_.erase(Position);
+  }
+  Ended_.clear();
+}
+
+void Dispatcher::wakeUpInTime() {
+  const Instant Due = Core_.nextWakeUp();
+  if (Due >= TimerDue_)
+    return;
+  TimerDue_ = Due;
+  const Instant Now = framework::readMoment().Monotonic_;
+  Timer_.expires_after(std::max(Due - Now, framework::Duration::zero()));
+  Timer_.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      onTimer();
+  });
+}
+
+void Dispatcher::onTimer() {
+  TimerDue_ = Instant::max();
+  if (Core_.nextWakeUp() > framework::readMoment().Monotonic_) {
+    wakeUpInTime();
+    return;
+  }
+  handle(decision::Tick{});
+}
+
+void Dispatcher::carryOut(const decision::AnswerCall &Action) {
+  const auto Position = Answers_.find(Action.Attempt_);
+  if (Position != Answers_.end())
+    Callers_.send(GiveAnswer{Action.Call_, Position->second});
+  Ended_.push_back(Action.Call_);
+}
+
+void Dispatcher::carryOut(const decision::RefuseCall &Action) {
+  Callers_.send(Action);
+  Ended_.push_back(Action.Call_);
+}
+
+void Dispatcher::carryOut(const decision::SendAttempt &Action) {
+  const auto Position = Calls_.find(Action.Call_);
+  if (Position == Calls_.end())
+    return;
+  Position->second.Attempts_.push_back(Action.Attempt_);
+  CallOfAttempt_.emplace(Action.Attempt_, Action.Call_);
+  Targets_.send(SendRequest{Action, Position->second.Request_});
+}
+
+void Dispatcher::carryOut(const decision::OpenConnection &Action) {
+  Targets_.send(Action);
+}
+
+void Dispatcher::carryOut(const decision::CloseConnection &Action) {
+  Targets_.send(Action);
+}
+
+void Dispatcher::carryOut(const decision::ProbeTarget &Action) {
+  Targets_.send(Action);
+}
+
+void Dispatcher::carryOut(const decision::ReadDocument &Action) {
+  Platform_.send(Action);
+}
+
+void Dispatcher::carryOut(const decision::ReadInstances &Action) {
+  Platform_.send(Action);
+}
+
+void Dispatcher::carryOut(const decision::SetReadiness &Action) {
+  Shared_.IsReady_.store(Action.IsReady_);
+}
+
+void Dispatcher::carryOut(const decision::FinishStop &) {
+  Callers_.send(FinishCallers{});
+}
+
+void Dispatcher::carryOut(const decision::KeepAnswer &) {}
+
+void Dispatcher::carryOut(const decision::DropKeptAnswer &) {}
+
+void Dispatcher::carryOut(const decision::FetchKeptAnswer &) {}
+
+void Dispatcher::carryOut(const decision::ReplayKeptAnswer &Action) {
+  Ended_.push_back(Action.Call_);
+}
+
+void Dispatcher::carryOut(const decision::SendPeerMessage &) {}
+
+void Dispatcher::carryOut(const decision::ReportChange &) {}
+
+} // namespace cranberryspool::entry
--- /dev/null
+++ b/src/entry/internal/dispatcher.h
@@ -0,0 +1,74 @@
+#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_DISPATCHER_H
+#define CRANBERRYSPOOL_ENTRY_INTERNAL_DISPATCHER_H
+
+#include "decision/core.h"
+#include "entry/internal/instancestate.h"
+#include "entry/internal/mailboxes.h"
+#include "framework/runtime/outbox.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <unordered_map>
+#include <vector>
+
+namespace cranberryspool::entry {
+
+/// The duty that owns the core: feeds it events with the time at which each is
+/// handled, and passes its actions on to the other duties.
+class Dispatcher {
+public:
+  Dispatcher(boost::asio::io_context &Io, decision::Core Core,
+             Mailboxes &Rings, InstanceState &Shared);
+  ~Dispatcher();
+
+private:
+  /// What the shell keeps for a call that has not ended.
+  struct KeptCall {
+    std::shared_ptr<const CallerRequest> Request_;
+    std::vector<framework::AttemptId> Attempts_;
+  };
+
+  void onInput(DispatchInput &Input);
+  void keep(const DispatchInput &Input);
+  void handle(const decision::Event &Event);
+  void forgetEnded();
+  void wakeUpInTime();
+  void onTimer();
+
+  void carryOut(const decision::AnswerCall &Action);
+  void carryOut(const decision::RefuseCall &Action);
+  void carryOut(const decision::SendAttempt &Action);
+  void carryOut(const decision::OpenConnection &Action);
+  void carryOut(const decision::CloseConnection &Action);
+  void carryOut(const decision::ProbeTarget &Action);
+  void carryOut(const decision::ReadDocument &Action);
+  void carryOut(const decision::ReadInstances &Action);
+  void carryOut(const decision::SetReadiness &Action);
+  void carryOut(const decision::FinishStop &Action);
+  void carryOut(const decision::KeepAnswer &Action);
+  void carryOut(const decision::DropKeptAnswer &Action);
+  void carryOut(const decision::FetchKeptAnswer &Action);
+  void carryOut(const decision::ReplayKeptAnswer &Action);
+  void carryOut(const decision::SendPeerMessage &Action);
+  void carryOut(const decision::ReportChange &Action);
+
+  decision::Core Core_;
+  Mailboxes &Rings_;
+  InstanceState &Shared_;
+  framework::Outbox<CallerCommand> Callers_;
+  framework::Outbox<TargetCommand> Targets_;
+  framework::Outbox<PlatformCommand> Platform_;
+  boost::asio::steady_timer Timer_;
+  framework::Instant TimerDue_ = framework::Instant::max();
+  decision::ActionList Actions_;
+  std::unordered_map<framework::CallId, KeptCall> Calls_;
+  std::unordered_map<framework::AttemptId, framework::CallId> CallOfAttempt_;
+  std::unordered_map<framework::AttemptId, std::shared_ptr<const TargetAnswer>>
+      Answers_;
+  std::vector<framework::CallId> Ended_;
+};
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_DISPATCHER_H
--- /dev/null
+++ b/src/entry/internal/endingstatus.h
@@ -0,0 +1,21 @@
+#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_ENDINGSTATUS_H
+#define CRANBERRYSPOOL_ENTRY_INTERNAL_ENDINGSTATUS_H
+
+#include "decision/types/actions/refusecall.h"
+
+#include <string_view>
+
+namespace cranberryspool::entry {
+
+/// The HTTP status of a call that ends without a target's answer.
+unsigned statusOf(calls::Ending Ending, calls::EndingReason Reason);
+
+/// The value of the ending header.
+std::string_view nameOf(calls::Ending Ending);
+
+/// The value of the ending-reason header.
+std::string_view nameOf(calls::EndingReason Reason);
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_ENDINGSTATUS_H
--- /dev/null
+++ b/src/entry/internal/entryinstance.cpp
@@ -0,0 +1,214 @@
+#include "entry/entryinstance.h"
+
+#include "entry/internal/callerserver.h"
+#include "entry/internal/dispatcher.h"
+#include "entry/internal/listen.h"
+#include "entry/internal/operatorserver.h"
+#include "entry/internal/platformreader.h"
+#include "entry/internal/targetconnections.h"
+#include "framework/runtime/clocks.h"
+#include "framework/runtime/supervisor.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <condition_variable>
+#include <random>
+
+namespace cranberryspool::entry {
+
+namespace net = boost::asio;
+using boost::system::error_code;
+using framework::Result;
+using framework::Supervisor;
+using net::ip::tcp;
+
+namespace {
+
+/// Calls in hand would be lost with the state of one of these duties: a failure
+/// ends the process, and the platform replaces the instance.
+constexpr framework::RestartLimit CallPathLimit{0, std::chrono::seconds(1)};
+constexpr framework::RestartLimit ControlLimit{5, std::chrono::seconds(60)};
+
+/// Runs a duty's object on an I/O context of its own until the stop.
+template <typename Make>
+void runDuty(const std::stop_token &Token, Make MakeDuty) {
+  net::io_context Io(1);
+  const auto Duty = MakeDuty(Io);
+  const auto Work = net::make_work_guard(Io);
+  const std::stop_callback OnStop(Token, [&Io] { Io.stop(); });
+  Io.run();
+}
+
+std::uint64_t randomSeed() {
+  std::random_device Source;
+  return (static_cast<std::uint64_t>(Source()) << 32) | Source();
+}
+
+} // namespace
+
+/// The duties, in two groups: one whose failure ends the process, one whose
+/// duties are restarted.
+class EntryInstance::Workings {
+public:
+  explicit Workings(EntrySettings Settings);
+  ~Workings();
+
+  Result<void, StartFailure> start();
+  void requestStop();
+  ExitCode waitUntilStopped();
+
+  Endpoint callerEndpoint() const { return endpointOf(CallerListener_); }
+  Endpoint operatorEndpoint() const { return endpointOf(OperatorListener_); }
+
+private:
+  static Endpoint endpointOf(const tcp::acceptor &Listener);
+  Result<void, StartFailure> bind(tcp::acceptor &Listener, const Endpoint &At);
+  void startCallPath();
+  void startControl();
+  void end(ExitCode Code);
+  decision::Core makeCore() const;
+
+  const EntrySettings Settings_;
+  InstanceState Shared_;
+  Mailboxes Rings_;
+  /// Holds the listeners; each duty accepts on a context of its own.
+  net::io_context ListenIo_;
+  tcp::acceptor CallerListener_;
+  tcp::acceptor OperatorListener_;
+  std::mutex EndLock_;
+  std::condition_variable Ended_;
+  std::optional<ExitCode> ExitCode_;
+  Supervisor Control_;
+  Supervisor CallPath_;
+};
+
+EntryInstance::Workings::Workings(EntrySettings Settings)
+    : Settings_(std::move(Settings)),
+      Shared_(Settings_.Limits_.RequestBytes_, Settings_.Limits_.AnswerBytes_),
+      CallerListener_(ListenIo_), OperatorListener_(ListenIo_),
+      Control_(
+          ControlLimit, [](const std::string &, const char *) {},
+          [this](const std::string &) { end(ExitCode::DutyFailed); }),
+      CallPath_(
+          CallPathLimit, [](const std::string &, const char *) {},
+          [this](const std::string &) { end(ExitCode::DutyFailed); }) {}
+
+EntryInstance::Workings::~Workings() {
+  CallPath_.stop();
+  Control_.stop();
+}
+
+Endpoint EntryInstance::Workings::endpointOf(const tcp::acceptor &Listener) {
+  const tcp::endpoint At = Listener.local_endpoint();
+  return Endpoint{At.address().to_string(), At.port()};
+}
+
+Result<void, StartFailure>
+EntryInstance::Workings::bind(tcp::acceptor &Listener, const Endpoint &At) {
+  auto Bound = listen(ListenIo_, At);
+  if (!Bound)
+    return StartFailure{At, Bound.error()};
+  Listener = std::move(Bound.value());
+  return framework::success();
+}
+
+Result<void, StartFailure> EntryInstance::Workings::start() {
+  BOOST_OUTCOME_TRY(bind(CallerListener_, Settings_.CallerListen_));
+  BOOST_OUTCOME_TRY(bind(OperatorListener_, Settings_.OperatorListen_));
+  startControl();
+  startCallPath();
+  return framework::success();
+}
+
+void EntryInstance::Workings::startCallPath() {
+  CallPath_.start({"dispatch", [this](const std::stop_token &Token) {
+                     runDuty(Token, [this](net::io_context &Io) {
+                       return std::make_unique<Dispatcher>(Io, makeCore(),
+                                                           Rings_, Shared_);
+                     });
+                   }});
+  CallPath_.start({"targets", [this](const std::stop_token &Token) {
+                     runDuty(Token, [this](net::io_context &Io) {
+                       return std::make_unique<TargetConnections>(
+                           Io, Settings_.Limits_, Rings_, Shared_);
+                     });
+                   }});
+  CallPath_.start({"callers", [this](const std::stop_token &Token) {
+                     runDuty(Token, [this](net::io_context &Io) {
+                       return std::make_unique<CallerServer>(
+                           Io, shareListener(Io, CallerListener_),
+                           Settings_.Limits_, Rings_, Shared_,
+                           [this] { end(ExitCode::Stopped); });
+                     });
+                   }});
+}
+
+void EntryInstance::Workings::startControl() {
+  Control_.start({"operator", [this](const std::stop_token &Token) {
+                    runDuty(Token, [this](net::io_context &Io) {
+                      return std::make_unique<OperatorServer>(
+                          Io, shareListener(Io, OperatorListener_), Shared_);
+                    });
+                  }});
+  Control_.start({"platform", [this](const std::stop_token &Token) {
+                    runDuty(Token, [this](net::io_context &Io) {
+                      return std::make_unique<PlatformReader>(Io, Settings_,
+                                                              Rings_);
+                    });
+                  }});
+}
+
+decision::Core EntryInstance::Workings::makeCore() const {
+  decision::CoreSettings Core;
+  Core.Self_ = Settings_.Name_;
+  Core.Zone_ = Settings_.Zone_;
+  // A later start has the higher number.
+  const auto Started = framework::readMoment().Wall_.time_since_epoch();
+  Core.Incarnation_ =
+      framework::Incarnation(static_cast<std::uint64_t>(Started.count()));
+  return decision::Core(std::move(Core), framework::Random(randomSeed()));
+}
+
+void EntryInstance::Workings::requestStop() {
+  Shared_.IsReady_.store(false);
+  DispatchInput Input;
+  Input.Event_ = decision::StopRequested{};
+  while (!Rings_.Dispatch_.tryPush(Input))
+    std::this_thread::yield();
+}
+
+void EntryInstance::Workings::end(ExitCode Code) {
+  const std::lock_guard Guard(EndLock_);
+  if (!ExitCode_)
+    ExitCode_ = Code;
+  Ended_.notify_all();
+}
+
+ExitCode EntryInstance::Workings::waitUntilStopped() {
+  std::unique_lock Guard(EndLock_);
+  Ended_.wait(Guard, [this] { return ExitCode_.has_value(); });
+  return *ExitCode_;
+}
+
+EntryInstance::EntryInstance(EntrySettings Settings)
+    : Workings_(std::make_unique<Workings>(std::move(Settings))) {}
+
+EntryInstance::~EntryInstance() = default;
+
+Result<void, StartFailure> EntryInstance::start() { return Workings_->start(); }
+
+void EntryInstance::requestStop() { Workings_->requestStop(); }
+
+ExitCode EntryInstance::waitUntilStopped() {
+  return Workings_->waitUntilStopped();
+}
+
+Endpoint EntryInstance::callerEndpoint() const {
+  return Workings_->callerEndpoint();
+}
+
+Endpoint EntryInstance::operatorEndpoint() const {
+  return Workings_->operatorEndpoint();
+}
+
+} // namespace cranberryspool::entry
--- /dev/null
+++ b/src/entry/internal/listen.h
@@ -0,0 +1,31 @@
+#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_LISTEN_H
+#define CRANBERRYSPOOL_ENTRY_INTERNAL_LISTEN_H
+
+#include "entry/types/endpoint.h"
+#include "framework/result.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace cranberryspool::entry {
+
+/// Binds a listener to the endpoint with SO_REUSEADDR.
+framework::Result<boost::asio::ip::tcp::acceptor, boost::system::error_code>
+listen(boost::asio::io_context &Io, const Endpoint &At);
+
+/// Returns another handle of a listener, for a duty to accept on; connections
+/// wait in the listener while the duty is restarted.
+boost::asio::ip::tcp::acceptor
+shareListener(boost::asio::io_context &Io,
+              boost::asio::ip::tcp::acceptor &Listener);
+
+/// Returns the endpoint in Asio's form; the address must be an IP number.
+boost::asio::ip::tcp::endpoint toTcp(const Endpoint &At);
+
+/// Parses `IP:port`.
+framework::Result<Endpoint, boost::system::error_code>
+parseEndpoint(const std::string &Text);
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_LISTEN_H
--- /dev/null
+++ b/src/entry/internal/mailboxes.h
@@ -0,0 +1,26 @@
+#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_MAILBOXES_H
+#define CRANBERRYSPOOL_ENTRY_INTERNAL_MAILBOXES_H
+
+#include "entry/types/callercommand.h"
+#include "entry/types/dispatchinput.h"
+#include "entry/types/platformcommand.h"
+#include "entry/types/targetcommand.h"
+#include "framework/runtime/mailbox.h"
+
+namespace cranberryspool::entry {
+
+/// The rings that join the duties of one instance.
+struct Mailboxes {
+  static constexpr std::size_t DispatchCapacity = 16384;
+  static constexpr std::size_t CommandCapacity = 16384;
+  static constexpr std::size_t PlatformCapacity = 64;
+
+  framework::Mailbox<DispatchInput> Dispatch_{DispatchCapacity};
+  framework::Mailbox<CallerCommand> Callers_{CommandCapacity};
+  framework::Mailbox<TargetCommand> Targets_{CommandCapacity};
+  framework::Mailbox<PlatformCommand> Platform_{PlatformCapacity};
+};
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_MAILBOXES_H
--- /dev/null
+++ b/src/entry/types/callhead.h
@@ -0,0 +1,24 @@
+#ifndef CRANBERRYSPOOL_ENTRY_TYPES_CALLHEAD_H
+#define CRANBERRYSPOOL_ENTRY_TYPES_CALLHEAD_H
+
+#include "document/types/urgency.h"
+#include "framework/ids.h"
+#include "framework/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace cranberryspool::entry {
+
+/// What a caller asks for by header fields.
+struct CallHead {
+  std::optional<document::Urgency> Urgency_;
+  std::optional<framework::Duration> Timeout_;
+  std::optional<framework::IdempotencyKey> Key_;
+  std::uint32_t Depth_ = 0;
+  std::uint32_t Attempt_ = 1;
+};
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_TYPES_CALLHEAD_H
--- /dev/null
+++ b/src/entry/types/headerfield.h
@@ -0,0 +1,18 @@
+#ifndef CRANBERRYSPOOL_ENTRY_TYPES_HEADERFIELD_H
+#define CRANBERRYSPOOL_ENTRY_TYPES_HEADERFIELD_H
+
+#include <string>
+
+namespace cranberryspool::entry {
+
+/// One field of an HTTP head.
+struct HeaderField {
+  std::string Name_;
+  std::string Value_;
+
+  friend bool operator==(const HeaderField &, const HeaderField &) = default;
+};
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_TYPES_HEADERFIELD_H
--- /dev/null
+++ b/src/entry/types/targetanswer.h
@@ -0,0 +1,23 @@
+#ifndef CRANBERRYSPOOL_ENTRY_TYPES_TARGETANSWER_H
+#define CRANBERRYSPOOL_ENTRY_TYPES_TARGETANSWER_H
+
+#include "entry/types/headerfield.h"
+#include "framework/runtime/bytereservation.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberryspool::entry {
+
+/// A target's whole answer, as it goes on to the caller. Immutable once read.
+struct TargetAnswer {
+  unsigned Status_ = 0;
+  /// End-to-end fields only.
+  std::vector<HeaderField> Fields_;
+  std::string Body_;
+  framework::ByteReservation Reservation_;
+};
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_TYPES_TARGETANSWER_H
--- /dev/null
+++ b/src/entry/types/targetcommand.h
@@ -0,0 +1,28 @@
+#ifndef CRANBERRYSPOOL_ENTRY_TYPES_TARGETCOMMAND_H
+#define CRANBERRYSPOOL_ENTRY_TYPES_TARGETCOMMAND_H
+
+#include "decision/types/actions/closeconnection.h"
+#include "decision/types/actions/openconnection.h"
+#include "decision/types/actions/probetarget.h"
+#include "decision/types/actions/sendattempt.h"
+#include "entry/types/callerrequest.h"
+
+#include <memory>
+#include <variant>
+
+namespace cranberryspool::entry {
+
+/// Send a request on an open connection.
+struct SendRequest {
+  decision::SendAttempt Attempt_;
+  std::shared_ptr<const CallerRequest> Request_;
+};
+
+/// What the dispatch duty asks of the target connections.
+using TargetCommand =
+    std::variant<decision::OpenConnection, decision::CloseConnection,
+                 decision::ProbeTarget, SendRequest>;
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_TYPES_TARGETCOMMAND_H
--- /dev/null
+++ b/src/framework/runtime/bytereservation.h
@@ -0,0 +1,58 @@
+#ifndef CRANBERRYSPOOL_FRAMEWORK_RUNTIME_BYTERESERVATION_H
+#define CRANBERRYSPOOL_FRAMEWORK_RUNTIME_BYTERESERVATION_H
+
+#include "framework/runtime/bytebudget.h"
+
+#include <utility>
+
+namespace cranberryspool::framework {
+
+/// Bytes taken from a budget, given back when the reservation ends.
+class ByteReservation {
+public:
+  ByteReservation() = default;
+
+  ByteReservation(ByteReservation &&Other) noexcept
+      : Budget_(std::exchange(Other.Budget_, nullptr)),
+        Bytes_(std::exchange(Other.Bytes_, 0)) {}
+
+  ByteReservation &operator=(ByteReservation &&Other) noexcept {
+    std::swap(Budget_, Other.Budget_);
+    std::swap(Bytes_, Other.Bytes_);
+    return *this;
+  }
+
+  ~ByteReservation() {
+    if (Budget_)
+      Budget_->giveBack(Bytes_);
+  }
+
+  /// Takes bytes in place of those held before; returns false, and holds none,
+  /// when they do not fit.
+  bool take(ByteBudget &Budget, std::size_t Bytes) {
+    *this = ByteReservation();
+    if (!Budget.tryTake(Bytes))
+      return false;
+    Budget_ = &Budget;
+    Bytes_ = Bytes;
+    return true;
+  }
+
+  /// Gives back all but the given number of bytes.
+  void shrink(std::size_t Bytes) {
+    if (!Budget_ || Bytes >= Bytes_)
+      return;
+    Budget_->giveBack(Bytes_ - Bytes);
+    Bytes_ = Bytes;
+  }
+
+  std::size_t bytes() const { return Bytes_; }
+
+private:
+  ByteBudget *Budget_ = nullptr;
+  std::size_t Bytes_ = 0;
+};
+
+} // namespace cranberryspool::framework
+
+#endif // CRANBERRYSPOOL_FRAMEWORK_RUNTIME_BYTERESERVATION_H
--- /dev/null
+++ b/src/framework/runtime/clocks.h
@@ -0,0 +1,14 @@
+#ifndef CRANBERRYSPOOL_FRAMEWORK_RUNTIME_CLOCKS_H
+#define CRANBERRYSPOOL_FRAMEWORK_RUNTIME_CLOCKS_H
+
+#include "framework/moment.h"
+
+namespace cranberryspool::framework {
+
+/// Reads the boot clock and the time of day. The boot clock goes on while the
+/// process is stopped, so that a pause shows as a gap.
+Moment readMoment();
+
+} // namespace cranberryspool::framework
+
+#endif // CRANBERRYSPOOL_FRAMEWORK_RUNTIME_CLOCKS_H
