--- /dev/null
+++ b/src/apps/cranberryd/main.cpp
@@ -0,0 +1,95 @@
+#include "entry/entryinstance.h"
+#include "entry/settingsfile.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(settings, "", "the settings file, JSON with comments");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace {
+
+using namespace cranberryspool;
+using entry::ExitCode;
+
+constexpr const char *Usage =
+    "runs one entry instance.\n\n"
+    "  cranberryd --settings FILE [--check]\n\n"
+    "SIGTERM and SIGINT stop it without cutting a call. Exit codes: 0 stopped\n"
+    "as asked, or the settings are right (--check); 2 the command line or the\n"
+    "settings are wrong; 3 an address cannot be listened on; 4 a duty failed\n"
+    "more often than it may be restarted.";
+
+int exitWith(ExitCode Code) { return static_cast<int>(Code); }
+
+framework::Result<std::string, ExitCode> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  std::ostringstream Text;
+  if (Path.empty() || !File || !(Text << File.rdbuf())) {
+    std::cerr << "cranberryd: cannot read the settings file '" << Path << "'\n";
+    return ExitCode::BadSettings;
+  }
+  return Text.str();
+}
+
+framework::Result<entry::EntrySettings, ExitCode> readSettings() {
+  BOOST_OUTCOME_TRY(const std::string Text, readFile(FLAGS_settings));
+  auto Parsed = entry::parseSettings(Text);
+  if (Parsed)
+    return std::move(Parsed.value());
+  for (const document::DocumentFault &Fault : Parsed.error())
+    std::cerr << FLAGS_settings << ": " << document::faultLine(Fault) << '\n';
+  return ExitCode::BadSettings;
+}
+
+/// Blocks the signals for all threads, so that one thread can wait for them.
+sigset_t blockStopSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return Signals;
+}
+
+int run(entry::EntrySettings Settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t Signals = blockStopSignals();
+  entry::EntryInstance Instance(std::move(Settings));
+  if (const auto Started = Instance.start(); !Started) {
+    const entry::StartFailure &Failure = Started.error();
+    std::cerr << "cranberryd: cannot listen on " << Failure.Endpoint_.Address_
+              << ':' << Failure.Endpoint_.Port_ << ": "
+              << Failure.Reason_.message() << '\n';
+    return exitWith(ExitCode::CannotListen);
+  }
+  std::thread([&Instance, Signals] {
+    int Signal = 0;
+    if (sigwait(&Signals, &Signal) == 0)
+      Instance.requestStop();
+  }).detach();
+  return exitWith(Instance.waitUntilStopped());
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  gflags::SetUsageMessage(Usage);
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  if (Count > 1) {
+    std::cerr << "cranberryd: unexpected argument '" << Arguments[1] << "'\n";
+    return exitWith(ExitCode::BadSettings);
+  }
+  auto Settings = readSettings();
+  if (!Settings)
+    return exitWith(Settings.error());
+  if (!FLAGS_check)
+    return run(std::move(Settings.value()));
+  std::cout << FLAGS_settings << ": settings are right\n";
+  return exitWith(ExitCode::Stopped);
+}
