--- a/src/entry/internal/answerfields.cpp
+++ b/src/entry/internal/answerfields.cpp
@@ -54,8 +54,8 @@
   for (const HeaderField &Field : Fields) {
     if (isSameField(Field.Name_, protocol::AttemptIdHeader)) {
       // An unreadable echo is a wrong one: no attempt has the number 0.
-      Event.EchoedAttempt_ = framework::AttemptId(
-          parseCount(trimmed(Field.Value_)).value_or(0));
+      Event.EchoedAttempt_ =
+          framework::AttemptId(parseCount(trimmed(Field.Value_)).value_or(0));
     } else if (isSameField(Field.Name_, protocol::NotRunHeader)) {
       Event.IsNotRun_ = isSameField(trimmed(Field.Value_), "true");
     } else if (isSameField(Field.Name_, protocol::StartIdHeader)) {
--- a/src/entry/internal/callerserver.cpp
+++ b/src/entry/internal/callerserver.cpp
@@ -65,10 +65,10 @@
 }
 
 void CallerServer::acceptNext() {
-  Acceptor_.async_accept(Io_, [this](const error_code &Error,
-                                     tcp::socket Socket) {
-    onAccepted(Error, std::move(Socket));
-  });
+  Acceptor_.async_accept(Io_,
+                         [this](const error_code &Error, tcp::socket Socket) {
+                           onAccepted(Error, std::move(Socket));
+                         });
 }
 
 void CallerServer::onAccepted(const error_code &Error, tcp::socket Socket) {
--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -34,54 +34,6 @@
   return Target.substr(0, Target.find('?'));
 }
 
-std::string_view describe(HeadFault Fault) {
-  switch (Fault) {
-  case HeadFault::RequestLine:
-    return "bad-request-line";
-  case HeadFault::Method:
-    return "unsupported-method";
-  case HeadFault::RequestTarget:
-    return "bad-request-target";
-  case HeadFault::Version:
-    return "unsupported-version";
-  case HeadFault::LineEnding:
-    return "bad-line-ending";
-  case HeadFault::FoldedField:
-    return "folded-field";
-  case HeadFault::FieldName:
-    return "bad-field-name";
-  case HeadFault::FieldValue:
-    return "bad-field-value";
-  case HeadFault::BothLengths:
-    return "both-lengths";
-  case HeadFault::RepeatedLength:
-    return "repeated-length";
-  case HeadFault::BadLength:
-    return "bad-length";
-  case HeadFault::TransferCoding:
-    return "bad-transfer-coding";
-  case HeadFault::Host:
-    return "bad-host";
-  case HeadFault::Timeout:
-    return "bad-timeout";
-  case HeadFault::Key:
-    return "bad-key";
-  case HeadFault::Depth:
-    return "bad-depth";
-  case HeadFault::Attempt:
-    return "bad-attempt";
-  }
-  return "bad-request";
-}
-
-unsigned statusOf(HeadFault Fault) {
-  if (Fault == HeadFault::Method)
-    return 501;
-  if (Fault == HeadFault::Version)
-    return 505;
-  return 400;
-}
-
 } // namespace
 
 CallerSession::CallerSession(net::ip::tcp::socket Socket, std::uint64_t Number,
@@ -102,11 +54,10 @@
   if (IsReading_ || isClosed())
     return;
   IsReading_ = true;
-  const std::size_t Bytes =
-      Phase_ == Phase::Body ? BodyReadBytes : ReadBytes;
+  const std::size_t Bytes = Phase_ == Phase::Body ? BodyReadBytes : ReadBytes;
   Socket_.async_read_some(
-      Input_.prepare(Bytes), [Self = shared_from_this()](
-                                 const error_code &Error, std::size_t Count) {
+      Input_.prepare(Bytes),
+      [Self = shared_from_this()](const error_code &Error, std::size_t Count) {
         Self->onRead(Error, Count);
       });
 }
@@ -299,8 +250,7 @@
   if (isClosed())
     return;
   Call_.reset();
-  Response Message =
-      startResponse(statusOf(Refusal.Ending_, Refusal.Reason_));
+  Response Message = startResponse(statusOf(Refusal.Ending_, Refusal.Reason_));
   Message.set(protocol::EndingHeader, nameOf(Refusal.Ending_));
   Message.set(protocol::EndingReasonHeader, nameOf(Refusal.Reason_));
   const auto Wait =
@@ -315,7 +265,7 @@
 }
 
 void CallerSession::refuseHead(HeadFault Fault) {
-  refuseRequest(entry::statusOf(Fault), describe(Fault));
+  refuseRequest(statusOf(Fault), nameOf(Fault));
 }
 
 /// The request cannot be read to its end: the connection closes after this.
@@ -351,11 +301,11 @@
   Output_ = std::move(Message);
   Serializer_.emplace(*Output_);
   Serializer_->split(false);
-  http::async_write(Socket_, *Serializer_,
-                    [Self = shared_from_this()](const error_code &Error,
-                                                std::size_t) {
-                      Self->onWritten(Error);
-                    });
+  http::async_write(
+      Socket_, *Serializer_,
+      [Self = shared_from_this()](const error_code &Error, std::size_t) {
+        Self->onWritten(Error);
+      });
 }
 
 void CallerSession::onWritten(const error_code &Error) {
--- a/src/entry/internal/callersession.h
+++ b/src/entry/internal/callersession.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_CALLERSESSION_H
 
 #include "decision/types/actions/refusecall.h"
+#include "decision/types/events/callarrived.h"
 #include "entry/types/callerrequest.h"
 #include "entry/types/entrylimits.h"
 #include "entry/types/headfault.h"
@@ -49,8 +50,8 @@
   enum class Phase { Idle, Head, Body, Called, Writing, Closed };
   using RequestParser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
-  using Response = boost::beast::http::response<
-      boost::beast::http::span_body<const char>>;
+  using Response =
+      boost::beast::http::response<boost::beast::http::span_body<const char>>;
   using Serializer = boost::beast::http::response_serializer<
       boost::beast::http::span_body<const char>>;
 
@@ -64,8 +65,7 @@
   void deliver();
   void refuseRequest(unsigned Status, std::string_view Reason);
   void refuseHead(HeadFault Fault);
-  void answerNotRun(unsigned Status, std::string_view Reason,
-                    bool MayGoOn);
+  void answerNotRun(unsigned Status, std::string_view Reason, bool MayGoOn);
   Response startResponse(unsigned Status) const;
   void write(Response Message);
   void onWritten(const boost::system::error_code &Error);
--- a/src/entry/internal/callfields.cpp
+++ b/src/entry/internal/callfields.cpp
@@ -32,8 +32,8 @@
     const bool IsEnded = Item.size() == 3 || Item[3] == ';';
     if (!IsEnded || Level < '0' || Level > '7')
       continue;
-    Urgency = Level <= '2' ? document::Urgency::Urgent
-                           : document::Urgency::Ordinary;
+    Urgency =
+        Level <= '2' ? document::Urgency::Urgent : document::Urgency::Ordinary;
   }
   return Urgency;
 }
@@ -48,9 +48,8 @@
   return framework::IdempotencyKey(std::string(Value));
 }
 
-Result<std::uint32_t, HeadFault> readCountIn(std::string_view Value,
-                                             std::uint64_t Lowest,
-                                             HeadFault Fault) {
+Result<std::uint32_t, HeadFault>
+readCountIn(std::string_view Value, std::uint64_t Lowest, HeadFault Fault) {
   const std::optional<std::uint64_t> Count = parseCount(Value);
   if (!Count || *Count < Lowest || *Count > HighestCount)
     return Fault;
@@ -82,17 +81,15 @@
 
 bool isOneOf(std::string_view Name,
              std::initializer_list<std::string_view> Names) {
-  return std::any_of(Names.begin(), Names.end(),
-                     [Name](std::string_view One) {
-                       return isSameField(Name, One);
-                     });
+  return std::any_of(Names.begin(), Names.end(), [Name](std::string_view One) {
+    return isSameField(Name, One);
+  });
 }
 
 bool isHopByHop(std::string_view Name) {
-  return std::any_of(HopByHop.begin(), HopByHop.end(),
-                     [Name](std::string_view One) {
-                       return isSameField(Name, One);
-                     });
+  return std::any_of(
+      HopByHop.begin(), HopByHop.end(),
+      [Name](std::string_view One) { return isSameField(Name, One); });
 }
 
 /// Tells whether a `Connection` field names the field.
@@ -128,8 +125,9 @@
 Result<CallHead, HeadFault>
 readCallFields(const std::vector<HeaderField> &Fields) {
   CallHead Head;
-  for (const HeaderField &Field : Fields)
+  for (const HeaderField &Field : Fields) {
     BOOST_OUTCOME_TRY(readField(Field, Head));
+  }
   return Head;
 }
 
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -11,8 +11,7 @@
     : Core_(std::move(Core)), Rings_(Rings), Shared_(Shared),
       Callers_(Io, Rings.Callers_), Targets_(Io, Rings.Targets_),
       Platform_(Io, Rings.Platform_), Timer_(Io) {
-  Rings_.Dispatch_.attach(Io,
-                          [this](DispatchInput &Input) { onInput(Input); });
+  Rings_.Dispatch_.attach(Io, [this](DispatchInput &Input) { onInput(Input); });
   handle(decision::Tick{});
 }
 
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -18,8 +18,8 @@
 /// handled, and passes its actions on to the other duties.
 class Dispatcher {
 public:
-  Dispatcher(boost::asio::io_context &Io, decision::Core Core,
-             Mailboxes &Rings, InstanceState &Shared);
+  Dispatcher(boost::asio::io_context &Io, decision::Core Core, Mailboxes &Rings,
+             InstanceState &Shared);
   ~Dispatcher();
 
 private:
--- a/src/entry/internal/endingstatus.cpp
+++ b/src/entry/internal/endingstatus.cpp
@@ -11,9 +11,11 @@
 constexpr unsigned NotFound = 404;
 constexpr unsigned Conflict = 409;
 constexpr unsigned TooManyRequests = 429;
+constexpr unsigned NotImplemented = 501;
 constexpr unsigned BadGateway = 502;
 constexpr unsigned ServiceUnavailable = 503;
 constexpr unsigned GatewayTimeout = 504;
+constexpr unsigned VersionNotSupported = 505;
 
 unsigned statusOfNotRun(EndingReason Reason) {
   switch (Reason) {
@@ -108,4 +110,52 @@
   }
 }
 
+std::string_view nameOf(HeadFault Fault) {
+  switch (Fault) {
+  case HeadFault::RequestLine:
+    return "bad-request-line";
+  case HeadFault::Method:
+    return "unsupported-method";
+  case HeadFault::RequestTarget:
+    return "bad-request-target";
+  case HeadFault::Version:
+    return "unsupported-version";
+  case HeadFault::LineEnding:
+    return "bad-line-ending";
+  case HeadFault::FoldedField:
+    return "folded-field";
+  case HeadFault::FieldName:
+    return "bad-field-name";
+  case HeadFault::FieldValue:
+    return "bad-field-value";
+  case HeadFault::BothLengths:
+    return "both-lengths";
+  case HeadFault::RepeatedLength:
+    return "repeated-length";
+  case HeadFault::BadLength:
+    return "bad-length";
+  case HeadFault::TransferCoding:
+    return "bad-transfer-coding";
+  case HeadFault::Host:
+    return "bad-host";
+  case HeadFault::Timeout:
+    return "bad-timeout";
+  case HeadFault::Key:
+    return "bad-key";
+  case HeadFault::Depth:
+    return "bad-depth";
+  case HeadFault::Attempt:
+    return "bad-attempt";
+  }
+  return "bad-request";
+}
+
+unsigned statusOf(HeadFault Fault) {
+  if (Fault == HeadFault::Method)
+    return NotImplemented;
+  if (Fault == HeadFault::Version)
+    return VersionNotSupported;
+  return BadRequest;
+}
+
 } // namespace cranberryspool::entry
--- a/src/entry/internal/endingstatus.h
+++ b/src/entry/internal/endingstatus.h
@@ -1,7 +1,9 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_ENDINGSTATUS_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_ENDINGSTATUS_H
 
-#include "decision/types/actions/refusecall.h"
+#include "calls/types/ending.h"
+#include "calls/types/endingreason.h"
+#include "entry/types/headfault.h"
 
 #include <string_view>
 
@@ -10,11 +12,15 @@
 /// The HTTP status of a call that ends without a target's answer.
 unsigned statusOf(calls::Ending Ending, calls::EndingReason Reason);
 
+/// The HTTP status of a request whose head is not accepted.
+unsigned statusOf(HeadFault Fault);
+
 /// The value of the ending header.
 std::string_view nameOf(calls::Ending Ending);
 
 /// The value of the ending-reason header.
 std::string_view nameOf(calls::EndingReason Reason);
+std::string_view nameOf(HeadFault Fault);
 
 } // namespace cranberryspool::entry
 
--- a/src/entry/internal/instancelist.cpp
+++ b/src/entry/internal/instancelist.cpp
@@ -54,8 +54,8 @@
       !Instances || !Instances->is_array())
     return std::nullopt;
   InstanceList List;
-  List.Revision_ = framework::Revision(
-      static_cast<std::uint64_t>(Revision->get_int64()));
+  List.Revision_ =
+      framework::Revision(static_cast<std::uint64_t>(Revision->get_int64()));
   for (const json::value &One : Instances->get_array()) {
     auto Instance = readInstance(One);
     if (!Instance)
--- a/src/entry/internal/operatorserver.cpp
+++ b/src/entry/internal/operatorserver.cpp
@@ -15,15 +15,14 @@
 }
 
 void OperatorServer::acceptNext() {
-  Acceptor_.async_accept(
-      Io_, [this](const error_code &Error, tcp::socket Socket) {
-        if (Error == net::error::operation_aborted)
-          return;
-        if (!Error)
-          std::make_shared<OperatorSession>(std::move(Socket), *this)
-              ->readNext();
-        acceptNext();
-      });
+  Acceptor_.async_accept(Io_, [this](const error_code &Error,
+                                     tcp::socket Socket) {
+    if (Error == net::error::operation_aborted)
+      return;
+    if (!Error)
+      std::make_shared<OperatorSession>(std::move(Socket), *this)->readNext();
+    acceptNext();
+  });
 }
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/operatorsession.cpp
+++ b/src/entry/internal/operatorsession.cpp
@@ -31,11 +31,11 @@
     if (!Error)
       Self->Socket_.close(Ignored);
   });
-  http::async_read(Socket_, Input_, *Parser_,
-                   [Self = shared_from_this()](const error_code &Error,
-                                               std::size_t) {
-                     Self->onRead(Error);
-                   });
+  http::async_read(
+      Socket_, Input_, *Parser_,
+      [Self = shared_from_this()](const error_code &Error, std::size_t) {
+        Self->onRead(Error);
+      });
 }
 
 void OperatorSession::onRead(const error_code &Error) {
@@ -61,11 +61,11 @@
     Output_.body() = "no such page\n";
   }
   Output_.prepare_payload();
-  http::async_write(Socket_, Output_,
-                    [Self = shared_from_this()](const error_code &Failure,
-                                                std::size_t) {
-                      Self->onWritten(Failure);
-                    });
+  http::async_write(
+      Socket_, Output_,
+      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+        Self->onWritten(Failure);
+      });
 }
 
 void OperatorSession::onWritten(const error_code &Error) {
--- a/src/entry/internal/operatorsession.h
+++ b/src/entry/internal/operatorsession.h
@@ -1,8 +1,8 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_OPERATORSESSION_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_OPERATORSESSION_H
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -33,8 +33,8 @@
   OperatorServer &Server_;
   boost::asio::steady_timer Timer_;
   boost::beast::flat_buffer Input_;
-  std::optional<boost::beast::http::request_parser<
-      boost::beast::http::empty_body>>
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::empty_body>>
       Parser_;
   Response Output_;
 };
--- a/src/entry/internal/platformread.cpp
+++ b/src/entry/internal/platformread.cpp
@@ -58,10 +58,10 @@
     if (!Error)
       Self->fail();
   });
-  Socket_.async_connect(
-      toTcp(Where), [Self = shared_from_this()](const error_code &Error) {
-        Self->onConnected(Error);
-      });
+  Socket_.async_connect(toTcp(Where),
+                        [Self = shared_from_this()](const error_code &Error) {
+                          Self->onConnected(Error);
+                        });
 }
 
 void PlatformRead::onConnected(const error_code &Error) {
@@ -71,11 +71,11 @@
   }
   error_code Ignored;
   Socket_.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
-  http::async_write(Socket_, Question_,
-                    [Self = shared_from_this()](const error_code &Failure,
-                                                std::size_t) {
-                      Self->onWritten(Failure);
-                    });
+  http::async_write(
+      Socket_, Question_,
+      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+        Self->onWritten(Failure);
+      });
 }
 
 void PlatformRead::onWritten(const error_code &Error) {
@@ -83,11 +83,11 @@
     fail();
     return;
   }
-  http::async_read(Socket_, Input_, Answer_,
-                   [Self = shared_from_this()](const error_code &Failure,
-                                               std::size_t) {
-                     Self->onRead(Failure);
-                   });
+  http::async_read(
+      Socket_, Input_, Answer_,
+      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+        Self->onRead(Failure);
+      });
 }
 
 void PlatformRead::onRead(const error_code &Error) {
--- a/src/entry/internal/settingsfile.cpp
+++ b/src/entry/internal/settingsfile.cpp
@@ -50,8 +50,8 @@
     return;
   const std::string Expected = "a whole number with B, KiB or MiB, \"" +
                                framework::sizeText(Allowed.Least_) +
-                               "\" to \"" +
-                               framework::sizeText(Allowed.Most_) + "\"";
+                               "\" to \"" + framework::sizeText(Allowed.Most_) +
+                               "\"";
   const auto Bytes = framework::parseSize(*Text);
   if (!Bytes) {
     Reader.report(Key, FaultKind::InvalidSize, Expected);
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -39,14 +39,14 @@
 
 TargetConnection::TargetConnection(const decision::OpenConnection &Order,
                                    TargetConnections &Pool)
-    : Order_(Order), Pool_(Pool), Socket_(Pool.io()),
-      OpenedAsked_(Pool.now()), Input_(InputBytes) {}
+    : Order_(Order), Pool_(Pool), Socket_(Pool.io()), OpenedAsked_(Pool.now()),
+      Input_(InputBytes) {}
 
 void TargetConnection::open(const tcp::endpoint &Where) {
-  Socket_.async_connect(
-      Where, [Self = shared_from_this()](const error_code &Error) {
-        Self->onOpened(Error);
-      });
+  Socket_.async_connect(Where,
+                        [Self = shared_from_this()](const error_code &Error) {
+                          Self->onOpened(Error);
+                        });
 }
 
 void TargetConnection::onOpened(const error_code &Error) {
@@ -141,11 +141,11 @@
   // From here on bytes may reach the target; only a write that fails without
   // having passed any byte on proves the contrary.
   WriteState_ = WriteState::MaybeWritten;
-  http::async_write(Socket_, *Serializer_,
-                    [Self = shared_from_this()](const error_code &Error,
-                                                std::size_t Bytes) {
-                      Self->onWritten(Error, Bytes);
-                    });
+  http::async_write(
+      Socket_, *Serializer_,
+      [Self = shared_from_this()](const error_code &Error, std::size_t Bytes) {
+        Self->onWritten(Error, Bytes);
+      });
 }
 
 void TargetConnection::onWritten(const error_code &Error, std::size_t Bytes) {
@@ -162,18 +162,17 @@
 void TargetConnection::readHead() {
   const bool IsFirst = !Parser_.has_value();
   Parser_.emplace();
-  Parser_->header_limit(
-      static_cast<std::uint32_t>(Pool_.limits().HeadBytes_));
+  Parser_->header_limit(static_cast<std::uint32_t>(Pool_.limits().HeadBytes_));
   Parser_->body_limit(Pool_.limits().BodyBytes_);
   Parser_->skip(Attempt_->Request_->Method_ == "HEAD");
   if (IsFirst)
-    Pool_.tell(decision::AnswerBegan{Attempt_->Attempt_.Attempt_,
-                                     Order_.Connection_});
-  http::async_read_header(Socket_, Input_, *Parser_,
-                          [Self = shared_from_this()](const error_code &Error,
-                                                      std::size_t) {
-                            Self->onHead(Error);
-                          });
+    Pool_.tell(
+        decision::AnswerBegan{Attempt_->Attempt_.Attempt_, Order_.Connection_});
+  http::async_read_header(
+      Socket_, Input_, *Parser_,
+      [Self = shared_from_this()](const error_code &Error, std::size_t) {
+        Self->onHead(Error);
+      });
 }
 
 void TargetConnection::onHead(const error_code &Error) {
@@ -213,11 +212,11 @@
     Pool_.waitForBudget(Order_.Connection_);
     return;
   }
-  http::async_read(Socket_, Input_, *Parser_,
-                   [Self = shared_from_this()](const error_code &Error,
-                                               std::size_t) {
-                     Self->onBody(Error);
-                   });
+  http::async_read(
+      Socket_, Input_, *Parser_,
+      [Self = shared_from_this()](const error_code &Error, std::size_t) {
+        Self->onBody(Error);
+      });
 }
 
 void TargetConnection::retryBody() {
@@ -252,8 +251,7 @@
   Event.Connection_ = Order_.Connection_;
   Event.Status_ = Answer->Status_;
   readAnswerFields(Fields, Event);
-  Event.IsReusable_ =
-      Message.keep_alive() && IsWritten_ && Input_.size() == 0;
+  Event.IsReusable_ = Message.keep_alive() && IsWritten_ && Input_.size() == 0;
   Attempt_.reset();
   Serializer_.reset();
   Output_.reset();
@@ -295,8 +293,8 @@
     return AttemptFailure::Truncated;
   if (Error == http::error::end_of_stream || Error == net::error::eof)
     return AttemptFailure::ConnectionClosed;
-  if (Error.category() == http::make_error_code(http::error::end_of_stream)
-                              .category())
+  if (Error.category() ==
+      http::make_error_code(http::error::end_of_stream).category())
     return AttemptFailure::Malformed;
   const bool HasBegun = Parser_ && Parser_->got_some();
   return HasBegun ? AttemptFailure::Truncated : AttemptFailure::ConnectionReset;
--- a/src/entry/internal/targetconnection.h
+++ b/src/entry/internal/targetconnection.h
@@ -62,8 +62,7 @@
   void finishAnswer();
   void fail(calls::AttemptFailure Failure);
   void close();
-  calls::AttemptFailure
-  failureOf(const boost::system::error_code &Error) const;
+  calls::AttemptFailure failureOf(const boost::system::error_code &Error) const;
 
   const decision::OpenConnection Order_;
   TargetConnections &Pool_;
--- a/src/entry/internal/targetprobe.cpp
+++ b/src/entry/internal/targetprobe.cpp
@@ -37,11 +37,10 @@
     if (!Error)
       Self->fail();
   });
-  Socket_.async_connect(
-      toTcp(Where.value()),
-      [Self = shared_from_this()](const error_code &Error) {
-        Self->onConnected(Error);
-      });
+  Socket_.async_connect(toTcp(Where.value()),
+                        [Self = shared_from_this()](const error_code &Error) {
+                          Self->onConnected(Error);
+                        });
 }
 
 void TargetProbe::onConnected(const error_code &Error) {
@@ -56,11 +55,11 @@
   Question_.target(ProbePath);
   Question_.set(http::field::host, Order_.Address_);
   Question_.keep_alive(false);
-  http::async_write(Socket_, Question_,
-                    [Self = shared_from_this()](const error_code &Failure,
-                                                std::size_t) {
-                      Self->onWritten(Failure);
-                    });
+  http::async_write(
+      Socket_, Question_,
+      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+        Self->onWritten(Failure);
+      });
 }
 
 void TargetProbe::onWritten(const error_code &Error) {
@@ -68,19 +67,18 @@
     fail();
     return;
   }
-  http::async_read(Socket_, Input_, Answer_,
-                   [Self = shared_from_this()](const error_code &Failure,
-                                               std::size_t) {
-                     Self->onRead(Failure);
-                   });
+  http::async_read(
+      Socket_, Input_, Answer_,
+      [Self = shared_from_this()](const error_code &Failure, std::size_t) {
+        Self->onRead(Failure);
+      });
 }
 
 void TargetProbe::onRead(const error_code &Error) {
   if (IsDone_)
     return;
   const auto &Message = Answer_.get();
-  const auto Report =
-      Error ? std::nullopt : readLoadReport(Message.body());
+  const auto Report = Error ? std::nullopt : readLoadReport(Message.body());
   if (!Report || Message.result() != http::status::ok) {
     fail();
     return;
