--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "framework/runtime/clocks.h"
 
+#include <boost/asio/post.hpp>
+
 namespace cranberryspool::entry {
 
 using framework::Instant;
@@ -137,7 +139,19 @@
   Ended_.push_back(Action.Call_);
 }
 
-void Dispatcher::carryOut(const decision::SendPeerMessage &) {}
+void Dispatcher::carryOut(const decision::SendPeerMessage &Action) {
+  PeerCommand Command = Action;
+  // Dropped when the ring is full: messages may be lost on the way as well.
+  Rings_.Peers_.tryPush(Command);
+}
+
+void Dispatcher::carryOut(const decision::FetchSections &Action) {
+  boost::asio::post(Timer_.get_executor(), [this, Peer = Action.PeerAddress_] {
+    handle(decision::SectionsUnavailable{Peer});
+  });
+}
+
+void Dispatcher::carryOut(const decision::ServeSections &) {}
 
 void Dispatcher::carryOut(const decision::ReportChange &) {}
 
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -51,6 +51,8 @@
   void carryOut(const decision::FetchKeptAnswer &Action);
   void carryOut(const decision::ReplayKeptAnswer &Action);
   void carryOut(const decision::SendPeerMessage &Action);
+  void carryOut(const decision::FetchSections &Action);
+  void carryOut(const decision::ServeSections &Action);
   void carryOut(const decision::ReportChange &Action);
 
   decision::Core Core_;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -4,6 +4,7 @@
 #include "entry/internal/dispatcher.h"
 #include "entry/internal/listen.h"
 #include "entry/internal/operatorserver.h"
+#include "entry/internal/peermessenger.h"
 #include "entry/internal/platformreader.h"
 #include "entry/internal/targetconnections.h"
 #include "framework/runtime/clocks.h"
@@ -150,6 +151,12 @@
                           Io, shareListener(Io, OperatorListener_), Shared_);
                     });
                   }});
+  Control_.start({"peers", [this](const std::stop_token &Token) {
+                    runDuty(Token, [this](net::io_context &Io) {
+                      return std::make_unique<PeerMessenger>(
+                          Io, Settings_.PeerListen_, Rings_);
+                    });
+                  }});
   Control_.start({"platform", [this](const std::stop_token &Token) {
                     runDuty(Token, [this](net::io_context &Io) {
                       return std::make_unique<PlatformReader>(Io, Settings_,
@@ -162,6 +169,7 @@
   decision::CoreSettings Core;
   Core.Self_ = Settings_.Name_;
   Core.Zone_ = Settings_.Zone_;
+  Core.StopLinger_ = Settings_.StopLinger_;
   // A later start has the higher number.
   const auto Started = framework::readMoment().Wall_.time_since_epoch();
   Core.Incarnation_ =
--- a/src/entry/internal/mailboxes.h
+++ b/src/entry/internal/mailboxes.h
@@ -3,6 +3,7 @@
 
 #include "entry/types/callercommand.h"
 #include "entry/types/dispatchinput.h"
+#include "entry/types/peercommand.h"
 #include "entry/types/platformcommand.h"
 #include "entry/types/targetcommand.h"
 #include "framework/runtime/mailbox.h"
@@ -14,11 +15,13 @@
   static constexpr std::size_t DispatchCapacity = 16384;
   static constexpr std::size_t CommandCapacity = 16384;
   static constexpr std::size_t PlatformCapacity = 64;
+  static constexpr std::size_t PeerCapacity = 1024;
 
   framework::Mailbox<DispatchInput> Dispatch_{DispatchCapacity};
   framework::Mailbox<CallerCommand> Callers_{CommandCapacity};
   framework::Mailbox<TargetCommand> Targets_{CommandCapacity};
   framework::Mailbox<PlatformCommand> Platform_{PlatformCapacity};
+  framework::Mailbox<PeerCommand> Peers_{PeerCapacity};
 };
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/platformread.cpp
+++ b/src/entry/internal/platformread.cpp
@@ -28,13 +28,17 @@
   return std::visit([](const auto &One) { return One.NewerThan_; }, Order_);
 }
 
+framework::Duration PlatformRead::wait() const {
+  return std::visit([](const auto &One) { return One.Wait_; }, Order_);
+}
+
 std::string PlatformRead::question() const {
   std::string Path = isDocument() ? "/v1/document" : "/v1/instances";
   if (const auto Known = newerThan()) {
-    const auto Wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-        Reader_.settings().Limits_.WatchWait_);
+    const auto WaitMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(wait());
     Path += "?newer-than=" + std::to_string(Known->value()) +
-            "&wait-ms=" + std::to_string(Wait.count());
+            "&wait-ms=" + std::to_string(WaitMs.count());
   }
   return Path;
 }
@@ -43,9 +47,8 @@
   const EntrySettings &Settings = Reader_.settings();
   const Endpoint &Where =
       isDocument() ? Settings.DocumentService_ : Settings.InstanceList_;
-  framework::Duration Patience = Settings.Limits_.PlatformTimeout_;
-  if (newerThan())
-    Patience += Settings.Limits_.WatchWait_;
+  const framework::Duration Patience =
+      Settings.Limits_.PlatformTimeout_ + wait();
   Question_.version(11);
   Question_.method(http::verb::get);
   Question_.target(question());
@@ -94,8 +97,7 @@
   if (IsDone_)
     return;
   if (!Error && Answer_.get().result() == http::status::not_modified) {
-    finish();
-    std::make_shared<PlatformRead>(Order_, Reader_)->start();
+    tellUnchanged();
     return;
   }
   if (Error || Answer_.get().result() != http::status::ok) {
@@ -105,6 +107,14 @@
   tellPublished();
 }
 
+void PlatformRead::tellUnchanged() {
+  finish();
+  if (isDocument())
+    Reader_.tell(decision::DocumentUnchanged{});
+  else
+    Reader_.tell(decision::InstancesUnchanged{});
+}
+
 void PlatformRead::tellPublished() {
   auto Message = Answer_.release();
   if (isDocument()) {
--- a/src/entry/internal/platformread.h
+++ b/src/entry/internal/platformread.h
@@ -28,11 +28,13 @@
   void onConnected(const boost::system::error_code &Error);
   void onWritten(const boost::system::error_code &Error);
   void onRead(const boost::system::error_code &Error);
+  void tellUnchanged();
   void tellPublished();
   void fail();
   void finish();
   bool isDocument() const;
   std::optional<framework::Revision> newerThan() const;
+  framework::Duration wait() const;
   std::string question() const;
 
   const PlatformCommand Order_;
--- /dev/null
+++ b/src/entry/tests/callfields_test.cpp
@@ -0,0 +1,75 @@
+#include "entry/internal/callfields.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::entry;
+using namespace std::chrono_literals;
+
+TEST_CASE("a caller's wishes are read from its fields", "[entry]") {
+  const auto Head = readCallFields({{"priority", "u=1, i"},
+                                    {"Request-Timeout-Ms", "250"},
+                                    {"Idempotency-Key", "\"k-1\""},
+                                    {"Call-Depth", "3"},
+                                    {"Call-Attempt", "2"}});
+  REQUIRE(Head);
+  CHECK(Head.value().Urgency_ == document::Urgency::Urgent);
+  CHECK(Head.value().Timeout_ == framework::Duration(250ms));
+  CHECK(Head.value().Key_ == framework::IdempotencyKey("k-1"));
+  CHECK(Head.value().Depth_ == 3);
+  CHECK(Head.value().Attempt_ == 2);
+}
+
+TEST_CASE("an unreadable priority is ignored", "[entry]") {
+  const char *Value = GENERATE("u=9", "u=", "urgent", "u=-1", "u=1x", "");
+  CAPTURE(Value);
+  const auto Head = readCallFields({{"Priority", Value}});
+  REQUIRE(Head);
+  CHECK_FALSE(Head.value().Urgency_.has_value());
+}
+
+TEST_CASE("other unreadable wishes are faults", "[entry]") {
+  const auto Field = GENERATE(HeaderField{"Request-Timeout-Ms", "0"},
+                              HeaderField{"Request-Timeout-Ms", "1s"},
+                              HeaderField{"Request-Timeout-Ms", "-5"},
+                              HeaderField{"Request-Timeout-Ms", "99999999999"},
+                              HeaderField{"Idempotency-Key", ""},
+                              HeaderField{"Idempotency-Key", "a\"b"},
+                              HeaderField{"Call-Depth", "deep"},
+                              HeaderField{"Call-Attempt", "0"});
+  CAPTURE(Field.Name_, Field.Value_);
+  CHECK_FALSE(readCallFields({Field}));
+}
+
+TEST_CASE("a doubled timeout or key is a fault", "[entry]") {
+  CHECK_FALSE(readCallFields(
+      {{"Request-Timeout-Ms", "5"}, {"Request-Timeout-Ms", "6"}}));
+  CHECK_FALSE(
+      readCallFields({{"Idempotency-Key", "a"}, {"Idempotency-Key", "b"}}));
+}
+
+TEST_CASE("hop-by-hop fields and our own do not travel on", "[entry]") {
+  const std::vector<HeaderField> Kept =
+      forwardableRequestFields({{"Host", "a"},
+                                {"Connection", "keep-alive, X-Secret"},
+                                {"x-secret", "1"},
+                                {"Keep-Alive", "5"},
+                                {"TE", "trailers"},
+                                {"Upgrade", "h2c"},
+                                {"Transfer-Encoding", "chunked"},
+                                {"Proxy-Authorization", "b"},
+                                {"Not-Run", "true"},
+                                {"Attempt-Id", "9"},
+                                {"Idempotency-Key", "k"},
+                                {"Caller-Call-Id", "7"}});
+  CHECK(Kept == std::vector<HeaderField>{{"Host", "a"},
+                                         {"Idempotency-Key", "k"},
+                                         {"Caller-Call-Id", "7"}});
+  const std::vector<HeaderField> Given =
+      forwardableAnswerFields({{"Load-Report", "{}"},
+                               {"Start-Id", "4"},
+                               {"Connection", "close"},
+                               {"Call-Ending", "unknown"},
+                               {"Content-Type", "text/plain"}});
+  CHECK(Given == std::vector<HeaderField>{{"Content-Type", "text/plain"}});
+}
--- a/src/entry/types/entrylimits.h
+++ b/src/entry/types/entrylimits.h
@@ -29,9 +29,7 @@
   framework::Duration WriteTimeout_ = std::chrono::seconds(30);
   /// For a connection to a target, and for a probe.
   framework::Duration ConnectTimeout_ = std::chrono::seconds(1);
-  /// The longest that a watch of the platform waits.
-  framework::Duration WatchWait_ = std::chrono::seconds(20);
-  /// Beyond the wait, for any answer of the platform.
+  /// For any answer of the platform, beyond the wait that a watch asks for.
   framework::Duration PlatformTimeout_ = std::chrono::seconds(2);
   /// Bytes of a value of the platform.
   std::size_t PlatformBytes_ = 8 * 1024 * 1024;
