--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -18,7 +18,6 @@
 namespace cranberryspool::entry {
 
 namespace net = boost::asio;
-using boost::system::error_code;
 using framework::Result;
 using framework::Supervisor;
 using net::ip::tcp;
@@ -170,6 +169,7 @@
   Core.Self_ = Settings_.Name_;
   Core.Zone_ = Settings_.Zone_;
   Core.StopLinger_ = Settings_.StopLinger_;
+  Core.PeerAddress_ = textOf(Settings_.PeerListen_);
   // A later start has the higher number.
   const auto Started = framework::readMoment().Wall_.time_since_epoch();
   Core.Incarnation_ =
--- a/src/entry/internal/listen.cpp
+++ b/src/entry/internal/listen.cpp
@@ -42,6 +42,10 @@
   return {net::ip::make_address(At.Address_, Ignored), At.Port_};
 }
 
+std::string textOf(const Endpoint &At) {
+  return At.Address_ + ":" + std::to_string(At.Port_);
+}
+
 framework::Result<Endpoint, error_code> parseEndpoint(const std::string &Text) {
   const error_code Invalid =
       make_error_code(boost::system::errc::invalid_argument);
--- a/src/entry/internal/listen.h
+++ b/src/entry/internal/listen.h
@@ -22,6 +22,9 @@
 /// Returns the endpoint in Asio's form; the address must be an IP number.
 boost::asio::ip::tcp::endpoint toTcp(const Endpoint &At);
 
+/// Writes the endpoint as `IP:port`.
+std::string textOf(const Endpoint &At);
+
 /// Parses `IP:port`.
 framework::Result<Endpoint, boost::system::error_code>
 parseEndpoint(const std::string &Text);
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -261,7 +261,7 @@
   } else {
     close();
   }
-  Pool_.tell(std::move(Event), std::move(Answer));
+  Pool_.tell(Event, std::move(Answer));
 }
 
 void TargetConnection::fail(AttemptFailure Failure) {
