--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -2,6 +2,10 @@
 #define CRANBERRYSPOOL_DECISION_CORESETTINGS_H
 
 #include "framework/ids.h"
+#include "framework/time.h"
+
+#include <chrono>
+#include <string>
 
 namespace cranberryspool::decision {
 
@@ -10,6 +14,16 @@
   framework::InstanceName Self_;
   framework::Incarnation Incarnation_;
   framework::ZoneName Zone_;
+  /// `IP:port` of this instance's peer messages.
+  std::string PeerAddress_{};
+  /// How long a stopping instance goes on accepting calls, so that the
+  /// platform's balancer can notice that it is not ready any more.
+  framework::Duration StopLinger_ = std::chrono::seconds(3);
+  /// A longer time between two events means that the process was paused.
+  framework::Duration MaxEventGap_ = std::chrono::milliseconds(500);
+  /// How long calls are accepted and wait while the view of the published state
+  /// is too old to act on.
+  framework::Duration ViewGrace_ = std::chrono::seconds(1);
 };
 
 } // namespace cranberryspool::decision
--- /dev/null
+++ b/src/decision/internal/engine.h
@@ -0,0 +1,95 @@
+#ifndef CRANBERRYSPOOL_DECISION_INTERNAL_ENGINE_H
+#define CRANBERRYSPOOL_DECISION_INTERNAL_ENGINE_H
+
+#include "decision/coresettings.h"
+#include "decision/corestatus.h"
+#include "decision/event.h"
+#include "decision/internal/admissionflow.h"
+#include "decision/internal/attemptflow.h"
+#include "decision/internal/callender.h"
+#include "decision/internal/connectionkeeper.h"
+#include "decision/internal/coreparts.h"
+#include "decision/internal/dispatcher.h"
+#include "decision/internal/environmentkeeper.h"
+#include "decision/internal/fleetlink.h"
+#include "decision/internal/intake.h"
+#include "decision/internal/keyedcalls.h"
+#include "decision/internal/outcomes.h"
+#include "decision/internal/prober.h"
+#include "decision/internal/step.h"
+#include "decision/internal/stopsequence.h"
+#include "decision/internal/targetnotes.h"
+#include "decision/internal/viewguard.h"
+#include "framework/random.h"
+
+#include <optional>
+
+namespace cranberryspool::decision {
+
+/// The working of a core: hands each event to the class that handles it and
+/// then does what has become due.
+class Engine {
+public:
+  Engine(CoreSettings Settings, framework::Random Rng);
+
+  void handle(const Step &At, const Event &Input);
+  framework::Instant nextWakeUp() const;
+  const CoreParts &parts() const { return Parts_; }
+  CoreParts &parts() { return Parts_; }
+  CoreStatus status() const;
+
+private:
+  void begin(const Step &At);
+  void expire(const Step &At);
+  void settle(const Step &At);
+  void tend(const Step &At);
+  void updateReadiness(const Step &At);
+
+  void dispatch(const Step &, const Tick &) {}
+  void dispatch(const Step &At, const StopRequested &Input);
+  void dispatch(const Step &At, const CallArrived &Input);
+  void dispatch(const Step &At, const CallerGone &Input);
+  void dispatch(const Step &At, const KeptAnswerFetched &Input);
+  void dispatch(const Step &At, const ProbeAnswered &Input);
+  void dispatch(const Step &At, const ProbeFailed &Input);
+  /// What the transport tells of connections and attempts.
+  template <typename Other>
+  requires requires(Outcomes &To, const Step &At, const Other &Input) {
+    To.handle(At, Input);
+  }
+  void dispatch(const Step &At, const Other &Input) {
+    Outcomes_.handle(At, Input);
+  }
+  /// What the platform and peers tell.
+  template <typename Other>
+  requires requires(FleetLink &To, const Step &At, const Other &Input) {
+    To.handle(At, Input);
+  }
+  void dispatch(const Step &At, const Other &Input) {
+    Fleet_.handle(At, Input);
+  }
+
+  CoreParts Parts_;
+  ConnectionKeeper Connections_;
+  AttemptFlow Attempts_;
+  CallEnder Ender_;
+  AdmissionFlow Waiting_;
+  TargetNotes Notes_;
+  Outcomes Outcomes_;
+  Prober Prober_;
+  EnvironmentKeeper Environment_;
+  KeyedCalls Keyed_;
+  ViewGuard View_;
+  Intake Intake_;
+  StopSequence Stop_;
+  FleetLink Fleet_;
+  Dispatcher Dispatcher_;
+
+  std::optional<framework::Instant> LastHandled_;
+  framework::Instant LastTended_{};
+  bool IsReady_ = false;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_INTERNAL_ENGINE_H
--- /dev/null
+++ b/src/decision/internal/environmentkeeper.cpp
@@ -0,0 +1,69 @@
+#include "decision/internal/environmentkeeper.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace cranberryspool::decision {
+
+void EnvironmentKeeper::setDocument(
+    const Step &At, const document::EnvironmentDocument &Document) {
+  Parts_.Environment_.setDocument(Document);
+  apply(At);
+}
+
+void EnvironmentKeeper::setInstances(
+    const Step &At, std::vector<document::PublishedInstance> Instances) {
+  Parts_.Environment_.setInstances(std::move(Instances));
+  apply(At);
+}
+
+void EnvironmentKeeper::apply(const Step &At) {
+  Parts_.Targets_.setTargets(Parts_.Environment_.targets(), At.now());
+  applyShares(At);
+  applyCapacities();
+  Results_.takeBackUnsent(At);
+}
+
+void EnvironmentKeeper::applyShares(const Step &At) {
+  for (const routing::TargetDescription &Target :
+       Parts_.Environment_.targets()) {
+    const document::Service &Service =
+        *Parts_.Environment_.service(Target.Service_);
+    const framework::TargetName Name =
+        Parts_.Environment_.targetName(Target.Target_);
+    const std::uint32_t Connections = Parts_.Fleet_.connectionShare(Name);
+    Parts_.Targets_.setBounds(
+        Target.Target_,
+        routing::TargetBounds{.ColdInFlight_ =
+                                  Parts_.Fleet_.coldShare(Name, At.now()),
+                              .MaxConnections_ = Connections,
+                              .ColdWarmup_ = Service.ColdStart_.Warmup_});
+    Parts_.Connections_.setLimit(Target.Target_, Connections);
+  }
+}
+
+bool EnvironmentKeeper::hasUsableTarget(framework::Instant Now) const {
+  const auto IsUsable = [&](const routing::TargetDescription &Target) {
+    if (Target.IsLeaving_)
+      return false;
+    return !Parts_.Targets_.isCold(Target.Target_) ||
+           Parts_.Fleet_.coldShare(
+               Parts_.Environment_.targetName(Target.Target_), Now) > 0;
+  };
+  const auto &Targets = Parts_.Environment_.targets();
+  return std::any_of(Targets.begin(), Targets.end(), IsUsable);
+}
+
+void EnvironmentKeeper::applyCapacities() {
+  std::map<framework::ServiceId, std::uint32_t> Slots;
+  for (const routing::TargetDescription &Target : Parts_.Environment_.targets())
+    if (!Target.IsLeaving_)
+      Slots[Target.Service_] += Target.Slots_;
+  for (const auto &[Service, Sum] : Slots)
+    Parts_.Queue_.setCapacity(
+        Service,
+        {.Slots_ = Sum, .Instances_ = Parts_.Environment_.instanceCount()});
+}
+
+} // namespace cranberryspool::decision
