Make the JSON reader a public part of document, fuzz request heads

Cause: the settings of instances are read by the same checked reader, which stood under internal/ and had four types in one header; request heads are what strangers send. Change: objectreader, readjson and faultcollector stand at the top of the module, their value types in types/, one a header; invalid UTF-8 is refused by readJson, so in settings too. fuzz_callhead checks that a head which passes the shape check reads the same to Beast and that no framing or hop-by-hop field is forwarded. The sanitizer builds leave out a warning that GCC raises in Boost.

--- a/src/document/internal/documentreader.h
+++ b/src/document/internal/documentreader.h
@@ -1,11 +1,11 @@
 #ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_DOCUMENTREADER_H
 #define CRANBERRYSPOOL_DOCUMENT_INTERNAL_DOCUMENTREADER_H
 
-#include "document/internal/faultcollector.h"
-#include "document/internal/jsontree.h"
-#include "document/internal/objectreader.h"
+#include "document/faultcollector.h"
 #include "document/internal/pathtrie.h"
+#include "document/objectreader.h"
 #include "document/types/environmentdocument.h"
+#include "document/types/jsontree.h"
 
 #include <map>
 #include <set>
--- a/src/document/internal/faultcollector.cpp
+++ b/src/document/internal/faultcollector.cpp
@@ -1,4 +1,4 @@
-#include "document/internal/faultcollector.h"
+#include "document/faultcollector.h"
 
 #include "document/parsedocument.h"
 
--- a/src/document/internal/jsontreebuilder.h
+++ b/src/document/internal/jsontreebuilder.h
@@ -1,7 +1,7 @@
 #ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_JSONTREEBUILDER_H
 #define CRANBERRYSPOOL_DOCUMENT_INTERNAL_JSONTREEBUILDER_H
 
-#include "document/internal/jsontree.h"
+#include "document/types/jsontree.h"
 
 #include <boost/json/error.hpp>
 #include <boost/json/string_view.hpp>
--- a/src/document/internal/objectreader.cpp
+++ b/src/document/internal/objectreader.cpp
@@ -1,4 +1,4 @@
-#include "document/internal/objectreader.h"
+#include "document/objectreader.h"
 
 #include "framework/units.h"
 
--- a/src/document/internal/parsedocument.cpp
+++ b/src/document/internal/parsedocument.cpp
@@ -1,9 +1,8 @@
 #include "document/parsedocument.h"
 
+#include "document/faultcollector.h"
 #include "document/internal/documentreader.h"
-#include "document/internal/faultcollector.h"
-#include "document/internal/readjson.h"
-#include "document/internal/utf8.h"
+#include "document/readjson.h"
 
 namespace cranberryspool::document {
 
@@ -41,9 +40,6 @@
                   {FaultKind::DocumentTooLarge, "", 0, 0,
                    "at most " + std::to_string(MaxDocumentBytes) + " bytes",
                    std::to_string(Text.size())});
-  if (const auto Invalid = findInvalidUtf8(Text))
-    return refuse(Text, *Invalid,
-                  {FaultKind::InvalidUtf8, "", 0, 0, "UTF-8 text", ""});
   auto Fast = parse(Text, PositionMode::Without);
   if (Fast)
     return Fast;
--- a/src/document/internal/readjson.cpp
+++ b/src/document/internal/readjson.cpp
@@ -1,7 +1,8 @@
-#include "document/internal/readjson.h"
+#include "document/readjson.h"
 
 #include "document/internal/blankcomments.h"
 #include "document/internal/jsontreebuilder.h"
+#include "document/internal/utf8.h"
 #include "document/parsedocument.h"
 
 #include <boost/json/basic_parser_impl.hpp>
@@ -60,6 +61,9 @@
 framework::Result<JsonTree, JsonFailure> readJson(std::string_view Text,
                                                   PositionMode Mode) {
   const bool KeepsPositions = Mode == PositionMode::With;
+  if (const auto Invalid = findInvalidUtf8(Text))
+    return framework::failure(
+        JsonFailure{FaultKind::InvalidUtf8, *Invalid, "UTF-8 text"});
   const std::string Blanked = blankComments(Text);
   Parser Reader(options(), Blanked, KeepsPositions);
   ErrorCode Error;
--- a/src/document/internal/objectreader.h
+++ b/src/document/objectreader.h
@@ -1,8 +1,11 @@
-#ifndef CRANBERRYSPOOL_DOCUMENT_INTERNAL_OBJECTREADER_H
-#define CRANBERRYSPOOL_DOCUMENT_INTERNAL_OBJECTREADER_H
-
-#include "document/internal/faultcollector.h"
-#include "document/internal/jsontree.h"
+#ifndef CRANBERRYSPOOL_DOCUMENT_OBJECTREADER_H
+#define CRANBERRYSPOOL_DOCUMENT_OBJECTREADER_H
+
+#include "document/faultcollector.h"
+#include "document/types/jsonplace.h"
+#include "document/types/jsontree.h"
+#include "document/types/range.h"
+#include "document/types/word.h"
 #include "framework/time.h"
 
 #include <cstddef>
@@ -15,24 +18,6 @@
 
 namespace cranberryspool::document {
 
-/// A value of the text and the JSON pointer to it.
-struct JsonPlace {
-  JsonNodeId Node_;
-  std::string Pointer_;
-};
-
-/// The smallest and the largest value allowed.
-template <typename Value> struct Range {
-  Value Least_;
-  Value Most_;
-};
-
-/// One of the words that a key accepts, and its value.
-template <typename Value> struct Word {
-  std::string_view Text_;
-  Value Value_;
-};
-
 /// Reads the members of one JSON object by key and reports what is wrong with
 /// them. After a fault the reading functions return a harmless value.
 class ObjectReader {
@@ -112,4 +97,4 @@
 
 } // namespace cranberryspool::document
 
-#endif // CRANBERRYSPOOL_DOCUMENT_INTERNAL_OBJECTREADER_H
+#endif // CRANBERRYSPOOL_DOCUMENT_OBJECTREADER_H
--- /dev/null
+++ b/src/document/types/jsonfailure.h
@@ -0,0 +1,20 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_TYPES_JSONFAILURE_H
+#define CRANBERRYSPOOL_DOCUMENT_TYPES_JSONFAILURE_H
+
+#include "document/types/faultkind.h"
+
+#include <cstddef>
+#include <string>
+
+namespace cranberryspool::document {
+
+/// Where and why a text is not JSON with comments.
+struct JsonFailure {
+  FaultKind Kind_ = FaultKind::InvalidSyntax;
+  std::size_t Offset_ = 0;
+  std::string Expected_;
+};
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_TYPES_JSONFAILURE_H
--- /dev/null
+++ b/src/document/types/jsonplace.h
@@ -0,0 +1,18 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_TYPES_JSONPLACE_H
+#define CRANBERRYSPOOL_DOCUMENT_TYPES_JSONPLACE_H
+
+#include "document/types/jsontree.h"
+
+#include <string>
+
+namespace cranberryspool::document {
+
+/// A value of a JSON text and the JSON pointer to it.
+struct JsonPlace {
+  JsonNodeId Node_;
+  std::string Pointer_;
+};
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_TYPES_JSONPLACE_H
--- /dev/null
+++ b/src/document/types/word.h
@@ -0,0 +1,16 @@
+#ifndef CRANBERRYSPOOL_DOCUMENT_TYPES_WORD_H
+#define CRANBERRYSPOOL_DOCUMENT_TYPES_WORD_H
+
+#include <string_view>
+
+namespace cranberryspool::document {
+
+/// One of the words that a key accepts, and its value.
+template <typename Value> struct Word {
+  std::string_view Text_;
+  Value Value_;
+};
+
+} // namespace cranberryspool::document
+
+#endif // CRANBERRYSPOOL_DOCUMENT_TYPES_WORD_H
--- a/src/entry/internal/settingsfile.cpp
+++ b/src/entry/internal/settingsfile.cpp
@@ -1,7 +1,7 @@
 #include "entry/settingsfile.h"
 
-#include "document/internal/objectreader.h"
-#include "document/internal/readjson.h"
+#include "document/objectreader.h"
+#include "document/readjson.h"
 #include "entry/internal/listen.h"
 #include "framework/units.h"
 
