--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -3,7 +3,10 @@
 #include "entry/internal/callerserver.h"
 #include "entry/internal/dispatcher.h"
 #include "entry/internal/listen.h"
-#include "entry/internal/operatorserver.h"
+#include "entry/internal/httpservice.h"
+#include "entry/internal/operatorpages.h"
+#include "entry/internal/peerfetcher.h"
+#include "entry/internal/peerlibrary.h"
 #include "entry/internal/peermessenger.h"
 #include "entry/internal/platformreader.h"
 #include "entry/internal/targetconnections.h"
@@ -69,8 +72,8 @@
   decision::Core makeCore() const;
 
   const EntrySettings Settings_;
-  InstanceState Shared_;
   Mailboxes Rings_;
+  InstanceState Shared_;
   /// Holds the listeners; each duty accepts on a context of its own.
   net::io_context ListenIo_;
   tcp::acceptor CallerListener_;
@@ -84,7 +87,7 @@
 
 EntryInstance::Workings::Workings(EntrySettings Settings)
     : Settings_(std::move(Settings)),
-      Shared_(Settings_.Limits_.RequestBytes_, Settings_.Limits_.AnswerBytes_),
+      Shared_(Settings_.Limits_, Rings_),
       CallerListener_(ListenIo_), OperatorListener_(ListenIo_),
       Control_(
           ControlLimit, [](const std::string &, const char *) {},
@@ -144,24 +147,14 @@
 }
 
 void EntryInstance::Workings::startControl() {
-  Control_.start({"operator", [this](const std::stop_token &Token) {
-                    runDuty(Token, [this](net::io_context &Io) {
-                      return std::make_unique<OperatorServer>(
-                          Io, shareListener(Io, OperatorListener_), Shared_);
-                    });
-                  }});
-  Control_.start({"peers", [this](const std::stop_token &Token) {
-                    runDuty(Token, [this](net::io_context &Io) {
-                      return std::make_unique<PeerMessenger>(
-                          Io, Settings_.PeerListen_, Rings_);
-                    });
-                  }});
-  Control_.start({"platform", [this](const std::stop_token &Token) {
-                    runDuty(Token, [this](net::io_context &Io) {
-                      return std::make_unique<PlatformReader>(Io, Settings_,
-                                                              Rings_);
-                    });
-                  }});
+  startDuty<OperatorPages>(Control_, "operator", [this](net::io_context &Io) {
+    return std::make_unique<HttpService>(
+        Io, shareListener(Io, OperatorListener_), OperatorBodyBytes,
+        [Pages = std::make_shared<OperatorPages>(Shared_)](
+            const ServiceQuestion &Question) {
+          return Pages->answer(Question);
+        });
+  });
 }
 
 decision::Core EntryInstance::Workings::makeCore() const {
--- a/src/entry/internal/operatorsession.h
+++ b/src/entry/internal/httpservicesession.h
@@ -1,10 +1,9 @@
-#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_OPERATORSESSION_H
-#define CRANBERRYSPOOL_ENTRY_INTERNAL_OPERATORSESSION_H
+#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_HTTPSERVICESESSION_H
+#define CRANBERRYSPOOL_ENTRY_INTERNAL_HTTPSERVICESESSION_H
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -13,16 +12,19 @@
 
 namespace cranberryspool::entry {
 
-class OperatorServer;
+class HttpService;
 
-/// One connection of an operator or a metrics collector.
-class OperatorSession : public std::enable_shared_from_this<OperatorSession> {
+/// One connection to an instance's own pages or methods.
+class HttpServiceSession
+    : public std::enable_shared_from_this<HttpServiceSession> {
 public:
-  OperatorSession(boost::asio::ip::tcp::socket Socket, OperatorServer &Server);
+  HttpServiceSession(boost::asio::ip::tcp::socket Socket, HttpService &Service);
 
   void readNext();
 
 private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Response =
       boost::beast::http::response<boost::beast::http::string_body>;
 
@@ -30,15 +32,13 @@
   void onWritten(const boost::system::error_code &Error);
 
   boost::asio::ip::tcp::socket Socket_;
-  OperatorServer &Server_;
+  HttpService &Service_;
   boost::asio::steady_timer Timer_;
   boost::beast::flat_buffer Input_;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::empty_body>>
-      Parser_;
+  std::optional<Parser> Parser_;
   Response Output_;
 };
 
 } // namespace cranberryspool::entry
 
-#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_OPERATORSESSION_H
+#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_HTTPSERVICESESSION_H
--- /dev/null
+++ b/src/entry/internal/keptanswerjson.cpp
@@ -0,0 +1,101 @@
+#include "entry/internal/keptanswerjson.h"
+
+#include "entry/internal/base64.h"
+#include "entry/internal/fieldtext.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace cranberryspool::entry {
+
+namespace json = boost::json;
+
+namespace {
+
+std::optional<json::object> readObject(std::string_view Text) {
+  json::error_code Error;
+  json::value Parsed = json::parse(Text, Error);
+  if (Error || !Parsed.is_object())
+    return std::nullopt;
+  return std::move(Parsed.get_object());
+}
+
+std::optional<std::string> readBytes(const json::object &Object,
+                                     std::string_view Name) {
+  const json::value *Member = Object.if_contains(Name);
+  if (!Member || !Member->is_string())
+    return std::nullopt;
+  return decodeBase64(Member->get_string());
+}
+
+bool readFields(const json::object &Object, std::vector<HeaderField> &Fields) {
+  const json::value *Member = Object.if_contains("fields");
+  if (!Member || !Member->is_array())
+    return false;
+  for (const json::value &One : Member->get_array()) {
+    if (!One.is_object())
+      return false;
+    auto Name = readBytes(One.get_object(), "name");
+    auto Value = readBytes(One.get_object(), "value");
+    if (!Name || !Value)
+      return false;
+    Fields.push_back({std::move(*Name), std::move(*Value)});
+  }
+  return true;
+}
+
+} // namespace
+
+std::string writeKeptAnswerQuestion(framework::CallId Call) {
+  return json::serialize(
+      json::object{{"call", std::to_string(Call.value())}});
+}
+
+std::optional<framework::CallId> readKeptAnswerQuestion(std::string_view Text) {
+  const auto Object = readObject(Text);
+  if (!Object)
+    return std::nullopt;
+  const json::value *Member = Object->if_contains("call");
+  if (!Member || !Member->is_string())
+    return std::nullopt;
+  const auto Number = parseCount(Member->get_string());
+  if (!Number)
+    return std::nullopt;
+  return framework::CallId(*Number);
+}
+
+std::string writeKeptAnswer(const TargetAnswer *Answer) {
+  if (!Answer)
+    return json::serialize(json::object{{"found", false}});
+  json::array Fields;
+  for (const HeaderField &One : Answer->Fields_)
+    Fields.push_back(json::object{{"name", encodeBase64(One.Name_)},
+                                  {"value", encodeBase64(One.Value_)}});
+  return json::serialize(json::object{{"found", true},
+                                      {"status", Answer->Status_},
+                                      {"fields", std::move(Fields)},
+                                      {"body", encodeBase64(Answer->Body_)}});
+}
+
+std::optional<TargetAnswer> readKeptAnswer(std::string_view Text) {
+  const auto Object = readObject(Text);
+  if (!Object)
+    return std::nullopt;
+  const json::value *Found = Object->if_contains("found");
+  const json::value *Status = Object->if_contains("status");
+  if (!Found || !Found->is_bool() || !Found->get_bool() || !Status ||
+      !Status->is_int64())
+    return std::nullopt;
+  const std::int64_t Code = Status->get_int64();
+  auto Body = readBytes(*Object, "body");
+  TargetAnswer Answer;
+  if (Code < 200 || Code > 599 || !Body || !readFields(*Object, Answer.Fields_))
+    return std::nullopt;
+  Answer.Status_ = static_cast<unsigned>(Code);
+  Answer.Body_ = std::move(*Body);
+  return Answer;
+}
+
+} // namespace cranberryspool::entry
--- a/src/entry/internal/mailboxes.h
+++ b/src/entry/internal/mailboxes.h
@@ -1,6 +1,8 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_MAILBOXES_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_MAILBOXES_H
 
+#include "decision/types/actions/fetchkeptanswer.h"
+#include "decision/types/actions/fetchsections.h"
 #include "entry/types/callercommand.h"
 #include "entry/types/dispatchinput.h"
 #include "entry/types/peercommand.h"
@@ -22,6 +24,8 @@
   framework::Mailbox<TargetCommand> Targets_{CommandCapacity};
   framework::Mailbox<PlatformCommand> Platform_{PlatformCapacity};
   framework::Mailbox<PeerCommand> Peers_{PeerCapacity};
+  framework::Mailbox<decision::FetchSections> SectionFetches_{PeerCapacity};
+  framework::Mailbox<decision::FetchKeptAnswer> AnswerFetches_{PeerCapacity};
 };
 
 } // namespace cranberryspool::entry
--- /dev/null
+++ b/src/entry/internal/peermethods.h
@@ -0,0 +1,15 @@
+#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_PEERMETHODS_H
+#define CRANBERRYSPOOL_ENTRY_INTERNAL_PEERMETHODS_H
+
+#include <string>
+
+/// The names by which instances call one another.
+namespace cranberryspool::entry {
+
+inline const std::string PeerMethodsPath = "/rpc";
+inline const std::string FetchSectionsMethod = "fetchSections";
+inline const std::string FetchKeptAnswerMethod = "fetchKeptAnswer";
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_PEERMETHODS_H
