Join instances by bulk transfers; add status, metrics and change log

Cause: sections and kept answers did not pass between instances, and nothing of an instance could be seen from outside. Change: fetchSections and fetchKeptAnswer by JSON-RPC on the peers' TCP port, each kind on a duty of its own because the library blocks; kept answers in bounded memory; /status and /metrics written on the dispatch duty; structured log lines for changes of state. Core::document() gives the document in force.

--- a/src/decision/core.h
+++ b/src/decision/core.h
@@ -13,6 +13,10 @@
 #include <memory>
 #include <vector>
 
+namespace cranberryspool::document {
+struct EnvironmentDocument;
+} // namespace cranberryspool::document
+
 namespace cranberryspool::decision {
 
 class Engine;
@@ -37,6 +41,11 @@
   const CoreCounters &counters() const;
   /// What the instance believes and does as of the last event.
   CoreStatus status() const;
+
+  /// The document in force, or null when there is none. Valid until the next
+  /// event is handled.
+  const document::EnvironmentDocument *document() const;
+
   /// Takes the calls that have ended since the last time. When nobody takes
   /// them, only a bounded number is kept.
   std::vector<EndedCall> takeEndedCalls();
--- a/src/decision/internal/core.cpp
+++ b/src/decision/internal/core.cpp
@@ -22,6 +22,10 @@
 
 CoreStatus Core::status() const { return Engine_->status(); }
 
+const document::EnvironmentDocument *Core::document() const {
+  return Engine_->parts().Fleet_.currentDocument();
+}
+
 std::vector<EndedCall> Core::takeEndedCalls() {
   return std::exchange(Engine_->parts().Ended_, {});
 }
--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -277,6 +277,7 @@
                                  bool MayGoOn) {
   IsKeptAlive_ = IsKeptAlive_ && MayGoOn;
   Parser_.reset();
+  Request_ = CallerRequest();
   Response Message = startResponse(Status);
   Message.set(protocol::EndingHeader, nameOf(calls::Ending::NotRun));
   Message.set(protocol::EndingReasonHeader, Reason);
--- /dev/null
+++ b/src/entry/internal/callstatistics.h
@@ -0,0 +1,63 @@
+#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_CALLSTATISTICS_H
+#define CRANBERRYSPOOL_ENTRY_INTERNAL_CALLSTATISTICS_H
+
+#include "decision/types/endedcall.h"
+#include "document/types/objective.h"
+#include "report/callcounters.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace cranberryspool::document {
+struct EnvironmentDocument;
+} // namespace cranberryspool::document
+
+namespace cranberryspool::entry {
+
+/// Counts the calls of an instance as they end: for metrics, and against their
+/// objectives. Belongs to the dispatch duty.
+class CallStatistics {
+public:
+  CallStatistics();
+
+  /// Takes the objectives of the document in force; null when there is none.
+  void setObjectives(const document::EnvironmentDocument *Document);
+
+  void note(const decision::EndedCall &Call, framework::WallTime Now);
+
+  std::vector<prometheus::MetricFamily> collect() const;
+  const report::CallCounters &burnCounters() const { return Burn_; }
+  const std::map<report::BurnKey, document::Objective> &objectives() const {
+    return Objectives_;
+  }
+
+private:
+  struct EndingKey {
+    report::BurnKey Key_;
+    calls::Ending Ending_ = calls::Ending::NotRun;
+
+    friend auto operator<=>(const EndingKey &, const EndingKey &) = default;
+  };
+
+  bool isGood(const report::BurnKey &Key,
+              const decision::EndedCall &Call) const;
+  prometheus::Counter &counter(const EndingKey &Key);
+  prometheus::Histogram &histogram(const report::BurnKey &Key);
+
+  prometheus::Registry Registry_;
+  prometheus::Family<prometheus::Counter> &Calls_;
+  prometheus::Family<prometheus::Histogram> &Durations_;
+  std::map<EndingKey, prometheus::Counter *> Counters_;
+  std::map<report::BurnKey, prometheus::Histogram *> Histograms_;
+  std::map<report::BurnKey, document::Objective> Objectives_;
+  report::CallCounters Burn_;
+};
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_CALLSTATISTICS_H
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -2,17 +2,18 @@
 
 #include "framework/runtime/clocks.h"
 
-#include <boost/asio/post.hpp>
-
 namespace cranberryspool::entry {
 
 using framework::Instant;
 
 Dispatcher::Dispatcher(boost::asio::io_context &Io, decision::Core Core,
-                       Mailboxes &Rings, InstanceState &Shared)
-    : Core_(std::move(Core)), Rings_(Rings), Shared_(Shared),
+                       Mailboxes &Rings, InstanceState &Shared,
+                       const ChangeLog &Log)
+    : Core_(std::move(Core)), Rings_(Rings), Shared_(Shared), Log_(Log),
       Callers_(Io, Rings.Callers_), Targets_(Io, Rings.Targets_),
-      Platform_(Io, Rings.Platform_), Timer_(Io) {
+      Platform_(Io, Rings.Platform_),
+      SectionFetches_(Io, Rings.SectionFetches_),
+      AnswerFetches_(Io, Rings.AnswerFetches_), Timer_(Io) {
   Rings_.Dispatch_.attach(Io, [this](DispatchInput &Input) { onInput(Input); });
   handle(decision::Tick{});
 }
@@ -20,6 +21,10 @@
 Dispatcher::~Dispatcher() { Rings_.Dispatch_.detach(); }
 
 void Dispatcher::onInput(DispatchInput &Input) {
+  if (Input.Inspect_) {
+    Input.Inspect_(Core_, Statistics_);
+    return;
+  }
   keep(Input);
   handle(Input.Event_);
 }
@@ -29,6 +34,9 @@
     Calls_[Arrived->Call_].Request_ = Input.Request_;
     return;
   }
+  const auto *Fetched = std::get_if<decision::KeptAnswerFetched>(&Input.Event_);
+  if (Fetched && Calls_.contains(Fetched->Call_))
+    Calls_[Fetched->Call_].Fetched_ = Input.Answer_;
   const auto *Answered = std::get_if<decision::AttemptAnswered>(&Input.Event_);
   if (Answered && CallOfAttempt_.contains(Answered->Attempt_))
     Answers_[Answered->Attempt_] = Input.Answer_;
@@ -40,10 +48,32 @@
   for (const decision::Action &Next : Actions_)
     std::visit([this](const auto &One) { carryOut(One); }, Next);
   Actions_.clear();
+  keepAnswers();
+  countEnded();
   forgetEnded();
   wakeUpInTime();
 }
 
+/// Done after all actions of an event, since the order to keep an answer may
+/// stand before or after the order to give it.
+void Dispatcher::keepAnswers() {
+  for (const framework::CallId Call : ToKeep_) {
+    const auto Position = Calls_.find(Call);
+    if (Position != Calls_.end() && Position->second.Given_)
+      Shared_.KeptAnswers_.keep(Call, *Position->second.Given_);
+  }
+  ToKeep_.clear();
+}
+
+void Dispatcher::countEnded() {
+  const std::vector<decision::EndedCall> Ended = Core_.takeEndedCalls();
+  if (Ended.empty())
+    return;
+  const framework::WallTime Now = framework::readMoment().Wall_;
+  for (const decision::EndedCall &Call : Ended)
+    Statistics_.note(Call, Now);
+}
+
 void Dispatcher::forgetEnded() {
   for (const framework::CallId Call : Ended_) {
     const auto Position = Calls_.find(Call);
@@ -82,8 +112,10 @@
 
 void Dispatcher::carryOut(const decision::AnswerCall &Action) {
   const auto Position = Answers_.find(Action.Attempt_);
-  if (Position != Answers_.end())
+  if (Position != Answers_.end()) {
     Callers_.send(GiveAnswer{Action.Call_, Position->second});
+    Calls_[Action.Call_].Given_ = Position->second;
+  }
   Ended_.push_back(Action.Call_);
 }
 
@@ -129,13 +161,22 @@
   Callers_.send(FinishCallers{});
 }
 
-void Dispatcher::carryOut(const decision::KeepAnswer &) {}
+void Dispatcher::carryOut(const decision::KeepAnswer &Action) {
+  ToKeep_.push_back(Action.Call_);
+}
 
-void Dispatcher::carryOut(const decision::DropKeptAnswer &) {}
+void Dispatcher::carryOut(const decision::DropKeptAnswer &Action) {
+  Shared_.KeptAnswers_.drop(Action.Call_);
+}
 
-void Dispatcher::carryOut(const decision::FetchKeptAnswer &) {}
+void Dispatcher::carryOut(const decision::FetchKeptAnswer &Action) {
+  AnswerFetches_.send(Action);
+}
 
 void Dispatcher::carryOut(const decision::ReplayKeptAnswer &Action) {
+  const auto Position = Calls_.find(Action.Call_);
+  if (Position != Calls_.end() && Position->second.Fetched_)
+    Callers_.send(GiveAnswer{Action.Call_, Position->second.Fetched_});
   Ended_.push_back(Action.Call_);
 }
 
@@ -146,13 +187,17 @@
 }
 
 void Dispatcher::carryOut(const decision::FetchSections &Action) {
-  boost::asio::post(Timer_.get_executor(), [this, Peer = Action.PeerAddress_] {
-    handle(decision::SectionsUnavailable{Peer});
-  });
+  SectionFetches_.send(Action);
 }
 
-void Dispatcher::carryOut(const decision::ServeSections &) {}
+void Dispatcher::carryOut(const decision::ServeSections &Action) {
+  Shared_.Sections_.answer(Action.Request_, Action.Reply_);
+}
 
-void Dispatcher::carryOut(const decision::ReportChange &) {}
+void Dispatcher::carryOut(const decision::ReportChange &Action) {
+  Log_.note(Action.Kind_, Action.Subject_);
+  if (Action.Kind_ == decision::ChangeKind::DocumentInForce)
+    Statistics_.setObjectives(Core_.document());
+}
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -2,6 +2,8 @@
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_DISPATCHER_H
 
 #include "decision/core.h"
+#include "entry/internal/callstatistics.h"
+#include "entry/internal/changelog.h"
 #include "entry/internal/instancestate.h"
 #include "entry/internal/mailboxes.h"
 #include "framework/runtime/outbox.h"
@@ -19,7 +21,7 @@
 class Dispatcher {
 public:
   Dispatcher(boost::asio::io_context &Io, decision::Core Core, Mailboxes &Rings,
-             InstanceState &Shared);
+             InstanceState &Shared, const ChangeLog &Log);
   ~Dispatcher();
 
 private:
@@ -27,11 +29,17 @@
   struct KeptCall {
     std::shared_ptr<const CallerRequest> Request_;
     std::vector<framework::AttemptId> Attempts_;
+    /// The answer that the caller gets, once that is known.
+    std::shared_ptr<const TargetAnswer> Given_;
+    /// The answer of an earlier call with the same key, once fetched.
+    std::shared_ptr<const TargetAnswer> Fetched_;
   };
 
   void onInput(DispatchInput &Input);
   void keep(const DispatchInput &Input);
   void handle(const decision::Event &Event);
+  void keepAnswers();
+  void countEnded();
   void forgetEnded();
   void wakeUpInTime();
   void onTimer();
@@ -58,9 +66,13 @@
   decision::Core Core_;
   Mailboxes &Rings_;
   InstanceState &Shared_;
+  const ChangeLog &Log_;
+  CallStatistics Statistics_;
   framework::Outbox<CallerCommand> Callers_;
   framework::Outbox<TargetCommand> Targets_;
   framework::Outbox<PlatformCommand> Platform_;
+  framework::Outbox<decision::FetchSections> SectionFetches_;
+  framework::Outbox<decision::FetchKeptAnswer> AnswerFetches_;
   boost::asio::steady_timer Timer_;
   framework::Instant TimerDue_ = framework::Instant::max();
   decision::ActionList Actions_;
@@ -68,6 +80,7 @@
   std::unordered_map<framework::AttemptId, framework::CallId> CallOfAttempt_;
   std::unordered_map<framework::AttemptId, std::shared_ptr<const TargetAnswer>>
       Answers_;
+  std::vector<framework::CallId> ToKeep_;
   std::vector<framework::CallId> Ended_;
 };
 
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -2,8 +2,8 @@
 
 #include "entry/internal/callerserver.h"
 #include "entry/internal/dispatcher.h"
-#include "entry/internal/listen.h"
 #include "entry/internal/httpservice.h"
+#include "entry/internal/listen.h"
 #include "entry/internal/operatorpages.h"
 #include "entry/internal/peerfetcher.h"
 #include "entry/internal/peerlibrary.h"
@@ -32,6 +32,8 @@
 constexpr framework::RestartLimit CallPathLimit{0, std::chrono::seconds(1)};
 constexpr framework::RestartLimit ControlLimit{5, std::chrono::seconds(60)};
 
+constexpr std::size_t OperatorBodyBytes = 1024;
+
 /// Runs a duty's object on an I/O context of its own until the stop.
 template <typename Make>
 void runDuty(const std::stop_token &Token, Make MakeDuty) {
@@ -42,6 +44,14 @@
   Io.run();
 }
 
+/// Starts a duty whose object `MakeDuty` makes anew at each restart.
+template <typename Make>
+void startDuty(Supervisor &Group, std::string Name, Make MakeDuty) {
+  Group.start({std::move(Name), [MakeDuty](const std::stop_token &Token) {
+                 runDuty(Token, MakeDuty);
+               }});
+}
+
 std::uint64_t randomSeed() {
   std::random_device Source;
   return (static_cast<std::uint64_t>(Source()) << 32) | Source();
@@ -68,16 +78,21 @@
   Result<void, StartFailure> bind(tcp::acceptor &Listener, const Endpoint &At);
   void startCallPath();
   void startControl();
+  void startPeerDuties();
   void end(ExitCode Code);
+  void giveUp(const std::string &Duty);
   decision::Core makeCore() const;
 
   const EntrySettings Settings_;
   Mailboxes Rings_;
   InstanceState Shared_;
+  const ChangeLog Log_;
   /// Holds the listeners; each duty accepts on a context of its own.
   net::io_context ListenIo_;
   tcp::acceptor CallerListener_;
   tcp::acceptor OperatorListener_;
+  tcp::acceptor PeerListener_;
+  net::ip::udp::socket PeerSocket_;
   std::mutex EndLock_;
   std::condition_variable Ended_;
   std::optional<ExitCode> ExitCode_;
@@ -86,15 +101,27 @@
 };
 
 EntryInstance::Workings::Workings(EntrySettings Settings)
-    : Settings_(std::move(Settings)),
-      Shared_(Settings_.Limits_, Rings_),
-      CallerListener_(ListenIo_), OperatorListener_(ListenIo_),
+    : Settings_(std::move(Settings)), Shared_(Settings_.Limits_, Rings_),
+      Log_(Settings_.Name_), CallerListener_(ListenIo_),
+      OperatorListener_(ListenIo_), PeerListener_(ListenIo_),
+      PeerSocket_(ListenIo_),
       Control_(
-          ControlLimit, [](const std::string &, const char *) {},
-          [this](const std::string &) { end(ExitCode::DutyFailed); }),
+          ControlLimit,
+          [this](const std::string &Duty, const char *Reason) {
+            Log_.noteDutyFailed(Duty, Reason);
+          },
+          [this](const std::string &Duty) { giveUp(Duty); }),
       CallPath_(
-          CallPathLimit, [](const std::string &, const char *) {},
-          [this](const std::string &) { end(ExitCode::DutyFailed); }) {}
+          CallPathLimit,
+          [this](const std::string &Duty, const char *Reason) {
+            Log_.noteDutyFailed(Duty, Reason);
+          },
+          [this](const std::string &Duty) { giveUp(Duty); }) {}
+
+void EntryInstance::Workings::giveUp(const std::string &Duty) {
+  Log_.noteGivenUp(Duty);
+  end(ExitCode::DutyFailed);
+}
 
 EntryInstance::Workings::~Workings() {
   CallPath_.stop();
@@ -118,43 +145,67 @@
 Result<void, StartFailure> EntryInstance::Workings::start() {
   BOOST_OUTCOME_TRY(bind(CallerListener_, Settings_.CallerListen_));
   BOOST_OUTCOME_TRY(bind(OperatorListener_, Settings_.OperatorListen_));
+  BOOST_OUTCOME_TRY(bind(PeerListener_, Settings_.PeerListen_));
+  auto Socket = listenForDatagrams(ListenIo_, endpointOf(PeerListener_));
+  if (!Socket)
+    return StartFailure{Settings_.PeerListen_, Socket.error()};
+  PeerSocket_ = std::move(Socket.value());
   startControl();
   startCallPath();
   return framework::success();
 }
 
 void EntryInstance::Workings::startCallPath() {
-  CallPath_.start({"dispatch", [this](const std::stop_token &Token) {
-                     runDuty(Token, [this](net::io_context &Io) {
-                       return std::make_unique<Dispatcher>(Io, makeCore(),
-                                                           Rings_, Shared_);
-                     });
-                   }});
-  CallPath_.start({"targets", [this](const std::stop_token &Token) {
-                     runDuty(Token, [this](net::io_context &Io) {
-                       return std::make_unique<TargetConnections>(
-                           Io, Settings_.Limits_, Rings_, Shared_);
-                     });
-                   }});
-  CallPath_.start({"callers", [this](const std::stop_token &Token) {
-                     runDuty(Token, [this](net::io_context &Io) {
-                       return std::make_unique<CallerServer>(
-                           Io, shareListener(Io, CallerListener_),
-                           Settings_.Limits_, Rings_, Shared_,
-                           [this] { end(ExitCode::Stopped); });
-                     });
-                   }});
+  startDuty(CallPath_, "dispatch", [this](net::io_context &Io) {
+    return std::make_unique<Dispatcher>(Io, makeCore(), Rings_, Shared_, Log_);
+  });
+  startDuty(CallPath_, "targets", [this](net::io_context &Io) {
+    return std::make_unique<TargetConnections>(Io, Settings_.Limits_, Rings_,
+                                               Shared_);
+  });
+  startDuty(CallPath_, "callers", [this](net::io_context &Io) {
+    return std::make_unique<CallerServer>(
+        Io, shareListener(Io, CallerListener_), Settings_.Limits_, Rings_,
+        Shared_, [this] { end(ExitCode::Stopped); });
+  });
 }
 
 void EntryInstance::Workings::startControl() {
-  startDuty<OperatorPages>(Control_, "operator", [this](net::io_context &Io) {
+  startDuty(Control_, "operator", [this](net::io_context &Io) {
     return std::make_unique<HttpService>(
         Io, shareListener(Io, OperatorListener_), OperatorBodyBytes,
-        [Pages = std::make_shared<OperatorPages>(Shared_)](
+        [Pages = OperatorPages(Settings_, Rings_, Shared_)](
             const ServiceQuestion &Question) {
-          return Pages->answer(Question);
+          return Pages.answer(Question);
         });
   });
+  startDuty(Control_, "platform", [this](net::io_context &Io) {
+    return std::make_unique<PlatformReader>(Io, Settings_, Rings_);
+  });
+  startPeerDuties();
+}
+
+void EntryInstance::Workings::startPeerDuties() {
+  startDuty(Control_, "peer-messages", [this](net::io_context &Io) {
+    return std::make_unique<PeerMessenger>(Io, shareSocket(Io, PeerSocket_),
+                                           Rings_);
+  });
+  startDuty(Control_, "peer-server", [this](net::io_context &Io) {
+    return std::make_unique<HttpService>(
+        Io, shareListener(Io, PeerListener_), Settings_.Limits_.PlatformBytes_,
+        [Library = std::make_shared<PeerLibrary>(Shared_)](
+            const ServiceQuestion &Question) {
+          return Library->answer(Question);
+        });
+  });
+  startDuty(Control_, "peer-sections", [this](net::io_context &Io) {
+    return std::make_unique<PeerFetcher<decision::FetchSections>>(
+        Io, Settings_, Rings_.SectionFetches_, Rings_, Shared_);
+  });
+  startDuty(Control_, "peer-answers", [this](net::io_context &Io) {
+    return std::make_unique<PeerFetcher<decision::FetchKeptAnswer>>(
+        Io, Settings_, Rings_.AnswerFetches_, Rings_, Shared_);
+  });
 }
 
 decision::Core EntryInstance::Workings::makeCore() const {
@@ -162,7 +213,7 @@
   Core.Self_ = Settings_.Name_;
   Core.Zone_ = Settings_.Zone_;
   Core.StopLinger_ = Settings_.StopLinger_;
-  Core.PeerAddress_ = textOf(Settings_.PeerListen_);
+  Core.PeerAddress_ = textOf(endpointOf(PeerListener_));
   // A later start has the higher number.
   const auto Started = framework::readMoment().Wall_.time_since_epoch();
   Core.Incarnation_ =
--- a/src/entry/internal/httppost.cpp
+++ b/src/entry/internal/httppost.cpp
@@ -20,8 +20,7 @@
 /// The steps of one exchange, on a context that its caller runs.
 class Exchange {
 public:
-  Exchange(net::io_context &Io, const PostRoute &Route,
-           const std::string &Body)
+  Exchange(net::io_context &Io, const PostRoute &Route, const std::string &Body)
       : Route_(Route), Socket_(Io) {
     Question_.version(11);
     Question_.method(http::verb::post);
@@ -41,11 +40,11 @@
       Socket_.bind(toTcp({Route_.Source_, 0}), Error);
     if (Error)
       return;
-    Socket_.async_connect(
-        toTcp(Route_.Destination_), [this](const error_code &Failure) {
-          if (!Failure)
-            write();
-        });
+    Socket_.async_connect(toTcp(Route_.Destination_),
+                          [this](const error_code &Failure) {
+                            if (!Failure)
+                              write();
+                          });
   }
 
   std::optional<std::string> takeAnswer() {
@@ -66,10 +65,9 @@
   }
 
   void read() {
-    http::async_read(Socket_, Input_, Answer_,
-                     [this](const error_code &Failure, std::size_t) {
-                       IsDone_ = !Failure;
-                     });
+    http::async_read(
+        Socket_, Input_, Answer_,
+        [this](const error_code &Failure, std::size_t) { IsDone_ = !Failure; });
   }
 
   const PostRoute &Route_;
--- a/src/entry/internal/httpservice.cpp
+++ b/src/entry/internal/httpservice.cpp
@@ -15,15 +15,15 @@
 }
 
 void HttpService::acceptNext() {
-  Acceptor_.async_accept(Io_, [this](const boost::system::error_code &Error,
-                                     tcp::socket Socket) {
-    if (Error == net::error::operation_aborted)
-      return;
-    if (!Error)
-      std::make_shared<HttpServiceSession>(std::move(Socket), *this)
-          ->readNext();
-    acceptNext();
-  });
+  Acceptor_.async_accept(
+      Io_, [this](const boost::system::error_code &Error, tcp::socket Socket) {
+        if (Error == net::error::operation_aborted)
+          return;
+        if (!Error)
+          std::make_shared<HttpServiceSession>(std::move(Socket), *this)
+              ->readNext();
+        acceptNext();
+      });
 }
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/keptanswerjson.cpp
+++ b/src/entry/internal/keptanswerjson.cpp
@@ -49,8 +49,7 @@
 } // namespace
 
 std::string writeKeptAnswerQuestion(framework::CallId Call) {
-  return json::serialize(
-      json::object{{"call", std::to_string(Call.value())}});
+  return json::serialize(json::object{{"call", std::to_string(Call.value())}});
 }
 
 std::optional<framework::CallId> readKeptAnswerQuestion(std::string_view Text) {
--- a/src/entry/internal/keptanswerjson.h
+++ b/src/entry/internal/keptanswerjson.h
@@ -14,8 +14,7 @@
 namespace cranberryspool::entry {
 
 std::string writeKeptAnswerQuestion(framework::CallId Call);
-std::optional<framework::CallId>
-readKeptAnswerQuestion(std::string_view Text);
+std::optional<framework::CallId> readKeptAnswerQuestion(std::string_view Text);
 
 /// Writes an answer, or that there is none.
 std::string writeKeptAnswer(const TargetAnswer *Answer);
--- a/src/entry/internal/listen.cpp
+++ b/src/entry/internal/listen.cpp
@@ -11,6 +11,7 @@
 namespace net = boost::asio;
 using boost::system::error_code;
 using net::ip::tcp;
+using net::ip::udp;
 
 framework::Result<tcp::acceptor, error_code> listen(net::io_context &Io,
                                                     const Endpoint &At) {
@@ -37,6 +38,33 @@
   return tcp::acceptor(Io, Listener.local_endpoint().protocol(), Handle);
 }
 
+framework::Result<udp::socket, error_code>
+listenForDatagrams(net::io_context &Io, const Endpoint &At) {
+  udp::socket Socket(Io);
+  error_code Error;
+  const udp::endpoint Where = toUdp(At);
+  Socket.open(Where.protocol(), Error);
+  if (Error)
+    return Error;
+  Socket.set_option(udp::socket::reuse_address(true), Error);
+  if (Error)
+    return Error;
+  Socket.bind(Where, Error);
+  if (Error)
+    return Error;
+  return Socket;
+}
+
+udp::socket shareSocket(net::io_context &Io, udp::socket &Socket) {
+  const int Handle = ::dup(Socket.native_handle());
+  return udp::socket(Io, Socket.local_endpoint().protocol(), Handle);
+}
+
+udp::endpoint toUdp(const Endpoint &At) {
+  const tcp::endpoint Where = toTcp(At);
+  return {Where.address(), Where.port()};
+}
+
 tcp::endpoint toTcp(const Endpoint &At) {
   error_code Ignored;
   return {net::ip::make_address(At.Address_, Ignored), At.Port_};
--- /dev/null
+++ b/src/entry/internal/metricspage.cpp
@@ -0,0 +1,164 @@
+#include "entry/internal/metricspage.h"
+
+#include "entry/internal/callstatistics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <array>
+
+namespace cranberryspool::entry {
+
+using decision::CoreCounters;
+using decision::CoreStatus;
+using decision::TargetCondition;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+namespace {
+
+struct CounterName {
+  const char *Name_;
+  const char *Help_;
+  std::uint64_t CoreCounters::*Member_;
+};
+
+constexpr std::array<CounterName, 16> CounterNames = {{
+    {"cranberryspool_calls_accepted_total", "Calls accepted",
+     &CoreCounters::CallsAccepted_},
+    {"cranberryspool_callers_gone_total", "Callers gone before their answer",
+     &CoreCounters::CallersGone_},
+    {"cranberryspool_calls_replayed_total",
+     "Calls given the kept answer of an earlier one",
+     &CoreCounters::CallsReplayed_},
+    {"cranberryspool_attempts_total", "Attempts sent to targets",
+     &CoreCounters::AttemptsSent_},
+    {"cranberryspool_retries_total", "Attempts after a failed one",
+     &CoreCounters::RetriesSent_},
+    {"cranberryspool_retries_over_budget_total",
+     "Retries not sent for want of budget", &CoreCounters::RetriesOverBudget_},
+    {"cranberryspool_hedges_total", "Attempts beside a running one",
+     &CoreCounters::HedgesSent_},
+    {"cranberryspool_hedges_won_total", "Hedges that gave the answer",
+     &CoreCounters::HedgesWon_},
+    {"cranberryspool_answers_late_total", "Answers after their call had ended",
+     &CoreCounters::AnswersLate_},
+    {"cranberryspool_answers_mismatched_total", "Answers to another attempt",
+     &CoreCounters::AnswersMismatched_},
+    {"cranberryspool_connections_opened_total", "Connections to targets opened",
+     &CoreCounters::ConnectionsOpened_},
+    {"cranberryspool_connections_silent_total", "Connections judged silent",
+     &CoreCounters::ConnectionsSilent_},
+    {"cranberryspool_probes_total", "Probes sent", &CoreCounters::ProbesSent_},
+    {"cranberryspool_pauses_total", "Pauses of the process that were noticed",
+     &CoreCounters::Pauses_},
+    {"cranberryspool_documents_rejected_total", "Published documents refused",
+     &CoreCounters::DocumentsRejected_},
+    {"cranberryspool_documents_older_ignored_total",
+     "Documents below the revision in force",
+     &CoreCounters::DocumentsOlderIgnored_},
+}};
+
+MetricFamily makeFamily(const char *Name, const char *Help, MetricType Type) {
+  MetricFamily Family;
+  Family.name = Name;
+  Family.help = Help;
+  Family.type = Type;
+  return Family;
+}
+
+MetricFamily counterFamily(const CounterName &Named,
+                           const CoreCounters &Counters) {
+  MetricFamily Family =
+      makeFamily(Named.Name_, Named.Help_, MetricType::Counter);
+  prometheus::ClientMetric Metric;
+  Metric.counter.value = static_cast<double>(Counters.*Named.Member_);
+  Family.metric.push_back(std::move(Metric));
+  return Family;
+}
+
+prometheus::ClientMetric gauge(double Value) {
+  prometheus::ClientMetric Metric;
+  Metric.gauge.value = Value;
+  return Metric;
+}
+
+MetricFamily gaugeFamily(const char *Name, const char *Help, double Value) {
+  MetricFamily Family = makeFamily(Name, Help, MetricType::Gauge);
+  Family.metric.push_back(gauge(Value));
+  return Family;
+}
+
+MetricFamily targetsFamily(const CoreStatus &Status) {
+  constexpr std::array<std::pair<TargetCondition, const char *>, 4> States = {
+      {{TargetCondition::In, "in"},
+       {TargetCondition::Cold, "cold"},
+       {TargetCondition::Ejected, "ejected"},
+       {TargetCondition::Leaving, "leaving"}}};
+  MetricFamily Family = makeFamily("cranberryspool_targets", "Targets by state",
+                                   MetricType::Gauge);
+  for (const auto &[Condition, Name] : States) {
+    const auto Count =
+        std::count_if(Status.Targets_.begin(), Status.Targets_.end(),
+                      [Wanted = Condition](const decision::TargetStatus &One) {
+                        return One.Condition_ == Wanted;
+                      });
+    Family.metric.push_back(gauge(static_cast<double>(Count)));
+    Family.metric.back().label.push_back({"state", Name});
+  }
+  return Family;
+}
+
+MetricFamily queuesFamily(const CoreStatus &Status) {
+  MetricFamily Family =
+      makeFamily("cranberryspool_queued_calls",
+                 "Calls that wait, by service and urgency", MetricType::Gauge);
+  const auto Add = [&Family](const std::string &Service, const char *Urgency,
+                             std::size_t Count) {
+    Family.metric.push_back(gauge(static_cast<double>(Count)));
+    Family.metric.back().label = {{"service", Service}, {"urgency", Urgency}};
+  };
+  for (const decision::QueueStatus &One : Status.Queues_) {
+    Add(One.Service_.value(), "urgent", One.Urgent_);
+    Add(One.Service_.value(), "ordinary", One.Ordinary_);
+  }
+  return Family;
+}
+
+} // namespace
+
+std::string writeMetrics(const CoreCounters &Counters, const CoreStatus &Status,
+                         const ShellFigures &Shell,
+                         const CallStatistics &Statistics) {
+  std::vector<MetricFamily> Families = Statistics.collect();
+  for (const CounterName &Named : CounterNames)
+    Families.push_back(counterFamily(Named, Counters));
+  const auto Heard = std::count_if(
+      Status.Peers_.begin(), Status.Peers_.end(),
+      [](const decision::PeerStatus &One) { return One.IsHeard_; });
+  const auto AddGauge = [&Families](const char *Name, const char *Help,
+                                    double Value) {
+    Families.push_back(gaugeFamily(Name, Help, Value));
+  };
+  AddGauge("cranberryspool_document_revision", "The revision in force",
+           static_cast<double>(Status.DocumentRevision_.value()));
+  AddGauge("cranberryspool_ready", "1 while callers may be sent here",
+           Status.IsReady_ ? 1 : 0);
+  AddGauge("cranberryspool_view_fresh", "1 while new work may be sent",
+           Status.IsViewFresh_ ? 1 : 0);
+  AddGauge("cranberryspool_peers_heard", "Peers heard lately",
+           static_cast<double>(Heard));
+  AddGauge("cranberryspool_calls_open", "Calls that have not ended",
+           static_cast<double>(Status.Calls_));
+  AddGauge("cranberryspool_request_bytes", "Bytes held for request bodies",
+           static_cast<double>(Shell.RequestBytes_));
+  AddGauge("cranberryspool_answer_bytes", "Bytes held for answer bodies",
+           static_cast<double>(Shell.AnswerBytes_));
+  AddGauge("cranberryspool_kept_answer_bytes", "Bytes of kept answers",
+           static_cast<double>(Shell.KeptAnswerBytes_));
+  Families.push_back(targetsFamily(Status));
+  Families.push_back(queuesFamily(Status));
+  return prometheus::TextSerializer().Serialize(Families);
+}
+
+} // namespace cranberryspool::entry
--- a/src/entry/internal/peerfetcher.cpp
+++ b/src/entry/internal/peerfetcher.cpp
@@ -57,9 +57,8 @@
 template <>
 void PeerFetcher<decision::FetchSections>::fetch(
     const decision::FetchSections &Wanted) {
-  auto Reply =
-      readSectionReply(call(Wanted.PeerAddress_, FetchSectionsMethod,
-                            writeSectionRequest(Wanted.Request_)));
+  auto Reply = readSectionReply(call(Wanted.PeerAddress_, FetchSectionsMethod,
+                                     writeSectionRequest(Wanted.Request_)));
   DispatchInput Input;
   if (Reply)
     Input.Event_ =
--- a/src/entry/internal/peerlibrary.cpp
+++ b/src/entry/internal/peerlibrary.cpp
@@ -33,8 +33,7 @@
   auto Wanted = readSectionRequest(Parameters);
   if (!Wanted)
     return {};
-  const auto Reply =
-      Shared_.Sections_.ask(std::move(*Wanted), DispatchTimeout);
+  const auto Reply = Shared_.Sections_.ask(std::move(*Wanted), DispatchTimeout);
   return Reply ? writeSectionReply(*Reply) : std::string();
 }
 
--- a/src/entry/internal/peermessenger.cpp
+++ b/src/entry/internal/peermessenger.cpp
@@ -9,22 +9,10 @@
 using boost::system::error_code;
 using net::ip::udp;
 
-namespace {
-
-udp::endpoint toUdp(const Endpoint &At) {
-  const net::ip::tcp::endpoint Where = toTcp(At);
-  return {Where.address(), Where.port()};
-}
-
-} // namespace
-
-PeerMessenger::PeerMessenger(net::io_context &Io, const Endpoint &Listen,
+PeerMessenger::PeerMessenger(net::io_context &Io, udp::socket Socket,
                              Mailboxes &Rings)
-    : Rings_(Rings), Dispatch_(Io, Rings.Dispatch_), Socket_(Io) {
-  const udp::endpoint Where = toUdp(Listen);
-  Socket_.open(Where.protocol());
-  Socket_.set_option(udp::socket::reuse_address(true));
-  Socket_.bind(Where);
+    : Rings_(Rings), Dispatch_(Io, Rings.Dispatch_),
+      Socket_(std::move(Socket)) {
   Socket_.non_blocking(true);
   Rings_.Peers_.attach(
       Io, [this](const PeerCommand &Command) { onCommand(Command); });
--- a/src/entry/internal/peermessenger.h
+++ b/src/entry/internal/peermessenger.h
@@ -17,8 +17,8 @@
 /// be sent or read is dropped: peers repeat themselves.
 class PeerMessenger {
 public:
-  PeerMessenger(boost::asio::io_context &Io, const Endpoint &Listen,
-                Mailboxes &Rings);
+  PeerMessenger(boost::asio::io_context &Io,
+                boost::asio::ip::udp::socket Socket, Mailboxes &Rings);
   ~PeerMessenger();
 
 private:
--- a/src/entry/internal/sectionsjson.cpp
+++ b/src/entry/internal/sectionsjson.cpp
@@ -61,9 +61,9 @@
 json::array writeDigests(const std::vector<fleet::SectionDigest> &Digests) {
   json::array Array;
   for (const fleet::SectionDigest &One : Digests)
-    Array.push_back(json::object{
-        {"name", One.Name_},
-        {"digest", numberText(One.Digest_.value(), Hexadecimal)}});
+    Array.push_back(
+        json::object{{"name", One.Name_},
+                     {"digest", numberText(One.Digest_.value(), Hexadecimal)}});
   return Array;
 }
 
@@ -138,10 +138,10 @@
 std::string writeSectionReply(const fleet::SectionReply &Reply) {
   json::array Changed;
   for (const document::DocumentSection &One : Reply.Changed_)
-    Changed.push_back(json::object{
-        {"name", One.Name_},
-        {"digest", numberText(One.Digest_.value(), Hexadecimal)},
-        {"text", One.Text_}});
+    Changed.push_back(
+        json::object{{"name", One.Name_},
+                     {"digest", numberText(One.Digest_.value(), Hexadecimal)},
+                     {"text", One.Text_}});
   return json::serialize(
       json::object{{"kind", writeKind(Reply.Kind_)},
                    {"revision", numberText(Reply.Revision_.value(), 10)},
--- a/src/entry/types/dispatchinput.h
+++ b/src/entry/types/dispatchinput.h
@@ -3,6 +3,7 @@
 
 #include "decision/event.h"
 #include "entry/types/callerrequest.h"
+#include "entry/types/inspection.h"
 #include "entry/types/targetanswer.h"
 
 #include <memory>
@@ -16,6 +17,8 @@
   std::shared_ptr<const CallerRequest> Request_;
   /// Given with `AttemptAnswered` and `KeptAnswerFetched`.
   std::shared_ptr<const TargetAnswer> Answer_;
+  /// When set, called instead of handling the event.
+  Inspection Inspect_;
 };
 
 } // namespace cranberryspool::entry
