--- a/src/document/internal/documentfault.cpp
+++ b/src/document/internal/documentfault.cpp
@@ -29,6 +29,10 @@
     return "invalid-duration";
   case FaultKind::InvalidShare:
     return "invalid-share";
+  case FaultKind::InvalidSize:
+    return "invalid-size";
+  case FaultKind::InvalidAddress:
+    return "invalid-address";
   case FaultKind::InvalidMethod:
     return "invalid-method";
   case FaultKind::InvalidPath:
--- a/src/document/internal/objectreader.h
+++ b/src/document/internal/objectreader.h
@@ -42,6 +42,9 @@
   /// False when the place holds no object; every read then yields nothing.
   bool isObject() const { return Members_ != nullptr; }
 
+  /// Tells whether the key is there; it then counts as known.
+  bool has(std::string_view Key) { return find(Key) != nullptr; }
+
   std::uint32_t number(std::string_view Key, Range<std::uint32_t> Allowed);
   framework::Duration duration(std::string_view Key,
                                Range<framework::Duration> Allowed);
--- a/src/document/types/faultkind.h
+++ b/src/document/types/faultkind.h
@@ -18,6 +18,8 @@
   InvalidName,
   InvalidDuration,
   InvalidShare,
+  InvalidSize,
+  InvalidAddress,
   InvalidMethod,
   InvalidPath,
   UnknownWord,
--- a/src/framework/internal/units.cpp
+++ b/src/framework/internal/units.cpp
@@ -19,6 +19,14 @@
                                         {"m", 60'000'000},
                                         {"h", 3'600'000'000}}};
 
+struct SizeUnit {
+  std::string_view Suffix_;
+  std::int64_t Bytes_;
+};
+
+constexpr std::array<SizeUnit, 3> SizeUnits = {
+    {{"B", 1}, {"KiB", 1'024}, {"MiB", 1'048'576}}};
+
 constexpr std::uint32_t PerMillionInPercent = 10'000;
 constexpr std::size_t ShareDecimals = 4;
 constexpr std::uint32_t WholePercent = 100;
@@ -87,6 +95,30 @@
          std::string(Best->Suffix_);
 }
 
+std::optional<std::size_t> parseSize(std::string_view Text) {
+  const auto Number = takeNumber(Text);
+  if (!Number)
+    return std::nullopt;
+  for (const SizeUnit &Each : SizeUnits) {
+    if (Text != Each.Suffix_)
+      continue;
+    if (*Number > std::numeric_limits<std::int64_t>::max() / Each.Bytes_)
+      return std::nullopt;
+    return static_cast<std::size_t>(*Number * Each.Bytes_);
+  }
+  return std::nullopt;
+}
+
+std::string sizeText(std::size_t Bytes) {
+  const SizeUnit *Best = &SizeUnits.front();
+  for (const SizeUnit &Each : SizeUnits) {
+    if (Bytes > 0 && Bytes % static_cast<std::size_t>(Each.Bytes_) == 0)
+      Best = &Each;
+  }
+  return std::to_string(Bytes / static_cast<std::size_t>(Best->Bytes_)) +
+         std::string(Best->Suffix_);
+}
+
 std::optional<std::uint32_t> parseShare(std::string_view Text) {
   if (!Text.ends_with('%'))
     return std::nullopt;
--- a/src/framework/tests/units_test.cpp
+++ b/src/framework/tests/units_test.cpp
@@ -53,3 +53,15 @@
   CAPTURE(Text);
   CHECK_FALSE(parseShare(Text));
 }
+
+TEST_CASE("sizes are read and written with their unit", "[framework]") {
+  CHECK(parseSize("512B") == 512U);
+  CHECK(parseSize("64KiB") == 65'536U);
+  CHECK(parseSize("1MiB") == 1'048'576U);
+  CHECK_FALSE(parseSize("64"));
+  CHECK_FALSE(parseSize("64KB"));
+  CHECK_FALSE(parseSize("64 KiB"));
+  CHECK_FALSE(parseSize("9223372036854775807MiB"));
+  CHECK(sizeText(65'536) == "64KiB");
+  CHECK(sizeText(1'000) == "1000B");
+}
