Place instances and targets on the ring, and run what is due in order

The default policy prefers near targets and needs their distance; it was 0 for all. RingPlaces computes it whenever the document or the list changes.

The random test found a tick that left a call in the queue whose time was over already: what is tended now comes before the queue is cleared, so that one wake-up does all that is due.

--- a/src/decision/internal/coreparts.h
+++ b/src/decision/internal/coreparts.h
@@ -14,7 +14,7 @@
 #include "decision/types/endedcall.h"
 #include "fleet/fleet.h"
 #include "framework/random.h"
-#include "routing/policies/blendpolicy.h"
+#include "routing/defaultpolicy.h"
 #include "routing/targettable.h"
 
 #include <set>
@@ -29,8 +29,7 @@
   CoreParts(CoreSettings Settings, framework::Random Rng)
       : Settings_(std::move(Settings)), Rng_(Rng),
         Targets_(Environment_.internZone(Settings_.Zone_),
-                 routing::BlendPolicy(routing::BlendSettings{}),
-                 framework::Random(Rng_.bits())),
+                 routing::DefaultPolicy(), framework::Random(Rng_.bits())),
         Learning_(Calling_),
         Fleet_(fleet::FleetSettings{.Self_ = Settings_.Self_,
                                     .Incarnation_ = Settings_.Incarnation_,
@@ -57,7 +56,7 @@
   CoreCounters Counters_;
 
   Environment Environment_;
-  routing::TargetTable<routing::BlendPolicy> Targets_;
+  routing::TargetTable<routing::DefaultPolicy> Targets_;
   admission::AdmissionQueue Queue_;
   ServiceLearning Learning_;
   fleet::Fleet Fleet_;
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -77,14 +77,14 @@
     Parts_.Fleet_.tick(At.Now_, Parts_.FleetOutput_);
   Fleet_.carryOut(At);
   Parts_.Targets_.advance(At.now());
-  Waiting_.dropExpired(At);
   View_.update(At);
+  if (At.now() >= LastTended_ + TickInterval)
+    tend(At);
+  Waiting_.dropExpired(At);
   const bool MayStart = View_.isFresh(At.now());
   if (MayStart)
     Dispatcher_.startQueued(At);
   Dispatcher_.startHedges(At, MayStart);
-  if (At.now() >= LastTended_ + TickInterval)
-    tend(At);
   Notes_.report(At);
   updateReadiness(At);
   Stop_.advance(At);
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -31,6 +31,10 @@
     return Document_;
   }
 
+  /// Returns the whole list, targets and instances of this system.
+  const std::vector<document::PublishedInstance> &instances() const {
+    return Instances_;
+  }
   /// Returns the number of instances of this system on the list, at least 1.
   std::uint32_t instanceCount() const;
 
--- a/src/decision/internal/environmentkeeper.cpp
+++ b/src/decision/internal/environmentkeeper.cpp
@@ -1,5 +1,7 @@
 #include "decision/internal/environmentkeeper.h"
 
+#include "decision/internal/ringplaces.h"
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -20,6 +22,7 @@
 
 void EnvironmentKeeper::apply(const Step &At) {
   Parts_.Targets_.setTargets(Parts_.Environment_.targets(), At.now());
+  placeOnRing();
   applyShares(At);
   applyCapacities();
   Results_.takeBackUnsent(At);
@@ -38,11 +41,20 @@
         routing::TargetBounds{.ColdInFlight_ =
                                   Parts_.Fleet_.coldShare(Name, At.now()),
                               .MaxConnections_ = Connections,
-                              .ColdWarmup_ = Service.ColdStart_.Warmup_});
+                              .ColdWarmup_ = Service.ColdStart_.Warmup_,
+                              .RingDistance_ = RingDistances_[Target.Target_]});
     Parts_.Connections_.setLimit(Target.Target_, Connections);
   }
 }
 
+void EnvironmentKeeper::placeOnRing() {
+  const RingPlaces Places(Parts_.Environment_, Parts_.Settings_.Self_,
+                          Parts_.Settings_.Zone_);
+  RingDistances_.clear();
+  for (const routing::TargetDescription &Target : Parts_.Environment_.targets())
+    RingDistances_[Target.Target_] = Places.distance(Target.Target_);
+}
+
 bool EnvironmentKeeper::hasUsableTarget(framework::Instant Now) const {
   const auto IsUsable = [&](const routing::TargetDescription &Target) {
     if (Target.IsLeaving_)
--- a/src/decision/internal/environmentkeeper.h
+++ b/src/decision/internal/environmentkeeper.h
@@ -7,6 +7,7 @@
 #include "document/types/environmentdocument.h"
 #include "document/types/publishedinstance.h"
 
+#include <map>
 #include <vector>
 
 namespace cranberryspool::decision {
@@ -29,9 +30,11 @@
 private:
   void apply(const Step &At);
   void applyCapacities();
+  void placeOnRing();
 
   CoreParts &Parts_;
   Outcomes &Results_;
+  std::map<framework::TargetId, double> RingDistances_;
 };
 
 } // namespace cranberryspool::decision
