Take the closing of all connections of a target for a new start

A target that starts anew while nobody calls it shows it only by resetting its connections. ResetDetector tells this from single connections that are lost; the target then counts as cold.

--- /dev/null
+++ b/src/calls/tests/silencedetector_test.cpp
@@ -0,0 +1,64 @@
+#include "calls/silencedetector.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::calls;
+using framework::AttemptId;
+using framework::Instant;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr SilenceBounds Bounds{
+    .LaterAnswers_ = 3, .WaitFactor_ = 4, .MinWait_ = milliseconds(20)};
+
+Attempt sent(std::uint64_t Id, Instant When) {
+  Attempt Sent;
+  Sent.Attempt_ = AttemptId(Id);
+  Sent.IsIdempotent_ = true;
+  Sent.State_ = AttemptState::Sent;
+  Sent.SentAt_ = When;
+  return Sent;
+}
+
+} // namespace
+
+TEST_CASE("a connection is silent when later attempts are answered",
+          "[calls]") {
+  SilenceDetector Detector(Bounds, Bounds);
+  const Attempt Waiting = sent(1, Instant{});
+  Detector.noteSent(Waiting);
+  for (std::uint64_t Id = 2; Id <= 4; ++Id) {
+    const Attempt Later = sent(Id, Instant{} + milliseconds(Id));
+    Detector.noteSent(Later);
+    Detector.noteAnswered(Later, milliseconds(10));
+    Detector.forget(Later);
+  }
+  CHECK_FALSE(Detector.takeSilent(Instant{} + milliseconds(39)).has_value());
+  CHECK(Detector.takeSilent(Instant{} + milliseconds(40)) == Waiting.Attempt_);
+}
+
+TEST_CASE("a target that is slow on all connections is not silent", "[calls]") {
+  SilenceDetector Detector(Bounds, Bounds);
+  for (std::uint64_t Id = 1; Id <= 6; ++Id)
+    Detector.noteSent(sent(Id, Instant{} + milliseconds(Id)));
+  // Answers come, but to the attempts that were sent first.
+  for (std::uint64_t Id = 1; Id <= 3; ++Id) {
+    const Attempt Early = sent(Id, Instant{} + milliseconds(Id));
+    Detector.noteAnswered(Early, milliseconds(500));
+    Detector.forget(Early);
+  }
+  CHECK_FALSE(Detector.nextWakeUp().has_value());
+}
+
+TEST_CASE("an answer that has begun ends the suspicion", "[calls]") {
+  SilenceDetector Detector(Bounds, Bounds);
+  const Attempt Waiting = sent(1, Instant{});
+  Detector.noteSent(Waiting);
+  for (std::uint64_t Id = 2; Id <= 4; ++Id)
+    Detector.noteAnswered(sent(Id, Instant{} + milliseconds(Id)),
+                          milliseconds(10));
+  Detector.forget(Waiting);
+  CHECK_FALSE(Detector.takeSilent(Instant{} + milliseconds(500)).has_value());
+}
--- a/src/decision/internal/outcomes.cpp
+++ b/src/decision/internal/outcomes.cpp
@@ -52,7 +52,16 @@
     failOpening(At, Input.Connection_);
     return;
   }
+  const framework::TargetId Target = Conn->Target_;
   Parts_.Connections_.remove(Input.Connection_);
+  noteReset(At, Target, true);
+}
+
+void Outcomes::noteReset(const Step &At, framework::TargetId Target,
+                         bool WasIdle) {
+  const std::uint32_t Remaining = Parts_.Connections_.count(Target);
+  if (Resets_.noteClosed(Target, WasIdle, Remaining, At.now()))
+    Parts_.Targets_.noteTurnedCold(Target, At.now());
 }
 
 void Outcomes::failOpening(const Step &At, framework::ConnectionId Id) {
@@ -146,6 +155,7 @@
   const calls::Attempt Ended = *Found;
   Parts_.Connections_.remove(Input.Connection_);
   Attempts_.finish(At, Ended, routing::AttemptResult::ConnectionFailed);
+  noteReset(At, Ended.Target_, false);
   Keeper_.openForWaiters(At, Ended.Target_);
   if (Input.Written_ == calls::WriteState::NothingWritten)
     followUnsent(At, Ended);
--- a/src/decision/internal/outcomes.h
+++ b/src/decision/internal/outcomes.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_DECISION_INTERNAL_OUTCOMES_H
 #define CRANBERRYSPOOL_DECISION_INTERNAL_OUTCOMES_H
 
+#include "calls/resetdetector.h"
 #include "calls/types/attemptfailure.h"
 #include "calls/types/endingreason.h"
 #include "decision/internal/admissionflow.h"
@@ -60,6 +61,8 @@
   void followAnswer(const Step &At, calls::Call &Owner,
                     const calls::Attempt &Ended, std::uint32_t Status);
   bool mayRetry(const calls::Call &Owner);
+  /// The other end closed a connection to the target.
+  void noteReset(const Step &At, framework::TargetId Target, bool WasIdle);
   void failOpening(const Step &At, framework::ConnectionId Id);
 
   CoreParts &Parts_;
@@ -68,6 +71,7 @@
   CallEnder &Ender_;
   AdmissionFlow &Waiting_;
   TargetNotes &Notes_;
+  calls::ResetDetector Resets_;
   /// By target: whether it has ever named the attempt that it answers.
   std::vector<bool> Echoes_;
 };
