Play whole sessions to a core and keep their actions as golden files

A new module, src/session, and cranberry-session feed a core a script of JSON lines in virtual time, with small fakes of platform and targets, and print each event and action.

Found by reading them: spare connections were opened after the end of a stop, answers cut short counted as a new start of the target, and a stop waited for a handover without bound. Retry-After is now in whole milliseconds.

--- a/src/decision/internal/callender.cpp
+++ b/src/decision/internal/callender.cpp
@@ -1,5 +1,6 @@
 #include "decision/internal/callender.h"
 
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -76,10 +77,10 @@
   default:
     break;
   }
-  const framework::Duration Base = Parts_.Calling_.RetryAfter_;
-  const double Extra =
-      static_cast<double>(Base.count()) * Parts_.Rng_.fraction();
-  return Base + framework::Duration(static_cast<std::int64_t>(Extra));
+  const auto Base = std::chrono::floor<std::chrono::milliseconds>(
+      Parts_.Calling_.RetryAfter_);
+  const auto Extra = Parts_.Rng_.index(static_cast<std::size_t>(Base.count()));
+  return Base + std::chrono::milliseconds(Extra);
 }
 
 void CallEnder::note(const Step &At, const calls::Call &Owner,
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -96,7 +96,7 @@
   LastTended_ = At.now();
   Outcomes_.dropUnopened(At);
   Environment_.applyShares(At);
-  if (!View_.isFresh(At.now()))
+  if (!View_.isFresh(At.now()) || Stop_.isFinished())
     return;
   Connections_.tend(At);
   Prober_.probe(At);
--- a/src/decision/internal/outcomes.cpp
+++ b/src/decision/internal/outcomes.cpp
@@ -21,6 +21,12 @@
   return calls::EndingReason::ConnectionLost;
 }
 
+/// True when the other end gave up the connection as such.
+bool isClosing(calls::AttemptFailure Failure) {
+  return Failure == calls::AttemptFailure::ConnectionClosed ||
+         Failure == calls::AttemptFailure::ConnectionReset;
+}
+
 routing::AttemptResult resultOf(const AttemptAnswered &Input) {
   if (Input.IsNotRun_)
     return routing::AttemptResult::NotRun;
@@ -155,7 +161,8 @@
   const calls::Attempt Ended = *Found;
   Parts_.Connections_.remove(Input.Connection_);
   Attempts_.finish(At, Ended, routing::AttemptResult::ConnectionFailed);
-  noteReset(At, Ended.Target_, false);
+  if (isClosing(Input.Failure_))
+    noteReset(At, Ended.Target_, false);
   Keeper_.openForWaiters(At, Ended.Target_);
   if (Input.Written_ == calls::WriteState::NothingWritten)
     followUnsent(At, Ended);
--- a/src/decision/internal/stopsequence.cpp
+++ b/src/decision/internal/stopsequence.cpp
@@ -17,9 +17,12 @@
   if (At.now() < *RequestedAt_ + Parts_.Settings_.StopLinger_)
     return;
   Calls_.close();
-  const bool IsIdle =
-      Parts_.Calls_.calls().empty() && Parts_.Calls_.attempts().empty();
-  if (!IsIdle || !Parts_.Fleet_.isHandoverDone())
+  if (!Parts_.Calls_.calls().empty() || !Parts_.Calls_.attempts().empty())
+    return;
+  // Without the platform's list a handover may never be done.
+  const bool IsOverdue =
+      At.now() >= *RequestedAt_ + 2 * Parts_.Settings_.StopLinger_;
+  if (!Parts_.Fleet_.isHandoverDone() && !IsOverdue)
     return;
   IsFinished_ = true;
   At.Output_.push_back(
--- a/src/decision/internal/stopsequence.h
+++ b/src/decision/internal/stopsequence.h
@@ -18,6 +18,7 @@
 
   void request(const Step &At);
   bool isRequested() const { return RequestedAt_.has_value(); }
+  bool isFinished() const { return IsFinished_; }
   /// Takes the next steps that are due.
   void advance(const Step &At);
 
--- /dev/null
+++ b/src/session/internal/environmentfile.cpp
@@ -0,0 +1,76 @@
+#include "session/environmentfile.h"
+
+#include "document/parsedocument.h"
+#include "session/internal/linemembers.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <optional>
+#include <string>
+
+namespace cranberryspool::session {
+
+namespace json = boost::json;
+
+namespace {
+
+SessionFailure badEnvironment(std::string Name) {
+  return SessionFailure{0, SessionFault::BadEnvironment, std::move(Name)};
+}
+
+std::optional<document::PublishedInstance>
+readInstance(const json::value &Value) {
+  if (!Value.is_object())
+    return std::nullopt;
+  LineMembers Members(Value.get_object());
+  const auto Name = Members.text("name");
+  const auto Zone = Members.text("zone");
+  const auto Address = Members.text("address");
+  if (!Name || !Zone || !Address)
+    return std::nullopt;
+  document::PublishedInstance Instance{.Name_ = framework::InstanceName(*Name),
+                                       .Group_ = std::nullopt,
+                                       .Zone_ = framework::ZoneName(*Zone),
+                                       .Address_ = *Address};
+  if (Members.has("group"))
+    Instance.Group_ = framework::GroupName(Members.text("group").value_or(""));
+  return Instance;
+}
+
+} // namespace
+
+framework::Result<EnvironmentSetup, SessionFailure>
+parseEnvironmentSetup(std::string_view Text) {
+  boost::system::error_code Error;
+  const json::value Root =
+      json::parse(json::string_view(Text.data(), Text.size()), Error);
+  if (Error || !Root.is_object())
+    return SessionFailure{0, SessionFault::NotJson, {}};
+  const json::object &Members = Root.get_object();
+  const auto *Document = Members.if_contains("document");
+  const auto *Instances = Members.if_contains("instances");
+  EnvironmentSetup Setup;
+  Setup.Self_ =
+      framework::InstanceName(LineMembers(Members).text("self").value_or(""));
+  if (!Document || !Instances || !Instances->is_array())
+    return badEnvironment(Document ? "instances" : "document");
+  Setup.Document_ = json::serialize(*Document);
+  if (!document::parseDocument(Setup.Document_))
+    return badEnvironment("document");
+  for (const json::value &Entry : Instances->get_array()) {
+    const auto Instance = readInstance(Entry);
+    if (!Instance)
+      return badEnvironment("instances");
+    if (Instance->Name_ == Setup.Self_) {
+      Setup.Zone_ = Instance->Zone_;
+      Setup.PeerAddress_ = Instance->Address_;
+    }
+    Setup.Instances_.push_back(*Instance);
+  }
+  if (Setup.PeerAddress_.empty())
+    return badEnvironment("self");
+  return Setup;
+}
+
+} // namespace cranberryspool::session
--- /dev/null
+++ b/src/session/internal/names.cpp
@@ -0,0 +1,93 @@
+#include "session/internal/names.h"
+
+#include <array>
+#include <cstddef>
+
+namespace cranberryspool::session {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> Endings{"answered", "not-run",
+                                                  "unknown", "deadline"};
+
+constexpr std::array<std::string_view, 22> Reasons{"none",
+                                                   "no-such-kind",
+                                                   "no-target",
+                                                   "queue-full",
+                                                   "deadline-too-short",
+                                                   "deadline-passed",
+                                                   "overloaded",
+                                                   "shed",
+                                                   "connect-failed",
+                                                   "connection-lost",
+                                                   "connection-silent",
+                                                   "answer-truncated",
+                                                   "answer-mismatched",
+                                                   "view-too-old",
+                                                   "instance-stopping",
+                                                   "key-invalid",
+                                                   "key-in-progress",
+                                                   "key-too-old",
+                                                   "key-home-unreachable",
+                                                   "key-answer-gone",
+                                                   "retries-exhausted",
+                                                   "caller-gone"};
+
+constexpr std::array<std::string_view, 5> Failures{
+    "connection-closed", "connection-reset", "truncated", "malformed",
+    "answer-too-large"};
+
+constexpr std::array<std::string_view, 2> WriteStates{"nothing", "maybe"};
+
+constexpr std::array<std::string_view, 17> Changes{
+    "document-in-force", "document-rejected", "document-older-ignored",
+    "target-ejected",    "target-restored",   "target-cold",
+    "target-warm",       "target-leaving",    "zone-out",
+    "zone-in",           "peer-joined",       "peer-lost",
+    "view-lost",         "view-restored",     "pause-detected",
+    "stop-started",      "stop-finished"};
+
+constexpr std::array<std::string_view, 9> Modes{"answer", "fail",   "shed",
+                                                "drain",  "cross",  "truncate",
+                                                "reset",  "silent", "refuse"};
+
+template <typename Value, std::size_t Count>
+std::optional<Value> find(const std::array<std::string_view, Count> &Names,
+                          std::string_view Name) {
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    if (Names[Index] == Name)
+      return static_cast<Value>(Index);
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string_view nameOf(calls::Ending Value) {
+  return Endings.at(static_cast<std::size_t>(Value));
+}
+
+std::string_view nameOf(calls::EndingReason Value) {
+  return Reasons.at(static_cast<std::size_t>(Value));
+}
+
+std::string_view nameOf(calls::AttemptFailure Value) {
+  return Failures.at(static_cast<std::size_t>(Value));
+}
+
+std::string_view nameOf(calls::WriteState Value) {
+  return WriteStates.at(static_cast<std::size_t>(Value));
+}
+
+std::string_view nameOf(decision::ChangeKind Value) {
+  return Changes.at(static_cast<std::size_t>(Value));
+}
+
+std::optional<TargetMode> targetModeOf(std::string_view Name) {
+  return find<TargetMode>(Modes, Name);
+}
+
+std::optional<calls::AttemptFailure> attemptFailureOf(std::string_view Name) {
+  return find<calls::AttemptFailure>(Failures, Name);
+}
+
+} // namespace cranberryspool::session
--- /dev/null
+++ b/src/session/internal/names.h
@@ -0,0 +1,28 @@
+#ifndef CRANBERRYSPOOL_SESSION_INTERNAL_NAMES_H
+#define CRANBERRYSPOOL_SESSION_INTERNAL_NAMES_H
+
+#include "calls/types/attemptfailure.h"
+#include "calls/types/ending.h"
+#include "calls/types/endingreason.h"
+#include "calls/types/writestate.h"
+#include "decision/types/changekind.h"
+#include "session/types/targetmode.h"
+
+#include <optional>
+#include <string_view>
+
+namespace cranberryspool::session {
+
+/// The names of enumerators in sessions.
+std::string_view nameOf(calls::Ending Value);
+std::string_view nameOf(calls::EndingReason Value);
+std::string_view nameOf(calls::AttemptFailure Value);
+std::string_view nameOf(calls::WriteState Value);
+std::string_view nameOf(decision::ChangeKind Value);
+
+std::optional<TargetMode> targetModeOf(std::string_view Name);
+std::optional<calls::AttemptFailure> attemptFailureOf(std::string_view Name);
+
+} // namespace cranberryspool::session
+
+#endif // CRANBERRYSPOOL_SESSION_INTERNAL_NAMES_H
