Admit each idempotency key once over all instances

Cause: the same key may come through several instances while they are replaced, paused or parted, and nothing lasting may be written. Change: the home of a key, by rendezvous over the published list, admits it once. It decides only with round trips to more than half of the published instances on a list that it knows, waits until the home before must have noticed, refuses unknown keys made before that, and hands its records over when members join or when it leaves. The runner asks with repeats for 400 ms.

--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -63,6 +63,8 @@
   Visit(Item.EchoIncarnation_);
   Visit(Item.Call_);
   Visit(Item.Decision_);
+  Visit(Item.Runner_);
+  Visit(Item.RunnerIncarnation_);
   Visit(Item.RunnerAddress_);
   Visit(Item.RunnerCall_);
 }
@@ -96,7 +98,9 @@
   Visit(Item.From_);
   Visit(Item.Incarnation_);
   Visit(Item.Address_);
+  Visit(Item.ToIncarnation_);
   Visit(Item.MembersDigest_);
+  Visit(Item.ListRevision_);
   Visit(Item.Part_);
   Visit(Item.Parts_);
   Visit(Item.Floor_);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -71,7 +71,7 @@
   State_->tick(Now, Output);
 }
 
-bool Fleet::isHandoverDone() const { return true; }
+bool Fleet::isHandoverDone() const { return State_->isHandoverDone(); }
 
 void Fleet::notePause(framework::Moment Now, OutputList &Output) {
   State_->notePause(Now, Output);
@@ -133,12 +133,15 @@
 }
 
 void Fleet::requestKey(framework::CallId Call,
-                       const framework::IdempotencyKey &, framework::Moment,
-                       OutputList &Output) {
-  Output.push_back(KeyDecided{Call, KeyDecision::HomeUnreachable, "", {}});
+                       const framework::IdempotencyKey &Key,
+                       framework::Moment Now, OutputList &Output) {
+  State_->requestKey(Call, Key, Now, Output);
 }
 
-void Fleet::noteKeyedCallEnded(framework::CallId, calls::Ending, bool,
-                               framework::Moment, OutputList &) {}
+void Fleet::noteKeyedCallEnded(framework::CallId Call, calls::Ending Ending,
+                               bool IsAnswerKept, framework::Moment Now,
+                               OutputList &Output) {
+  State_->noteKeyedCallEnded(Call, Ending, IsAnswerKept, Now, Output);
+}
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -24,8 +24,8 @@
 
 FleetState::FleetState(FleetSettings Settings, framework::Random Rng)
     : Settings_(std::move(Settings)), Rng_(Rng),
-      Peers_(Settings_.Self_, Settings_.Incarnation_),
-      Shares_(Settings_.Self_) {}
+      Peers_(Settings_.Self_, Settings_.Incarnation_), Shares_(Settings_.Self_),
+      KeyHome_(Settings_), KeyRunner_(Settings_) {}
 
 void FleetState::start(framework::Moment Now, OutputList &Output) {
   tick(Now, Output);
@@ -38,11 +38,13 @@
   if (At >= NextRoundAt_)
     sendRound(At, Output);
   tryFinishStart(At, Output);
-  refresh(At, Output);
+  KeyRunner_.tick(Instances_, KeyHome_, Now, Output);
+  refresh(Now, Output);
 }
 
 framework::Instant FleetState::nextWakeUp() const {
-  return std::min(NextRoundAt_, LastTickAt_ + TickInterval);
+  return std::min(
+      {NextRoundAt_, LastTickAt_ + TickInterval, KeyRunner_.nextWakeUp()});
 }
 
 bool FleetState::isReading(const Confirmation &Confirmed,
@@ -89,7 +91,7 @@
   if (isStarting()) {
     Held_ = HeldDocument{Revision, Text, *AskedAt};
     tryFinishStart(Now.Monotonic_, Output);
-    refresh(Now.Monotonic_, Output);
+    refresh(Now, Output);
     return;
   }
   const OfferResult Result = Documents_.offerText(Revision, Text);
@@ -105,7 +107,7 @@
     DocumentReader_.holdBack(Now.Monotonic_);
   applyDocument(Result, Revision, Now.Monotonic_, Output);
   readPlatform(Now.Monotonic_, Output);
-  refresh(Now.Monotonic_, Output);
+  refresh(Now, Output);
 }
 
 void FleetState::applyDocument(OfferResult Result, framework::Revision Revision,
@@ -136,7 +138,7 @@
     ListReader_.holdBack(Now.Monotonic_);
   applyInstances(Result, Revision, Now.Monotonic_, Output);
   readPlatform(Now.Monotonic_, Output);
-  refresh(Now.Monotonic_, Output);
+  refresh(Now, Output);
 }
 
 void FleetState::applyInstances(OfferResult Result,
@@ -173,7 +175,7 @@
     ActingUntil_ = Now.Monotonic_ + ActingTime;
   Confirmed.note(Accepted, *At, Accepted);
   readPlatform(Now.Monotonic_, Output);
-  refresh(Now.Monotonic_, Output);
+  refresh(Now, Output);
 }
 
 void FleetState::noteUnavailable(SectionKind Kind, framework::Moment Now,
@@ -181,7 +183,7 @@
   const bool IsDocument = Kind == SectionKind::Document;
   (IsDocument ? DocumentReader_ : ListReader_).noteFailed(Now.Monotonic_);
   tryFinishStart(Now.Monotonic_, Output);
-  refresh(Now.Monotonic_, Output);
+  refresh(Now, Output);
 }
 
 void FleetState::noteSections(const std::string &PeerAddress,
@@ -198,7 +200,7 @@
     applyInstances(Result, Reply.Revision_, At, Output);
   }
   tryFinishStart(At, Output);
-  refresh(At, Output);
+  refresh(Now, Output);
 }
 
 void FleetState::noteSectionsUnavailable(const std::string &PeerAddress) {
@@ -258,13 +260,13 @@
   Ack.Cold_ = Cold_.recent(Now.Monotonic_);
   if (Message.IsWarmthWanted_)
     Ack.Warm_ = warmTargets();
-  Output.push_back(
-      SendMessage{addressOf(Message.From_, Message.Address_), std::move(Ack)});
+  Output.push_back(SendMessage{
+      Instances_.addressOf(Message.From_, Message.Address_), std::move(Ack)});
   if (Message.Incarnation_ < Peers_.newestIncarnation(Message.From_))
     return;
   takeNotices(Message.Cold_, Now.Monotonic_, Output);
-  followPeer(addressOf(Message.From_, Message.Address_), Message.View_,
-             Now.Monotonic_, Output);
+  followPeer(Instances_.addressOf(Message.From_, Message.Address_),
+             Message.View_, Now.Monotonic_, Output);
 }
 
 void FleetState::handle(const HeartbeatAck &Message, framework::Moment Now,
@@ -292,19 +294,10 @@
   takeNotices(Message.Cold_, Now.Monotonic_, Output);
   if (Message.Warm_)
     takeWarmTargets(*Message.Warm_, Output);
-  followPeer(addressOf(Message.From_, Message.Address_), View, Now.Monotonic_,
-             Output);
+  followPeer(Instances_.addressOf(Message.From_, Message.Address_), View,
+             Now.Monotonic_, Output);
   tryFinishStart(Now.Monotonic_, Output);
-  refresh(Now.Monotonic_, Output);
-}
-
-const std::string &FleetState::addressOf(const framework::InstanceName &Peer,
-                                         const std::string &Claimed) const {
-  for (const document::PublishedInstance &Member : Instances_.members()) {
-    if (Member.Name_ == Peer)
-      return Member.Address_;
-  }
-  return Claimed;
+  refresh(Now, Output);
 }
 
 void FleetState::followPeer(const std::string &PeerAddress,
@@ -343,7 +336,8 @@
   return IsStarted_ && !Peers_.isSuperseded() && Now <= FreshUntil_;
 }
 
-void FleetState::refresh(framework::Instant Now, OutputList &Output) {
+void FleetState::refresh(framework::Moment Moment, OutputList &Output) {
+  const framework::Instant Now = Moment.Monotonic_;
   const FreshnessEvidence OfDocument{Now,
                                      SectionKind::Document,
                                      DocumentConfirmed_,
@@ -367,6 +361,7 @@
       IsActive ? *ConfirmedAt + FreshBound : framework::Instant::min();
   if (Shares_.noteConfirmed(ConfirmedUntil, Now))
     Output.push_back(SharesChanged{});
+  KeyHome_.update(Instances_, Peers_, Moment, Output);
   const bool IsFresh = isViewFresh(Now);
   if (IsFresh != WasFresh_)
     Output.push_back(ViewChanged{IsFresh});
--- a/src/fleet/internal/fleetstate.h
+++ b/src/fleet/internal/fleetstate.h
@@ -6,6 +6,8 @@
 #include "fleet/internal/confirmation.h"
 #include "fleet/internal/documentstore.h"
 #include "fleet/internal/instancestore.h"
+#include "fleet/internal/keyhome.h"
+#include "fleet/internal/keyrunner.h"
 #include "fleet/internal/peertable.h"
 #include "fleet/internal/platformreader.h"
 #include "fleet/internal/readerorder.h"
@@ -48,8 +50,25 @@
               OutputList &Output);
   void handle(const HeartbeatAck &Message, framework::Moment Now,
               OutputList &Output);
-  template <typename KeyMessage>
-  void handle(const KeyMessage &, framework::Moment, OutputList &) {}
+  void handle(const KeyRequest &Message, framework::Moment Now,
+              OutputList &Output);
+  void handle(const KeyReply &Message, framework::Moment Now,
+              OutputList &Output);
+  void handle(const KeyEnded &Message, framework::Moment Now,
+              OutputList &Output);
+  void handle(const KeyEndedAck &Message, framework::Moment Now,
+              OutputList &Output);
+  void handle(const KeyHandover &Message, framework::Moment Now,
+              OutputList &Output);
+  void handle(const KeyHandoverAck &Message, framework::Moment Now,
+              OutputList &Output);
+
+  void requestKey(framework::CallId Call, const framework::IdempotencyKey &Key,
+                  framework::Moment Now, OutputList &Output);
+  void noteKeyedCallEnded(framework::CallId Call, calls::Ending Ending,
+                          bool IsAnswerKept, framework::Moment Now,
+                          OutputList &Output);
+  bool isHandoverDone() const { return KeyHome_.isHandoverDone(); }
 
   void notePause(framework::Moment Now, OutputList &Output);
   void noteTurnedCold(const ColdNotice &Notice, framework::Moment Now,
@@ -72,6 +91,7 @@
   };
 
   PeerView view(framework::Instant Now) const;
+  bool isKeyHome(const framework::IdempotencyKey &Key) const;
   bool isStarting() const { return !IsStarted_; }
   void tryFinishStart(framework::Instant Now, OutputList &Output);
   bool haveAllPeersAnswered() const;
@@ -83,10 +103,6 @@
                      framework::Instant Now, OutputList &Output);
   void applyInstances(OfferResult Result, framework::Revision Revision,
                       framework::Instant Now, OutputList &Output);
-  /// Returns the published address of a peer; what the peer says of itself
-  /// counts only until the list names it.
-  const std::string &addressOf(const framework::InstanceName &Peer,
-                               const std::string &Claimed) const;
   void followPeer(const std::string &PeerAddress, const PeerView &View,
                   framework::Instant Now, OutputList &Output);
   void takeNotices(const std::vector<ColdNotice> &Notices,
@@ -103,7 +119,7 @@
   bool isUrgent(framework::Instant Now) const;
   const std::string *nextPeer();
   const std::string *nextReader();
-  void refresh(framework::Instant Now, OutputList &Output);
+  void refresh(framework::Moment Moment, OutputList &Output);
 
   FleetSettings Settings_;
   framework::Random Rng_;
@@ -112,6 +128,8 @@
   PeerTable Peers_;
   ReaderOrder Readers_;
   TargetShares Shares_;
+  KeyHome KeyHome_;
+  KeyRunner KeyRunner_;
   ColdNotices Cold_;
   PlatformReader DocumentReader_{SectionKind::Document};
   PlatformReader ListReader_{SectionKind::Instances};
--- a/src/fleet/internal/instancestore.cpp
+++ b/src/fleet/internal/instancestore.cpp
@@ -63,6 +63,16 @@
   return OfferResult::Accepted;
 }
 
+const std::string &
+InstanceStore::addressOf(const framework::InstanceName &Member,
+                         const std::string &Claimed) const {
+  for (const document::PublishedInstance &Entry : Members_) {
+    if (Entry.Name_ == Member)
+      return Entry.Address_;
+  }
+  return Claimed;
+}
+
 const document::PublishedInstance *
 InstanceStore::findTarget(const framework::TargetName &Name) const {
   document::PublishedInstance Wanted;
--- a/src/fleet/internal/instancestore.h
+++ b/src/fleet/internal/instancestore.h
@@ -5,7 +5,7 @@
 #include "fleet/internal/offerresult.h"
 #include "fleet/internal/sectionset.h"
 
-#include <map>
+#include <string>
 #include <vector>
 
 namespace cranberryspool::fleet {
@@ -27,6 +27,10 @@
   }
   /// Equal when the members are equal.
   framework::Digest membersDigest() const { return MembersDigest_; }
+  /// Returns the published address of a member; what it says of itself counts
+  /// only until the list names it.
+  const std::string &addressOf(const framework::InstanceName &Member,
+                               const std::string &Claimed) const;
   /// The targets, sorted by name.
   const std::vector<document::PublishedInstance> &targets() const {
     return Targets_;
--- /dev/null
+++ b/src/fleet/internal/keyhome.cpp
@@ -0,0 +1,118 @@
+#include "fleet/internal/keyhome.h"
+#include "fleet/internal/keytime.h"
+#include "fleet/internal/keytiming.h"
+
+#include <algorithm>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+bool isSameCall(const KeyRecord &Record, const framework::InstanceName &From,
+                framework::Incarnation Incarnation, framework::CallId Call) {
+  return Record.Runner_ == From && Record.RunnerIncarnation_ == Incarnation &&
+         Record.RunnerCall_ == Call;
+}
+
+void setRunner(KeyRecord &Record, const KeyRequest &Request) {
+  Record.Runner_ = Request.From_;
+  Record.RunnerIncarnation_ = Request.Incarnation_;
+  Record.RunnerAddress_ = Request.Address_;
+  Record.RunnerCall_ = Request.Call_;
+  Record.Outcome_ = KeyOutcome::Running;
+}
+
+KeyReply makeReply(const KeyRequest &Request, KeyDecision Decision) {
+  KeyReply Reply;
+  Reply.EchoIncarnation_ = Request.Incarnation_;
+  Reply.Call_ = Request.Call_;
+  Reply.Decision_ = Decision;
+  return Reply;
+}
+
+} // namespace
+
+KeyHome::KeyHome(const FleetSettings &Settings)
+    : Ownership_(Settings.Self_),
+      Handovers_(Settings.Self_, Settings.Incarnation_, Settings.Address_) {}
+
+void KeyHome::update(const InstanceStore &List, const PeerTable &Peers,
+                     framework::Moment Now, OutputList &Output) {
+  if (!List.hasValue())
+    return;
+  LatestWall_ = std::max(LatestWall_, Now.Wall_);
+  Table_.dropExpired(LatestWall_);
+  if (List.membersDigest() != MembersDigest_) {
+    const auto Floor = Ownership_.latestFloor(Now);
+    Handovers_.begin(Members_, List, Table_, Floor, Now.Monotonic_);
+    MembersDigest_ = List.membersDigest();
+    Members_ = List.members();
+  }
+  Ownership_.update(List, Peers, Now.Monotonic_);
+  Handovers_.tick(Peers, Now.Monotonic_, Output);
+}
+
+KeyReply KeyHome::replyFor(const KeyRecord &Record, const KeyRequest &Request,
+                           const PeerTable &Peers) const {
+  const bool IsRunnerGone =
+      Peers.newestIncarnation(Record.Runner_) > Record.RunnerIncarnation_;
+  if (Record.Outcome_ == KeyOutcome::Gone || IsRunnerGone)
+    return makeReply(Request, KeyDecision::AnswerGone);
+  if (Record.Outcome_ != KeyOutcome::Kept)
+    return makeReply(Request, KeyDecision::InProgress);
+  KeyReply Reply = makeReply(Request, KeyDecision::Replay);
+  Reply.Runner_ = Record.Runner_;
+  Reply.RunnerIncarnation_ = Record.RunnerIncarnation_;
+  Reply.RunnerAddress_ = Record.RunnerAddress_;
+  Reply.RunnerCall_ = Record.RunnerCall_;
+  return Reply;
+}
+
+KeyReply KeyHome::decide(const KeyRequest &Request, const PeerTable &Peers,
+                         framework::Moment Now) {
+  const auto Key = readKey(Request.Key_);
+  LatestWall_ = std::max(LatestWall_, Now.Wall_);
+  if (!Key || Key->Time_ > LatestWall_ + KeyClockSkew)
+    return makeReply(Request, KeyDecision::Invalid);
+  if (LatestWall_ - Key->Time_ > KeyLifetime)
+    return makeReply(Request, KeyDecision::TooOld);
+  const auto Floor = Ownership_.floor(Key->Key_, Now);
+  if (!Floor)
+    return makeReply(Request, KeyDecision::HomeUnreachable);
+  if (KeyRecord *Record = Table_.find(Key->Key_)) {
+    const bool IsSame =
+        isSameCall(*Record, Request.From_, Request.Incarnation_, Request.Call_);
+    if (IsSame && Record->Outcome_ == KeyOutcome::Running)
+      return makeReply(Request, KeyDecision::Run);
+    if (IsSame || Record->Outcome_ != KeyOutcome::NotRun)
+      return replyFor(*Record, Request, Peers);
+    setRunner(*Record, Request);
+    return makeReply(Request, KeyDecision::Run);
+  }
+  if (Key->Time_ <= *Floor)
+    return makeReply(Request, KeyDecision::TooOld);
+  KeyRecord Fresh;
+  Fresh.Key_ = Key->Key_;
+  setRunner(Fresh, Request);
+  if (!Table_.add(Fresh, Key->Time_))
+    return makeReply(Request, KeyDecision::HomeUnreachable);
+  return makeReply(Request, KeyDecision::Run);
+}
+
+void KeyHome::noteEnded(const KeyEnded &Message, framework::Moment) {
+  const auto Key = readKey(Message.Key_);
+  if (!Key)
+    return;
+  if (KeyRecord *Record = Table_.find(Key->Key_)) {
+    if (isSameCall(*Record, Message.From_, Message.Incarnation_, Message.Call_))
+      Record->Outcome_ = Message.Outcome_;
+    return;
+  }
+  if (Message.Outcome_ == KeyOutcome::NotRun)
+    return;
+  Table_.add(KeyRecord{Key->Key_, Message.From_, Message.Incarnation_,
+                       Message.Address_, Message.Call_, Message.Outcome_},
+             Key->Time_);
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/internal/keyrunner.cpp
@@ -0,0 +1,187 @@
+#include "fleet/internal/keyrunner.h"
+#include "fleet/internal/keytime.h"
+#include "fleet/internal/keytiming.h"
+#include "fleet/internal/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+constexpr framework::Duration RequestRetry = std::chrono::milliseconds(50);
+
+/// A home that has not answered in this time counts as unreachable.
+constexpr framework::Duration RequestTimeout = std::chrono::milliseconds(400);
+
+constexpr framework::Duration ReportRetry = std::chrono::milliseconds(200);
+
+KeyOutcome outcomeOf(calls::Ending Ending, bool IsAnswerKept) {
+  switch (Ending) {
+  case calls::Ending::Answered:
+    return IsAnswerKept ? KeyOutcome::Kept : KeyOutcome::Gone;
+  case calls::Ending::NotRun:
+  case calls::Ending::DeadlinePassed:
+    return KeyOutcome::NotRun;
+  case calls::Ending::Unknown:
+    break;
+  }
+  return KeyOutcome::Gone;
+}
+
+} // namespace
+
+KeyRunner::KeyRunner(const FleetSettings &Settings) : Settings_(Settings) {}
+
+KeyRequest KeyRunner::makeRequest(framework::CallId Call,
+                                  const framework::IdempotencyKey &Key) const {
+  return KeyRequest{Settings_.Self_, Settings_.Incarnation_, Settings_.Address_,
+                    Call, Key};
+}
+
+void KeyRunner::request(framework::CallId Call,
+                        const framework::IdempotencyKey &Key,
+                        const InstanceStore &List, KeyHome &Home,
+                        const PeerTable &Peers, framework::Moment Now,
+                        OutputList &Output) {
+  const auto Timed = readKey(Key);
+  if (!Timed) {
+    Output.push_back(KeyDecided{Call, KeyDecision::Invalid, "", {}});
+    return;
+  }
+  const document::PublishedInstance *HomeEntry =
+      findHome(Timed->Key_.value(), List.members());
+  if (!HomeEntry) {
+    Output.push_back(KeyDecided{Call, KeyDecision::HomeUnreachable, "", {}});
+    return;
+  }
+  const framework::Instant At = Now.Monotonic_;
+  Pending_[Call] = Pending{Timed->Key_, At, At + RequestTimeout};
+  if (HomeEntry->Name_ == Settings_.Self_) {
+    conclude(Call, Home.decide(makeRequest(Call, Timed->Key_), Peers, Now),
+             List, Output);
+    return;
+  }
+  tickPending(List, Now, Output);
+}
+
+void KeyRunner::conclude(framework::CallId Call, const KeyReply &Reply,
+                         const InstanceStore &List, OutputList &Output) {
+  const auto Item = Pending_.find(Call);
+  if (Reply.Decision_ == KeyDecision::Run)
+    Running_[Call] = Item->second.Key_;
+  Pending_.erase(Item);
+  KeyDecided Decided{Call, Reply.Decision_, "", Reply.RunnerCall_};
+  const bool IsReplay = Reply.Decision_ == KeyDecision::Replay;
+  if (IsReplay && Reply.Runner_ != Settings_.Self_)
+    Decided.PeerAddress_ = List.addressOf(Reply.Runner_, Reply.RunnerAddress_);
+  const bool IsLostHere = IsReplay && Reply.Runner_ == Settings_.Self_ &&
+                          Reply.RunnerIncarnation_ != Settings_.Incarnation_;
+  if (IsLostHere)
+    Decided.Decision_ = KeyDecision::AnswerGone;
+  Output.push_back(std::move(Decided));
+}
+
+void KeyRunner::noteReply(const KeyReply &Message, const InstanceStore &List,
+                          framework::Moment Now, OutputList &Output) {
+  if (Message.EchoIncarnation_ != Settings_.Incarnation_)
+    return;
+  const auto Item = Pending_.find(Message.Call_);
+  if (Item == Pending_.end() || Now.Monotonic_ > Item->second.GiveUpAt_)
+    return;
+  conclude(Message.Call_, Message, List, Output);
+}
+
+void KeyRunner::report(framework::CallId Call,
+                       const framework::IdempotencyKey &Key, KeyOutcome Outcome,
+                       framework::Instant Now) {
+  Reports_[Call] = Report{Key, Outcome, Now, Now + KeyLifetime};
+}
+
+void KeyRunner::noteEnded(framework::CallId Call, calls::Ending Ending,
+                          bool IsAnswerKept, framework::Moment Now) {
+  const auto Item = Running_.find(Call);
+  if (Item == Running_.end())
+    return;
+  const KeyOutcome Outcome = outcomeOf(Ending, IsAnswerKept);
+  if (Outcome == KeyOutcome::Kept)
+    Kept_[Call] = Now.Monotonic_ + KeyLifetime + 2 * KeyClockSkew;
+  report(Call, Item->second, Outcome, Now.Monotonic_);
+  Running_.erase(Item);
+}
+
+void KeyRunner::noteEndedAck(const KeyEndedAck &Message) {
+  if (Message.EchoIncarnation_ == Settings_.Incarnation_)
+    Reports_.erase(Message.Call_);
+}
+
+void KeyRunner::tick(const InstanceStore &List, KeyHome &Home,
+                     framework::Moment Now, OutputList &Output) {
+  tickPending(List, Now, Output);
+  tickReports(List, Home, Now, Output);
+  for (auto Item = Kept_.begin(); Item != Kept_.end();) {
+    if (Now.Monotonic_ < Item->second) {
+      ++Item;
+      continue;
+    }
+    Output.push_back(KeptAnswerExpired{Item->first});
+    Item = Kept_.erase(Item);
+  }
+}
+
+void KeyRunner::tickPending(const InstanceStore &List, framework::Moment Now,
+                            OutputList &Output) {
+  const framework::Instant At = Now.Monotonic_;
+  for (auto Item = Pending_.begin(); Item != Pending_.end();) {
+    auto &[Call, Waiting] = *Item;
+    if (At >= Waiting.GiveUpAt_) {
+      report(Call, Waiting.Key_, KeyOutcome::NotRun, At);
+      Output.push_back(KeyDecided{Call, KeyDecision::HomeUnreachable, "", {}});
+      Item = Pending_.erase(Item);
+      continue;
+    }
+    const document::PublishedInstance *Home =
+        findHome(Waiting.Key_.value(), List.members());
+    if (At >= Waiting.NextAt_ && Home && Home->Name_ != Settings_.Self_) {
+      Waiting.NextAt_ = At + RequestRetry;
+      Output.push_back(
+          SendMessage{Home->Address_, makeRequest(Call, Waiting.Key_)});
+    }
+    ++Item;
+  }
+}
+
+void KeyRunner::tickReports(const InstanceStore &List, KeyHome &Home,
+                            framework::Moment Now, OutputList &Output) {
+  const framework::Instant At = Now.Monotonic_;
+  for (auto Item = Reports_.begin(); Item != Reports_.end();) {
+    auto &[Call, Waiting] = *Item;
+    const document::PublishedInstance *HomeEntry =
+        findHome(Waiting.Key_.value(), List.members());
+    const KeyEnded Message{Settings_.Self_,    Settings_.Incarnation_,
+                           Settings_.Address_, Call,
+                           Waiting.Key_,       Waiting.Outcome_};
+    const bool IsHome = HomeEntry && HomeEntry->Name_ == Settings_.Self_;
+    if (IsHome)
+      Home.noteEnded(Message, Now);
+    if (IsHome || At >= Waiting.GiveUpAt_) {
+      Item = Reports_.erase(Item);
+      continue;
+    }
+    if (At >= Waiting.NextAt_ && HomeEntry) {
+      Waiting.NextAt_ = At + ReportRetry;
+      Output.push_back(SendMessage{HomeEntry->Address_, Message});
+    }
+    ++Item;
+  }
+}
+
+framework::Instant KeyRunner::nextWakeUp() const {
+  framework::Instant Next = framework::Instant::max();
+  for (const auto &[Call, Waiting] : Pending_)
+    Next = std::min({Next, Waiting.NextAt_, Waiting.GiveUpAt_});
+  return Next;
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/internal/keytable.cpp
@@ -0,0 +1,43 @@
+#include "fleet/internal/keytable.h"
+#include "fleet/internal/keytiming.h"
+
+namespace cranberryspool::fleet {
+
+KeyRecord *KeyTable::find(const framework::IdempotencyKey &Key) {
+  const auto Known = Records_.find(Key);
+  return Known == Records_.end() ? nullptr : &Known->second;
+}
+
+bool KeyTable::add(const KeyRecord &Record, framework::WallTime KeyTime) {
+  if (Records_.size() >= MaxKeys)
+    return false;
+  const bool IsNew = Records_.try_emplace(Record.Key_, Record).second;
+  if (IsNew)
+    Expiry_.emplace(KeyTime + KeyLifetime + 2 * KeyClockSkew, Record.Key_);
+  return true;
+}
+
+void KeyTable::dropExpired(framework::WallTime Now) {
+  while (!Expiry_.empty() && Expiry_.begin()->first <= Now) {
+    Records_.erase(Expiry_.begin()->second);
+    Expiry_.erase(Expiry_.begin());
+  }
+}
+
+std::vector<KeyRecord> KeyTable::take(
+    const std::function<bool(const framework::IdempotencyKey &)> &IsTaken) {
+  std::vector<KeyRecord> Taken;
+  for (auto Item = Expiry_.begin(); Item != Expiry_.end();) {
+    if (!IsTaken(Item->second)) {
+      ++Item;
+      continue;
+    }
+    const auto Record = Records_.find(Item->second);
+    Taken.push_back(Record->second);
+    Records_.erase(Record);
+    Item = Expiry_.erase(Item);
+  }
+  return Taken;
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/internal/keytime.cpp
@@ -0,0 +1,43 @@
+#include "fleet/internal/keytime.h"
+
+#include <boost/uuid/string_generator.hpp>
+#include <boost/uuid/uuid.hpp>
+#include <boost/uuid/uuid_io.hpp>
+
+#include <cstdint>
+#include <exception>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+constexpr std::size_t TextLength = 36;
+constexpr unsigned Version = 7;
+constexpr std::size_t TimeBytes = 6;
+
+std::optional<boost::uuids::uuid> readUuid(const std::string &Text) {
+  if (Text.size() != TextLength)
+    return std::nullopt;
+  try {
+    return boost::uuids::string_generator()(Text);
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::optional<TimedKey> readKey(const framework::IdempotencyKey &Key) {
+  const auto Uuid = readUuid(Key.value());
+  if (!Uuid || Uuid->variant() != boost::uuids::uuid::variant_rfc_4122)
+    return std::nullopt;
+  if (Uuid->data[TimeBytes] >> 4 != Version)
+    return std::nullopt;
+  std::int64_t Milliseconds = 0;
+  for (std::size_t Index = 0; Index < TimeBytes; ++Index)
+    Milliseconds = Milliseconds << 8 | Uuid->data[Index];
+  return TimedKey{framework::IdempotencyKey(boost::uuids::to_string(*Uuid)),
+                  framework::WallTime(std::chrono::milliseconds(Milliseconds))};
+}
+
+} // namespace cranberryspool::fleet
--- a/src/fleet/internal/targetshares.cpp
+++ b/src/fleet/internal/targetshares.cpp
@@ -15,6 +15,12 @@
   return Longest;
 }
 
+std::optional<framework::Instant> sinceOf(const std::optional<Tenure> &Item) {
+  if (!Item)
+    return std::nullopt;
+  return Item->Since_;
+}
+
 using GroupServices = std::map<framework::GroupName, const document::Service *>;
 
 GroupServices indexGroups(const document::EnvironmentDocument &Document) {
@@ -41,7 +47,8 @@
                            framework::Instant Now) {
   if (List.membersDigest() != MembersDigest_) {
     MembersDigest_ = List.membersDigest();
-    Homes_.noteMembers(List.members(), Now);
+    Homes_.noteMembers(List.members(), MembersDigest_, List.revision());
+    Homes_.noteSettled(Now);
   }
   std::map<framework::TargetName, Share> Old;
   Old.swap(Shares_);
@@ -73,7 +80,7 @@
 
 void TargetShares::rebuildHomes() {
   for (auto &[Name, Item] : Shares_)
-    Item.HomeSince_ = Homes_.homeSince(Name.value());
+    Item.HomeSince_ = sinceOf(Homes_.tenure(Name.value()));
 }
 
 bool TargetShares::noteConfirmed(framework::Instant Until,
@@ -86,7 +93,8 @@
   WasConfirmed_ = IsConfirmed;
   LastChange_ = Now;
   if (HasLapsed) {
-    Homes_.noteLapse(Now);
+    Homes_.noteLapse();
+    Homes_.noteSettled(Now);
     rebuildHomes();
   }
   if (IsChanged)
--- /dev/null
+++ b/src/fleet/tests/chaosrun.cpp
@@ -0,0 +1,262 @@
+#include "fleet/tests/chaosrun.h"
+#include "fleet/tests/testdocument.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace cranberryspool::fleet {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t FleetSize = 7;
+constexpr std::size_t TargetCount = 4;
+constexpr framework::Duration Warmup = 14s;
+constexpr framework::Duration RunLength = 40s;
+constexpr framework::Duration Step = 50ms;
+constexpr framework::Duration MeanFaultGap = 3s;
+constexpr framework::Duration KeyGap = 500ms;
+
+/// As the test document has it: 30 probes a minute, one request in flight at a
+/// cold target, calls of at most 500 ms.
+constexpr framework::Duration ProbeSpacing = 2s;
+constexpr std::uint32_t MaxCold = 1;
+constexpr framework::Duration LongestCall = 500ms;
+
+framework::TargetName targetName(std::size_t Index) {
+  return framework::TargetName("quickcheck-" + std::to_string(Index));
+}
+
+} // namespace
+
+ChaosRun::ChaosRun(std::uint64_t Seed)
+    : Fleet_(FleetSize, Seed), Rng_(Fleet_.random()), Targets_(TargetCount) {
+  Fleet_.faults() = LinkFaults{1ms, 0.05, 0.05, 0.02, 3s};
+  Fleet_.platform().publishDocument(framework::Revision(10),
+                                    makeDocument(true));
+  Fleet_.setTargets(makeTargets(TargetCount));
+}
+
+framework::Duration ChaosRun::pick(framework::Duration Least,
+                                   framework::Duration Most) {
+  return Least + framework::Duration(Rng_.index(
+                     static_cast<std::size_t>((Most - Least).count()) + 1));
+}
+
+std::size_t ChaosRun::pickInstance() { return Rng_.index(FleetSize); }
+
+ChaosResult ChaosRun::run() {
+  Fleet_.startAll();
+  Fleet_.advance(Warmup);
+  framework::Duration NextFault = pick(0s, MeanFaultGap);
+  framework::Duration NextKey{};
+  framework::Duration NextRevision = 5s;
+  std::uint64_t Revision = 10;
+  for (framework::Duration Time{}; Time < RunLength; Time += Step) {
+    if (Time >= NextFault) {
+      injectFault();
+      NextFault = Time + pick(0s, 2 * MeanFaultGap);
+    }
+    if (Time >= NextKey) {
+      issueKey();
+      NextKey = Time + KeyGap;
+    }
+    if (Time >= NextRevision) {
+      ++Revision;
+      Fleet_.platform().publishDocument(framework::Revision(Revision),
+                                        makeDocument(Revision % 2 == 0));
+      NextRevision = Time + pick(1s, 10s);
+    }
+    useTargets();
+    collectDecisions();
+    Fleet_.advance(Step);
+  }
+  for (std::size_t Index = 0; Index < FleetSize; ++Index)
+    Result_.RevisionsGoneBack_ += Fleet_.instance(Index).HasGoneBack_ ? 1 : 0;
+  for (const auto &[Key, Count] : Runs_) {
+    Result_.KeysRun_ += Count > 0 ? 1 : 0;
+    Result_.KeysRunTwice_ += Count > 1 ? 1 : 0;
+  }
+  return Result_;
+}
+
+void ChaosRun::injectFault() {
+  switch (Rng_.index(5)) {
+  case 0:
+    return partFleet();
+  case 1:
+    return replaceInstance();
+  case 2:
+    return pauseInstance();
+  case 3:
+    return hidePlatform();
+  default:
+    return leaveAndReturn();
+  }
+}
+
+void ChaosRun::partFleet() {
+  for (std::size_t Index = 0; Index < FleetSize; ++Index)
+    Fleet_.instance(Index).Part_ = static_cast<int>(Rng_.index(2));
+  Fleet_.clock().after(pick(1s, 10s), [this] {
+    for (std::size_t Index = 0; Index < FleetSize; ++Index)
+      Fleet_.instance(Index).Part_ = 0;
+  });
+}
+
+void ChaosRun::replaceInstance() {
+  const std::size_t Index = pickInstance();
+  Fleet_.kill(Index);
+  const framework::Duration Back = pick(0s, 5s);
+  if (Rng_.index(2) == 0) {
+    Fleet_.clock().after(pick(0s, 3s), [this, Index] {
+      Fleet_.setLeaving(Index, true);
+      Fleet_.publishList();
+    });
+    Fleet_.clock().after(Back + pick(0s, 3s), [this, Index] {
+      Fleet_.setLeaving(Index, false);
+      Fleet_.publishList();
+    });
+  }
+  Fleet_.clock().after(Back, [this, Index] {
+    if (!Fleet_.instance(Index).Fleet_)
+      Fleet_.start(Index);
+  });
+}
+
+void ChaosRun::pauseInstance() {
+  const std::size_t Index = pickInstance();
+  Fleet_.pause(Index);
+  const std::uint64_t Process = Fleet_.instance(Index).Process_;
+  Fleet_.clock().after(pick(500ms, 15s), [this, Index, Process] {
+    if (Fleet_.instance(Index).Process_ == Process)
+      Fleet_.wake(Index);
+  });
+}
+
+void ChaosRun::hidePlatform() {
+  for (std::size_t Index = 0; Index < FleetSize; ++Index)
+    Fleet_.instance(Index).CanReachPlatform_ = Rng_.index(2) == 0;
+  Fleet_.clock().after(pick(1s, 10s), [this] {
+    for (std::size_t Index = 0; Index < FleetSize; ++Index)
+      Fleet_.instance(Index).CanReachPlatform_ = true;
+  });
+}
+
+void ChaosRun::leaveAndReturn() {
+  const std::size_t Index = pickInstance();
+  Fleet_.setLeaving(Index, true);
+  Fleet_.publishList();
+  Fleet_.clock().after(pick(500ms, 5s), [this, Index] {
+    Fleet_.setLeaving(Index, false);
+    Fleet_.publishList();
+  });
+}
+
+void ChaosRun::useTargets() {
+  for (std::size_t Index = 0; Index < FleetSize; ++Index) {
+    if (!Fleet_.isRunning(Index))
+      continue;
+    for (std::size_t Target = 0; Target < TargetCount; ++Target) {
+      probe(Index, Target);
+      sendCold(Index, Target);
+    }
+  }
+}
+
+void ChaosRun::probe(std::size_t Index, std::size_t Target) {
+  const framework::Instant Now = Fleet_.instantOf(Index);
+  if (!Fleet_.fleet(Index).mayProbe(targetName(Target), Now))
+    return;
+  Fleet_.fleet(Index).noteProbed(targetName(Target), Now);
+  std::vector<framework::Instant> &Probes = Targets_[Target].Probes_;
+  const framework::Instant At = Fleet_.clock().now();
+  if (!Probes.empty() && At - Probes.back() < ProbeSpacing)
+    ++Result_.ProbesTooSoon_;
+  Probes.push_back(At);
+  ++Result_.Probes_;
+}
+
+void ChaosRun::sendCold(std::size_t Index, std::size_t Target) {
+  if (!Fleet_.isFresh(Index))
+    return;
+  ColdTarget &Item = Targets_[Target];
+  const std::uint32_t Share = Fleet_.fleet(Index).coldShare(
+      targetName(Target), Fleet_.instantOf(Index));
+  if (Item.ByInstance_[Index] >= Share)
+    return;
+  ++Item.ByInstance_[Index];
+  ++Item.InFlight_;
+  ++Result_.ColdSends_;
+  if (Item.InFlight_ > MaxCold)
+    ++Result_.ColdOverloads_;
+  Fleet_.clock().after(pick(10ms, LongestCall), [this, Index, Target] {
+    --Targets_[Target].InFlight_;
+    --Targets_[Target].ByInstance_[Index];
+  });
+}
+
+std::string ChaosRun::makeKey() {
+  const auto Wall = Fleet_.momentOf(pickInstance()).Wall_.time_since_epoch();
+  const auto Milliseconds = static_cast<unsigned long long>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Wall).count());
+  constexpr std::uint64_t Mask48 = 0xffff'ffff'ffff;
+  char Text[64];
+  std::snprintf(Text, sizeof(Text), "%08llx-%04llx-7000-8000-%012llx",
+                Milliseconds >> 16, Milliseconds & 0xffff,
+                static_cast<unsigned long long>(Rng_.bits() & Mask48));
+  return Text;
+}
+
+void ChaosRun::issueKey() {
+  const std::string Key = makeKey();
+  Runs_[Key] = 0;
+  ++Result_.Keys_;
+  sendKey(Key);
+  for (int Repeat = 0; Repeat < 2; ++Repeat)
+    Fleet_.clock().after(pick(0s, 8s), [this, Key] { sendKey(Key); });
+}
+
+void ChaosRun::sendKey(const std::string &Key) {
+  const std::size_t Index = pickInstance();
+  if (!Fleet_.isRunning(Index))
+    return;
+  const framework::CallId Call(NextCall_++);
+  Asked_[Call] = KeyedCall{Key, Index, Fleet_.instance(Index).Process_};
+  Fleet_.run(
+      Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+        Self.requestKey(Call, framework::IdempotencyKey(Key), Now, Output);
+      });
+}
+
+void ChaosRun::collectDecisions() {
+  for (std::size_t Index = 0; Index < FleetSize; ++Index) {
+    auto Decisions = std::exchange(Fleet_.instance(Index).Decisions_, {});
+    for (const auto &[Call, Decided] : Decisions) {
+      if (Decided.Decision_ == KeyDecision::Run)
+        runCall(Call, Asked_.at(Call));
+    }
+  }
+}
+
+void ChaosRun::runCall(framework::CallId Call, const KeyedCall &Item) {
+  const std::size_t Luck = Rng_.index(100);
+  calls::Ending Ending = calls::Ending::Answered;
+  if (Luck >= 70)
+    Ending = Luck < 85 ? calls::Ending::Unknown : calls::Ending::NotRun;
+  if (Ending != calls::Ending::NotRun)
+    ++Runs_[Item.Key_];
+  Fleet_.clock().after(pick(10ms, 300ms), [this, Call, Item, Ending] {
+    const std::size_t Index = Item.Instance_;
+    if (Fleet_.instance(Index).Process_ != Item.Process_)
+      return;
+    Fleet_.run(Index,
+               [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+                 Self.noteKeyedCallEnded(Call, Ending, true, Now, Output);
+               });
+  });
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/tests/chaosrun.h
@@ -0,0 +1,62 @@
+#ifndef CRANBERRYSPOOL_FLEET_TESTS_CHAOSRUN_H
+#define CRANBERRYSPOOL_FLEET_TESTS_CHAOSRUN_H
+
+#include "fleet/tests/chaosresult.h"
+#include "fleet/tests/virtualfleet.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// One seeded run of a small fleet under partitions, restarts, pauses, loss of
+/// the platform and a bad link, with probes, work at cold targets and keyed
+/// calls.
+class ChaosRun {
+public:
+  explicit ChaosRun(std::uint64_t Seed);
+
+  ChaosResult run();
+
+private:
+  struct ColdTarget {
+    std::uint32_t InFlight_ = 0;
+    std::map<std::size_t, std::uint32_t> ByInstance_;
+    std::vector<framework::Instant> Probes_;
+  };
+  struct KeyedCall {
+    std::string Key_;
+    std::size_t Instance_ = 0;
+    std::uint64_t Process_ = 0;
+  };
+
+  framework::Duration pick(framework::Duration Least, framework::Duration Most);
+  std::size_t pickInstance();
+  void injectFault();
+  void partFleet();
+  void replaceInstance();
+  void pauseInstance();
+  void hidePlatform();
+  void leaveAndReturn();
+  void useTargets();
+  void probe(std::size_t Index, std::size_t Target);
+  void sendCold(std::size_t Index, std::size_t Target);
+  std::string makeKey();
+  void issueKey();
+  void sendKey(const std::string &Key);
+  void collectDecisions();
+  void runCall(framework::CallId Call, const KeyedCall &Item);
+
+  VirtualFleet Fleet_;
+  framework::Random &Rng_;
+  std::vector<ColdTarget> Targets_;
+  std::map<framework::CallId, KeyedCall> Asked_;
+  std::map<std::string, std::uint32_t> Runs_;
+  std::uint64_t NextCall_ = 1;
+  ChaosResult Result_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TESTS_CHAOSRUN_H
--- a/src/fleet/types/keyhandover.h
+++ b/src/fleet/types/keyhandover.h
@@ -18,8 +18,11 @@
   framework::InstanceName From_;
   framework::Incarnation Incarnation_;
   std::string Address_;
-  /// The members after the change.
+  /// The incarnation that the records are meant for.
+  framework::Incarnation ToIncarnation_;
+  /// The members after the change, and the revision of the sender's list.
   framework::Digest MembersDigest_;
+  framework::Revision ListRevision_;
   std::uint32_t Part_ = 0;
   std::uint32_t Parts_ = 1;
   /// Keys with an earlier time may be unknown to the sender. Absent when the
--- a/src/fleet/types/keyreply.h
+++ b/src/fleet/types/keyreply.h
@@ -15,6 +15,8 @@
   framework::CallId Call_;
   KeyDecision Decision_ = KeyDecision::HomeUnreachable;
   /// For `Replay`: who keeps the answer, and under which number.
+  framework::InstanceName Runner_;
+  framework::Incarnation RunnerIncarnation_;
   std::string RunnerAddress_;
   framework::CallId RunnerCall_;
 
