--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -86,8 +86,10 @@
                               const std::string &Text, framework::Moment Now,
                               OutputList &Output) {
   const auto AskedAt = DocumentReader_.noteValue(Now.Monotonic_);
-  if (!AskedAt)
+  if (!AskedAt) {
+    takeUnaskedDocument(Revision, Text, Now, Output);
     return;
+  }
   if (isStarting()) {
     Held_ = HeldDocument{Revision, Text, *AskedAt};
     tryFinishStart(Now.Monotonic_, Output);
@@ -110,6 +112,17 @@
   refresh(Now, Output);
 }
 
+void FleetState::takeUnaskedDocument(framework::Revision Revision,
+                                     const std::string &Text,
+                                     framework::Moment Now,
+                                     OutputList &Output) {
+  if (isStarting())
+    return;
+  const OfferResult Result = Documents_.offerText(Revision, Text);
+  applyDocument(Result, Revision, Now.Monotonic_, Output);
+  refresh(Now, Output);
+}
+
 void FleetState::applyDocument(OfferResult Result, framework::Revision Revision,
                                framework::Instant Now, OutputList &Output) {
   if (Result == OfferResult::Rejected)
@@ -127,8 +140,12 @@
     const std::vector<document::PublishedInstance> &Instances,
     framework::Moment Now, OutputList &Output) {
   const auto AskedAt = ListReader_.noteValue(Now.Monotonic_);
-  if (!AskedAt)
+  if (!AskedAt) {
+    const OfferResult Late = Instances_.offerList(Revision, Instances);
+    applyInstances(Late, Revision, Now.Monotonic_, Output);
+    refresh(Now, Output);
     return;
+  }
   const OfferResult Result = Instances_.offerList(Revision, Instances);
   if (Result == OfferResult::Older)
     Output.push_back(OlderIgnored{SectionKind::Instances, Revision});
--- a/src/fleet/internal/fleetstate.h
+++ b/src/fleet/internal/fleetstate.h
@@ -99,6 +99,10 @@
   bool isReading(const Confirmation &Confirmed, framework::Instant ActingUntil,
                  framework::Instant Now) const;
   void readPlatform(framework::Instant Now, OutputList &Output);
+  /// Takes a newer value that came too late to confirm anything.
+  void takeUnaskedDocument(framework::Revision Revision,
+                           const std::string &Text, framework::Moment Now,
+                           OutputList &Output);
   void applyDocument(OfferResult Result, framework::Revision Revision,
                      framework::Instant Now, OutputList &Output);
   void applyInstances(OfferResult Result, framework::Revision Revision,
--- a/src/framework/units.h
+++ b/src/framework/units.h
@@ -3,6 +3,7 @@
 
 #include "framework/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,6 +18,13 @@
 /// Writes a duration in the largest unit that holds it exactly.
 std::string durationText(Duration Value);
 
+/// Reads a whole number of bytes followed by `B`, `KiB` or `MiB`, such as
+/// `64KiB`. No sign, fraction, space or leading zero; nothing otherwise.
+std::optional<std::size_t> parseSize(std::string_view Text);
+
+/// Writes a size in the largest unit that holds it exactly.
+std::string sizeText(std::size_t Bytes);
+
 /// Reads a percentage with at most four decimals, such as `99.9%`, and returns
 /// it in parts per million; nothing when malformed or above 100 %.
 std::optional<std::uint32_t> parseShare(std::string_view Text);
