Try a document on a small fleet before it is promoted

Cause: a document could be checked but not tried. Change: cranberryctl try runs instances, targets, platform and callers in its own process, calls every kind of request, and tells calls, losses, repeated runs, percentiles and whether the document may be promoted. Before: no trial.

--- a/src/apps/cranberryctl/main.cpp
+++ b/src/apps/cranberryctl/main.cpp
@@ -7,6 +7,7 @@
 #include "operations/diffcommand.h"
 #include "operations/statuscommand.h"
 #include "operations/types/console.h"
+#include "trial/trycommand.h"
 
 #include <gflags/gflags.h>
 
@@ -21,6 +22,7 @@
 DEFINE_string(timeout, "2s", "how long status and burn wait for an instance");
 DEFINE_string(file, "", "files with saved statuses, separated by commas");
 DEFINE_string(document, "", "the document whose objectives burn takes");
+DEFINE_uint32(network, 80, "127.N.x.y are the addresses of try");
 DEFINE_string(svg, "", "the file into which burn draws the burn rates");
 
 namespace {
@@ -71,6 +73,17 @@
   return operations::statusCommand(Addresses, *Timeout, Streams);
 }
 
+ExitCode runTry(const Arguments &Rest, const operations::Console &Streams) {
+  constexpr gflags::uint32 MaxNetwork = 255;
+  if (Rest.size() != 1)
+    return refuseUsage("try needs one document");
+  if (FLAGS_network > MaxNetwork)
+    return refuseUsage("--network needs a number up to 255");
+  trial::TrialSettings Settings;
+  Settings.Network_ = static_cast<std::uint8_t>(FLAGS_network);
+  return trial::tryCommand(Rest[0], Settings, Streams);
+}
+
 ExitCode run(const std::string &Command, const Arguments &Rest,
              const operations::Console &Streams) {
   if (Command == "check") {
@@ -83,6 +96,8 @@
       return refuseUsage("diff needs two documents");
     return operations::diffCommand(Rest[0], Rest[1], Streams);
   }
+  if (Command == "try")
+    return runTry(Rest, Streams);
   if (Command == "status" || Command == "burn")
     return runRemote(Command, Rest, Streams);
   return refuseUsage("unknown command " + Command);
--- a/src/apps/cranberryctl/usage.h
+++ b/src/apps/cranberryctl/usage.h
@@ -8,6 +8,8 @@
 Commands:
   check DOC       says whether an environment document is accepted, with all faults
   diff OLD NEW    says what a new document changes: zones, targets, calls, objectives
+  try DOC         runs a document on a small fleet in this process, calls every kind
+                  of request and says whether the document may be promoted
   status ADDR...  shows instances, asked at their operator ports (IP:port)
   burn ADDR...    reports service-level burn from the counters of these instances
 
@@ -17,16 +19,17 @@
   --file PATHS    burn reads saved status files too, separated by commas
   --document DOC  burn takes the objectives of this document
   --svg PATH      burn draws the burn rates into this file
+  --network N     second number of the loopback addresses of try (default 80)
   --help          writes this text
 
 Results go to standard output, errors to standard error.
 
 Exit codes:
-  0  accepted; no difference; no alarm
+  0  accepted; may be promoted; no difference; no alarm
   1  the command line was not understood
-  2  refused; documents differ, also between instances; an objective is in alarm
+  2  refused; must not be promoted; documents differ, also between instances; an objective is in alarm
   3  a file cannot be read, or does not hold what is needed
-  4  an instance did not answer
+  4  an instance did not answer; a trial could not be held
 )";
 
 } // namespace cranberryspool
--- a/src/standins/callerstandin.h
+++ b/src/standins/callerstandin.h
@@ -36,6 +36,8 @@
   /// Multiplies the rate of the named streams; an empty name means all.
   void setRateFactor(const std::string &Stream, double Factor);
 
+  /// Instances that said lately that they are ready.
+  std::size_t readyCount() const { return Ready_.size(); }
   std::size_t callsUnderWay() const { return UnderWay_; }
   const std::vector<std::string> &phases() const { return Phases_; }
   const std::vector<CallRecord> &records() const { return Records_; }
--- /dev/null
+++ b/src/trial/internal/kindresults.cpp
@@ -0,0 +1,61 @@
+#include "trial/internal/kindresults.h"
+
+#include <algorithm>
+
+namespace cranberryspool::trial {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+
+framework::Duration quantile(const std::vector<framework::Duration> &Sorted,
+                             double Share) {
+  if (Sorted.empty())
+    return framework::Duration(0);
+  const auto Position =
+      static_cast<std::size_t>(Share * static_cast<double>(Sorted.size()));
+  return Sorted[std::min(Position, Sorted.size() - 1)];
+}
+
+KindResult makeResult(const document::Service &Service,
+                      const document::RequestKind &Kind, std::size_t Stream,
+                      const std::vector<standins::CallRecord> &Records,
+                      const standins::RunRecord &Runs) {
+  KindResult Result;
+  Result.Service_ = Service.Name_;
+  Result.Kind_ = Kind.Name_;
+  std::vector<framework::Duration> Latencies;
+  for (const standins::CallRecord &Record : Records) {
+    if (Record.Stream_ != Stream)
+      continue;
+    ++Result.Calls_;
+    if (!Kind.IsIdempotent_ && Runs.runCount(Record.Call_) > 1)
+      ++Result.RunTwice_;
+    if (Record.Ending_ != "answered" || Record.Status_ != StatusOk) {
+      ++Result.Lost_;
+      continue;
+    }
+    ++Result.Answered_;
+    Latencies.push_back(Record.Latency_);
+  }
+  std::sort(Latencies.begin(), Latencies.end());
+  Result.P50_ = quantile(Latencies, 0.5);
+  Result.P99_ = quantile(Latencies, 0.99);
+  return Result;
+}
+
+} // namespace
+
+std::vector<KindResult>
+makeKindResults(const document::EnvironmentDocument &Document,
+                const std::vector<standins::CallRecord> &Records,
+                const standins::RunRecord &Runs) {
+  std::vector<KindResult> Results;
+  for (const document::Service &Service : Document.Services_)
+    for (const document::RequestKind &Kind : Service.Kinds_)
+      Results.push_back(
+          makeResult(Service, Kind, Results.size(), Records, Runs));
+  return Results;
+}
+
+} // namespace cranberryspool::trial
--- /dev/null
+++ b/src/trial/internal/kindresults.h
@@ -0,0 +1,22 @@
+#ifndef CRANBERRYSPOOL_TRIAL_INTERNAL_KINDRESULTS_H
+#define CRANBERRYSPOOL_TRIAL_INTERNAL_KINDRESULTS_H
+
+#include "document/types/environmentdocument.h"
+#include "standins/callrecord.h"
+#include "standins/runrecord.h"
+#include "trial/types/kindresult.h"
+
+#include <vector>
+
+namespace cranberryspool::trial {
+
+/// Sums up the calls of each kind, in the order of the document. The stream
+/// numbers of the records count the kinds in that order.
+std::vector<KindResult>
+makeKindResults(const document::EnvironmentDocument &Document,
+                const std::vector<standins::CallRecord> &Records,
+                const standins::RunRecord &Runs);
+
+} // namespace cranberryspool::trial
+
+#endif // CRANBERRYSPOOL_TRIAL_INTERNAL_KINDRESULTS_H
--- /dev/null
+++ b/src/trial/trycommand.h
@@ -0,0 +1,23 @@
+#ifndef CRANBERRYSPOOL_TRIAL_TRYCOMMAND_H
+#define CRANBERRYSPOOL_TRIAL_TRYCOMMAND_H
+
+#include "operations/types/exitcode.h"
+#include "trial/types/trialsettings.h"
+
+#include <string>
+
+namespace cranberryspool::operations {
+struct Console;
+} // namespace cranberryspool::operations
+
+namespace cranberryspool::trial {
+
+/// Tries a document on a small fleet in this process and says whether it may
+/// be promoted.
+operations::ExitCode tryCommand(const std::string &Path,
+                                const TrialSettings &Settings,
+                                const operations::Console &Streams);
+
+} // namespace cranberryspool::trial
+
+#endif // CRANBERRYSPOOL_TRIAL_TRYCOMMAND_H
--- a/src/trial/types/trialfailure.h
+++ b/src/trial/types/trialfailure.h
@@ -8,15 +8,13 @@
 /// Why a trial could not be held.
 struct TrialFailure {
   enum class Kind {
-    /// The document was refused; `cranberryctl check` tells all faults.
-    DocumentRefused,
     /// A loopback address could not be had.
     AddressInUse,
     /// An instance did not start or never became ready.
     InstanceNotReady,
   };
 
-  Kind Kind_ = Kind::DocumentRefused;
+  Kind Kind_ = Kind::AddressInUse;
   /// The address or instance concerned.
   std::string Subject_;
 };
