Drive whole decision cores in the virtual-time experiment

The fixture puts 15 cores against fakes of platform, targets and network, with the example documents, over the same calls as the policies alone.

Attempts that a hedge overtakes now count as time spent in a target's slowness.

--- a/src/apps/cranberry-experiment/main.cpp
+++ b/src/apps/cranberry-experiment/main.cpp
@@ -1,9 +1,12 @@
+#include "decision/experiment/coreexperiment.h"
 #include "policyreport.h"
 #include "routing/experiment/policyexperiment.h"
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <fstream>
 #include <future>
 #include <iostream>
 #include <sstream>
@@ -18,6 +21,8 @@
 DEFINE_double(constant_share, 0.5,
               "part of the mean work that is the same for all requests");
 DEFINE_double(work_scale, 1, "multiplies the mean work of each service");
+DEFINE_string(documents, "examples",
+              "folder of the deployments' environment documents");
 DEFINE_bool(table, true, "print the table of each run");
 
 namespace {
@@ -33,6 +38,28 @@
   return Parts;
 }
 
+std::string readDocument(const Deployment &Fleet) {
+  std::ifstream Input(FLAGS_documents + "/" + Fleet.Name_ + ".json");
+  std::ostringstream Text;
+  Text << Input.rdbuf();
+  return Text.str();
+}
+
+std::vector<PolicyResult> runOne(const std::string &Policy,
+                                 const Deployment &Fleet,
+                                 const PolicyExperimentSettings &Settings) {
+  if (Policy != "core")
+    return runPolicy(Policy, Fleet, Settings);
+  CoreTotals Totals;
+  auto Results = runCores(Fleet, Settings, readDocument(Fleet), Totals);
+  std::ostringstream Line;
+  Line << "core: attempts " << Totals.AttemptsSent_ << ", hedges "
+       << Totals.HedgesSent_ << " (won " << Totals.HedgesWon_ << "), retries "
+       << Totals.RetriesSent_ << ", probes " << Totals.ProbesSent_ << '\n';
+  std::cout << Line.str();
+  return Results;
+}
+
 /// Runs all policies over one seed, several at the same time.
 std::vector<PolicyResult> runAll(const std::vector<std::string> &Policies,
                                  const Deployment &Fleet,
@@ -44,7 +71,7 @@
          Index < std::min<std::size_t>(Policies.size(), First + FLAGS_jobs);
          ++Index)
       Running.push_back(std::async(std::launch::async, [&, Index] {
-        return runPolicy(Policies[Index], Fleet, Settings);
+        return runOne(Policies[Index], Fleet, Settings);
       }));
     for (auto &Run : Running)
       for (PolicyResult &Result : Run.get())
@@ -85,8 +112,10 @@
     std::cerr << gflags::ProgramUsage() << '\n';
     return EXIT_FAILURE;
   }
-  const auto Policies =
-      FLAGS_policies.empty() ? policyNames() : split(FLAGS_policies);
+  auto Policies = policyNames();
+  Policies.insert(Policies.begin(), "core");
+  if (!FLAGS_policies.empty())
+    Policies = split(FLAGS_policies);
   for (const std::string &Name : split(FLAGS_deployment)) {
     if (Name != "lagos" && Name != "central-belt") {
       std::cerr << "unknown deployment: " << Name << '\n';
--- a/src/apps/cranberry-experiment/policyreport.cpp
+++ b/src/apps/cranberry-experiment/policyreport.cpp
@@ -38,7 +38,8 @@
 
 void printPolicyTable(const std::vector<PolicyResult> &Results,
                       std::ostream &Output) {
-  Output << "service      urgency   policy         answered not-run    p50 ms "
+  Output << "service      urgency   policy         answered not-run  late    "
+            "p50 ms "
             "   p99 ms  p99.9 ms  p99/random p99.9/random  p99/oracle "
             "p99.9/oracle\n";
   for (const PolicyResult &Result : Results) {
@@ -47,9 +48,10 @@
     Output << std::left << std::setw(13) << Result.Service_ << std::setw(10)
            << name(Result.Urgency_) << std::setw(14) << Result.Policy_
            << std::right << std::setw(9) << Result.Answered_ << std::setw(8)
-           << Result.NotRun_ << std::fixed << std::setprecision(1)
-           << std::setw(10) << millis(Result.P50_) << std::setw(10)
-           << millis(Result.P99_) << std::setw(10) << millis(Result.P999_);
+           << Result.NotRun_ << std::setw(6) << Result.Late_ << std::fixed
+           << std::setprecision(1) << std::setw(10) << millis(Result.P50_)
+           << std::setw(10) << millis(Result.P99_) << std::setw(10)
+           << millis(Result.P999_);
     if (Random && Oracle)
       Output << std::setprecision(2) << std::setw(12)
              << ratio(Result.P99_, Random->P99_) << std::setw(13)
--- /dev/null
+++ b/src/decision/experiment/coreexperiment.h
@@ -0,0 +1,22 @@
+#ifndef CRANBERRYSPOOL_DECISION_EXPERIMENT_COREEXPERIMENT_H
+#define CRANBERRYSPOOL_DECISION_EXPERIMENT_COREEXPERIMENT_H
+
+#include "decision/experiment/coretotals.h"
+#include "routing/experiment/policyexperiment.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberryspool::experiment {
+
+/// Runs whole decision cores (hedges, retries, connections, fleet) over the
+/// same calls as `runPolicy`. `Document` is the text of the environment
+/// document of the deployment. The results bear the policy name `core`.
+std::vector<PolicyResult> runCores(const Deployment &Fleet,
+                                   const PolicyExperimentSettings &Settings,
+                                   const std::string &Document,
+                                   CoreTotals &Totals);
+
+} // namespace cranberryspool::experiment
+
+#endif // CRANBERRYSPOOL_DECISION_EXPERIMENT_COREEXPERIMENT_H
--- /dev/null
+++ b/src/decision/experiment/internal/coreexperiment.cpp
@@ -0,0 +1,26 @@
+#include "decision/experiment/coreexperiment.h"
+
+#include "decision/experiment/corefleet.h"
+#include "routing/experiment/summarize.h"
+
+namespace cranberryspool::experiment {
+
+std::vector<PolicyResult> runCores(const Deployment &Fleet,
+                                   const PolicyExperimentSettings &Settings,
+                                   const std::string &Document,
+                                   CoreTotals &Totals) {
+  const Workload Work = makeWorkload(Fleet, Settings.Offered_, Settings.Seed_);
+  CoreFleetSettings Cores;
+  Cores.Seed_ = Settings.Seed_;
+  Cores.Document_ = Document;
+  CoreFleet Run(Fleet, Cores, Work);
+  Run.run();
+  Totals = Run.totals();
+  return summarize(
+      "core", Fleet,
+      [&](std::uint32_t Service, auto Urgency) -> const CallResults & {
+        return Run.results(Service, Urgency);
+      });
+}
+
+} // namespace cranberryspool::experiment
--- a/src/routing/experiment/internal/policyexperiment.cpp
+++ b/src/routing/experiment/internal/policyexperiment.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/defaultpolicy.h"
 #include "routing/experiment/oraclepolicy.h"
+#include "routing/experiment/summarize.h"
 #include "routing/experiment/virtualfleet.h"
 #include "routing/policies/blendpolicy.h"
 #include "routing/policies/hotcoldpolicy.h"
@@ -30,17 +31,11 @@
     Settings.ShareInterval_ = ShareInterval;
     VirtualFleet<Policy> Run(Fleet, Settings, Work, Make);
     Run.run();
-    std::vector<PolicyResult> Output;
-    for (std::uint32_t Service = 0; Service < Fleet.Services_.size(); ++Service)
-      for (const auto Urgency :
-           {document::Urgency::Urgent, document::Urgency::Ordinary}) {
-        const CallResults &Found = Run.results(Service, Urgency);
-        Output.push_back({"", Fleet.Services_[Service].Name_, Urgency,
-                          Found.Latencies_.size(), Found.NotRun_,
-                          Found.quantile(0.5), Found.quantile(0.99),
-                          Found.quantile(0.999)});
-      }
-    return Output;
+    return summarize(
+        "", Fleet,
+        [&](std::uint32_t Service, auto Urgency) -> const CallResults & {
+          return Run.results(Service, Urgency);
+        });
   };
 }
 
--- a/src/routing/experiment/policyresult.h
+++ b/src/routing/experiment/policyresult.h
@@ -16,6 +16,8 @@
   document::Urgency Urgency_ = document::Urgency::Ordinary;
   std::uint64_t Answered_ = 0;
   std::uint64_t NotRun_ = 0;
+  /// Answered after the deadline, or ended as outcome unknown.
+  std::uint64_t Late_ = 0;
   framework::Duration P50_{};
   framework::Duration P99_{};
   framework::Duration P999_{};
--- a/src/routing/experiment/servicemodel.h
+++ b/src/routing/experiment/servicemodel.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_ROUTING_EXPERIMENT_SERVICEMODEL_H
 
 #include "framework/time.h"
+#include "routing/experiment/requestmodel.h"
 
 #include <cstdint>
 #include <string>
@@ -17,7 +18,9 @@
   framework::Duration MeanWork_{};
   double UrgentShare_ = 0;
   framework::Duration Deadline_ = std::chrono::seconds(2);
-  bool IsIdempotent_ = true;
+  /// The requests of each urgency, in the form of the example documents.
+  RequestModel Urgent_;
+  RequestModel Ordinary_;
 };
 
 } // namespace cranberryspool::experiment
--- /dev/null
+++ b/src/routing/experiment/summarize.h
@@ -0,0 +1,35 @@
+#ifndef CRANBERRYSPOOL_ROUTING_EXPERIMENT_SUMMARIZE_H
+#define CRANBERRYSPOOL_ROUTING_EXPERIMENT_SUMMARIZE_H
+
+#include "routing/experiment/callresults.h"
+#include "routing/experiment/deployment.h"
+#include "routing/experiment/policyresult.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::experiment {
+
+/// Returns a row for each service and urgency of a run. `Results(Service,
+/// Urgency)` gives the run's `CallResults`.
+template <typename ResultsOf>
+std::vector<PolicyResult> summarize(const std::string &Policy,
+                                    const Deployment &Fleet,
+                                    const ResultsOf &Results) {
+  std::vector<PolicyResult> Rows;
+  for (std::uint32_t Service = 0; Service < Fleet.Services_.size(); ++Service)
+    for (const auto Urgency :
+         {document::Urgency::Urgent, document::Urgency::Ordinary}) {
+      const CallResults &Found = Results(Service, Urgency);
+      Rows.push_back({Policy, Fleet.Services_[Service].Name_, Urgency,
+                      Found.Latencies_.size(), Found.NotRun_, Found.Late_,
+                      Found.quantile(0.5), Found.quantile(0.99),
+                      Found.quantile(0.999)});
+    }
+  return Rows;
+}
+
+} // namespace cranberryspool::experiment
+
+#endif // CRANBERRYSPOOL_ROUTING_EXPERIMENT_SUMMARIZE_H
--- a/src/routing/experiment/tests/virtualfleet_test.cpp
+++ b/src/routing/experiment/tests/virtualfleet_test.cpp
@@ -20,7 +20,8 @@
 Deployment smallFleet() {
   Deployment Fleet = lagos();
   Fleet.Instances_ = 6;
-  Fleet.Services_ = {{"small", 6, 4, milliseconds(10), 0.3, seconds(1), true}};
+  Fleet.Services_ = {
+      {"small", 6, 4, milliseconds(10), 0.3, seconds(1), {}, {}}};
   return Fleet;
 }
 
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -117,6 +117,9 @@
   State.SentTimeSum_ -= micros(Now - Elapsed);
   if (Result == AttemptResult::Answered)
     noteLatency(Target, Elapsed, Now);
+  // A slow attempt that a hedge has overtaken still tells of the target.
+  if (Result == AttemptResult::Cancelled || Result == AttemptResult::TimedOut)
+    State.Recent_.noteUnanswered(Elapsed, Now);
   Records_[Target.value()].Health_.note(Result, Now);
   judgeHealth(Target, Now);
   refresh(Target, Now);
--- a/src/routing/types/recentanswers.h
+++ b/src/routing/types/recentanswers.h
@@ -18,6 +18,12 @@
     At_ = Now;
   }
 
+  /// Takes the time that was spent on a request which ended unanswered.
+  void noteUnanswered(framework::Duration Elapsed, framework::Instant Now) {
+    note(Elapsed, Now);
+    Count_ -= 1;
+  }
+
   /// Returns how many times slower than `UsualMicros` the target works, as the
   /// ratio of the time spent on requests to the requests done. `PendingMicros`
   /// is the time spent so far on those that are not done. A few requests at the
