Number calls from the incarnation upwards; wind callers down at a stop

Cause: peers name a kept answer by the call's number, so a restarted instance must not hand out numbers again. A stopping instance kept its callers' connections until the end. Change: calls are numbered from the start time upwards; from the stop request on answers carry Connection: close.

--- a/src/entry/internal/callerserver.cpp
+++ b/src/entry/internal/callerserver.cpp
@@ -19,12 +19,14 @@
 } // namespace
 
 CallerServer::CallerServer(net::io_context &Io, tcp::acceptor Acceptor,
-                           const EntryLimits &Limits, Mailboxes &Rings,
+                           const EntryLimits &Limits,
+                           framework::CallId FirstCall, Mailboxes &Rings,
                            InstanceState &Shared,
                            std::function<void()> OnFinished)
     : Io_(Io), Acceptor_(std::move(Acceptor)), Limits_(Limits), Rings_(Rings),
       Shared_(Shared), OnFinished_(std::move(OnFinished)),
-      Dispatch_(Io, Rings.Dispatch_), SweepTimer_(Io) {
+      Dispatch_(Io, Rings.Dispatch_), SweepTimer_(Io),
+      NextCall_(FirstCall.value()) {
   Rings_.Callers_.attach(
       Io, [this](CallerCommand &Command) { onCommand(Command); });
   acceptNext();
@@ -40,14 +42,14 @@
 std::optional<CallId> CallerServer::accept(std::uint64_t Session,
                                            decision::CallArrived Arrival,
                                            CallerRequest Request) {
-  const CallId Call(LastCall_ + 1);
+  const CallId Call(NextCall_);
   Arrival.Call_ = Call;
   DispatchInput Input;
   Input.Event_ = std::move(Arrival);
   Input.Request_ = std::make_shared<const CallerRequest>(std::move(Request));
   if (Dispatch_.waiting() > 0 || !Rings_.Dispatch_.tryPush(Input))
     return std::nullopt;
-  ++LastCall_;
+  ++NextCall_;
   SessionOfCall_.emplace(Call, Session);
   return Call;
 }
--- a/src/entry/internal/callerserver.h
+++ b/src/entry/internal/callerserver.h
@@ -19,10 +19,13 @@
 /// hands them to the dispatch duty.
 class CallerServer {
 public:
+  /// Calls are numbered from `FirstCall` upwards. No number may come again when
+  /// the instance is restarted: peers name kept answers by it.
   CallerServer(boost::asio::io_context &Io,
                boost::asio::ip::tcp::acceptor Acceptor,
-               const EntryLimits &Limits, Mailboxes &Rings,
-               InstanceState &Shared, std::function<void()> OnFinished);
+               const EntryLimits &Limits, framework::CallId FirstCall,
+               Mailboxes &Rings, InstanceState &Shared,
+               std::function<void()> OnFinished);
   ~CallerServer();
 
   /// Hands a whole request to the dispatch duty. Returns its number, or nothing
@@ -62,7 +65,7 @@
   framework::Outbox<DispatchInput> Dispatch_;
   boost::asio::steady_timer SweepTimer_;
   std::uint64_t LastSession_ = 0;
-  std::uint64_t LastCall_ = 0;
+  std::uint64_t NextCall_;
   std::unordered_map<std::uint64_t, std::shared_ptr<CallerSession>> Sessions_;
   std::unordered_map<framework::CallId, std::uint64_t> SessionOfCall_;
   bool IsWindingDown_ = false;
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -26,6 +26,8 @@
     return;
   }
   keep(Input);
+  if (std::holds_alternative<decision::StopRequested>(Input.Event_))
+    Callers_.send(WindDownCallers{});
   handle(Input.Event_);
 }
 
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -52,6 +52,12 @@
                }});
 }
 
+/// The start time in microseconds: a later start has the higher number.
+framework::Incarnation newIncarnation() {
+  const auto Started = framework::readMoment().Wall_.time_since_epoch();
+  return framework::Incarnation(static_cast<std::uint64_t>(Started.count()));
+}
+
 std::uint64_t randomSeed() {
   std::random_device Source;
   return (static_cast<std::uint64_t>(Source()) << 32) | Source();
@@ -84,6 +90,7 @@
   decision::Core makeCore() const;
 
   const EntrySettings Settings_;
+  const framework::Incarnation Incarnation_ = newIncarnation();
   Mailboxes Rings_;
   InstanceState Shared_;
   const ChangeLog Log_;
@@ -165,8 +172,9 @@
   });
   startDuty(CallPath_, "callers", [this](net::io_context &Io) {
     return std::make_unique<CallerServer>(
-        Io, shareListener(Io, CallerListener_), Settings_.Limits_, Rings_,
-        Shared_, [this] { end(ExitCode::Stopped); });
+        Io, shareListener(Io, CallerListener_), Settings_.Limits_,
+        framework::CallId(Incarnation_.value()), Rings_, Shared_,
+        [this] { end(ExitCode::Stopped); });
   });
 }
 
@@ -214,10 +222,7 @@
   Core.Zone_ = Settings_.Zone_;
   Core.StopLinger_ = Settings_.StopLinger_;
   Core.PeerAddress_ = textOf(endpointOf(PeerListener_));
-  // A later start has the higher number.
-  const auto Started = framework::readMoment().Wall_.time_since_epoch();
-  Core.Incarnation_ =
-      framework::Incarnation(static_cast<std::uint64_t>(Started.count()));
+  Core.Incarnation_ = Incarnation_;
   return decision::Core(std::move(Core), framework::Random(randomSeed()));
 }
 
--- a/src/entry/tests/callerfixture.cpp
+++ b/src/entry/tests/callerfixture.cpp
@@ -40,7 +40,8 @@
   Rings_.Dispatch_.attach(DispatchIo_,
                           [this](DispatchInput &Input) { onInput(Input); });
   Server_ = std::make_unique<CallerServer>(
-      ServerIo_, std::move(Listener.value()), Limits, Rings_, Shared_, [this] {
+      ServerIo_, std::move(Listener.value()), Limits, framework::CallId(1000),
+      Rings_, Shared_, [this] {
         const std::lock_guard Guard(Lock_);
         IsFinished_ = true;
         Changed_.notify_all();
--- a/src/entry/tests/callerserver_test.cpp
+++ b/src/entry/tests/callerserver_test.cpp
@@ -231,3 +231,18 @@
   Busy.close();
   Fixture.awaitFinished();
 }
+
+TEST_CASE("an instance that winds down asks callers to connect anew",
+          "[entry]") {
+  CallerFixture Fixture;
+  RawClient Client = Fixture.connect();
+  Client.send(Get);
+  CHECK_THAT(Client.receiveAnswer(), !Contains("Connection: close"));
+  CHECK(Fixture.lastCall() == framework::CallId(1000));
+  Fixture.order(WindDownCallers{});
+  Client.send(getOf("/a"));
+  CHECK_THAT(Client.receiveAll(), Contains("Connection: close\r\n"));
+  RawClient Late = Fixture.connect();
+  Late.send(Get);
+  CHECK_THAT(Late.receiveAnswer(), StartsWith("HTTP/1.1 200 "));
+}
