--- a/src/decision/tests/corefixture.cpp
+++ b/src/decision/tests/corefixture.cpp
@@ -107,6 +107,16 @@
                           IsZoneOut ? "out" : "in");
 }
 
+ActionList CoreFixture::tellDocument(bool IsZoneOut) {
+  publishDocument(IsZoneOut);
+  return tell(Document_);
+}
+
+ActionList CoreFixture::tellInstances(bool IsFirstLeaving) {
+  publishInstances(IsFirstLeaving);
+  return tell(Instances_);
+}
+
 CallArrived CoreFixture::call(std::uint64_t Id, bool IsIdempotent) {
   CallArrived Arrival;
   Arrival.Call_ = framework::CallId(Id);
--- a/src/decision/tests/corefixture.h
+++ b/src/decision/tests/corefixture.h
@@ -35,6 +35,10 @@
   void publishInstances(bool IsFirstLeaving);
   /// Publishes the document, with the availability zone out or not.
   void publishDocument(bool IsZoneOut);
+  /// Publishes the document and tells it at once.
+  ActionList tellDocument(bool IsZoneOut);
+  /// Publishes the list and tells it at once.
+  ActionList tellInstances(bool IsFirstLeaving);
   /// The platform does not answer from now on, or does again.
   void setPlatformDown(bool IsDown) { IsPlatformDown_ = IsDown; }
 
