Strengthen the fault runs, measure the cost of control, mend stale warmth

Change: faults now isolate an instance while the list calls it leaving, and part the fleet with its platform; keys are tested one by one; a peer's word on warmth counts only where this instance knows nothing; cranberry-fleetcost measures bytes, messages, processor time and memory.

--- /dev/null
+++ b/src/apps/cranberry-fleetcost/main.cpp
@@ -0,0 +1,32 @@
+#include "costreport.h"
+#include "costrun.h"
+
+#include <gflags/gflags.h>
+
+#include <array>
+#include <iostream>
+#include <vector>
+
+DEFINE_bool(json, false, "print JSON instead of a table");
+DEFINE_uint64(seed, 1, "the seed of the virtual fleet");
+
+namespace {
+
+constexpr std::array<std::size_t, 4> InstanceCounts = {5, 10, 15, 30};
+constexpr std::array<std::size_t, 3> TargetCounts = {37, 195, 780};
+
+} // namespace
+
+/// Measures what control costs a node at several sizes of the fleet.
+int main(int ArgumentCount, char **Arguments) {
+  gflags::SetUsageMessage("measures the cost of control for a node");
+  gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
+  using namespace cranberryspool::fleetcost;
+  std::vector<CostSample> Samples;
+  for (const std::size_t Instances : InstanceCounts)
+    for (const std::size_t Targets : TargetCounts)
+      Samples.push_back(
+          measureCost(Instances, Targets, ChangeRates{}, FLAGS_seed));
+  std::cout << (FLAGS_json ? costJson(Samples) + "\n" : costTable(Samples));
+  return 0;
+}
--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -333,6 +333,7 @@
 void FleetState::takeNotices(const std::vector<ColdNotice> &Notices,
                              framework::Instant Now, OutputList &Output) {
   for (const ColdNotice &Notice : Notices) {
+    Judged_.insert(Notice.Target_);
     if (Cold_.note(Notice, Now))
       Output.push_back(TargetReportedCold{Notice.Target_, Notice.StartId_});
   }
@@ -340,6 +341,7 @@
 
 void FleetState::noteTurnedCold(const ColdNotice &Notice, framework::Moment Now,
                                 OutputList &Output) {
+  Judged_.insert(Notice.Target_);
   if (Cold_.note(Notice, Now.Monotonic_))
     pushNews(Now.Monotonic_, Output);
 }
--- a/src/fleet/internal/fleetstate.h
+++ b/src/fleet/internal/fleetstate.h
@@ -143,6 +143,9 @@
   Spread ListSpread_{SectionKind::Instances};
   std::optional<HeldDocument> Held_;
   std::set<framework::TargetName> Warm_;
+  /// Targets on which this instance has evidence of its own, or a notice of a
+  /// new start: a peer that says "warm" may know less.
+  std::set<framework::TargetName> Judged_;
   bool IsStarted_ = false;
   bool IsStopping_ = false;
   std::optional<framework::Instant> AskingPeersSince_;
--- a/src/fleet/internal/warmth.cpp
+++ b/src/fleet/internal/warmth.cpp
@@ -14,6 +14,8 @@
     Warm_.insert(Target);
   else
     Warm_.erase(Target);
+  if (IsWarm)
+    Judged_.insert(Target);
 }
 
 std::optional<WarmTargets> FleetState::warmTargets() const {
@@ -41,7 +43,7 @@
     if ((Warm.Bits_[Index / 8] >> (Index % 8) & 1U) == 0)
       continue;
     const framework::TargetName Name(Targets[Index].Name_.value());
-    if (!Warm_.contains(Name))
+    if (!Judged_.contains(Name))
       Output.push_back(TargetReportedWarm{Name});
   }
 }
--- a/src/fleet/tests/chaosrun.cpp
+++ b/src/fleet/tests/chaosrun.cpp
@@ -14,10 +14,11 @@
 constexpr std::size_t FleetSize = 7;
 constexpr std::size_t TargetCount = 4;
 constexpr framework::Duration Warmup = 14s;
-constexpr framework::Duration RunLength = 40s;
+constexpr framework::Duration RunLength = 25s;
 constexpr framework::Duration Step = 50ms;
 constexpr framework::Duration MeanFaultGap = 3s;
-constexpr framework::Duration KeyGap = 500ms;
+constexpr framework::Duration KeyGap = 250ms;
+constexpr int KeysOfIsolated = 10;
 
 /// As the test document has it: 30 probes a minute, one request in flight at a
 /// cold target, calls of at most 500 ms.
@@ -60,7 +61,7 @@
       NextFault = Time + pick(0s, 2 * MeanFaultGap);
     }
     if (Time >= NextKey) {
-      issueKey();
+      issueKey(pickInstance());
       NextKey = Time + KeyGap;
     }
     if (Time >= NextRevision) {
@@ -83,7 +84,7 @@
 }
 
 void ChaosRun::injectFault() {
-  switch (Rng_.index(5)) {
+  switch (Rng_.index(6)) {
   case 0:
     return partFleet();
   case 1:
@@ -92,17 +93,46 @@
     return pauseInstance();
   case 3:
     return hidePlatform();
+  case 4:
+    return isolateInstance();
   default:
     return leaveAndReturn();
   }
 }
 
 void ChaosRun::partFleet() {
-  for (std::size_t Index = 0; Index < FleetSize; ++Index)
-    Fleet_.instance(Index).Part_ = static_cast<int>(Rng_.index(2));
-  Fleet_.clock().after(pick(1s, 10s), [this] {
-    for (std::size_t Index = 0; Index < FleetSize; ++Index)
-      Fleet_.instance(Index).Part_ = 0;
+  const bool IsPlatformLost = Rng_.index(2) == 0;
+  for (std::size_t Index = 0; Index < FleetSize; ++Index) {
+    VirtualInstance &Item = Fleet_.instance(Index);
+    Item.Part_ = static_cast<int>(Rng_.index(2));
+    Item.CanReachPlatform_ = Item.Part_ == 0 || !IsPlatformLost;
+  }
+  Fleet_.clock().after(pick(1s, 10s), [this] { heal(); });
+}
+
+void ChaosRun::heal() {
+  for (std::size_t Index = 0; Index < FleetSize; ++Index) {
+    Fleet_.instance(Index).Part_ = 0;
+    Fleet_.instance(Index).CanReachPlatform_ = true;
+  }
+}
+
+void ChaosRun::isolateInstance() {
+  const std::size_t Index = pickInstance();
+  Fleet_.instance(Index).Part_ = static_cast<int>(2 + Index);
+  Fleet_.instance(Index).CanReachPlatform_ = false;
+  for (int Count = 0; Count < KeysOfIsolated; ++Count)
+    Fleet_.clock().after(pick(0s, 16s), [this, Index] { issueKey(Index); });
+  if (Rng_.index(3) > 0) {
+    Fleet_.clock().after(pick(0s, 1s), [this, Index] {
+      Fleet_.setLeaving(Index, true);
+      Fleet_.publishList();
+    });
+  }
+  Fleet_.clock().after(pick(2s, 18s), [this, Index] {
+    heal();
+    Fleet_.setLeaving(Index, false);
+    Fleet_.publishList();
   });
 }
 
@@ -139,10 +169,7 @@
 void ChaosRun::hidePlatform() {
   for (std::size_t Index = 0; Index < FleetSize; ++Index)
     Fleet_.instance(Index).CanReachPlatform_ = Rng_.index(2) == 0;
-  Fleet_.clock().after(pick(1s, 10s), [this] {
-    for (std::size_t Index = 0; Index < FleetSize; ++Index)
-      Fleet_.instance(Index).CanReachPlatform_ = true;
-  });
+  Fleet_.clock().after(pick(1s, 10s), [this] { heal(); });
 }
 
 void ChaosRun::leaveAndReturn() {
@@ -210,17 +237,17 @@
   return Text;
 }
 
-void ChaosRun::issueKey() {
+void ChaosRun::issueKey(std::size_t First) {
   const std::string Key = makeKey();
   Runs_[Key] = 0;
   ++Result_.Keys_;
-  sendKey(Key);
+  sendKey(Key, First);
   for (int Repeat = 0; Repeat < 2; ++Repeat)
-    Fleet_.clock().after(pick(0s, 8s), [this, Key] { sendKey(Key); });
+    Fleet_.clock().after(pick(0s, 8s),
+                         [this, Key] { sendKey(Key, pickInstance()); });
 }
 
-void ChaosRun::sendKey(const std::string &Key) {
-  const std::size_t Index = pickInstance();
+void ChaosRun::sendKey(const std::string &Key, std::size_t Index) {
   if (!Fleet_.isRunning(Index))
     return;
   const framework::CallId Call(NextCall_++);
--- a/src/fleet/tests/chaosrun.h
+++ b/src/fleet/tests/chaosrun.h
@@ -35,6 +35,9 @@
   std::size_t pickInstance();
   void injectFault();
   void partFleet();
+  void heal();
+  /// Cuts one instance off from all; the list may call it leaving meanwhile.
+  void isolateInstance();
   void replaceInstance();
   void pauseInstance();
   void hidePlatform();
@@ -43,8 +46,9 @@
   void probe(std::size_t Index, std::size_t Target);
   void sendCold(std::size_t Index, std::size_t Target);
   std::string makeKey();
-  void issueKey();
-  void sendKey(const std::string &Key);
+  /// Sends a new key through one instance, then twice through any.
+  void issueKey(std::size_t First);
+  void sendKey(const std::string &Key, std::size_t Index);
   void collectDecisions();
   void runCall(framework::CallId Call, const KeyedCall &Item);
 
--- /dev/null
+++ b/src/fleet/tests/keys_test.cpp
@@ -0,0 +1,153 @@
+#include "fleet/internal/keytime.h"
+#include "fleet/tests/testdocument.h"
+#include "fleet/tests/virtualfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t FleetSize = 5;
+
+/// Long enough that every home has been home for its waiting time.
+constexpr framework::Duration Settling = 15s;
+
+class KeyedFleet {
+public:
+  explicit KeyedFleet(std::uint64_t Seed) : Fleet_(FleetSize, Seed) {
+    Fleet_.platform().publishDocument(framework::Revision(1),
+                                      makeDocument(true));
+    Fleet_.startAll();
+    Fleet_.advance(Settling);
+  }
+
+  VirtualFleet &fleet() { return Fleet_; }
+
+  std::string makeKey(framework::Duration Age = {}) {
+    const auto Wall = Fleet_.momentOf(0).Wall_.time_since_epoch() - Age;
+    const auto Milliseconds = static_cast<unsigned long long>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Wall).count());
+    char Text[64];
+    std::snprintf(Text, sizeof(Text), "%08llx-%04llx-7000-8000-%012llx",
+                  Milliseconds >> 16, Milliseconds & 0xffff, NextKey_++);
+    return Text;
+  }
+
+  /// Sends a key through an instance and returns the decision after a second.
+  KeyDecided send(std::size_t Index, const std::string &Key) {
+    const framework::CallId Call(NextCall_++);
+    Fleet_.run(
+        Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+          Self.requestKey(Call, framework::IdempotencyKey(Key), Now, Output);
+        });
+    Fleet_.advance(1s);
+    return Fleet_.instance(Index).Decisions_.at(Call);
+  }
+
+  void end(std::size_t Index, framework::CallId Call, calls::Ending Ending,
+           bool IsAnswerKept) {
+    Fleet_.run(
+        Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+          Self.noteKeyedCallEnded(Call, Ending, IsAnswerKept, Now, Output);
+        });
+    Fleet_.advance(1s);
+  }
+
+private:
+  VirtualFleet Fleet_;
+  unsigned long long NextKey_ = 1;
+  std::uint64_t NextCall_ = 1;
+};
+
+} // namespace
+
+TEST_CASE("only a UUID version 7 is a key", "[fleet]") {
+  const auto Key = readKey(
+      framework::IdempotencyKey("0190A0F0-0000-7abc-8000-000000000001"));
+  REQUIRE(Key);
+  CHECK(Key->Key_.value() == "0190a0f0-0000-7abc-8000-000000000001");
+  CHECK(Key->Time_ ==
+        framework::WallTime(std::chrono::milliseconds(0x0190a0f00000)));
+  for (const char *Text :
+       {"", "x", "0190a0f0-0000-4abc-8000-000000000001",
+        "0190a0f0-0000-7abc-0000-000000000001",
+        "0190a0f000007abc8000000000000001", "{190a0f0-0000-7abc-8000-00000000}",
+        "0190a0f0-0000-7abc-8000-00000000000g"})
+    CHECK_FALSE(readKey(framework::IdempotencyKey(Text)));
+}
+
+TEST_CASE("a key runs once and its answer is given again", "[fleet]") {
+  KeyedFleet Fleet(31);
+  const std::string Key = Fleet.makeKey();
+  const KeyDecided First = Fleet.send(0, Key);
+  REQUIRE(First.Decision_ == KeyDecision::Run);
+  CHECK(Fleet.send(1, Key).Decision_ == KeyDecision::InProgress);
+  Fleet.end(0, First.Call_, calls::Ending::Answered, true);
+  const KeyDecided Other = Fleet.send(2, Key);
+  CHECK(Other.Decision_ == KeyDecision::Replay);
+  CHECK(Other.PeerAddress_ == Fleet.fleet().instance(0).Address_);
+  CHECK(Other.PeerCall_ == First.Call_);
+  const KeyDecided Own = Fleet.send(0, Key);
+  CHECK(Own.Decision_ == KeyDecision::Replay);
+  CHECK(Own.PeerAddress_.empty());
+}
+
+TEST_CASE("a call that did not run leaves its key free", "[fleet]") {
+  KeyedFleet Fleet(32);
+  const std::string Key = Fleet.makeKey();
+  const KeyDecided First = Fleet.send(0, Key);
+  REQUIRE(First.Decision_ == KeyDecision::Run);
+  Fleet.end(0, First.Call_, calls::Ending::NotRun, false);
+  const KeyDecided Second = Fleet.send(1, Key);
+  REQUIRE(Second.Decision_ == KeyDecision::Run);
+  Fleet.end(1, Second.Call_, calls::Ending::Unknown, false);
+  CHECK(Fleet.send(2, Key).Decision_ == KeyDecision::AnswerGone);
+}
+
+TEST_CASE("keys that are too old or not valid are refused", "[fleet]") {
+  KeyedFleet Fleet(33);
+  CHECK(Fleet.send(0, Fleet.makeKey(3min)).Decision_ == KeyDecision::TooOld);
+  CHECK(Fleet.send(0, Fleet.makeKey(-10s)).Decision_ == KeyDecision::Invalid);
+  CHECK(Fleet.send(0, "certificate 12").Decision_ == KeyDecision::Invalid);
+}
+
+TEST_CASE("a planned leave hands the keys over and refuses none", "[fleet]") {
+  KeyedFleet Fleet(34);
+  std::vector<std::string> Keys;
+  std::vector<KeyDecided> Firsts;
+  for (int Count = 0; Count < 30; ++Count) {
+    Keys.push_back(Fleet.makeKey());
+    Firsts.push_back(Fleet.send(0, Keys.back()));
+    REQUIRE(Firsts.back().Decision_ == KeyDecision::Run);
+  }
+  const std::string Early = Fleet.makeKey();
+  Fleet.fleet().setLeaving(2, true);
+  Fleet.fleet().publishList();
+  Fleet.fleet().advance(2s);
+  CHECK(Fleet.fleet().fleet(2).isHandoverDone());
+  Fleet.fleet().kill(2);
+  for (const std::string &Key : Keys)
+    CHECK(Fleet.send(1, Key).Decision_ == KeyDecision::InProgress);
+  CHECK(Fleet.send(1, Early).Decision_ == KeyDecision::Run);
+  for (int Count = 0; Count < 30; ++Count)
+    CHECK(Fleet.send(3, Fleet.makeKey()).Decision_ == KeyDecision::Run);
+}
+
+TEST_CASE("after a crash of the home its keys do not run again", "[fleet]") {
+  for (std::size_t Dead = 1; Dead < FleetSize; ++Dead) {
+    KeyedFleet Fleet(35);
+    const std::string Key = Fleet.makeKey();
+    REQUIRE(Fleet.send(0, Key).Decision_ == KeyDecision::Run);
+    Fleet.fleet().kill(Dead);
+    Fleet.fleet().setLeaving(Dead, true);
+    Fleet.fleet().publishList();
+    for (int Second = 0; Second < 30; ++Second)
+      CHECK(Fleet.send(0, Key).Decision_ != KeyDecision::Run);
+    CHECK(Fleet.send(0, Fleet.makeKey()).Decision_ == KeyDecision::Run);
+  }
+}
--- a/src/fleet/tests/virtualfleet.cpp
+++ b/src/fleet/tests/virtualfleet.cpp
@@ -2,6 +2,7 @@
 #include "fleet/peercodec.h"
 
 #include <algorithm>
+#include <chrono>
 #include <stdexcept>
 #include <utility>
 
@@ -16,6 +17,24 @@
 /// The headers of IPv4 and UDP.
 constexpr std::uint64_t HeaderBytes = 28;
 
+/// Request and answer heads of one HTTP exchange with their TCP headers.
+constexpr std::uint64_t HttpBytes = 500;
+
+/// A digest in JSON beside its name.
+constexpr std::uint64_t DigestBytes = 40;
+
+std::uint64_t bulkBytes(const SectionRequest &Request,
+                        const SectionReply &Reply) {
+  std::uint64_t Bytes = HttpBytes;
+  for (const SectionDigest &Item : Request.Have_)
+    Bytes += Item.Name_.size() + DigestBytes;
+  for (const SectionDigest &Item : Reply.Manifest_)
+    Bytes += Item.Name_.size() + DigestBytes;
+  for (const document::DocumentSection &Item : Reply.Changed_)
+    Bytes += Item.Text_.size() + Item.Name_.size() + DigestBytes;
+  return Bytes;
+}
+
 const char *const ZoneNames[] = {"ikeja", "lekki", "yaba"};
 
 } // namespace
@@ -49,6 +68,8 @@
   Item.Deferred_.clear();
   Item.HighestApplied_ = framework::Revision{};
   Item.Decisions_.clear();
+  Item.ReportedWarm_.clear();
+  Item.ReportedCold_.clear();
   Item.Fleet_ = std::make_unique<Fleet>(
       FleetSettings{Item.Name_, Item.Incarnation_, Item.Zone_, Item.Address_},
       framework::Random(Rng_.bits()));
@@ -124,7 +145,10 @@
   if (!Item.Fleet_)
     return;
   OutputList Output;
+  const auto Began = std::chrono::steady_clock::now();
   Step(*Item.Fleet_, momentOf(Index), Output);
+  if (IsMeasuring_)
+    Item.Traffic_.Busy_ += std::chrono::steady_clock::now() - Began;
   carryOut(Index, Output);
 }
 
@@ -185,35 +209,55 @@
 }
 
 void VirtualFleet::carryOut(std::size_t Index, const SendMessage &Action) {
-  VirtualInstance &Sender = Instances_[Index];
-  const auto Encoded = encodePeerMessage(Action.Message_);
-  if (Encoded.size() > MaxDatagramBytes)
+  VirtualTraffic &Traffic = Instances_[Index].Traffic_;
+  const auto Began = std::chrono::steady_clock::now();
+  const auto Datagram = encodePeerMessage(Action.Message_);
+  if (IsMeasuring_)
+    Traffic.Busy_ += std::chrono::steady_clock::now() - Began;
+  if (Datagram.size() > MaxDatagramBytes)
     throw std::logic_error("datagram too large");
-  Sender.SentBytes_ += Encoded.size() + HeaderBytes;
-  ++Sender.SentMessages_;
+  Traffic.SentBytes_ += Datagram.size() + HeaderBytes;
+  ++Traffic.SentMessages_;
   const std::size_t To = find(Action.PeerAddress_);
   if (!areConnected(Index, To) || Rng_.fraction() < Faults_.Loss_)
     return;
   const int Copies = Rng_.fraction() < Faults_.Duplication_ ? 2 : 1;
   const std::uint64_t Process = Instances_[To].Process_;
   for (int Copy = 0; Copy < Copies; ++Copy) {
-    Clock_.after(linkDelay(), [=, this, Message = Action.Message_] {
-      deliver(To, Process, [=, this] {
-        run(To, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
-          Self.notePeerMessage(Message, Now, Output);
-        });
-      });
+    Clock_.after(linkDelay(), [=, this] {
+      deliver(To, Process, [=, this] { takeMessage(To, Datagram); });
     });
   }
 }
 
+void VirtualFleet::takeMessage(std::size_t Index,
+                               const std::vector<std::uint8_t> &Datagram) {
+  VirtualTraffic &Traffic = Instances_[Index].Traffic_;
+  Traffic.ReceivedBytes_ += Datagram.size() + HeaderBytes;
+  ++Traffic.ReceivedMessages_;
+  const auto Began = std::chrono::steady_clock::now();
+  const auto Message = decodePeerMessage(Datagram);
+  if (IsMeasuring_)
+    Traffic.Busy_ += std::chrono::steady_clock::now() - Began;
+  if (!Message)
+    throw std::logic_error("datagram not decoded");
+  run(Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+    Self.notePeerMessage(Message.value(), Now, Output);
+  });
+}
+
 void VirtualFleet::carryOut(std::size_t Index, const ReadPublished &Action) {
   const std::uint64_t Process = Instances_[Index].Process_;
   const SectionKind Kind = Action.Kind_;
+  ++Instances_[Index].Traffic_.PlatformCalls_;
   const auto IsReachable = [=, this] {
     return Instances_[Index].CanReachPlatform_;
   };
   const auto Done = [=, this](VirtualPlatform::Answer Answer) {
+    const bool IsDocument = Answer == VirtualPlatform::Answer::Value &&
+                            Kind == SectionKind::Document;
+    Instances_[Index].Traffic_.PlatformBytes_ +=
+        HttpBytes + (IsDocument ? Platform_.text().size() : 0);
     const framework::Revision Revision = Platform_.revision(Kind);
     const std::string Text = Platform_.text();
     const auto List = Platform_.instances();
@@ -247,6 +291,9 @@
   }
   const SectionReply Reply =
       Instances_[Peer].Fleet_->serveSections(Action.Request_);
+  const std::uint64_t Bytes = bulkBytes(Action.Request_, Reply);
+  Instances_[Index].Traffic_.BulkBytes_ += Bytes;
+  Instances_[Peer].Traffic_.BulkBytes_ += Bytes;
   Clock_.after(2 * Faults_.Delay_, [=, this] {
     deliver(Index, Process, [=, this] {
       run(Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
@@ -267,4 +314,14 @@
   Instances_[Index].Decisions_[Action.Call_] = Action;
 }
 
+void VirtualFleet::carryOut(std::size_t Index,
+                            const TargetReportedWarm &Action) {
+  Instances_[Index].ReportedWarm_.insert(Action.Target_);
+}
+
+void VirtualFleet::carryOut(std::size_t Index,
+                            const TargetReportedCold &Action) {
+  Instances_[Index].ReportedCold_.insert(Action.Target_);
+}
+
 } // namespace cranberryspool::fleet
--- a/src/fleet/tests/virtualfleet.h
+++ b/src/fleet/tests/virtualfleet.h
@@ -37,6 +37,9 @@
   void publishList();
   void advance(framework::Duration Length) { Clock_.advance(Length); }
 
+  /// Makes the fixture decode datagrams and take the processor time of control.
+  void measure() { IsMeasuring_ = true; }
+
   bool isRunning(std::size_t Index) const;
   framework::Moment momentOf(std::size_t Index) const;
   framework::Instant instantOf(std::size_t Index) const {
@@ -58,16 +61,21 @@
   void carryOut(std::size_t Index, const FetchSections &Action);
   void carryOut(std::size_t Index, const DocumentInForce &Action);
   void carryOut(std::size_t Index, const KeyDecided &Action);
+  void carryOut(std::size_t Index, const TargetReportedWarm &Action);
+  void carryOut(std::size_t Index, const TargetReportedCold &Action);
   template <typename Other> void carryOut(std::size_t, const Other &) {}
   std::size_t find(const std::string &Address) const;
   bool areConnected(std::size_t From, std::size_t To) const;
   framework::Duration linkDelay();
+  void takeMessage(std::size_t Index,
+                   const std::vector<std::uint8_t> &Datagram);
 
   VirtualClock Clock_;
   VirtualPlatform Platform_;
   framework::Random Rng_;
   LinkFaults Faults_;
   std::deque<VirtualInstance> Instances_;
+  bool IsMeasuring_ = false;
   std::vector<bool> Leaving_;
   std::vector<document::PublishedInstance> Targets_;
 };
--- a/src/fleet/tests/virtualinstance.h
+++ b/src/fleet/tests/virtualinstance.h
@@ -2,12 +2,14 @@
 #define CRANBERRYSPOOL_FLEET_TESTS_VIRTUALINSTANCE_H
 
 #include "fleet/fleet.h"
+#include "fleet/tests/virtualtraffic.h"
 #include "framework/time.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,9 +35,10 @@
   int Part_ = 0;
   framework::Revision HighestApplied_{};
   bool HasGoneBack_ = false;
-  std::uint64_t SentBytes_ = 0;
-  std::uint64_t SentMessages_ = 0;
+  VirtualTraffic Traffic_;
   std::map<framework::CallId, KeyDecided> Decisions_;
+  std::set<framework::TargetName> ReportedWarm_;
+  std::set<framework::TargetName> ReportedCold_;
 };
 
 } // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/tests/warmth_test.cpp
@@ -0,0 +1,56 @@
+#include "fleet/tests/testdocument.h"
+#include "fleet/tests/virtualfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const framework::TargetName FirstTarget("quickcheck-0");
+
+void startWithTargets(VirtualFleet &Fleet) {
+  Fleet.platform().publishDocument(framework::Revision(1), makeDocument(true));
+  Fleet.setTargets(makeTargets(2));
+  Fleet.startAll();
+  Fleet.advance(5s);
+}
+
+} // namespace
+
+TEST_CASE("a newcomer learns from its peers which targets are warm",
+          "[fleet]") {
+  VirtualFleet Fleet(5, 21);
+  startWithTargets(Fleet);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    Fleet.fleet(Index).setWarm(FirstTarget, true);
+  Fleet.kill(4);
+  Fleet.start(4);
+  Fleet.advance(2s);
+  CHECK(Fleet.instance(4).ReportedWarm_.contains(FirstTarget));
+  CHECK(Fleet.instance(4).ReportedWarm_.size() == 1);
+}
+
+TEST_CASE("a new start of a target is told to all and outlives old words",
+          "[fleet]") {
+  VirtualFleet Fleet(15, 22);
+  Fleet.faults().Loss_ = 0.1;
+  startWithTargets(Fleet);
+  for (std::size_t Index = 0; Index < 15; ++Index)
+    Fleet.fleet(Index).setWarm(FirstTarget, true);
+  Fleet.run(3, [](class Fleet &Self, framework::Moment Now,
+                  OutputList &Output) {
+    Self.setWarm(FirstTarget, false);
+    Self.noteTurnedCold(FirstTarget, framework::Incarnation(77), Now, Output);
+  });
+  Fleet.advance(2s);
+  for (std::size_t Index = 0; Index < 15; ++Index) {
+    const bool IsTold =
+        Fleet.instance(Index).ReportedCold_.contains(FirstTarget);
+    CHECK(IsTold == (Index != 3));
+  }
+  Fleet.advance(5s);
+  CHECK(Fleet.instance(3).ReportedWarm_.empty());
+}
