--- a/src/routing/types/recentanswers.h
+++ b/src/routing/types/recentanswers.h
@@ -18,13 +18,19 @@
     At_ = Now;
   }
 
+  /// Takes the time that was spent on a request which ended unanswered.
+  void noteUnanswered(framework::Duration Elapsed, framework::Instant Now) {
+    note(Elapsed, Now);
+    Count_ -= 1;
+  }
+
   /// Returns how many times slower than `UsualMicros` the target works, as the
   /// ratio of the time spent on requests to the requests done. `PendingMicros`
   /// is the time spent so far on those that are not done. A few requests at the
   /// usual time are assumed besides, so that a single answer says little.
   double slowness(double PendingMicros, double UsualMicros,
                   framework::Instant Now) const {
-    constexpr double AssumedAnswers = 4;
+    constexpr double AssumedAnswers = 3;
     const double Kept = decay(Now);
     const double Spent =
         Kept * Micros_ + PendingMicros + AssumedAnswers * UsualMicros;
@@ -33,7 +39,7 @@
 
 private:
   double decay(framework::Instant Now) const {
-    constexpr framework::Duration HalfLife = std::chrono::milliseconds(50);
+    constexpr framework::Duration HalfLife = std::chrono::milliseconds(30);
     return std::exp2(-static_cast<double>((Now - At_).count()) /
                      static_cast<double>(HalfLife.count()));
   }
