--- /dev/null
+++ b/src/fleet/tests/parting_test.cpp
@@ -0,0 +1,109 @@
+#include "fleet/tests/testdocument.h"
+#include "fleet/tests/virtualfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <vector>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t FleetSize = 5;
+
+/// Long enough that every home has been home for its waiting time.
+constexpr framework::Duration Settling = 15s;
+
+/// By when a change of the list has to stop new work everywhere.
+constexpr framework::Duration LeavingBound = 3s;
+
+void settle(VirtualFleet &Fleet) {
+  Fleet.platform().publishDocument(framework::Revision(1), makeDocument(true));
+  Fleet.setTargets(makeTargets(6));
+  Fleet.startAll();
+  Fleet.advance(Settling);
+}
+
+/// Returns a key as of now; `Number` tells keys apart.
+framework::IdempotencyKey makeKey(const VirtualFleet &Fleet, unsigned Number) {
+  const auto Milliseconds = static_cast<unsigned long long>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Fleet.momentOf(0).Wall_.time_since_epoch())
+          .count());
+  char Text[64];
+  std::snprintf(Text, sizeof(Text), "%08llx-%04llx-7000-8000-%012x",
+                Milliseconds >> 16, Milliseconds & 0xffff, Number);
+  return framework::IdempotencyKey(Text);
+}
+
+KeyDecision ask(VirtualFleet &Fleet, std::size_t Index,
+                const framework::IdempotencyKey &Key, std::uint64_t Call) {
+  Fleet.run(Index,
+            [&](class Fleet &Self, framework::Moment Now, OutputList &Output) {
+              Self.requestKey(framework::CallId(Call), Key, Now, Output);
+            });
+  Fleet.advance(1s);
+  return Fleet.instance(Index).Decisions_.at(framework::CallId(Call)).Decision_;
+}
+
+} // namespace
+
+TEST_CASE("a part without a majority runs no key once its leave has run out",
+          "[fleet]") {
+  VirtualFleet Fleet(FleetSize, 41);
+  settle(Fleet);
+  Fleet.instance(3).Part_ = 1;
+  Fleet.instance(4).Part_ = 1;
+  Fleet.advance(Settling);
+  std::uint64_t Call = 1;
+  std::vector<framework::IdempotencyKey> Keys;
+  for (unsigned Number = 0; Number < 20; ++Number) {
+    Keys.push_back(makeKey(Fleet, Number));
+    CHECK(ask(Fleet, 3, Keys.back(), Call++) == KeyDecision::HomeUnreachable);
+  }
+  std::size_t Runs = 0;
+  for (const auto &Key : Keys)
+    Runs += ask(Fleet, 0, Key, Call++) == KeyDecision::Run ? 1 : 0;
+  CHECK(Runs > 0);
+  CHECK(Runs < Keys.size());
+}
+
+TEST_CASE("a key runs at most once across a parting", "[fleet]") {
+  VirtualFleet Fleet(FleetSize, 43);
+  settle(Fleet);
+  std::uint64_t Call = 1;
+  for (unsigned Number = 0; Number < 20; ++Number) {
+    const auto Key = makeKey(Fleet, Number);
+    std::size_t Runs = 0;
+    for (const int Part : {1, 0, 1, 1, 0}) {
+      Fleet.instance(3).Part_ = Part;
+      Fleet.instance(4).Part_ = Part;
+      for (const std::size_t Index : {3, 0})
+        Runs += ask(Fleet, Index, Key, Call++) == KeyDecision::Run ? 1 : 0;
+    }
+    INFO("key " << Number);
+    CHECK(Runs <= 1);
+  }
+}
+
+TEST_CASE("a list change spreads while one instance reaches the platform",
+          "[fleet]") {
+  VirtualFleet Fleet(FleetSize, 42);
+  settle(Fleet);
+  REQUIRE_FALSE(Fleet.fleet(0).publishedTargets().empty());
+  for (std::size_t Index = 0; Index < FleetSize; ++Index)
+    Fleet.instance(Index).CanReachPlatform_ = Index == 2;
+  Fleet.advance(30s);
+  auto Targets = Fleet.fleet(0).publishedTargets();
+  Targets.front().IsLeaving_ = true;
+  Fleet.setTargets(Targets);
+  Fleet.publishList();
+  Fleet.advance(LeavingBound);
+  for (std::size_t Index = 0; Index < FleetSize; ++Index) {
+    INFO("instance " << Index);
+    CHECK(Fleet.fleet(Index).publishedTargets().front().IsLeaving_);
+  }
+}
