--- a/src/fleet/internal/homehistory.cpp
+++ b/src/fleet/internal/homehistory.cpp
@@ -116,10 +116,11 @@
       continue;
     const MemberList &Now = Versions_[Index].Members_;
     const MemberList &Before = Index > 0 ? Versions_[Index - 1].Members_ : Now;
+    const bool HasJoined = Index == 0 || !isLive(Before, Self_);
     for (const document::PublishedInstance &Member : Before) {
       if (Member.IsLeaving_ || Member.Name_ == Self_)
         continue;
-      if (Index > 0 && isLive(Now, Member.Name_))
+      if (!HasJoined && isLive(Now, Member.Name_))
         continue;
       All.push_back(*Base);
       All.back().HomeBefore_ = Member.Name_;
--- a/src/fleet/tests/keys_test.cpp
+++ b/src/fleet/tests/keys_test.cpp
@@ -151,3 +151,32 @@
     CHECK(Fleet.send(0, Fleet.makeKey()).Decision_ == KeyDecision::Run);
   }
 }
+
+TEST_CASE("a home that left and came back knows what it gave away", "[fleet]") {
+  KeyedFleet Fleet(36);
+  std::vector<std::string> Keys;
+  for (int Count = 0; Count < 20; ++Count) {
+    Keys.push_back(Fleet.makeKey());
+    REQUIRE(Fleet.send(0, Keys.back()).Decision_ == KeyDecision::Run);
+  }
+  VirtualFleet &Instances = Fleet.fleet();
+  Instances.setLeaving(1, true);
+  Instances.publishList();
+  Instances.advance(700ms);
+  Instances.kill(2);
+  Instances.kill(3);
+  Instances.setLeaving(1, false);
+  Instances.publishList();
+  Instances.advance(300ms);
+  Instances.setLeaving(4, true);
+  Instances.publishList();
+  Instances.advance(1s);
+  Instances.start(2);
+  Instances.start(3);
+  Instances.setLeaving(4, false);
+  Instances.publishList();
+  for (int Round = 0; Round < 2; ++Round) {
+    for (const std::string &Key : Keys)
+      CHECK(Fleet.send(0, Key).Decision_ != KeyDecision::Run);
+  }
+}
