Take a late notice of a target's earlier start for what it is

Cause: two starts of one target within the life of a notice made instances tell each other of both for ever, and the target flip between warm and cold. Change: the last starts of a target are remembered; own evidence of either kind outweighs a peer's word. Figures: the new test fails on the code before.

--- a/src/fleet/internal/coldnotices.cpp
+++ b/src/fleet/internal/coldnotices.cpp
@@ -13,18 +13,24 @@
 /// The most notices in one message.
 constexpr std::size_t MaxNoticesPerMessage = 8;
 
-/// The most targets whose latest start is remembered.
+/// The most targets whose starts are remembered.
 constexpr std::size_t MaxKnown = 8'192;
 
+/// The most starts of a target that are remembered, so that a late notice of
+/// an earlier start is not taken for a new one.
+constexpr std::size_t MaxStarts = 16;
+
 } // namespace
 
 bool ColdNotices::note(const ColdNotice &Notice, framework::Instant Now) {
-  const auto Known = Known_.find(Notice.Target_);
-  if (Known != Known_.end() && Known->second == Notice.StartId_)
-    return false;
-  if (Known == Known_.end() && Known_.size() >= MaxKnown)
+  if (!Known_.contains(Notice.Target_) && Known_.size() >= MaxKnown)
     Known_.erase(Known_.begin());
-  Known_[Notice.Target_] = Notice.StartId_;
+  std::deque<framework::Incarnation> &Starts = Known_[Notice.Target_];
+  if (std::find(Starts.begin(), Starts.end(), Notice.StartId_) != Starts.end())
+    return false;
+  Starts.push_back(Notice.StartId_);
+  if (Starts.size() > MaxStarts)
+    Starts.pop_front();
   Items_.push_back(Item{Notice, Now + NoticeLifetime});
   return true;
 }
--- a/src/fleet/internal/coldnotices.h
+++ b/src/fleet/internal/coldnotices.h
@@ -27,7 +27,7 @@
   };
 
   std::deque<Item> Items_;
-  std::map<framework::TargetName, framework::Incarnation> Known_;
+  std::map<framework::TargetName, std::deque<framework::Incarnation>> Known_;
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/warmth.cpp
+++ b/src/fleet/internal/warmth.cpp
@@ -14,8 +14,7 @@
     Warm_.insert(Target);
   else
     Warm_.erase(Target);
-  if (IsWarm)
-    Judged_.insert(Target);
+  Judged_.insert(Target);
 }
 
 std::optional<WarmTargets> FleetState::warmTargets() const {
--- a/src/fleet/tests/warmth_test.cpp
+++ b/src/fleet/tests/warmth_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/internal/coldnotices.h"
 #include "fleet/tests/testdocument.h"
 #include "fleet/tests/virtualfleet.h"
 
@@ -54,3 +55,16 @@
   Fleet.advance(5s);
   CHECK(Fleet.instance(3).ReportedWarm_.empty());
 }
+
+TEST_CASE("a late notice of an earlier start is not a new one", "[fleet]") {
+  ColdNotices Notices;
+  const framework::Instant Now{};
+  const ColdNotice First{FirstTarget, framework::Incarnation(1)};
+  const ColdNotice Second{FirstTarget, framework::Incarnation(2)};
+  CHECK(Notices.note(First, Now));
+  CHECK(Notices.note(Second, Now));
+  CHECK_FALSE(Notices.note(First, Now));
+  CHECK_FALSE(Notices.note(Second, Now));
+  CHECK(Notices.recent(Now).size() == 2);
+  CHECK(Notices.recent(Now + 6s).empty());
+}
