Measure when a change is in force and what a zone that is out still gets

Cause: the experiment told endings, but not how long a change takes nor whether a zone that is out gets work after 3 s. Change: phases note the longest time until all instances show the revision, and the requests that reach the zone from 3 s on; reported, not judged.

--- a/experiments/faults.py
+++ b/experiments/faults.py
@@ -6,6 +6,25 @@
 import deployments
 
 
+# The time after which an availability zone that is out gets no new work.
+ZONE_OUT_S = 3.0
+IN_FORCE = "change in force everywhere, longest (s)"
+WORK_IN_ZONE_OUT = "requests in a zone out for 3 s"
+
+
+def _publish_zone(trial, zone, state, numbers=None):
+    revision = trial.publish(deployments.with_zone_state(trial.document, zone, state))
+    taken = trial.wait_in_force(revision, trial.entries if numbers is None else numbers)
+    trial.note_largest(IN_FORCE, taken)
+    return taken or 0.0
+
+
+def _count_work(trial, zone, seconds):
+    before = trial.zone_requests(zone)
+    time.sleep(seconds)
+    trial.note_sum(WORK_IN_ZONE_OUT, trial.zone_requests(zone) - before)
+
+
 def calm(trial, seconds):
     """Nothing happens."""
     time.sleep(seconds)
@@ -25,15 +44,16 @@
 def zone_out(trial, seconds):
     """An availability zone is taken out."""
     zone = trial.deployment.zones[0]
-    trial.publish(deployments.with_zone_state(trial.document, zone, "out"))
-    time.sleep(seconds)
+    taken = _publish_zone(trial, zone, "out")
+    time.sleep(max(0.0, ZONE_OUT_S - taken))
+    _count_work(trial, zone, seconds)
 
 
 def zone_back_cold(trial, seconds):
     """The availability zone comes back, and all of its targets are cold."""
     zone = trial.deployment.zones[0]
     trial.tell_behind("restart-cold", targets=zone)
-    trial.publish(deployments.with_zone_state(trial.document, zone, "in"))
+    _publish_zone(trial, zone, "in")
     time.sleep(seconds)
 
 
@@ -98,11 +118,11 @@
     entry = trial.entries[1]
     entry.send(signal.SIGSTOP)
     zone = trial.deployment.zones[1]
-    trial.publish(deployments.with_zone_state(trial.document, zone, "out"))
-    time.sleep(seconds)
+    _publish_zone(trial, zone, "out", [n for n in trial.entries if n != 1])
+    time.sleep(max(ZONE_OUT_S, seconds / 2))
     entry.send(signal.SIGCONT)
-    time.sleep(seconds / 2)
-    trial.publish(deployments.with_zone_state(trial.document, zone, "in"))
+    _count_work(trial, zone, seconds / 2)
+    _publish_zone(trial, zone, "in")
     time.sleep(seconds / 2)
 
 
@@ -136,9 +156,9 @@
     blocked = [trial.entry_name(number) for number in sorted(trial.entries)][1:]
     trial.tell_behind("block-readers", names=blocked)
     zone = trial.deployment.zones[2]
-    trial.publish(deployments.with_zone_state(trial.document, zone, "out"))
-    time.sleep(seconds)
-    trial.publish(deployments.with_zone_state(trial.document, zone, "in"))
+    _publish_zone(trial, zone, "out")
+    _count_work(trial, zone, seconds)
+    _publish_zone(trial, zone, "in")
     trial.tell_behind("block-readers", names=[])
 
 
--- a/experiments/run.py
+++ b/experiments/run.py
@@ -101,6 +101,8 @@
             "cpu of instances a call (us)": round(1e6 * used / max(1, figures["calls"]), 1),
             "peak memory of an instance (MiB)": round(running.entry_peak_memory_mib(), 1),
             "platform calls in a second, most": counters["platform-max-calls-in-second"],
+            **{name: "never" if value is None else round(value, 3)
+               for name, value in running.measures.items()},
         }
     finally:
         running.end()
--- a/experiments/summary.py
+++ b/experiments/summary.py
@@ -118,10 +118,10 @@
         lines.append("  %-26s %8s %8s %8s" % (name, *values))
     lines.append("")
     for name, value in figures["proofs"].items():
-        lines.append("%-34s %d" % (name, value))
-    lines.append("%-34s %d" % ("probes of all targets", figures["measuring"]))
+        lines.append("%-40s %d" % (name, value))
+    lines.append("%-40s %d" % ("probes of all targets", figures["measuring"]))
     for name, value in figures.get("resources", {}).items():
-        lines.append("%-34s %s" % (name, value))
+        lines.append("%-40s %s" % (name, value))
     return "\n".join(lines)
 
 
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -14,6 +14,7 @@
 MIN_OPEN_FILES = 16384
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
+IN_FORCE_TIMEOUT_S = 20.0
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -122,6 +123,7 @@
         self.entries = {}
         self.ended_cpu_seconds = 0.0
         self.exit_codes = {}
+        self.measures = {}
 
     def _address(self, third, fourth, port):
         return "127.%d.%d.%d:%d" % (self.network, third, fourth, port)
@@ -311,9 +313,43 @@
         command(self.callers_control, do=do, **members)
 
     def publish(self, text):
-        """Publishes a document."""
+        """Publishes a document and returns its revision."""
         self.document = text
         self.tell_behind("publish-document", text=text)
+        return self.counters()["document-revision"]
+
+    def counters(self):
+        """Returns what platform and targets have counted so far."""
+        return json.loads(request(self.behind_control, "GET", "/counters")[1])
+
+    def zone_requests(self, zone):
+        """Returns the requests that targets of the zone have received."""
+        return sum(target["requests"] for target in self.counters()["targets"]
+                   if target["zone"] == zone)
+
+    def status(self, number):
+        """Returns the status that an instance tells operators."""
+        return json.loads(request(self.operator_address(number), "GET", "/status")[1])
+
+    def wait_in_force(self, revision, numbers):
+        """Waits until the revision is in force at the instances; returns seconds, or None."""
+        start = time.monotonic()
+        waiting = set(numbers)
+        while waiting and time.monotonic() < start + IN_FORCE_TIMEOUT_S:
+            waiting = {n for n in waiting if self.status(n).get("revision", 0) < revision}
+            time.sleep(0.02)
+        return None if waiting else time.monotonic() - start
+
+    def note_largest(self, name, value):
+        """Keeps the largest value of a measure; None is larger than any number."""
+        if name in self.measures and self.measures[name] is None:
+            return
+        known = self.measures.get(name, 0)
+        self.measures[name] = None if value is None else max(known, value)
+
+    def note_sum(self, name, value):
+        """Adds to a measure."""
+        self.measures[name] = self.measures.get(name, 0) + value
 
     def finish_calls(self, timeout=10.0):
         """Stops the load and waits for the calls under way."""
@@ -334,8 +370,7 @@
         """Returns (calls, runs, counters) as recorded by the stand-ins."""
         calls = json.loads(request(self.callers_control, "GET", "/calls", timeout=60)[1])
         runs = json.loads(request(self.behind_control, "GET", "/runs", timeout=60)[1])
-        counters = json.loads(request(self.behind_control, "GET", "/counters")[1])
-        return [Call(*row) for row in calls], runs, counters
+        return [Call(*row) for row in calls], runs, self.counters()
 
 
 class Call:
