--- a/src/fleet/tests/configuration_test.cpp
+++ b/src/fleet/tests/configuration_test.cpp
@@ -206,3 +206,19 @@
   CHECK_FALSE(Fleet.isFresh(2));
   CHECK(Fleet.isFresh(0));
 }
+
+TEST_CASE("a newer document that comes too late counts, but confirms nothing",
+          "[fleet]") {
+  VirtualFleet Fleet(1, 13);
+  startCalm(Fleet);
+  const auto Offer = [&](class Fleet &Self, framework::Moment Now,
+                         OutputList &Output) {
+    Self.noteUnavailable(SectionKind::Document, Now, Output);
+    Now.Monotonic_ += 1h;
+    Self.noteDocument(framework::Revision(11), makeDocument(false), Now,
+                      Output);
+    CHECK_FALSE(Self.isViewFresh(Now.Monotonic_));
+  };
+  Fleet.run(0, Offer);
+  CHECK(Fleet.fleet(0).documentRevision() == framework::Revision(11));
+}
