Count what instances send apart from calls straight to targets

Cause: calls straight to the targets, made to compare, were counted as work in a zone that was out and as work above what cold targets bear. Change: targets count only what instances send, and those calls end after the calm phase.

--- a/experiments/run.py
+++ b/experiments/run.py
@@ -55,6 +55,8 @@
         name = phase.__name__.replace("_", "-")
         print("%6.1f s  %s" % (time.monotonic() - running.started, name), flush=True)
         running.tell_callers("phase", name=name)
+        if phase is not faults.calm:
+            running.stop_direct()
         phase(running, seconds)
     running.finish_calls()
 
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -351,6 +351,11 @@
         """Adds to a measure."""
         self.measures[name] = self.measures.get(name, 0) + value
 
+    def stop_direct(self):
+        """Ends the calls straight to targets, which no instance can hold back."""
+        for service in self.deployment.services:
+            self.tell_callers("rate", stream="direct:" + service.name, factor=0.0)
+
     def finish_calls(self, timeout=10.0):
         """Stops the load and waits for the calls under way."""
         self.tell_callers("stop-callers")
--- a/src/standins/internal/targetstandin.cpp
+++ b/src/standins/internal/targetstandin.cpp
@@ -30,6 +30,10 @@
   return boost::algorithm::to_lower_copy(std::string(Name));
 }
 
+bool isThroughInstance(const HttpRequest &Request) {
+  return !Request.header(lower(protocol::AttemptIdHeader)).empty();
+}
+
 std::string callIdentity(const HttpRequest &Request) {
   return Request.header("caller-call-id");
 }
@@ -70,7 +74,7 @@
   const bool IsProbe = Request.Target_ == ProbePath;
   if (IsProbe)
     ++Counters_.Probes_;
-  else
+  else if (isThroughInstance(Request))
     ++Counters_.Requests_;
   if (Faults_.IsFailingFast_)
     return send(Session, makeResponse(Request, StatusServerError));
@@ -78,17 +82,25 @@
     ++Counters_.Shed_;
     return sendNotRun(Session, Request);
   }
-  Pending_[Session] = Work{Request, Clock::now(), IsProbe};
+  Pending_[Session] = Work{Request, Clock::now(), IsProbe,
+                           !IsProbe && isThroughInstance(Request)};
   Queue_.push_back(Session);
-  if (!IsProbe)
+  if (Pending_[Session].IsThroughInstance_)
     noteColdArrival();
   startQueued();
 }
 
+std::uint32_t TargetStandin::inFlightThroughInstances() const {
+  const auto Count = std::count_if(
+      Pending_.begin(), Pending_.end(),
+      [](const auto &Entry) { return Entry.second.IsThroughInstance_; });
+  return static_cast<std::uint32_t>(Count);
+}
+
 void TargetStandin::noteColdArrival() {
   if (!isCold())
     return;
-  const auto InFlight = static_cast<std::uint32_t>(Pending_.size());
+  const std::uint32_t InFlight = inFlightThroughInstances();
   Counters_.MaxColdInFlight_ = std::max(Counters_.MaxColdInFlight_, InFlight);
   if (InFlight > Settings_.ColdInFlight_)
     ++Counters_.OverCold_;
--- a/src/standins/targetcounters.h
+++ b/src/standins/targetcounters.h
@@ -7,6 +7,7 @@
 
 /// What a target counted since it was made.
 struct TargetCounters {
+  /// Requests that instances sent.
   std::uint64_t Requests_ = 0;
   std::uint64_t Runs_ = 0;
   std::uint64_t Shed_ = 0;
--- a/src/standins/targetstandin.h
+++ b/src/standins/targetstandin.h
@@ -47,6 +47,9 @@
     HttpRequest Request_;
     Clock::time_point Arrival_;
     bool IsProbe_ = false;
+    /// True for work that an instance sent, false for calls straight from a
+    /// caller.
+    bool IsThroughInstance_ = false;
   };
 
   struct LoadSample {
@@ -64,6 +67,7 @@
   void sendNow(SessionId Session, const HttpResponse &Response);
   void sendNotRun(SessionId Session, const HttpRequest &Request);
   void noteColdArrival();
+  std::uint32_t inFlightThroughInstances() const;
   void sampleLoad();
   bool isCold() const;
   bool hasExpired(const Work &Item) const;
