Count a target that comes back as cold until it is seen warm

Its warmth is now forgotten when it starts to leave, which peers hear of too, and only a report or a peer's word after its return, or the warm-up time, ends that.

--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -69,11 +69,36 @@
     if (!IsFirstPicture)
       Changes_.push_back({Description.Target_, TargetChangeKind::TurnedCold});
   }
-  if (IsBack && !Entry.Health_.isEjected())
-    Entry.Health_.restore(Now);
+  if (IsBack)
+    readmit(Description.Target_, Now);
+  if (Description.IsLeaving_)
+    release(Description.Target_);
   refresh(Description.Target_, Now);
 }
 
+void TargetRegistry::release(TargetId Target) {
+  Record &Entry = Records_[Target.value()];
+  if (Entry.Temperature_ != Temperature::Warm)
+    return;
+  // From now on it may restart without anybody noticing.
+  Entry.Temperature_ = Temperature::Unknown;
+  Changes_.push_back({Target, TargetChangeKind::TurnedCold});
+}
+
+void TargetRegistry::readmit(TargetId Target, Instant Now) {
+  Record &Entry = Records_[Target.value()];
+  if (!Entry.Health_.isEjected())
+    Entry.Health_.restore(Now);
+  const Duration Warmup = States_[Target.value()].Bounds_.ColdWarmup_;
+  const bool IsStillCold = Entry.Temperature_ == Temperature::Cold &&
+                           Now < Entry.ColdSince_ + Warmup;
+  if (IsStillCold)
+    return;
+  Entry.Temperature_ = Temperature::Unknown;
+  Entry.ColdSince_ = Now;
+  wakeAt(Now + Warmup, Target);
+}
+
 void TargetRegistry::unlist(TargetId Target, Instant Now) {
   Record &Entry = Records_[Target.value()];
   if (!Entry.IsListed_)
@@ -178,7 +203,8 @@
   // Reports lag: one from before a restart cannot end the cold start.
   if (Report.IsCold_ && Entry.Temperature_ != Temperature::Cold)
     turnCold(Target, Now);
-  else if (!Report.IsCold_ && Entry.Temperature_ == Temperature::Unknown)
+  else if (!Report.IsCold_ && Entry.Temperature_ == Temperature::Unknown &&
+           !State.Description_.IsLeaving_)
     turnWarm(Target);
   refresh(Target, Now);
 }
@@ -208,7 +234,8 @@
 }
 
 void TargetRegistry::noteTurnedWarm(TargetId Target, Instant Now) {
-  if (Target.value() >= Records_.size() || !isCold(Target))
+  if (Target.value() >= Records_.size() || !isCold(Target) ||
+      States_[Target.value()].Description_.IsLeaving_)
     return;
   turnWarm(Target);
   refresh(Target, Now);
@@ -258,7 +285,8 @@
     --group(Target).Ejected_;
     Changes_.push_back({Target, TargetChangeKind::Restored});
   }
-  if (isCold(Entry) && Entry.IsListed_ &&
+  const bool TakesWork = Entry.IsListed_ && !State.Description_.IsLeaving_;
+  if (isCold(Entry) && TakesWork &&
       Now >= Entry.ColdSince_ + State.Bounds_.ColdWarmup_) {
     if (State.Report_.IsCold_ && State.ReportedAt_ >= Entry.ColdSince_)
       turnCold(Target, Now);
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -93,6 +93,10 @@
 
   void list(const TargetDescription &Description, bool IsFirstPicture,
             framework::Instant Now);
+  /// Stops relying on a target that is leaving or whose zone is out.
+  void release(framework::TargetId Target);
+  /// Takes such a target back.
+  void readmit(framework::TargetId Target, framework::Instant Now);
   void unlist(framework::TargetId Target, framework::Instant Now);
   void turnCold(framework::TargetId Target, framework::Instant Now);
   void turnWarm(framework::TargetId Target);
--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -69,6 +69,44 @@
   CHECK(Chosen == std::vector<int>{200, 0, 0});
 }
 
+TEST_CASE("a target that comes back counts as cold until it is seen warm",
+          "[routing]") {
+  WarmTable Fixture(RandomPolicy{}, 2);
+  Fixture.Targets_[1].IsLeaving_ = true;
+  Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(1)));
+  CHECK(Fixture.Table_.takeChanges() ==
+        std::vector<TargetChange>{{TargetId(1), TargetChangeKind::TurnedCold}});
+  Fixture.Table_.noteReport(TargetId(1), {}, at(seconds(2)));
+  Fixture.Table_.noteTurnedWarm(TargetId(1), at(seconds(2)));
+  Fixture.Targets_[1].IsLeaving_ = false;
+  Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(9)));
+  CHECK(Fixture.chooseMany(100, at(seconds(9)))[1] == 0);
+  SECTION("by a report") {
+    Fixture.Table_.noteReport(TargetId(1), {}, at(seconds(10)));
+    CHECK(Fixture.chooseMany(100, at(seconds(10)))[1] > 0);
+  }
+  SECTION("a cold start that was seen while it was out goes on") {
+    Fixture.Targets_[1].IsLeaving_ = true;
+    Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(10)));
+    Fixture.Table_.noteTurnedCold(TargetId(1), at(seconds(11)));
+    Fixture.Targets_[1].IsLeaving_ = false;
+    Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(12)));
+    Fixture.Table_.noteReport(TargetId(1), {}, at(seconds(13)));
+    CHECK(Fixture.chooseMany(100, at(seconds(13)))[1] == 0);
+    CHECK(Fixture.chooseMany(100, at(seconds(11) + Warmup))[1] > 0);
+  }
+  SECTION("a cold start that ended while it was out is not relied on") {
+    Fixture.Table_.noteTurnedCold(TargetId(1), at(seconds(10)));
+    Fixture.Targets_[1].IsLeaving_ = true;
+    Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(10)));
+    Fixture.Table_.advance(at(seconds(30)));
+    Fixture.Targets_[1].IsLeaving_ = false;
+    Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(31)));
+    CHECK(Fixture.chooseMany(100, at(seconds(31)))[1] == 0);
+    CHECK(Fixture.chooseMany(100, at(seconds(31) + Warmup))[1] > 0);
+  }
+}
+
 TEST_CASE("a draining target gets nothing until it reports otherwise",
           "[routing]") {
   WarmTable Fixture(RandomPolicy{}, 2);
