--- a/src/standins/internal/targetstandin.cpp
+++ b/src/standins/internal/targetstandin.cpp
@@ -91,9 +91,10 @@
 }
 
 std::uint32_t TargetStandin::inFlightThroughInstances() const {
-  const auto Count = std::count_if(
-      Pending_.begin(), Pending_.end(),
-      [](const auto &Entry) { return Entry.second.IsThroughInstance_; });
+  const auto Count =
+      std::count_if(Pending_.begin(), Pending_.end(), [](const auto &Entry) {
+        return Entry.second.IsThroughInstance_;
+      });
   return static_cast<std::uint32_t>(Count);
 }
 
