Describe what a key expects after a fault only

Cause: every read built the text of its expectation, and the known keys of each object were a set of strings; the dispatch duty reads a document at each change. Change: descriptions are made when they are needed, known keys are views.

--- a/src/document/internal/objectreader.cpp
+++ b/src/document/internal/objectreader.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/string_view.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace cranberryspool::document {
 
@@ -97,7 +98,8 @@
 }
 
 const JsonTree::Member *ObjectReader::find(std::string_view Key) {
-  Known_.emplace(Key);
+  if (std::find(Known_.begin(), Known_.end(), Key) == Known_.end())
+    Known_.push_back(Key);
   if (Members_ == nullptr)
     return nullptr;
   const auto Found = std::find_if(
@@ -138,44 +140,49 @@
   if (At == nullptr)
     return Allowed.Least_;
   const JsonTree::Content &Content = Tree_.node(At->Value_).Content_;
-  const std::string Expected = "a whole number, " + rangeText(Allowed);
+  const auto Expected = [Allowed] {
+    return "a whole number, " + rangeText(Allowed);
+  };
   const auto *Value = std::get_if<std::int64_t>(&Content);
   if (Value == nullptr) {
-    reportAt(*At, FaultKind::WrongType, Expected);
+    reportAt(*At, FaultKind::WrongType, Expected());
     return Allowed.Least_;
   }
   if (*Value < Allowed.Least_ || *Value > Allowed.Most_) {
-    reportAt(*At, FaultKind::OutOfRange, Expected);
+    reportAt(*At, FaultKind::OutOfRange, Expected());
     return Allowed.Least_;
   }
   return static_cast<std::uint32_t>(*Value);
 }
 
+template <typename Description>
 const std::string *ObjectReader::stringAt(std::string_view Key,
-                                          std::string_view Expected) {
+                                          const Description &Expected) {
   const JsonTree::Member *At = require(Key);
   if (At == nullptr)
     return nullptr;
-  const auto *Text = std::get_if<std::string>(&Tree_.node(At->Value_).Content_);
+  const std::string *Text = textOf(*At);
   if (Text == nullptr)
-    reportAt(*At, FaultKind::WrongType, std::string(Expected));
+    reportAt(*At, FaultKind::WrongType, Expected());
   return Text;
 }
 
 Duration ObjectReader::duration(std::string_view Key, Range<Duration> Allowed) {
-  const std::string Expected = "a whole number with us, ms, s, m or h, \"" +
-                               durationText(Allowed.Least_) + "\" to \"" +
-                               durationText(Allowed.Most_) + "\"";
+  const auto Expected = [Allowed] {
+    return "a whole number with us, ms, s, m or h, \"" +
+           durationText(Allowed.Least_) + "\" to \"" +
+           durationText(Allowed.Most_) + "\"";
+  };
   const std::string *Text = stringAt(Key, Expected);
   if (Text == nullptr)
     return Allowed.Least_;
   const auto Value = parseDuration(*Text);
   if (!Value) {
-    report(Key, FaultKind::InvalidDuration, Expected);
+    report(Key, FaultKind::InvalidDuration, Expected());
     return Allowed.Least_;
   }
   if (*Value < Allowed.Least_ || *Value > Allowed.Most_) {
-    report(Key, FaultKind::OutOfRange, Expected);
+    report(Key, FaultKind::OutOfRange, Expected());
     return Allowed.Least_;
   }
   return *Value;
@@ -183,35 +190,39 @@
 
 std::uint32_t ObjectReader::share(std::string_view Key) {
   constexpr std::uint32_t Whole = 1'000'000;
-  const std::string Expected = "a percentage with at most four decimals, above "
-                               "\"0%\" and below \"100%\", such as \"99.9%\"";
+  const auto Expected = [] {
+    return std::string("a percentage with at most four decimals, above \"0%\" "
+                       "and below \"100%\", such as \"99.9%\"");
+  };
   const std::string *Text = stringAt(Key, Expected);
   if (Text == nullptr)
     return 0;
   const auto Value = parseShare(*Text);
   if (!Value) {
-    report(Key, FaultKind::InvalidShare, Expected);
+    report(Key, FaultKind::InvalidShare, Expected());
     return 0;
   }
   if (*Value == 0 || *Value == Whole)
-    report(Key, FaultKind::OutOfRange, Expected);
+    report(Key, FaultKind::OutOfRange, Expected());
   return *Value;
 }
 
 std::string ObjectReader::name(std::string_view Key) {
-  const std::string Expected = "a name of 1 to " +
-                               std::to_string(MaxNameLength) +
-                               " lower-case letters, digits and inner hyphens";
+  const auto Expected = [] {
+    return "a name of 1 to " + std::to_string(MaxNameLength) +
+           " lower-case letters, digits and inner hyphens";
+  };
   const std::string *Text = stringAt(Key, Expected);
   if (Text == nullptr)
     return {};
   if (!isName(*Text))
-    report(Key, FaultKind::InvalidName, Expected);
+    report(Key, FaultKind::InvalidName, Expected());
   return *Text;
 }
 
 std::optional<std::string> ObjectReader::text(std::string_view Key) {
-  const std::string *Text = stringAt(Key, "a string");
+  const std::string *Text =
+      stringAt(Key, [] { return std::string("a string"); });
   if (Text == nullptr)
     return std::nullopt;
   return *Text;
@@ -228,14 +239,8 @@
   return Default.value_or(false);
 }
 
-std::optional<std::string> ObjectReader::wordAt(std::string_view Key,
-                                                std::string_view Expected) {
-  if (find(Key) == nullptr)
-    return std::nullopt;
-  const std::string *Text = stringAt(Key, Expected);
-  if (Text == nullptr)
-    return std::nullopt;
-  return *Text;
+const std::string *ObjectReader::textOf(const JsonTree::Member &At) const {
+  return std::get_if<std::string>(&Tree_.node(At.Value_).Content_);
 }
 
 std::vector<JsonPlace> ObjectReader::list(std::string_view Key,
@@ -244,17 +249,18 @@
       AllowedCount.Least_ == 0 ? find(Key) : require(Key);
   if (At == nullptr)
     return {};
-  const std::string Expected =
-      "an array of " + rangeText(AllowedCount) + " elements";
+  const auto Expected = [AllowedCount] {
+    return "an array of " + rangeText(AllowedCount) + " elements";
+  };
   const auto *Items =
       std::get_if<JsonTree::Array>(&Tree_.node(At->Value_).Content_);
   if (Items == nullptr) {
-    reportAt(*At, FaultKind::WrongType, Expected);
+    reportAt(*At, FaultKind::WrongType, Expected());
     return {};
   }
   if (Items->size() < AllowedCount.Least_ ||
       Items->size() > AllowedCount.Most_) {
-    reportAt(*At, FaultKind::WrongCount, Expected);
+    reportAt(*At, FaultKind::WrongCount, Expected());
     return {};
   }
   std::vector<JsonPlace> Places;
@@ -280,16 +286,18 @@
       Faults_.add(Each.KeyOffset_,
                   {FaultKind::DoubledKey, pointerTo(Each.Key_), 0, 0,
                    "each key once", quoted(Each.Key_) + " again"});
-    else if (!Known_.contains(Each.Key_))
+    else if (std::find(Known_.begin(), Known_.end(), Each.Key_) == Known_.end())
       Faults_.add(Each.KeyOffset_, {FaultKind::UnknownKey, pointerTo(Each.Key_),
                                     0, 0, knownKeys(), quoted(Each.Key_)});
   }
 }
 
 std::string ObjectReader::knownKeys() const {
+  std::vector<std::string_view> Sorted = Known_;
+  std::sort(Sorted.begin(), Sorted.end());
   std::string Keys = "one of the keys";
-  for (const std::string &Each : Known_)
-    Keys += " " + Each;
+  for (const std::string_view Each : Sorted)
+    Keys += " " + std::string(Each);
   return Keys;
 }
 
--- a/src/document/objectreader.h
+++ b/src/document/objectreader.h
@@ -11,7 +11,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,7 +18,8 @@
 namespace cranberryspool::document {
 
 /// Reads the members of one JSON object by key and reports what is wrong with
-/// them. After a fault the reading functions return a harmless value.
+/// them. After a fault the reading functions return a harmless value. The keys
+/// that it is asked for must outlive it.
 class ObjectReader {
 public:
   ObjectReader(const JsonTree &Tree, JsonPlace Place, FaultCollector &Faults);
@@ -65,33 +65,35 @@
   std::string knownKeys() const;
   void reportAt(const JsonTree::Member &At, FaultKind Kind,
                 std::string Expected);
-  const std::string *stringAt(std::string_view Key, std::string_view Expected);
-  std::optional<std::string> wordAt(std::string_view Key,
-                                    std::string_view Expected);
+  const std::string *textOf(const JsonTree::Member &At) const;
+  /// `Expected` is called for the description after a fault only.
+  template <typename Description>
+  const std::string *stringAt(std::string_view Key,
+                              const Description &Expected);
 
   const JsonTree &Tree_;
   JsonPlace Place_;
   FaultCollector &Faults_;
   const JsonTree::Object *Members_ = nullptr;
-  std::set<std::string, std::less<>> Known_;
+  std::vector<std::string_view> Known_;
 };
 
 template <typename Value>
 Value ObjectReader::word(std::string_view Key,
                          const std::vector<Word<Value>> &Words, Value Default) {
+  const JsonTree::Member *At = find(Key);
+  if (At == nullptr)
+    return Default;
+  const std::string *Text = textOf(*At);
   std::string Expected;
   for (const Word<Value> &Each : Words) {
+    if (Text != nullptr && Each.Text_ == *Text)
+      return Each.Value_;
     Expected += Expected.empty() ? "\"" : " or \"";
     Expected += std::string(Each.Text_) + "\"";
   }
-  const auto Text = wordAt(Key, Expected);
-  if (!Text)
-    return Default;
-  for (const Word<Value> &Each : Words) {
-    if (Each.Text_ == *Text)
-      return Each.Value_;
-  }
-  report(Key, FaultKind::UnknownWord, Expected);
+  reportAt(*At, Text == nullptr ? FaultKind::WrongType : FaultKind::UnknownWord,
+           Expected);
   return Default;
 }
 
