Give the cost of control at the size aimed at, from measured slopes

Cause: the users ask what each role costs a node at 780 targets and 82,000 calls a second, worked out from measurements.

--- a/src/apps/cranberry-fleetcost/costreport.cpp
+++ b/src/apps/cranberry-fleetcost/costreport.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdio>
@@ -67,9 +68,23 @@
   return solve(Sums);
 }
 
+double largestError(const std::vector<CostSample> &Samples,
+                    double CostSample::*Value,
+                    const std::array<double, 3> &Plane) {
+  double Largest = 0;
+  for (const CostSample &Sample : Samples) {
+    const double Fitted = Plane[0] +
+                          Plane[1] * static_cast<double>(Sample.Instances_) +
+                          Plane[2] * static_cast<double>(Sample.Targets_);
+    Largest = std::max(Largest, std::abs(Fitted - Sample.*Value));
+  }
+  return Largest;
+}
+
 } // namespace
 
-std::string costTable(const std::vector<CostSample> &Samples) {
+std::string costTable(const std::vector<CostSample> &Samples,
+                      const KeyCost &Keys) {
   std::string Text = "instances targets";
   for (const Column &Item : Columns)
     Text += std::string("  ") + Item.Name_;
@@ -86,10 +101,15 @@
     }
     Text += "\n";
   }
-  return Text;
+  char Line[96];
+  std::snprintf(Line, sizeof(Line),
+                "bytes a keyed call %.0f, bytes a key record %.0f\n",
+                Keys.BytesPerCall_, Keys.BytesPerRecord_);
+  return Text + Line;
 }
 
-std::string costJson(const std::vector<CostSample> &Samples) {
+std::string costJson(const std::vector<CostSample> &Samples,
+                     const KeyCost &Keys) {
   boost::json::array Rows;
   for (const CostSample &Sample : Samples) {
     boost::json::object Entry;
@@ -100,14 +120,20 @@
     Rows.push_back(Entry);
   }
   boost::json::object Fits;
+  boost::json::object Errors;
   for (const Column &Item : Columns) {
     const auto Plane = fitPlane(Samples, Item.Value_);
     Fits[Item.Name_] = boost::json::object{{"base", Plane[0]},
                                            {"per-instance", Plane[1]},
                                            {"per-target", Plane[2]}};
+    Errors[Item.Name_] = largestError(Samples, Item.Value_, Plane);
   }
   return boost::json::serialize(
-      boost::json::object{{"samples", Rows}, {"slopes", Fits}});
+      boost::json::object{{"samples", Rows},
+                          {"slopes", Fits},
+                          {"fit-error", Errors},
+                          {"bytes-per-keyed-call", Keys.BytesPerCall_},
+                          {"bytes-per-key-record", Keys.BytesPerRecord_}});
 }
 
 } // namespace cranberryspool::fleetcost
--- a/src/apps/cranberry-fleetcost/main.cpp
+++ b/src/apps/cranberry-fleetcost/main.cpp
@@ -27,6 +27,8 @@
     for (const std::size_t Targets : TargetCounts)
       Samples.push_back(
           measureCost(Instances, Targets, ChangeRates{}, FLAGS_seed));
-  std::cout << (FLAGS_json ? costJson(Samples) + "\n" : costTable(Samples));
+  const KeyCost Keys = measureKeyCost();
+  std::cout << (FLAGS_json ? costJson(Samples, Keys) + "\n"
+                           : costTable(Samples, Keys));
   return 0;
 }
