Bring shares up to date on the fleet's word alone

Shares of fleet-wide bounds were read anew for every target each 100 ms, and the queues were searched twice an event. The fleet tells when shares change, and overdue calls have their own timers.

--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -67,7 +67,6 @@
 
 void Engine::expire(const Step &At) {
   Intake_.dropOverdue(At);
-  Waiting_.dropExpired(At);
   Attempts_.dropAbandoned(At);
   Outcomes_.dropSilent(At);
 }
@@ -95,7 +94,6 @@
 void Engine::tend(const Step &At) {
   LastTended_ = At.now();
   Outcomes_.dropUnopened(At);
-  Environment_.applyShares(At);
   if (!View_.isFresh(At.now()) || Stop_.isFinished())
     return;
   Connections_.tend(At);
