--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr framework::Duration TickInterval = std::chrono::milliseconds(100);
+/// After this a new instance is ready even if some service has no target yet
+/// that it may send to.
+constexpr framework::Duration MaxReadinessWait = std::chrono::seconds(20);
 
 } // namespace
 
@@ -61,6 +64,7 @@
 }
 
 void Engine::begin(const Step &At) {
+  BegunAt_ = At.now();
   At.Output_.push_back(SetReadiness{false});
   Parts_.Fleet_.start(At.Now_, Parts_.FleetOutput_);
 }
@@ -103,14 +107,21 @@
 void Engine::updateReadiness(const Step &At) {
   const bool MayAccept = View_.mayAccept(At.now()) && !Stop_.isRequested();
   // A new instance first waits until it may send somewhere.
-  const bool IsReady =
-      MayAccept && (IsReady_ || Environment_.hasUsableTarget(At.now()));
+  const bool IsReady = MayAccept && (IsReady_ || maySendSomewhere(At));
   if (IsReady == IsReady_)
     return;
   IsReady_ = IsReady;
   At.Output_.push_back(SetReadiness{IsReady});
 }
 
+bool Engine::maySendSomewhere(const Step &At) const {
+  const std::size_t Usable = Environment_.usableServices(At.now());
+  if (Usable == 0)
+    return false;
+  return Usable == Environment_.servedServices() ||
+         At.now() >= BegunAt_ + MaxReadinessWait;
+}
+
 void Engine::dispatch(const Step &At, const StopRequested &) {
   Stop_.request(At);
 }
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -44,6 +44,7 @@
   void settle(const Step &At);
   void tend(const Step &At);
   void updateReadiness(const Step &At);
+  bool maySendSomewhere(const Step &At) const;
 
   void dispatch(const Step &, const Tick &) {}
   void dispatch(const Step &At, const StopRequested &Input);
@@ -86,6 +87,7 @@
   Dispatcher Dispatcher_;
 
   std::optional<framework::Instant> LastHandled_;
+  framework::Instant BegunAt_{};
   framework::Instant LastTended_{};
   bool IsReady_ = false;
 };
--- a/src/decision/internal/environmentkeeper.cpp
+++ b/src/decision/internal/environmentkeeper.cpp
@@ -2,8 +2,8 @@
 
 #include "decision/internal/ringplaces.h"
 
-#include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace cranberryspool::decision {
@@ -55,16 +55,28 @@
     RingDistances_[Target.Target_] = Places.distance(Target.Target_);
 }
 
-bool EnvironmentKeeper::hasUsableTarget(framework::Instant Now) const {
-  const auto IsUsable = [&](const routing::TargetDescription &Target) {
-    if (Target.IsLeaving_)
-      return false;
-    return !Parts_.Targets_.isCold(Target.Target_) ||
-           Parts_.Fleet_.coldShare(
-               Parts_.Environment_.targetName(Target.Target_), Now) > 0;
-  };
-  const auto &Targets = Parts_.Environment_.targets();
-  return std::any_of(Targets.begin(), Targets.end(), IsUsable);
+std::size_t EnvironmentKeeper::servedServices() const {
+  std::set<framework::ServiceId> Services;
+  for (const routing::TargetDescription &Target : Parts_.Environment_.targets())
+    if (!Target.IsLeaving_)
+      Services.insert(Target.Service_);
+  return Services.size();
+}
+
+std::size_t EnvironmentKeeper::usableServices(framework::Instant Now) const {
+  std::set<framework::ServiceId> Services;
+  for (const routing::TargetDescription &Target :
+       Parts_.Environment_.targets()) {
+    if (Target.IsLeaving_ || Services.contains(Target.Service_))
+      continue;
+    const bool IsUsable =
+        !Parts_.Targets_.isCold(Target.Target_) ||
+        Parts_.Fleet_.coldShare(Parts_.Environment_.targetName(Target.Target_),
+                                Now) > 0;
+    if (IsUsable)
+      Services.insert(Target.Service_);
+  }
+  return Services.size();
 }
 
 void EnvironmentKeeper::applyCapacities() {
--- a/src/decision/internal/environmentkeeper.h
+++ b/src/decision/internal/environmentkeeper.h
@@ -7,6 +7,7 @@
 #include "document/types/environmentdocument.h"
 #include "document/types/publishedinstance.h"
 
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -24,8 +25,11 @@
                     std::vector<document::PublishedInstance> Instances);
   /// Brings this instance's shares of fleet-wide bounds up to date.
   void applyShares(const Step &At);
-  /// True when some target may get work from this instance.
-  bool hasUsableTarget(framework::Instant Now) const;
+  /// Returns the number of services with listed targets that take work.
+  std::size_t servedServices() const;
+  /// Returns how many of these have a target that may get work from this
+  /// instance.
+  std::size_t usableServices(framework::Instant Now) const;
 
 private:
   void apply(const Step &At);
