--- /dev/null
+++ b/src/routing/benchmarks/choicebenchmark.cpp
@@ -0,0 +1,118 @@
+#include "admission/admissionqueue.h"
+#include "allocationcount.h"
+#include "routing/defaultpolicy.h"
+#include "routing/policies/blendpolicy.h"
+#include "routing/policies/randompolicy.h"
+#include "routing/targettable.h"
+
+#include <benchmark/benchmark.h>
+
+#include <deque>
+
+namespace {
+
+using namespace cranberryspool;
+using namespace cranberryspool::framework;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t Slots = 6;
+constexpr std::uint32_t MaxConnections = 20;
+/// Attempts that are in flight while choices are made.
+constexpr std::size_t InFlight = 8;
+
+template <typename Policy>
+void setUp(routing::TargetTable<Policy> &Table, std::uint32_t Targets,
+           std::uint32_t Services) {
+  std::vector<routing::TargetDescription> Listed;
+  for (std::uint32_t Index = 0; Index < Targets; ++Index)
+    Listed.push_back({TargetId(Index), ServiceId(Index % Services),
+                      ZoneId(Index % 3), Slots, false});
+  const Instant Start(seconds(100));
+  Table.setTargets(Listed, Start);
+  for (std::uint32_t Index = 0; Index < Targets; ++Index) {
+    Table.setBounds(TargetId(Index),
+                    {0, MaxConnections, seconds(5), 0.5 * Index / Targets});
+    Table.noteReport(TargetId(Index), {}, Start);
+  }
+}
+
+void countAllocations(benchmark::State &State, std::uint64_t Before) {
+  State.counters["allocations"] = benchmark::Counter(
+      static_cast<double>(routing::allocationCount() - Before),
+      benchmark::Counter::kAvgIterations);
+}
+
+/// A whole decision: choose, note the send, note the end of an older attempt.
+template <typename Policy> void chooseTarget(benchmark::State &State) {
+  const auto Targets = static_cast<std::uint32_t>(State.range(0));
+  const auto Services = static_cast<std::uint32_t>(State.range(1));
+  routing::TargetTable<Policy> Table(ZoneId(0), Policy(), Random(1));
+  setUp(Table, Targets, Services);
+  Instant Now(seconds(101));
+  std::deque<TargetId> Running;
+  const routing::ChoiceRequest Request{ServiceId(0)};
+  const std::uint64_t Before = routing::allocationCount();
+  for (auto Iteration : State) {
+    Now += microseconds(50);
+    const auto Target = Table.choose(Request, Now);
+    benchmark::DoNotOptimize(Target);
+    Table.noteSent(*Target, Now);
+    Running.push_back(*Target);
+    if (Running.size() <= InFlight)
+      continue;
+    Table.noteEnded(Running.front(), routing::AttemptResult::Answered,
+                    milliseconds(8), Now);
+    Running.pop_front();
+  }
+  countAllocations(State, Before);
+}
+
+/// A call through admission: offer, start, end.
+void admitCall(benchmark::State &State) {
+  admission::AdmissionQueue Queue;
+  for (std::uint32_t Service = 0; Service < 24; ++Service)
+    Queue.setCapacity(ServiceId(Service), {200, 15});
+  Instant Now(seconds(101));
+  std::uint64_t Call = 0;
+  const std::uint64_t Before = routing::allocationCount();
+  for (auto Iteration : State) {
+    Now += microseconds(50);
+    const CallId Id(++Call);
+    benchmark::DoNotOptimize(Queue.offer(
+        {Id, ServiceId(3), document::Urgency::Ordinary, Now, Now + seconds(1)},
+        Now));
+    benchmark::DoNotOptimize(Queue.next(ServiceId(3), Now));
+    Queue.noteStarted(Id, Now);
+    Queue.noteEnded(ServiceId(3), document::Urgency::Ordinary,
+                    routing::AttemptResult::Answered, milliseconds(8), Now);
+  }
+  countAllocations(State, Before);
+}
+
+/// Blend with its default weights.
+struct DefaultBlend : routing::BlendPolicy {
+  DefaultBlend() : BlendPolicy(routing::BlendSettings{}) {}
+};
+
+} // namespace
+
+BENCHMARK_TEMPLATE(chooseTarget, routing::DefaultPolicy)
+    ->ArgNames({"targets", "services"})
+    ->Args({15, 1})
+    ->Args({120, 1})
+    ->Args({780, 1})
+    ->Args({780, 24});
+BENCHMARK_TEMPLATE(chooseTarget, DefaultBlend)
+    ->ArgNames({"targets", "services"})
+    ->Args({15, 1})
+    ->Args({120, 1})
+    ->Args({780, 1});
+BENCHMARK_TEMPLATE(chooseTarget, routing::RandomPolicy)
+    ->ArgNames({"targets", "services"})
+    ->Args({15, 1})
+    ->Args({780, 1});
+BENCHMARK(admitCall);
+
+BENCHMARK_MAIN();
