--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -58,6 +58,10 @@
   std::size_t waiting(framework::ServiceId Service,
                       document::Urgency Urgency) const;
 
+  /// Returns true when calls of the service wait, so that extra attempts of
+  /// others would take room from their first ones.
+  bool hasWaiting(framework::ServiceId Service) const;
+
   /// Returns the time at which `takeExpired` is due, or `Instant::max()`.
   framework::Instant nextWakeUp() const;
 
--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -99,6 +99,11 @@
   return Found == Services_.end() ? 0 : Found->second.waiting(Urgency);
 }
 
+bool AdmissionQueue::hasWaiting(ServiceId Service) const {
+  const auto Found = Services_.find(Service);
+  return Found != Services_.end() && !Found->second.isEmpty();
+}
+
 Instant AdmissionQueue::nextWakeUp() const {
   Instant Earliest = Shed_.empty() ? Instant::max() : Instant{};
   for (const auto &[Service, Queue] : Services_)
--- a/src/admission/tests/admissionqueue_test.cpp
+++ b/src/admission/tests/admissionqueue_test.cpp
@@ -148,6 +148,20 @@
   CHECK(Running > Low);
 }
 
+TEST_CASE("a service tells whether calls of it wait", "[admission]") {
+  AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(0), {10, 1});
+  Queue.setCapacity(ServiceId(1), {10, 1});
+  CHECK_FALSE(Queue.hasWaiting(ServiceId(0)));
+  fill(Queue, 20, Urgency::Ordinary);
+  startAll(Queue, at({}));
+  CHECK(Queue.hasWaiting(ServiceId(0)));
+  CHECK_FALSE(Queue.hasWaiting(ServiceId(1)));
+  for (std::uint64_t Id = 0; Id < 20; ++Id)
+    Queue.remove(CallId(1000 + Id));
+  CHECK_FALSE(Queue.hasWaiting(ServiceId(0)));
+}
+
 TEST_CASE("an unknown service is refused", "[admission]") {
   AdmissionQueue Queue;
   const auto Refused = Queue.offer(call(1, Urgency::Urgent, {}), at({}));
--- a/src/decision/internal/dispatcher.cpp
+++ b/src/decision/internal/dispatcher.cpp
@@ -42,7 +42,8 @@
     if (!MayStart || !Owner || Owner->Live_.size() != 1)
       continue;
     const calls::Attempt &First = Parts_.Calls_.attempts().at(Owner->Live_[0]);
-    if (First.HasAnswerBegun_)
+    if (First.HasAnswerBegun_ ||
+        Parts_.Queue_.hasWaiting(Owner->Request_.Service_))
       continue;
     const auto Target = Parts_.Targets_.choose(
         routing::ChoiceRequest{.Service_ = Owner->Request_.Service_,
