Test target connections, peers' methods and kept answers on real sockets

Cause: the failures of target connections were handled but not caused by a test. Change: a fixture whose target writes any bytes; tests for cut, malformed, oversized and crossed answers, lost connections before and after a write, the byte budget, probes, and the peers' methods with answers of any bytes. They found that a failed attempt kept its share of the byte budget a little too long; it is given back at once now.

--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -280,6 +280,7 @@
   if (Phase_ == Phase::Closed)
     return;
   Phase_ = Phase::Closed;
+  Reservation_ = framework::ByteReservation();
   error_code Ignored;
   Socket_.close(Ignored);
   Pool_.remove(Order_.Connection_);
--- /dev/null
+++ b/src/entry/tests/targetconnections_test.cpp
@@ -0,0 +1,217 @@
+#include "entry/tests/targetfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::entry;
+using boost::asio::ip::tcp;
+using calls::AttemptFailure;
+using calls::WriteState;
+using Catch::Matchers::Contains;
+using Catch::Matchers::StartsWith;
+using decision::AttemptAnswered;
+using decision::AttemptFailed;
+
+namespace {
+
+struct BadAnswer {
+  std::string Bytes_;
+  AttemptFailure Failure_;
+};
+
+} // namespace
+
+TEST_CASE("an attempt carries its marks and its answer is read whole",
+          "[entry]") {
+  TargetFixture Fixture;
+  tcp::socket Target = Fixture.open(1);
+  Fixture.send(1, 7, "POST");
+  const std::string Head = readHead(Target);
+  CHECK_THAT(Head, StartsWith("POST /a?b HTTP/1.1\r\n"));
+  CHECK_THAT(Head, Contains("Attempt-Id: 7\r\n"));
+  CHECK_THAT(Head, Contains("Request-Timeout-Ms: 250\r\n"));
+  CHECK_THAT(Head, Contains("Call-Depth: 2\r\n"));
+  CHECK_THAT(Head, Contains("Call-Attempt: 3\r\n"));
+  CHECK_THAT(Head, Contains("Content-Length: 4\r\n"));
+  writeAll(Target,
+           "HTTP/1.1 201 Created\r\nAttempt-Id: 7\r\nStart-Id: 42\r\n"
+           "Load-Report: {\"inflight\":3,\"slots\":6,\"cold\":true}\r\n"
+           "Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello");
+  Fixture.expect<decision::AnswerBegan>();
+  const DispatchInput Input = Fixture.next();
+  const auto Event = std::get<AttemptAnswered>(Input.Event_);
+  CHECK(Event.Attempt_ == framework::AttemptId(7));
+  CHECK(Event.EchoedAttempt_ == framework::AttemptId(7));
+  CHECK(Event.Status_ == 201);
+  CHECK(Event.StartId_ == framework::Incarnation(42));
+  CHECK(Event.Report_ == routing::LoadReport{3, 0, 6, true, false});
+  CHECK(Event.IsReusable_);
+  REQUIRE(Input.Answer_);
+  CHECK(Input.Answer_->Body_ == "hello");
+  CHECK_THAT(Input.Answer_->Fields_,
+             Catch::Matchers::VectorContains(
+                 HeaderField{"Content-Type", "text/plain"}));
+}
+
+TEST_CASE("a connection is used again, and a crossed echo is told", "[entry]") {
+  TargetFixture Fixture;
+  tcp::socket Target = Fixture.open(1);
+  for (std::uint64_t Attempt = 1; Attempt <= 2; ++Attempt) {
+    Fixture.send(1, Attempt);
+    readHead(Target);
+    writeAll(Target, "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\n"
+                     "Content-Length: 0\r\n\r\n");
+    Fixture.expect<decision::AnswerBegan>();
+    const auto Event = Fixture.expect<AttemptAnswered>();
+    CHECK(Event.Attempt_ == framework::AttemptId(Attempt));
+    CHECK(Event.EchoedAttempt_ == framework::AttemptId(1));
+  }
+}
+
+TEST_CASE("a refusal by the target is told as not run", "[entry]") {
+  TargetFixture Fixture;
+  tcp::socket Target = Fixture.open(1);
+  Fixture.send(1, 1);
+  readHead(Target);
+  writeAll(Target, "HTTP/1.1 100 Continue\r\n\r\n"
+                   "HTTP/1.1 503 Busy\r\nAttempt-Id: 1\r\nNot-Run: true\r\n"
+                   "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  Fixture.expect<decision::AnswerBegan>();
+  const auto Event = Fixture.expect<AttemptAnswered>();
+  CHECK(Event.Status_ == 503);
+  CHECK(Event.IsNotRun_);
+  CHECK_FALSE(Event.IsReusable_);
+}
+
+TEST_CASE("an answer that is cut short or wrong is no answer", "[entry]") {
+  const auto Bad = GENERATE(
+      BadAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                AttemptFailure::Truncated},
+      BadAnswer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "4\r\nhalf\r\n",
+                AttemptFailure::Truncated},
+      BadAnswer{"HTTP/1.1 200 OK\r\nContent-Le", AttemptFailure::Truncated},
+      BadAnswer{"HTTP/1.1 200 OK\r\n\r\nno length", AttemptFailure::Malformed},
+      BadAnswer{"gibberish\r\n\r\n", AttemptFailure::Malformed},
+      BadAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n",
+                AttemptFailure::AnswerTooLarge},
+      BadAnswer{"HTTP/1.1 200 OK\r\nA: " + std::string(4000, 'a'),
+                AttemptFailure::AnswerTooLarge});
+  CAPTURE(Bad.Bytes_);
+  EntryLimits Limits;
+  Limits.BodyBytes_ = 64;
+  Limits.HeadBytes_ = 1024;
+  TargetFixture Fixture(Limits);
+  tcp::socket Target = Fixture.open(1);
+  Fixture.send(1, 1);
+  readHead(Target);
+  writeAll(Target, Bad.Bytes_);
+  boost::system::error_code Ignored;
+  Target.shutdown(tcp::socket::shutdown_send, Ignored);
+  Fixture.expect<decision::AnswerBegan>();
+  const auto Event = Fixture.expect<AttemptFailed>();
+  CHECK(Event.Failure_ == Bad.Failure_);
+  CHECK(Event.Written_ == WriteState::MaybeWritten);
+  CHECK(Fixture.answerBytesInUse() == 0);
+}
+
+TEST_CASE("a target that closes instead of answering may have run the request",
+          "[entry]") {
+  TargetFixture Fixture;
+  tcp::socket Target = Fixture.open(1);
+  Fixture.send(1, 1);
+  readHead(Target);
+  Target.close();
+  Fixture.expect<decision::AnswerBegan>();
+  const auto Event = Fixture.expect<AttemptFailed>();
+  CHECK(Event.Failure_ == AttemptFailure::ConnectionClosed);
+  CHECK(Event.Written_ == WriteState::MaybeWritten);
+}
+
+TEST_CASE("nothing is written on a connection that has gone", "[entry]") {
+  TargetFixture Fixture;
+  tcp::socket Target = Fixture.open(1);
+  Target.close();
+  CHECK(Fixture.expect<decision::ConnectionClosed>().Connection_ ==
+        framework::ConnectionId(1));
+  Fixture.send(1, 1);
+  const auto Event = Fixture.expect<AttemptFailed>();
+  CHECK(Event.Written_ == WriteState::NothingWritten);
+}
+
+TEST_CASE("bytes that nobody asked for end an idle connection", "[entry]") {
+  TargetFixture Fixture;
+  tcp::socket Target = Fixture.open(1);
+  writeAll(Target, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  Fixture.expect<decision::ConnectionClosed>();
+}
+
+TEST_CASE("an abandoned attempt is told to the target by closing only",
+          "[entry]") {
+  TargetFixture Fixture;
+  tcp::socket Abandoned = Fixture.open(1);
+  Fixture.send(1, 1);
+  readHead(Abandoned);
+  Fixture.order(decision::CloseConnection{framework::ConnectionId(1)});
+  CHECK(readHead(Abandoned).empty());
+  tcp::socket Next = Fixture.open(2);
+}
+
+TEST_CASE("a connection that cannot be had is told", "[entry]") {
+  TargetFixture Fixture;
+  Fixture.order(decision::OpenConnection{
+      framework::ConnectionId(1), framework::TargetId(0), "127.0.0.1:1"});
+  Fixture.expect<decision::ConnectionClosed>();
+  Fixture.order(decision::OpenConnection{framework::ConnectionId(2),
+                                         framework::TargetId(0), "nowhere"});
+  CHECK(Fixture.expect<decision::ConnectionClosed>().Connection_ ==
+        framework::ConnectionId(2));
+}
+
+TEST_CASE("an answer waits until the byte budget has room", "[entry]") {
+  EntryLimits Limits;
+  Limits.AnswerBytes_ = 10;
+  TargetFixture Fixture(Limits);
+  tcp::socket First = Fixture.open(1);
+  tcp::socket Second = Fixture.open(2);
+  const std::string Answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n12345678";
+  Fixture.send(1, 1);
+  readHead(First);
+  writeAll(First, Answer);
+  Fixture.expect<decision::AnswerBegan>();
+  DispatchInput Held = Fixture.next();
+  CHECK(Held.Answer_->Body_ == "12345678");
+  Fixture.send(2, 2);
+  readHead(Second);
+  writeAll(Second, Answer);
+  Fixture.expect<decision::AnswerBegan>();
+  CHECK(Fixture.answerBytesInUse() == 8);
+  Held = DispatchInput();
+  CHECK(Fixture.next().Answer_->Body_ == "12345678");
+}
+
+TEST_CASE("a probe brings the load report", "[entry]") {
+  TargetFixture Fixture;
+  Fixture.order(decision::ProbeTarget{
+      framework::ProbeId(5), framework::TargetId(0), Fixture.address()});
+  tcp::socket Target = Fixture.acceptConnection();
+  CHECK_THAT(readHead(Target), StartsWith("GET /_load HTTP/1.1\r\n"));
+  writeAll(Target, "HTTP/1.1 200 OK\r\nStart-Id: 9\r\nContent-Length: 28\r\n"
+                   "\r\n{\"inflight\":2,\"queued\":1234}");
+  const auto Event = Fixture.expect<decision::ProbeAnswered>();
+  CHECK(Event.Probe_ == framework::ProbeId(5));
+  CHECK(Event.Report_.InFlight_ == 2);
+  CHECK(Event.StartId_ == framework::Incarnation(9));
+}
+
+TEST_CASE("a probe without a usable report has failed", "[entry]") {
+  TargetFixture Fixture;
+  Fixture.order(decision::ProbeTarget{
+      framework::ProbeId(5), framework::TargetId(0), Fixture.address()});
+  tcp::socket Target = Fixture.acceptConnection();
+  readHead(Target);
+  writeAll(Target, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine");
+  CHECK(Fixture.expect<decision::ProbeFailed>().Probe_ ==
+        framework::ProbeId(5));
+}
--- /dev/null
+++ b/src/entry/tests/targetfixture.cpp
@@ -0,0 +1,101 @@
+#include "entry/tests/targetfixture.h"
+
+#include "entry/internal/listen.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+namespace cranberryspool::entry {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+void runUntilStopped(net::io_context &Io) {
+  const auto Work = net::make_work_guard(Io);
+  Io.run();
+}
+
+} // namespace
+
+TargetFixture::TargetFixture(const EntryLimits &Limits)
+    : Shared_(Limits, Rings_),
+      Acceptor_(std::move(listen(TargetIo_, {"127.0.0.1", 0}).value())) {
+  Rings_.Dispatch_.attach(DispatchIo_, [this](DispatchInput &Input) {
+    const std::lock_guard Guard(Lock_);
+    Inputs_.push_back(std::move(Input));
+    Arrived_.notify_all();
+  });
+  Pool_ = std::make_unique<TargetConnections>(PoolIo_, Limits, Rings_, Shared_);
+  PoolThread_ = std::jthread([this] { runUntilStopped(PoolIo_); });
+  DispatchThread_ = std::jthread([this] { runUntilStopped(DispatchIo_); });
+}
+
+TargetFixture::~TargetFixture() {
+  DispatchIo_.stop();
+  DispatchThread_.join();
+  PoolIo_.stop();
+  PoolThread_.join();
+  Rings_.Dispatch_.detach();
+}
+
+void TargetFixture::order(TargetCommand Command) {
+  while (!Rings_.Targets_.tryPush(Command))
+    std::this_thread::yield();
+}
+
+tcp::socket TargetFixture::open(std::uint64_t Connection) {
+  order(decision::OpenConnection{framework::ConnectionId(Connection),
+                                 framework::TargetId(0), address()});
+  tcp::socket Accepted = acceptConnection();
+  expect<decision::ConnectionOpened>();
+  return Accepted;
+}
+
+void TargetFixture::send(std::uint64_t Connection, std::uint64_t Attempt,
+                         const std::string &Method) {
+  auto Request = std::make_shared<CallerRequest>();
+  Request->Method_ = Method;
+  Request->Target_ = "/a?b";
+  Request->Fields_ = {{"Host", "x"}};
+  Request->Body_ = Method == "POST" ? "body" : "";
+  decision::SendAttempt Order;
+  Order.Attempt_ = framework::AttemptId(Attempt);
+  Order.Connection_ = framework::ConnectionId(Connection);
+  Order.Timeout_ = std::chrono::milliseconds(250);
+  Order.Depth_ = 2;
+  Order.AttemptMark_ = 3;
+  order(SendRequest{Order, std::move(Request)});
+}
+
+DispatchInput TargetFixture::next() {
+  std::unique_lock Guard(Lock_);
+  Arrived_.wait(Guard, [this] { return !Inputs_.empty(); });
+  DispatchInput Input = std::move(Inputs_.front());
+  Inputs_.pop_front();
+  return Input;
+}
+
+std::string TargetFixture::address() const {
+  const tcp::endpoint At = Acceptor_.local_endpoint();
+  return textOf({At.address().to_string(), At.port()});
+}
+
+tcp::socket TargetFixture::acceptConnection() { return Acceptor_.accept(); }
+
+std::string readHead(tcp::socket &Socket) {
+  std::string Head;
+  boost::system::error_code Ignored;
+  net::read_until(Socket, net::dynamic_buffer(Head), "\r\n\r\n", Ignored);
+  return Head;
+}
+
+void writeAll(tcp::socket &Socket, std::string_view Bytes) {
+  boost::system::error_code Ignored;
+  net::write(Socket, net::buffer(Bytes.data(), Bytes.size()), Ignored);
+}
+
+} // namespace cranberryspool::entry
