--- /dev/null
+++ b/src/fleet/tests/warmth_test.cpp
@@ -0,0 +1,70 @@
+#include "fleet/internal/coldnotices.h"
+#include "fleet/tests/testdocument.h"
+#include "fleet/tests/virtualfleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const framework::TargetName FirstTarget("quickcheck-0");
+
+void startWithTargets(VirtualFleet &Fleet) {
+  Fleet.platform().publishDocument(framework::Revision(1), makeDocument(true));
+  Fleet.setTargets(makeTargets(2));
+  Fleet.startAll();
+  Fleet.advance(5s);
+}
+
+} // namespace
+
+TEST_CASE("a newcomer learns from its peers which targets are warm",
+          "[fleet]") {
+  VirtualFleet Fleet(5, 21);
+  startWithTargets(Fleet);
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    Fleet.fleet(Index).setWarm(FirstTarget, true);
+  Fleet.kill(4);
+  Fleet.start(4);
+  Fleet.advance(2s);
+  CHECK(Fleet.instance(4).ReportedWarm_.contains(FirstTarget));
+  CHECK(Fleet.instance(4).ReportedWarm_.size() == 1);
+}
+
+TEST_CASE("a new start of a target is told to all and outlives old words",
+          "[fleet]") {
+  VirtualFleet Fleet(15, 22);
+  Fleet.faults().Loss_ = 0.1;
+  startWithTargets(Fleet);
+  for (std::size_t Index = 0; Index < 15; ++Index)
+    Fleet.fleet(Index).setWarm(FirstTarget, true);
+  Fleet.run(3, [](class Fleet &Self, framework::Moment Now,
+                  OutputList &Output) {
+    Self.setWarm(FirstTarget, false);
+    Self.noteTurnedCold(FirstTarget, framework::Incarnation(77), Now, Output);
+  });
+  Fleet.advance(2s);
+  for (std::size_t Index = 0; Index < 15; ++Index) {
+    const bool IsTold =
+        Fleet.instance(Index).ReportedCold_.contains(FirstTarget);
+    CHECK(IsTold == (Index != 3));
+  }
+  Fleet.advance(5s);
+  CHECK(Fleet.instance(3).ReportedWarm_.empty());
+}
+
+TEST_CASE("a late notice of an earlier start is not a new one", "[fleet]") {
+  ColdNotices Notices;
+  const framework::Instant Now{};
+  const ColdNotice First{FirstTarget, framework::Incarnation(1)};
+  const ColdNotice Second{FirstTarget, framework::Incarnation(2)};
+  CHECK(Notices.note(First, Now));
+  CHECK(Notices.note(Second, Now));
+  CHECK_FALSE(Notices.note(First, Now));
+  CHECK_FALSE(Notices.note(Second, Now));
+  CHECK(Notices.recent(Now).size() == 2);
+  CHECK(Notices.recent(Now + 6s).empty());
+}
