--- a/experiments/run.py
+++ b/experiments/run.py
@@ -55,6 +55,8 @@
         name = phase.__name__.replace("_", "-")
         print("%6.1f s  %s" % (time.monotonic() - running.started, name), flush=True)
         running.tell_callers("phase", name=name)
+        if phase is not faults.calm:
+            running.stop_direct()
         phase(running, seconds)
     running.finish_calls()
 
@@ -101,6 +103,8 @@
             "cpu of instances a call (us)": round(1e6 * used / max(1, figures["calls"]), 1),
             "peak memory of an instance (MiB)": round(running.entry_peak_memory_mib(), 1),
             "platform calls in a second, most": counters["platform-max-calls-in-second"],
+            **{name: "never" if value is None else round(value, 3)
+               for name, value in running.measures.items()},
         }
     finally:
         running.end()
