--- a/src/decision/internal/statusview.cpp
+++ b/src/decision/internal/statusview.cpp
@@ -56,12 +56,16 @@
 
 std::vector<PeerStatus> StatusView::peers() const {
   std::vector<PeerStatus> Found;
-  for (const document::PublishedInstance &Peer : Parts_.Fleet_.publishedPeers())
+  for (const document::PublishedInstance &Peer :
+       Parts_.Fleet_.publishedPeers()) {
+    if (Peer.Name_ == Parts_.Settings_.Self_)
+      continue;
     Found.push_back(
         PeerStatus{.Peer_ = Peer.Name_,
                    .Zone_ = Peer.Zone_,
                    .IsLeaving_ = Peer.IsLeaving_,
                    .IsHeard_ = Parts_.HeardPeers_.contains(Peer.Name_)});
+  }
   return Found;
 }
 
--- a/src/decision/tests/core_test.cpp
+++ b/src/decision/tests/core_test.cpp
@@ -133,3 +133,39 @@
   const auto Refusal = refusalOf(Fixture.tell(Fixture.call(2)));
   CHECK(Refusal.Reason_ == calls::EndingReason::InstanceStopping);
 }
+
+TEST_CASE("the status tells what the core believes", "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  firstAttempt(Fixture, Fixture.call(1));
+  Fixture.tellInstances(true);
+  const CoreStatus Status = Fixture.Core_.status();
+  CHECK(Status.IsReady_);
+  CHECK(Status.IsViewFresh_);
+  CHECK(Status.Calls_ == 1);
+  CHECK(Status.Attempts_ == 1);
+  CHECK(Status.DocumentRevision_ == framework::Revision(1));
+  // An instance is not its own peer.
+  CHECK(Status.Peers_.empty());
+  REQUIRE(Status.Targets_.size() == 2);
+  CHECK(Status.Targets_[0].Condition_ == TargetCondition::Leaving);
+  CHECK(Status.Targets_[1].Condition_ == TargetCondition::In);
+  CHECK(Status.Targets_[0].InFlight_ + Status.Targets_[1].InFlight_ == 1);
+}
+
+TEST_CASE("ended calls are told once", "[decision]") {
+  CoreFixture Fixture;
+  Fixture.startUp();
+  const auto Sent = firstAttempt(Fixture, Fixture.call(1));
+  Fixture.pass(milliseconds(3));
+  Fixture.tell(Fixture.answerTo(Sent));
+  const auto Ended = Fixture.Core_.takeEndedCalls();
+  REQUIRE(Ended.size() == 1);
+  CHECK(Ended.front().Call_ == CallId(1));
+  CHECK(Ended.front().Service_ == framework::ServiceName("certdesk"));
+  CHECK(Ended.front().Urgency_ == document::Urgency::Urgent);
+  CHECK(Ended.front().Ending_ == calls::Ending::Answered);
+  CHECK(Ended.front().Status_ == 200);
+  CHECK(Ended.front().Elapsed_ >= milliseconds(3));
+  CHECK(Fixture.Core_.takeEndedCalls().empty());
+}
