Number attempts apart over instances and starts

Every instance numbered its attempts from 1. The numbers of one start now begin at a place that follows from the instance's name and incarnation (39 bits); sessions print the part that counts, so no golden file moves.

--- a/src/decision/internal/attemptflow.cpp
+++ b/src/decision/internal/attemptflow.cpp
@@ -11,7 +11,7 @@
   // A second run could not be taken back: stop rather than risk it.
   if (!Request.IsIdempotent_ && (Owner.MayHaveRun_ || !Owner.Live_.empty()))
     std::abort();
-  const framework::AttemptId Id(++Parts_.LastAttempt_);
+  const framework::AttemptId Id = Parts_.AttemptNumbers_.next();
   const calls::Attempt &Started = Parts_.Calls_.start(
       Owner, calls::Attempt{.Attempt_ = Id,
                             .Call_ = Request.Call_,
--- a/src/decision/internal/coreparts.h
+++ b/src/decision/internal/coreparts.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_INTERNAL_COREPARTS_H
 
 #include "admission/admissionqueue.h"
+#include "calls/attemptnumbers.h"
 #include "calls/calltable.h"
 #include "calls/connectionpool.h"
 #include "calls/silencedetector.h"
@@ -36,8 +37,8 @@
                                     .Zone_ = Settings_.Zone_,
                                     .Address_ = Settings_.PeerAddress_},
                framework::Random(Rng_.bits())),
-
-        Silence_(Calling_.SilenceIdempotent_, Calling_.SilenceNonIdempotent_) {}
+        Silence_(Calling_.SilenceIdempotent_, Calling_.SilenceNonIdempotent_),
+        AttemptNumbers_(Settings_.Self_, Settings_.Incarnation_) {}
   CoreParts(const CoreParts &) = delete;
   CoreParts &operator=(const CoreParts &) = delete;
   ~CoreParts() = default;
@@ -69,7 +70,7 @@
   calls::TimerQueue<framework::CallId> Deadlines_;
   calls::TimerQueue<framework::CallId> Hedges_;
   calls::TimerQueue<framework::AttemptId> Abandoned_;
-  std::uint64_t LastAttempt_ = 0;
+  calls::AttemptNumbers AttemptNumbers_;
   std::vector<EndedCall> Ended_;
   std::set<framework::TargetId> Ejected_;
   std::set<framework::InstanceName> HeardPeers_;
--- a/src/session/internal/actionlines.cpp
+++ b/src/session/internal/actionlines.cpp
@@ -16,7 +16,7 @@
 json::object write(const AnswerCall &Asked) {
   return {{"action", "answer-call"},
           {"call", Asked.Call_.value()},
-          {"attempt", Asked.Attempt_.value()}};
+          {"attempt", shortNumber(Asked.Attempt_)}};
 }
 
 json::object write(const CloseConnection &Asked) {
@@ -91,7 +91,7 @@
 json::object write(const SendAttempt &Asked) {
   return {{"action", "send-attempt"},
           {"call", Asked.Call_.value()},
-          {"attempt", Asked.Attempt_.value()},
+          {"attempt", shortNumber(Asked.Attempt_)},
           {"connection", Asked.Connection_.value()},
           {"timeout", framework::durationText(Asked.Timeout_)},
           {"mark", Asked.AttemptMark_}};
--- a/src/session/internal/eventlines.cpp
+++ b/src/session/internal/eventlines.cpp
@@ -12,25 +12,25 @@
 using namespace decision;
 
 json::object write(const AnswerBegan &Seen) {
-  return {{"event", "answer-began"}, {"attempt", Seen.Attempt_.value()}};
+  return {{"event", "answer-began"}, {"attempt", shortNumber(Seen.Attempt_)}};
 }
 
 json::object write(const AttemptAnswered &Seen) {
   json::object Line{{"event", "attempt-answered"},
-                    {"attempt", Seen.Attempt_.value()},
+                    {"attempt", shortNumber(Seen.Attempt_)},
                     {"status", Seen.Status_}};
   if (Seen.IsNotRun_)
     Line["not-run"] = true;
   if (Seen.EchoedAttempt_ != Seen.Attempt_)
     Line["echoed"] = Seen.EchoedAttempt_
-                         ? json::value(Seen.EchoedAttempt_->value())
+                         ? json::value(shortNumber(*Seen.EchoedAttempt_))
                          : json::value(nullptr);
   return Line;
 }
 
 json::object write(const AttemptFailed &Seen) {
   return {{"event", "attempt-failed"},
-          {"attempt", Seen.Attempt_.value()},
+          {"attempt", shortNumber(Seen.Attempt_)},
           {"failure", nameOf(Seen.Failure_)},
           {"written", nameOf(Seen.Written_)}};
 }
--- a/src/session/internal/names.cpp
+++ b/src/session/internal/names.cpp
@@ -1,5 +1,7 @@
 #include "session/internal/names.h"
 
+#include "calls/attemptnumbers.h"
+
 #include <array>
 #include <cstddef>
 
@@ -82,6 +84,12 @@
   return Changes.at(static_cast<std::size_t>(Value));
 }
 
+std::uint64_t shortNumber(framework::AttemptId Attempt) {
+  constexpr std::uint64_t Mask =
+      (1ULL << calls::AttemptNumbers::CounterBits) - 1;
+  return Attempt.value() & Mask;
+}
+
 std::optional<TargetMode> targetModeOf(std::string_view Name) {
   return find<TargetMode>(Modes, Name);
 }
--- a/src/session/internal/names.h
+++ b/src/session/internal/names.h
@@ -6,8 +6,10 @@
 #include "calls/types/endingreason.h"
 #include "calls/types/writestate.h"
 #include "decision/types/changekind.h"
+#include "framework/ids.h"
 #include "session/types/targetmode.h"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -20,6 +22,9 @@
 std::string_view nameOf(calls::WriteState Value);
 std::string_view nameOf(decision::ChangeKind Value);
 
+/// The number of an attempt among those of its instance, for print.
+std::uint64_t shortNumber(framework::AttemptId Attempt);
+
 std::optional<TargetMode> targetModeOf(std::string_view Name);
 std::optional<calls::AttemptFailure> attemptFailureOf(std::string_view Name);
 
