--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -19,6 +19,12 @@
   endif()
 endfunction()
 
+# Seconds that a test program may take; the sanitizers slow it down several times.
+set(CRANBERRY_TEST_TIMEOUT 300)
+if(CRANBERRY_SANITIZE_ADDRESS OR CRANBERRY_SANITIZE_THREAD)
+  set(CRANBERRY_TEST_TIMEOUT 1500)
+endif()
+
 # cranberry_test(NAME SOURCES file... DEPENDS target...)
 # Declares the Catch2 program test_NAME and one CTest entry of the same name.
 function(cranberry_test name)
@@ -27,7 +33,7 @@
   target_compile_options(test_${name} PRIVATE -Wall -Wextra -Wpedantic -Werror)
   target_link_libraries(test_${name} PRIVATE ${ARG_DEPENDS})
   add_test(NAME ${name} COMMAND test_${name} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
-  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${CRANBERRY_TEST_TIMEOUT})
 endfunction()
 
 # cranberry_program(NAME SOURCES file... DEPENDS target...)
