--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -234,9 +234,12 @@
 }
 
 void TargetRegistry::noteTurnedWarm(TargetId Target, Instant Now) {
-  if (Target.value() >= Records_.size() || !isCold(Target) ||
+  if (Target.value() >= Records_.size() ||
       States_[Target.value()].Description_.IsLeaving_)
     return;
+  // A word of before a restart can come after it: seen evidence outweighs it.
+  if (Records_[Target.value()].Temperature_ != Temperature::Unknown)
+    return;
   turnWarm(Target);
   refresh(Target, Now);
 }
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -75,7 +75,8 @@
     Registry_.noteTurnedCold(Target, Now);
   }
 
-  /// Takes a peer's word that the target is warm.
+  /// Takes a peer's word that the target is warm. It counts only while nothing
+  /// is known of the target, not against evidence of a cold start.
   void noteTurnedWarm(framework::TargetId Target, framework::Instant Now) {
     Registry_.noteTurnedWarm(Target, Now);
   }
--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -81,6 +81,10 @@
   Fixture.Targets_[1].IsLeaving_ = false;
   Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(9)));
   CHECK(Fixture.chooseMany(100, at(seconds(9)))[1] == 0);
+  SECTION("by a peer's word") {
+    Fixture.Table_.noteTurnedWarm(TargetId(1), at(seconds(10)));
+    CHECK(Fixture.chooseMany(100, at(seconds(10)))[1] > 0);
+  }
   SECTION("by a report") {
     Fixture.Table_.noteReport(TargetId(1), {}, at(seconds(10)));
     CHECK(Fixture.chooseMany(100, at(seconds(10)))[1] > 0);
@@ -144,6 +148,11 @@
     CHECK_FALSE(Table.choose(Request, at(seconds(1) + Warmup)));
     CHECK(Table.isCold(TargetId(0)));
   }
+  SECTION("a late word of a peer does not end a cold start") {
+    Table.noteTurnedCold(TargetId(0), at(seconds(1)));
+    Table.noteTurnedWarm(TargetId(0), at(seconds(2)));
+    CHECK(Table.isCold(TargetId(0)));
+  }
   SECTION("a step up of the time of answers makes it cold") {
     for (int Index = 0; Index < 50; ++Index) {
       Table.noteSent(TargetId(0), at({}));
