Confirm an old view at once, not after a whole watch

Cause: an instance that woke, or got the platform back, waited for a watch of 500 ms before it knew that its view was current. Change: the watch of an old view is 1 ms long.

--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -20,6 +20,11 @@
 /// source than its peers.
 constexpr framework::Duration ActingTime = std::chrono::seconds(10);
 
+bool isOld(const Confirmation &Confirmed, framework::Instant Now) {
+  const auto Age = Confirmed.age(Now);
+  return !Age || *Age > SuspicionAge;
+}
+
 } // namespace
 
 FleetState::FleetState(FleetSettings Settings, framework::Random Rng)
@@ -71,15 +76,15 @@
   std::optional<framework::Revision> HaveList;
   if (Instances_.hasValue())
     HaveList = Instances_.revision();
-  ListReader_.tick(isReading(ListConfirmed_, ActingUntil_, Now), HaveList, Size,
-                   Now, Output);
+  ListReader_.tick(isReading(ListConfirmed_, ActingUntil_, Now), HaveList,
+                   isOld(ListConfirmed_, Now), Size, Now, Output);
   std::optional<framework::Revision> HaveDocument;
   if (Documents_.hasValue())
     HaveDocument = std::max(Documents_.judgedRevision(), Documents_.revision());
   const bool IsHeld = isStarting() && Held_;
-  DocumentReader_.tick(!IsHeld &&
-                           isReading(DocumentConfirmed_, ActingUntil_, Now),
-                       HaveDocument, Size, Now, Output);
+  DocumentReader_.tick(
+      !IsHeld && isReading(DocumentConfirmed_, ActingUntil_, Now), HaveDocument,
+      isOld(DocumentConfirmed_, Now), Size, Now, Output);
 }
 
 void FleetState::noteDocument(framework::Revision Revision,
--- a/src/fleet/internal/platformreader.cpp
+++ b/src/fleet/internal/platformreader.cpp
@@ -17,12 +17,13 @@
 
 void PlatformReader::tick(bool IsReading,
                           std::optional<framework::Revision> Have,
-                          std::size_t FleetSize, framework::Instant Now,
-                          OutputList &Output) {
+                          bool IsViewOld, std::size_t FleetSize,
+                          framework::Instant Now, OutputList &Output) {
   FleetSize_ = std::max<std::size_t>(FleetSize, 1);
   if (!IsReading || Outstanding_ || Now < NextAt_)
     return;
-  const framework::Duration Wait = Have ? WatchWait : framework::Duration{};
+  const framework::Duration LongWait = IsViewOld ? ShortWatchWait : WatchWait;
+  const framework::Duration Wait = Have ? LongWait : framework::Duration{};
   Outstanding_ = Outstanding{Now, Wait};
   ++Reads_;
   Output.push_back(ReadPublished{Kind_, Have, Wait});
--- a/src/fleet/internal/platformreader.h
+++ b/src/fleet/internal/platformreader.h
@@ -18,9 +18,11 @@
 public:
   explicit PlatformReader(SectionKind Kind);
 
-  /// Starts a read when one is due. `Have` is the accepted revision.
+  /// Starts a read when one is due. `Have` is the accepted revision; a short
+  /// watch confirms it at once when the view is old.
   void tick(bool IsReading, std::optional<framework::Revision> Have,
-            std::size_t FleetSize, framework::Instant Now, OutputList &Output);
+            bool IsViewOld, std::size_t FleetSize, framework::Instant Now,
+            OutputList &Output);
 
   /// The read brought a value. Returns since when the value counts.
   std::optional<framework::Instant> noteValue(framework::Instant Now);
--- a/src/fleet/internal/timing.h
+++ b/src/fleet/internal/timing.h
@@ -9,6 +9,10 @@
 /// confirms the view.
 inline constexpr framework::Duration WatchWait = std::chrono::milliseconds(500);
 
+/// The same when the view is old, so that it is confirmed soon.
+inline constexpr framework::Duration ShortWatchWait =
+    std::chrono::milliseconds(1);
+
 /// The pause after a failed read.
 inline constexpr framework::Duration ReadRetry = std::chrono::milliseconds(500);
 
--- a/src/fleet/tests/configuration_test.cpp
+++ b/src/fleet/tests/configuration_test.cpp
@@ -222,3 +222,17 @@
   Fleet.run(0, Offer);
   CHECK(Fleet.fleet(0).documentRevision() == framework::Revision(11));
 }
+
+TEST_CASE("a woken instance is fresh again within milliseconds", "[fleet]") {
+  for (const std::size_t Count : {std::size_t{1}, FleetSize}) {
+    VirtualFleet Fleet(Count, 14);
+    startCalm(Fleet);
+    Fleet.pause(0);
+    Fleet.advance(40s);
+    REQUIRE_FALSE(Fleet.fleet(0).isViewFresh(Fleet.instantOf(0)));
+    Fleet.wake(0);
+    CHECK_FALSE(Fleet.isFresh(0));
+    Fleet.advance(50ms);
+    CHECK(Fleet.isFresh(0));
+  }
+}
