Count attempts that were cut at a cold target for two seconds more

A cold target may go on with a request whose connection was closed by a hedge, a deadline or a silence verdict; the next one was then sent above its bound (the loopback experiment counted up to 4 in flight at a bound of 1).

--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -22,6 +22,24 @@
 constexpr std::uint32_t SlowAnswersOfColdStart = 6;
 constexpr double SlownessOfColdStart = 6;
 constexpr Duration ReportAgeToProbe = seconds(1);
+/// How long a cold target may go on with a request whose connection is gone.
+constexpr Duration MaxRunAfterCut = seconds(2);
+
+/// True when the target may still run the request.
+bool mayStillRun(AttemptResult Result) {
+  switch (Result) {
+  case AttemptResult::Cancelled:
+  case AttemptResult::TimedOut:
+  case AttemptResult::ConnectionSilent:
+  case AttemptResult::ConnectionFailed:
+    return true;
+  case AttemptResult::Answered:
+  case AttemptResult::ServerError:
+  case AttemptResult::NotRun:
+    return false;
+  }
+  return true;
+}
 
 std::int64_t micros(Instant Time) { return Time.time_since_epoch().count(); }
 
@@ -145,11 +163,20 @@
   // A slow attempt that a hedge has overtaken still tells of the target.
   if (Result == AttemptResult::Cancelled || Result == AttemptResult::TimedOut)
     State.Recent_.noteUnanswered(Elapsed, Now);
+  if (mayStillRun(Result) && isCold(Target))
+    noteCut(Target, Now);
   Records_[Target.value()].Health_.note(Result, Now);
   judgeHealth(Target, Now);
   refresh(Target, Now);
 }
 
+void TargetRegistry::noteCut(TargetId Target, Instant Now) {
+  Record &Entry = Records_[Target.value()];
+  ++Entry.Cut_;
+  Entry.CutUntil_ = Now + MaxRunAfterCut;
+  wakeAt(Entry.CutUntil_, Target);
+}
+
 void TargetRegistry::noteLatency(TargetId Target, Duration Elapsed,
                                  Instant Now) {
   TargetState &State = States_[Target.value()];
@@ -288,6 +315,8 @@
     --group(Target).Ejected_;
     Changes_.push_back({Target, TargetChangeKind::Restored});
   }
+  if (Now >= Entry.CutUntil_)
+    Entry.Cut_ = 0;
   const bool TakesWork = Entry.IsListed_ && !State.Description_.IsLeaving_;
   if (isCold(Entry) && TakesWork &&
       Now >= Entry.ColdSince_ + State.Bounds_.ColdWarmup_) {
@@ -334,9 +363,10 @@
     return false;
   std::uint32_t Limit = std::min(Entry.Health_.limit(State.Description_.Slots_),
                                  State.Bounds_.MaxConnections_);
-  if (isCold(Entry))
-    Limit = std::min(Limit, State.Bounds_.ColdInFlight_);
-  return State.InFlight_ < Limit;
+  if (!isCold(Entry))
+    return State.InFlight_ < Limit;
+  Limit = std::min(Limit, State.Bounds_.ColdInFlight_);
+  return State.InFlight_ + Entry.Cut_ < Limit;
 }
 
 bool TargetRegistry::isKnown(TargetId Target) const {
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -72,6 +72,10 @@
     bool IsDraining_ = false;
     std::uint32_t OpenPosition_ = NotOpen;
     std::uint32_t SlowStreak_ = 0;
+    /// Attempts at a cold target that ended unanswered and may still run there,
+    /// all forgotten at `CutUntil_`.
+    std::uint32_t Cut_ = 0;
+    framework::Instant CutUntil_{};
   };
 
   struct ServiceGroup {
@@ -98,6 +102,7 @@
   /// Takes such a target back.
   void readmit(framework::TargetId Target, framework::Instant Now);
   void unlist(framework::TargetId Target, framework::Instant Now);
+  void noteCut(framework::TargetId Target, framework::Instant Now);
   void turnCold(framework::TargetId Target, framework::Instant Now);
   void turnWarm(framework::TargetId Target);
   void judgeHealth(framework::TargetId Target, framework::Instant Now);
--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -169,6 +169,27 @@
   }
 }
 
+TEST_CASE("an attempt that was cut at a cold target counts for a while",
+          "[routing]") {
+  const auto Result = GENERATE(
+      AttemptResult::Cancelled, AttemptResult::TimedOut,
+      AttemptResult::ConnectionSilent, AttemptResult::ConnectionFailed);
+  TargetTable<RandomPolicy> Table(ZoneId(0), {}, Random(1));
+  const ChoiceRequest Request{ServiceId(0)};
+  Table.setTargets(describe(1), at({}));
+  Table.setBounds(TargetId(0), {1, 10, Warmup, 0});
+  Table.noteSent(TargetId(0), at({}));
+  Table.noteEnded(TargetId(0), Result, milliseconds(20), at(milliseconds(20)));
+  CHECK_FALSE(Table.choose(Request, at(milliseconds(1900))));
+  CHECK(Table.nextWakeUp() < at(seconds(3)));
+  CHECK(Table.choose(Request, at(seconds(3))));
+
+  Table.noteSent(TargetId(0), at(seconds(3)));
+  Table.noteEnded(TargetId(0), AttemptResult::Answered, milliseconds(20),
+                  at(seconds(3)));
+  CHECK(Table.choose(Request, at(seconds(3))));
+}
+
 TEST_CASE("a target that fails fast leaves and returns gradually",
           "[routing]") {
   WarmTable Fixture(RandomPolicy{}, 6);
