--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -257,7 +257,7 @@
       std::chrono::ceil<std::chrono::seconds>(Refusal.RetryAfter_);
   const bool IsUnavailable =
       Message.result_int() == 503 || Message.result_int() == 429;
-  if (IsUnavailable)
+  if (IsUnavailable || Wait.count() > 0)
     Message.set(http::field::retry_after,
                 std::to_string(std::max<std::int64_t>(Wait.count(), 1)));
   Message.content_length(0);
--- a/src/entry/tests/callerfixture.cpp
+++ b/src/entry/tests/callerfixture.cpp
@@ -21,6 +21,7 @@
   if (Path == "/refuse/deadline") {
     Refusal.Ending_ = calls::Ending::DeadlinePassed;
     Refusal.Reason_ = calls::EndingReason::DeadlinePassed;
+    Refusal.RetryAfter_ = framework::Duration::zero();
   }
   return Refusal;
 }
--- a/src/entry/tests/callerserver_test.cpp
+++ b/src/entry/tests/callerserver_test.cpp
@@ -58,11 +58,12 @@
   const std::string Unknown = Client.receiveAnswer();
   CHECK_THAT(Unknown, StartsWith("HTTP/1.1 502 "));
   CHECK_THAT(Unknown, Contains("Call-Ending: unknown\r\n"));
-  CHECK_THAT(Unknown, !Contains("Retry-After"));
+  CHECK_THAT(Unknown, Contains("Retry-After: 2\r\n"));
   Client.send(getOf("/refuse/deadline"));
   const std::string Deadline = Client.receiveAnswer();
   CHECK_THAT(Deadline, StartsWith("HTTP/1.1 504 "));
   CHECK_THAT(Deadline, Contains("Call-Ending: deadline\r\n"));
+  CHECK_THAT(Deadline, !Contains("Retry-After"));
 }
 
 TEST_CASE("a request that is not accepted is refused, closed and not forwarded",
--- /dev/null
+++ b/src/entry/tests/entryinstance_test.cpp
@@ -0,0 +1,143 @@
+#include "entry/entryinstance.h"
+#include "entry/tests/rawclient.h"
+#include "standins/deployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace cranberryspool;
+using namespace cranberryspool::entry;
+using Catch::Matchers::Contains;
+using Catch::Matchers::StartsWith;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Document = R"({
+  "max-instances": 1,
+  "list-lag": "100ms",
+  "zones": [{"name": "yaba", "state": "in"}],
+  "services": [{
+    "name": "records",
+    "slots-per-target": 4,
+    "connections-per-target": 100,
+    "probes-per-target-per-minute": 600,
+    "cold-start": {"max-in-flight": 1, "warmup": "0s"},
+    "groups": [{"name": "records-yaba", "zone": "yaba"}],
+    "kinds": [{"name": "get", "method": "GET", "path": "/records/*",
+               "idempotent": true, "urgency": "ordinary",
+               "deadline": "30s"}],
+    "objectives": []
+  }]
+})";
+
+/// The platform and one target on a thread of their own.
+class Surroundings {
+public:
+  Surroundings()
+      : Behind_(Io_, settings(), framework::Random(1)),
+        Thread_([this] { Io_.run(); }) {}
+
+  ~Surroundings() { Io_.stop(); }
+
+private:
+  static standins::DeploymentSettings settings() {
+    standins::DeploymentSettings Settings;
+    Settings.PlatformAddress_ = "127.93.0.1:7000";
+    Settings.Document_ = Document;
+    standins::TargetSettings Target;
+    Target.Name_ = framework::InstanceName("records-1");
+    Target.Group_ = framework::GroupName("records-yaba");
+    Target.Zone_ = framework::ZoneName("yaba");
+    Target.Address_ = "127.93.0.2:9000";
+    Target.Slots_ = 4;
+    Target.MeanServiceTime_ = 1ms;
+    Settings.Targets_ = {Target};
+    document::PublishedInstance Instance;
+    Instance.Name_ = framework::InstanceName("entry-1");
+    Instance.Zone_ = framework::ZoneName("yaba");
+    Instance.Address_ = "127.93.0.3:7400";
+    Settings.Instances_ = {Instance};
+    return Settings;
+  }
+
+  boost::asio::io_context Io_{1};
+  standins::Deployment Behind_;
+  std::jthread Thread_;
+};
+
+EntrySettings instanceSettings() {
+  EntrySettings Settings;
+  Settings.Name_ = framework::InstanceName("entry-1");
+  Settings.Zone_ = framework::ZoneName("yaba");
+  Settings.CallerListen_ = {"127.93.0.3", 0};
+  Settings.PeerListen_ = {"127.93.0.3", 7400};
+  Settings.OperatorListen_ = {"127.93.0.3", 0};
+  Settings.DocumentService_ = {"127.93.0.1", 7000};
+  Settings.InstanceList_ = {"127.93.0.1", 7000};
+  Settings.StopLinger_ = 50ms;
+  return Settings;
+}
+
+std::string ask(const Endpoint &Server, const std::string &Path) {
+  RawClient Client(Server);
+  Client.send("GET " + Path +
+              " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  return Client.receiveAll();
+}
+
+void awaitReady(const EntryInstance &Instance) {
+  while (
+      !ask(Instance.operatorEndpoint(), "/readyz").starts_with("HTTP/1.1 200 "))
+    std::this_thread::sleep_for(10ms);
+}
+
+} // namespace
+
+TEST_CASE("an instance answers calls, shows itself and stops cleanly",
+          "[entry]") {
+  const Surroundings Behind;
+  EntryInstance Instance(instanceSettings());
+  REQUIRE(Instance.start());
+  awaitReady(Instance);
+  const std::string Answer = ask(Instance.callerEndpoint(), "/records/7");
+  CHECK_THAT(Answer, StartsWith("HTTP/1.1 200 "));
+  CHECK_THAT(Answer, Contains("Call-Ending: answered\r\n"));
+  CHECK_THAT(ask(Instance.callerEndpoint(), "/elsewhere"),
+             Contains("Call-Ending-Reason: no-such-kind\r\n"));
+
+  const Endpoint Operator = Instance.operatorEndpoint();
+  CHECK_THAT(ask(Operator, "/healthz"), StartsWith("HTTP/1.1 200 "));
+  CHECK_THAT(ask(Operator, "/nowhere"), StartsWith("HTTP/1.1 404 "));
+  const std::string Status = ask(Operator, "/status");
+  CHECK_THAT(Status, Contains("\"instance\":\"entry-1\""));
+  CHECK_THAT(Status, Contains("\"name\":\"records-1\""));
+  CHECK_THAT(Status, Contains("\"revision\":1,"));
+  const std::string Metrics = ask(Operator, "/metrics");
+  CHECK_THAT(Metrics, Contains("cranberryspool_calls_total{ending=\"answered\","
+                               "service=\"records\",urgency=\"ordinary\"} 1"));
+  CHECK_THAT(Metrics, Contains("cranberryspool_ready 1"));
+
+  // A caller that goes on calling until it is told to connect anew is not cut.
+  RawClient Caller(Instance.callerEndpoint());
+  Instance.requestStop();
+  std::string Last;
+  do {
+    Caller.send("GET /records/8 HTTP/1.1\r\nHost: x\r\n\r\n");
+    Last = Caller.receiveAnswer();
+    REQUIRE_THAT(Last, StartsWith("HTTP/1.1 200 "));
+  } while (Last.find("Connection: close") == std::string::npos);
+  Caller.close();
+  CHECK(Instance.waitUntilStopped() == ExitCode::Stopped);
+}
+
+TEST_CASE("an address that is taken is told", "[entry]") {
+  const EntrySettings Settings = instanceSettings();
+  EntryInstance First(Settings);
+  REQUIRE(First.start());
+  EntryInstance Second(Settings);
+  const auto Started = Second.start();
+  REQUIRE_FALSE(Started);
+  CHECK(Started.error().Endpoint_ == Settings.PeerListen_);
+}
