--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -44,6 +44,9 @@
   void wakeUpInTime();
   void onTimer();
 
+  /// Ends a call whose answer is not held, so that its caller does not wait.
+  void refuseWithoutAnswer(framework::CallId Call);
+
   void carryOut(const decision::AnswerCall &Action);
   void carryOut(const decision::RefuseCall &Action);
   void carryOut(const decision::SendAttempt &Action);
