Refuse to start a trial on addresses that another one uses

Cause: a second trial on the same loopback network failed to bind, reached the first one's control port and stopped its callers: the calls of a run ended in the middle of a phase. Change: a trial that finds the control port answering refuses to start. Ruled out: a stall of the callers; 45 s of calm load and the same phases on a network of their own ran through at the full rate.

--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -222,6 +222,7 @@
     def start(self):
         """Starts everything and waits until all instances are ready."""
         raise_open_files()
+        self._refuse_used_network()
         targets = self._targets()
         numbers = range(self.instance_count)
         deployment = {
@@ -287,6 +288,15 @@
         self.ended_cpu_seconds += used
         self.entries.pop(number).end()
 
+    def _refuse_used_network(self):
+        """Fails when another trial uses the addresses, since it would be steered too."""
+        try:
+            request(self.behind_control, "GET", "/counters", timeout=1.0)
+        except OSError:
+            return
+        raise SystemExit("another trial uses 127.%d.0.0/16; choose another --network"
+                         % self.network)
+
     def _wait(self, is_done, what):
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
