Publish the state of instances that stop, die and start in a trial

Cause: the trial stopped and replaced instances behind the platform's back; a platform lists them as leaving, then not at all, then live. Change: the trial publishes these states, and notes the longest start.

--- a/experiments/faults.py
+++ b/experiments/faults.py
@@ -130,8 +130,7 @@
     """An instance is killed and replaced."""
     trial.kill_entry(2)
     time.sleep(seconds / 2)
-    trial.start_entry(2)
-    trial.wait_ready(2)
+    trial.replace_entry(2)
     time.sleep(seconds / 2)
 
 
@@ -175,8 +174,7 @@
     """Every instance is stopped and replaced, one after another."""
     for number in sorted(trial.entries):
         trial.stop_entry(number)
-        trial.start_entry(number)
-        trial.wait_ready(number)
+        trial.replace_entry(number)
     time.sleep(seconds / 2)
 
 
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -38,9 +38,9 @@
         connection.close()
 
 
-def command(address, **members):
+def command(port, **members):
     """Sends a command to a control port."""
-    status, _ = request(address, "POST", "/", json.dumps(members))
+    status, _ = request(port, "POST", "/", json.dumps(members))
     if status != 200:
         raise RuntimeError("refused command: %s" % members)
 
@@ -256,6 +256,16 @@
         self._wait(lambda: request(self.callers_control, "GET", "/under-way")[0] == 200, "callers")
         time.sleep(1.0)
 
+    def list_entry(self, number, state):
+        """Publishes the state of an instance in the platform's list."""
+        self.tell_behind("set-instance", name=self.entry_name(number),
+                         zone=self.zone_of(number), address=self.link_address(number),
+                         state=state)
+
+    def unlist_entry(self, number):
+        """Removes an instance from the platform's list."""
+        self.tell_behind("remove-instance", name=self.entry_name(number))
+
     def start_entry(self, number):
         """Starts an instance."""
         settings = self._write(self.entry_name(number) + ".json", self._entry_settings(number))
@@ -269,6 +279,7 @@
     def stop_entry(self, number):
         """Asks an instance to stop; returns its exit code, None when it hangs."""
         entry = self.entries[number]
+        self.list_entry(number, "leaving")
         entry.send(signal.SIGTERM)
         deadline = time.monotonic() + STOP_TIMEOUT_S
         used = entry.cpu_seconds()
@@ -277,12 +288,23 @@
             time.sleep(0.05)
         code = entry.wait(0.1)
         self._forget_entry(number, used)
+        self.unlist_entry(number)
         self.exit_codes.setdefault(self.entry_name(number), []).append(code)
         return code
 
     def kill_entry(self, number):
         """Ends an instance without notice."""
         self._forget_entry(number, self.entries[number].cpu_seconds())
+        self.unlist_entry(number)
+
+    def replace_entry(self, number):
+        """Starts an instance again, lists it, and waits until it is ready."""
+        self.start_entry(number)
+        self.list_entry(number, "live")
+        start = time.monotonic()
+        self.wait_ready(number)
+        self.note_largest("start of an instance until ready, longest (s)",
+                          time.monotonic() - start)
 
     def _forget_entry(self, number, used):
         self.ended_cpu_seconds += used
