--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -114,13 +114,21 @@
 
 void Dispatcher::carryOut(const decision::AnswerCall &Action) {
   const auto Position = Answers_.find(Action.Attempt_);
-  if (Position != Answers_.end()) {
-    Callers_.send(GiveAnswer{Action.Call_, Position->second});
-    Calls_[Action.Call_].Given_ = Position->second;
+  if (Position == Answers_.end()) {
+    refuseWithoutAnswer(Action.Call_);
+    return;
   }
+  Callers_.send(GiveAnswer{Action.Call_, Position->second});
+  Calls_[Action.Call_].Given_ = Position->second;
   Ended_.push_back(Action.Call_);
 }
 
+void Dispatcher::refuseWithoutAnswer(framework::CallId Call) {
+  carryOut(decision::RefuseCall{Call, calls::Ending::Unknown,
+                                calls::EndingReason::KeyAnswerGone,
+                                framework::Duration::zero()});
+}
+
 void Dispatcher::carryOut(const decision::RefuseCall &Action) {
   Callers_.send(Action);
   Ended_.push_back(Action.Call_);
@@ -177,8 +185,11 @@
 
 void Dispatcher::carryOut(const decision::ReplayKeptAnswer &Action) {
   const auto Position = Calls_.find(Action.Call_);
-  if (Position != Calls_.end() && Position->second.Fetched_)
-    Callers_.send(GiveAnswer{Action.Call_, Position->second.Fetched_});
+  if (Position == Calls_.end() || !Position->second.Fetched_) {
+    refuseWithoutAnswer(Action.Call_);
+    return;
+  }
+  Callers_.send(GiveAnswer{Action.Call_, Position->second.Fetched_});
   Ended_.push_back(Action.Call_);
 }
 
