Refuse unknown policies and missing documents in cranberry-experiment

A misspelt policy gave an empty table and a missing document a run in which every call was refused; both are errors now.

--- a/src/apps/cranberry-experiment/main.cpp
+++ b/src/apps/cranberry-experiment/main.cpp
@@ -40,6 +40,11 @@
 
 std::string readDocument(const Deployment &Fleet) {
   std::ifstream Input(FLAGS_documents + "/" + Fleet.Name_ + ".json");
+  if (!Input) {
+    std::cerr << "no document of " << Fleet.Name_ << " in " << FLAGS_documents
+              << '\n';
+    std::exit(EXIT_FAILURE);
+  }
   std::ostringstream Text;
   Text << Input.rdbuf();
   return Text.str();
@@ -114,8 +119,14 @@
   }
   auto Policies = policyNames();
   Policies.insert(Policies.begin(), "core");
+  const auto Known = Policies;
   if (!FLAGS_policies.empty())
     Policies = split(FLAGS_policies);
+  for (const std::string &Name : Policies)
+    if (std::find(Known.begin(), Known.end(), Name) == Known.end()) {
+      std::cerr << "unknown policy: " << Name << '\n';
+      return EXIT_FAILURE;
+    }
   for (const std::string &Name : split(FLAGS_deployment)) {
     if (Name != "lagos" && Name != "central-belt") {
       std::cerr << "unknown deployment: " << Name << '\n';
