Let a new instance believe its peers about warm targets

The list came before the document, so routing's first picture of the targets was an empty one; all targets then counted as newly started, the fleet was told that they are not warm, and the words of peers were ignored for the whole warm-up. The picture now waits for both values.

The new test fails without the change.

--- a/src/decision/internal/environmentkeeper.cpp
+++ b/src/decision/internal/environmentkeeper.cpp
@@ -21,6 +21,10 @@
 }
 
 void EnvironmentKeeper::apply(const Step &At) {
+  // Routing takes the targets of its first picture for running ones, so that
+  // picture must not be an empty one.
+  if (!Parts_.Environment_.hasDocument() || !Parts_.Environment_.hasInstances())
+    return;
   Parts_.Targets_.setTargets(Parts_.Environment_.targets(), At.now());
   placeOnRing();
   applyShares(At);
--- a/src/decision/tests/core_test.cpp
+++ b/src/decision/tests/core_test.cpp
@@ -169,3 +169,16 @@
   CHECK(Ended.front().Elapsed_ >= milliseconds(3));
   CHECK(Fixture.Core_.takeEndedCalls().empty());
 }
+
+TEST_CASE("a new instance takes no target for one that started anew",
+          "[decision]") {
+  CoreFixture Fixture;
+  Fixture.publishDocument(false);
+  Fixture.publishInstances(false);
+  Fixture.tell(Tick{});
+  // The list and the document arrive one after the other.
+  const auto Actions = Fixture.pass(milliseconds(500));
+  CHECK(Fixture.Core_.status().Targets_.size() == 2);
+  for (const ReportChange &Change : CoreFixture::only<ReportChange>(Actions))
+    CHECK(Change.Kind_ != ChangeKind::TargetCold);
+}
