--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -38,9 +38,9 @@
         connection.close()
 
 
-def command(address, **members):
+def command(port, **members):
     """Sends a command to a control port."""
-    status, _ = request(address, "POST", "/", json.dumps(members))
+    status, _ = request(port, "POST", "/", json.dumps(members))
     if status != 200:
         raise RuntimeError("refused command: %s" % members)
 
@@ -222,6 +222,7 @@
     def start(self):
         """Starts everything and waits until all instances are ready."""
         raise_open_files()
+        self._refuse_used_network()
         targets = self._targets()
         numbers = range(self.instance_count)
         deployment = {
@@ -255,6 +256,16 @@
         self._wait(lambda: request(self.callers_control, "GET", "/under-way")[0] == 200, "callers")
         time.sleep(1.0)
 
+    def list_entry(self, number, state):
+        """Publishes the state of an instance in the platform's list."""
+        self.tell_behind("set-instance", name=self.entry_name(number),
+                         zone=self.zone_of(number), address=self.link_address(number),
+                         state=state)
+
+    def unlist_entry(self, number):
+        """Removes an instance from the platform's list."""
+        self.tell_behind("remove-instance", name=self.entry_name(number))
+
     def start_entry(self, number):
         """Starts an instance."""
         settings = self._write(self.entry_name(number) + ".json", self._entry_settings(number))
@@ -268,6 +279,7 @@
     def stop_entry(self, number):
         """Asks an instance to stop; returns its exit code, None when it hangs."""
         entry = self.entries[number]
+        self.list_entry(number, "leaving")
         entry.send(signal.SIGTERM)
         deadline = time.monotonic() + STOP_TIMEOUT_S
         used = entry.cpu_seconds()
@@ -276,17 +288,37 @@
             time.sleep(0.05)
         code = entry.wait(0.1)
         self._forget_entry(number, used)
+        self.unlist_entry(number)
         self.exit_codes.setdefault(self.entry_name(number), []).append(code)
         return code
 
     def kill_entry(self, number):
         """Ends an instance without notice."""
         self._forget_entry(number, self.entries[number].cpu_seconds())
+        self.unlist_entry(number)
+
+    def replace_entry(self, number):
+        """Starts an instance again, lists it, and waits until it is ready."""
+        self.start_entry(number)
+        self.list_entry(number, "live")
+        start = time.monotonic()
+        self.wait_ready(number)
+        self.note_largest("start of an instance until ready, longest (s)",
+                          time.monotonic() - start)
 
     def _forget_entry(self, number, used):
         self.ended_cpu_seconds += used
         self.entries.pop(number).end()
 
+    def _refuse_used_network(self):
+        """Fails when another trial uses the addresses, since it would be steered too."""
+        try:
+            request(self.behind_control, "GET", "/counters", timeout=1.0)
+        except OSError:
+            return
+        raise SystemExit("another trial uses 127.%d.0.0/16; choose another --network"
+                         % self.network)
+
     def _wait(self, is_done, what):
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
