--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -169,6 +169,17 @@
   }
 }
 
+TEST_CASE("targets that follow an empty picture are unknown, not new",
+          "[routing]") {
+  TargetTable<RandomPolicy> Table(ZoneId(0), {}, Random(1));
+  Table.setTargets({}, at({}));
+  Table.setTargets(describe(1), at(seconds(1)));
+  Table.setBounds(TargetId(0), {0, 10, Warmup, 0});
+  CHECK_FALSE(Table.choose({ServiceId(0)}, at(seconds(1))));
+  Table.noteTurnedWarm(TargetId(0), at(seconds(1)));
+  CHECK(Table.choose({ServiceId(0)}, at(seconds(1))));
+}
+
 TEST_CASE("an attempt that was cut at a cold target counts for a while",
           "[routing]") {
   const auto Result = GENERATE(
