Let a newcomer take its peers' word on warm targets

Cause: an instance has the list before the document, so its first picture of the targets was empty and all that followed counted as newly started; besides, its own report of them as cold outweighed its peers' words. Change: an empty picture is not the first; only a target that was warm here, or a notice of a new start, outweighs a peer's word.

--- a/src/fleet/internal/warmth.cpp
+++ b/src/fleet/internal/warmth.cpp
@@ -10,11 +10,11 @@
 } // namespace
 
 void FleetState::setWarm(const framework::TargetName &Target, bool IsWarm) {
+  const bool WasWarm = Warm_.erase(Target) > 0;
   if (IsWarm)
     Warm_.insert(Target);
-  else
-    Warm_.erase(Target);
-  Judged_.insert(Target);
+  if (IsWarm || WasWarm)
+    Judged_.insert(Target);
 }
 
 std::optional<WarmTargets> FleetState::warmTargets() const {
--- a/src/fleet/tests/warmth_test.cpp
+++ b/src/fleet/tests/warmth_test.cpp
@@ -29,6 +29,7 @@
     Fleet.fleet(Index).setWarm(FirstTarget, true);
   Fleet.kill(4);
   Fleet.start(4);
+  Fleet.fleet(4).setWarm(FirstTarget, false);
   Fleet.advance(2s);
   CHECK(Fleet.instance(4).ReportedWarm_.contains(FirstTarget));
   CHECK(Fleet.instance(4).ReportedWarm_.size() == 1);
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -38,7 +38,7 @@
   for (std::uint32_t Index = 0; Index < IsKept.size(); ++Index)
     if (!IsKept[Index])
       unlist(TargetId(Index), Now);
-  HasPicture_ = true;
+  HasPicture_ = HasPicture_ || !Targets.empty();
 }
 
 void TargetRegistry::list(const TargetDescription &Description,
--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -169,6 +169,15 @@
   }
 }
 
+TEST_CASE("targets that follow an empty picture are unknown, not new",
+          "[routing]") {
+  TargetTable<RandomPolicy> Table(ZoneId(0), {}, Random(1));
+  Table.setTargets({}, at(seconds(1)));
+  Table.setTargets(describe(1), at(seconds(2)));
+  Table.noteTurnedWarm(TargetId(0), at(seconds(3)));
+  CHECK_FALSE(Table.isCold(TargetId(0)));
+}
+
 TEST_CASE("a target that fails fast leaves and returns gradually",
           "[routing]") {
   WarmTable Fixture(RandomPolicy{}, 6);
