--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -177,6 +177,7 @@
   Table.setBounds(TargetId(0), {0, 10, Warmup, 0});
   CHECK_FALSE(Table.choose({ServiceId(0)}, at(seconds(1))));
   Table.noteTurnedWarm(TargetId(0), at(seconds(1)));
+  CHECK_FALSE(Table.isCold(TargetId(0)));
   CHECK(Table.choose({ServiceId(0)}, at(seconds(1))));
 }
 
