--- a/src/routing/tests/targettable_test.cpp
+++ b/src/routing/tests/targettable_test.cpp
@@ -81,6 +81,10 @@
   Fixture.Targets_[1].IsLeaving_ = false;
   Fixture.Table_.setTargets(Fixture.Targets_, at(seconds(9)));
   CHECK(Fixture.chooseMany(100, at(seconds(9)))[1] == 0);
+  SECTION("by a peer's word") {
+    Fixture.Table_.noteTurnedWarm(TargetId(1), at(seconds(10)));
+    CHECK(Fixture.chooseMany(100, at(seconds(10)))[1] > 0);
+  }
   SECTION("by a report") {
     Fixture.Table_.noteReport(TargetId(1), {}, at(seconds(10)));
     CHECK(Fixture.chooseMany(100, at(seconds(10)))[1] > 0);
@@ -144,6 +148,11 @@
     CHECK_FALSE(Table.choose(Request, at(seconds(1) + Warmup)));
     CHECK(Table.isCold(TargetId(0)));
   }
+  SECTION("a late word of a peer does not end a cold start") {
+    Table.noteTurnedCold(TargetId(0), at(seconds(1)));
+    Table.noteTurnedWarm(TargetId(0), at(seconds(2)));
+    CHECK(Table.isCold(TargetId(0)));
+  }
   SECTION("a step up of the time of answers makes it cold") {
     for (int Index = 0; Index < 50; ++Index) {
       Table.noteSent(TargetId(0), at({}));
@@ -160,6 +169,39 @@
   }
 }
 
+TEST_CASE("targets that follow an empty picture are unknown, not new",
+          "[routing]") {
+  TargetTable<RandomPolicy> Table(ZoneId(0), {}, Random(1));
+  Table.setTargets({}, at({}));
+  Table.setTargets(describe(1), at(seconds(1)));
+  Table.setBounds(TargetId(0), {0, 10, Warmup, 0});
+  CHECK_FALSE(Table.choose({ServiceId(0)}, at(seconds(1))));
+  Table.noteTurnedWarm(TargetId(0), at(seconds(1)));
+  CHECK_FALSE(Table.isCold(TargetId(0)));
+  CHECK(Table.choose({ServiceId(0)}, at(seconds(1))));
+}
+
+TEST_CASE("an attempt that was cut at a cold target counts for a while",
+          "[routing]") {
+  const auto Result = GENERATE(
+      AttemptResult::Cancelled, AttemptResult::TimedOut,
+      AttemptResult::ConnectionSilent, AttemptResult::ConnectionFailed);
+  TargetTable<RandomPolicy> Table(ZoneId(0), {}, Random(1));
+  const ChoiceRequest Request{ServiceId(0)};
+  Table.setTargets(describe(1), at({}));
+  Table.setBounds(TargetId(0), {1, 10, Warmup, 0});
+  Table.noteSent(TargetId(0), at({}));
+  Table.noteEnded(TargetId(0), Result, milliseconds(20), at(milliseconds(20)));
+  CHECK_FALSE(Table.choose(Request, at(milliseconds(1900))));
+  CHECK(Table.nextWakeUp() < at(seconds(3)));
+  CHECK(Table.choose(Request, at(seconds(3))));
+
+  Table.noteSent(TargetId(0), at(seconds(3)));
+  Table.noteEnded(TargetId(0), AttemptResult::Answered, milliseconds(20),
+                  at(seconds(3)));
+  CHECK(Table.choose(Request, at(seconds(3))));
+}
+
 TEST_CASE("a target that fails fast leaves and returns gradually",
           "[routing]") {
   WarmTable Fixture(RandomPolicy{}, 6);
