Tell calls without a connection from calls that were cut

Cause: a connection that could not be made was counted as a cut call. Change: the caller stand-in tells it as no-connection. Before: 3 cut calls in a phase with a paused instance. Conclusion: the count of cut calls means what it says.

--- a/src/standins/callrecord.h
+++ b/src/standins/callrecord.h
@@ -14,9 +14,10 @@
   std::string Call_;
   std::size_t Stream_ = 0;
   std::size_t Phase_ = 0;
-  /// `answered`, `not-run`, `unknown`, `deadline`, `cut` (the connection ended
-  /// without a whole answer), `timeout` (nothing came in time), `wrong` (the
-  /// answer was for another call) or `status-N` (no ending header).
+  /// `answered`, `not-run`, `unknown`, `deadline`, `no-connection`, `cut` (the
+  /// connection ended without a whole answer), `timeout` (nothing came in
+  /// time), `wrong` (the answer was for another call) or `status-N` (no ending
+  /// header).
   std::string Ending_;
   std::string Reason_;
   unsigned Status_ = 0;
--- a/src/standins/internal/callerstandin.cpp
+++ b/src/standins/internal/callerstandin.cpp
@@ -42,6 +42,8 @@
                      bool IsDirect) {
   if (Reply.Outcome_ == HttpClient::Outcome::TimedOut)
     return "timeout";
+  if (Reply.Outcome_ == HttpClient::Outcome::ConnectFailed)
+    return "no-connection";
   if (Reply.Outcome_ != HttpClient::Outcome::Answered)
     return "cut";
   const std::string Ending =
