Let a home that is taking over decide a key within moments, not refuse it

Cause: for about a second after a change of the members the homes of moved keys had no majority with the new list yet, and refused their keys at once. Change: such a home says nothing yet; the runner repeats its request as it does for a lost message, and gives up after 400 ms as before. A runner that is the home itself asks again too. What may run is decided by the same rules. Ruled out: weakening the rule of the majority; it is untouched.

--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -43,7 +43,7 @@
   if (At >= NextRoundAt_)
     sendRound(At, Output);
   tryFinishStart(At, Output);
-  KeyRunner_.tick(Instances_, KeyHome_, Now, Output);
+  KeyRunner_.tick(Instances_, KeyHome_, Peers_, Now, Output);
   refresh(Now, Output);
 }
 
--- a/src/fleet/internal/keyhome.cpp
+++ b/src/fleet/internal/keyhome.cpp
@@ -68,8 +68,9 @@
   return Reply;
 }
 
-KeyReply KeyHome::decide(const KeyRequest &Request, const PeerTable &Peers,
-                         framework::Moment Now) {
+std::optional<KeyReply> KeyHome::decide(const KeyRequest &Request,
+                                        const PeerTable &Peers,
+                                        framework::Moment Now) {
   const auto Key = readKey(Request.Key_);
   LatestWall_ = std::max(LatestWall_, Now.Wall_);
   if (!Key || Key->Time_ > LatestWall_ + KeyClockSkew)
@@ -77,6 +78,8 @@
   if (LatestWall_ - Key->Time_ > KeyLifetime)
     return makeReply(Request, KeyDecision::TooOld);
   const auto Floor = Ownership_.floor(Key->Key_, Now);
+  if (!Floor && Ownership_.isTakingOver(Key->Key_, Now.Monotonic_))
+    return std::nullopt;
   if (!Floor)
     return makeReply(Request, KeyDecision::HomeUnreachable);
   if (KeyRecord *Record = Table_.find(Key->Key_)) {
--- a/src/fleet/internal/keyhome.h
+++ b/src/fleet/internal/keyhome.h
@@ -7,6 +7,7 @@
 #include "fleet/internal/keytable.h"
 #include "fleet/output.h"
 
+#include <optional>
 #include <vector>
 
 namespace cranberryspool::fleet {
@@ -22,9 +23,12 @@
   void update(const InstanceStore &List, const PeerTable &Peers,
               framework::Moment Now, OutputList &Output);
 
-  /// Decides on a request for which this instance is the home.
-  KeyReply decide(const KeyRequest &Request, const PeerTable &Peers,
-                  framework::Moment Now);
+  /// Decides on a request for which this instance is the home. Returns nothing
+  /// while it has just become the home and may know more within moments.
+  std::optional<KeyReply> decide(const KeyRequest &Request,
+                                 const PeerTable &Peers, framework::Moment Now);
+  /// False after a change of the members until a majority has the new ones.
+  bool isSettled() const { return Ownership_.isSettled(); }
   /// Notes how an admitted call ended.
   void noteEnded(const KeyEnded &Message, framework::Moment Now);
   void receive(const KeyHandover &Message, OutputList &Output) {
--- a/src/fleet/internal/keymessages.cpp
+++ b/src/fleet/internal/keymessages.cpp
@@ -17,7 +17,8 @@
     return;
   const std::string Address =
       Instances_.addressOf(Message.From_, Message.Address_);
-  Output.push_back(SendMessage{Address, KeyHome_.decide(Message, Peers_, Now)});
+  if (auto Reply = KeyHome_.decide(Message, Peers_, Now))
+    Output.push_back(SendMessage{Address, std::move(*Reply)});
 }
 
 void FleetState::handle(const KeyReply &Message, framework::Moment Now,
@@ -62,7 +63,7 @@
                                     calls::Ending Ending, bool IsAnswerKept,
                                     framework::Moment Now, OutputList &Output) {
   KeyRunner_.noteEnded(Call, Ending, IsAnswerKept, Now);
-  KeyRunner_.tick(Instances_, KeyHome_, Now, Output);
+  KeyRunner_.tick(Instances_, KeyHome_, Peers_, Now, Output);
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/keyownership.cpp
+++ b/src/fleet/internal/keyownership.cpp
@@ -61,6 +61,7 @@
     CurrentDigest_ = List.membersDigest();
     Members_ = List.members();
     FleetSize_ = std::max<std::size_t>(Members_.size(), 1);
+    MembersChangedAt_ = Now;
     Homes_.noteMembers(Members_, CurrentDigest_, ListRevision_);
   }
   ListRevision_ = List.revision();
@@ -125,6 +126,14 @@
   return floorOf(*Item, Now);
 }
 
+bool KeyOwnership::isTakingOver(const framework::IdempotencyKey &Key,
+                                framework::Instant Now) const {
+  const document::PublishedInstance *Home = findHome(Key.value(), Members_);
+  const bool IsHome = Home && Home->Name_ == Self_;
+  return IsHome && hasMajority(Now) &&
+         Now < MembersChangedAt_ + KeySettlingTime;
+}
+
 std::optional<framework::WallTime>
 KeyOwnership::latestFloor(framework::Moment Now) const {
   if (!Homes_.isSettled() || !hasMajority(Now.Monotonic_))
--- a/src/fleet/internal/keyownership.h
+++ b/src/fleet/internal/keyownership.h
@@ -36,6 +36,11 @@
   /// surely new; nothing when this instance must not decide.
   std::optional<framework::WallTime> floor(const framework::IdempotencyKey &Key,
                                            framework::Moment Now) const;
+  /// True when this instance has become the home of the key within the last
+  /// moments, so that a settled list or a handover may soon let it decide.
+  bool isTakingOver(const framework::IdempotencyKey &Key,
+                    framework::Instant Now) const;
+  bool isSettled() const { return Homes_.isSettled(); }
   /// Returns the latest floor of all keys that this instance was home of.
   std::optional<framework::WallTime> latestFloor(framework::Moment Now) const;
 
@@ -56,6 +61,7 @@
   framework::Digest CurrentDigest_;
   framework::Revision ListRevision_{};
   std::size_t FleetSize_ = 1;
+  framework::Instant MembersChangedAt_{};
   framework::Instant MajorityUntil_{};
   std::deque<Handover> Handovers_;
 };
--- a/src/fleet/internal/keyrunner.cpp
+++ b/src/fleet/internal/keyrunner.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace cranberryspool::fleet {
 
@@ -58,12 +59,7 @@
   }
   const framework::Instant At = Now.Monotonic_;
   Pending_[Call] = Pending{Timed->Key_, At, At + RequestTimeout};
-  if (HomeEntry->Name_ == Settings_.Self_) {
-    conclude(Call, Home.decide(makeRequest(Call, Timed->Key_), Peers, Now),
-             List, Output);
-    return;
-  }
-  tickPending(List, Now, Output);
+  ask(Call, List, Home, Peers, Now, Output);
 }
 
 void KeyRunner::conclude(framework::CallId Call, const KeyReply &Reply,
@@ -117,8 +113,9 @@
 }
 
 void KeyRunner::tick(const InstanceStore &List, KeyHome &Home,
-                     framework::Moment Now, OutputList &Output) {
-  tickPending(List, Now, Output);
+                     const PeerTable &Peers, framework::Moment Now,
+                     OutputList &Output) {
+  tickPending(List, Home, Peers, Now, Output);
   tickReports(List, Home, Now, Output);
   for (auto Item = Kept_.begin(); Item != Kept_.end();) {
     if (Now.Monotonic_ < Item->second) {
@@ -130,26 +127,46 @@
   }
 }
 
-void KeyRunner::tickPending(const InstanceStore &List, framework::Moment Now,
+void KeyRunner::tickPending(const InstanceStore &List, KeyHome &Home,
+                            const PeerTable &Peers, framework::Moment Now,
                             OutputList &Output) {
-  const framework::Instant At = Now.Monotonic_;
-  for (auto Item = Pending_.begin(); Item != Pending_.end();) {
-    auto &[Call, Waiting] = *Item;
-    if (At >= Waiting.GiveUpAt_) {
-      report(Call, Waiting.Key_, KeyOutcome::NotRun, At);
-      Output.push_back(KeyDecided{Call, KeyDecision::HomeUnreachable, "", {}});
-      Item = Pending_.erase(Item);
-      continue;
-    }
-    const document::PublishedInstance *Home =
-        findHome(Waiting.Key_.value(), List.members());
-    if (At >= Waiting.NextAt_ && Home && Home->Name_ != Settings_.Self_) {
-      Waiting.NextAt_ = At + RequestRetry;
-      Output.push_back(
-          SendMessage{Home->Address_, makeRequest(Call, Waiting.Key_)});
-    }
-    ++Item;
+  std::vector<framework::CallId> Due;
+  for (const auto &[Call, Waiting] : Pending_) {
+    if (Now.Monotonic_ >= std::min(Waiting.NextAt_, Waiting.GiveUpAt_))
+      Due.push_back(Call);
+  }
+  for (const framework::CallId Call : Due) {
+    if (Now.Monotonic_ >= Pending_.at(Call).GiveUpAt_)
+      giveUp(Call, Now.Monotonic_, Output);
+    else
+      ask(Call, List, Home, Peers, Now, Output);
+  }
+}
+
+void KeyRunner::giveUp(framework::CallId Call, framework::Instant Now,
+                       OutputList &Output) {
+  const auto Item = Pending_.find(Call);
+  report(Call, Item->second.Key_, KeyOutcome::NotRun, Now);
+  Output.push_back(KeyDecided{Call, KeyDecision::HomeUnreachable, "", {}});
+  Pending_.erase(Item);
+}
+
+void KeyRunner::ask(framework::CallId Call, const InstanceStore &List,
+                    KeyHome &Home, const PeerTable &Peers,
+                    framework::Moment Now, OutputList &Output) {
+  Pending &Waiting = Pending_.at(Call);
+  Waiting.NextAt_ = Now.Monotonic_ + RequestRetry;
+  const document::PublishedInstance *Entry =
+      findHome(Waiting.Key_.value(), List.members());
+  if (!Entry)
+    return;
+  const KeyRequest Request = makeRequest(Call, Waiting.Key_);
+  if (Entry->Name_ != Settings_.Self_) {
+    Output.push_back(SendMessage{Entry->Address_, Request});
+    return;
   }
+  if (const auto Reply = Home.decide(Request, Peers, Now))
+    conclude(Call, *Reply, List, Output);
 }
 
 void KeyRunner::tickReports(const InstanceStore &List, KeyHome &Home,
--- a/src/fleet/internal/keyrunner.h
+++ b/src/fleet/internal/keyrunner.h
@@ -25,8 +25,8 @@
   void noteEnded(framework::CallId Call, calls::Ending Ending,
                  bool IsAnswerKept, framework::Moment Now);
   void noteEndedAck(const KeyEndedAck &Message);
-  void tick(const InstanceStore &List, KeyHome &Home, framework::Moment Now,
-            OutputList &Output);
+  void tick(const InstanceStore &List, KeyHome &Home, const PeerTable &Peers,
+            framework::Moment Now, OutputList &Output);
   /// Returns when `tick` has something to do.
   framework::Instant nextWakeUp() const;
 
@@ -43,13 +43,20 @@
     framework::Instant GiveUpAt_;
   };
 
+  void giveUp(framework::CallId Call, framework::Instant Now,
+              OutputList &Output);
+  /// Asks for one waiting key. The key may be decided and gone afterwards.
+  void ask(framework::CallId Call, const InstanceStore &List, KeyHome &Home,
+           const PeerTable &Peers, framework::Moment Now, OutputList &Output);
   KeyRequest makeRequest(framework::CallId Call,
                          const framework::IdempotencyKey &Key) const;
   void conclude(framework::CallId Call, const KeyReply &Reply,
                 const InstanceStore &List, OutputList &Output);
   void report(framework::CallId Call, const framework::IdempotencyKey &Key,
               KeyOutcome Outcome, framework::Instant Now);
-  void tickPending(const InstanceStore &List, framework::Moment Now,
+  /// Asks the home of each waiting key, or decides when that is this instance.
+  void tickPending(const InstanceStore &List, KeyHome &Home,
+                   const PeerTable &Peers, framework::Moment Now,
                    OutputList &Output);
   void tickReports(const InstanceStore &List, KeyHome &Home,
                    framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/keytiming.h
+++ b/src/fleet/internal/keytiming.h
@@ -21,6 +21,10 @@
 inline constexpr framework::Duration MajorityWindowPerInstance =
     std::chrono::milliseconds(150);
 
+/// After a change of the members, homes settle and hand over within this time;
+/// until then a request that cannot be decided yet is not refused.
+inline constexpr framework::Duration KeySettlingTime = std::chrono::seconds(1);
+
 /// The most keys that one instance keeps.
 inline constexpr std::size_t MaxKeys = 65'536;
 
--- a/src/fleet/tests/keys_test.cpp
+++ b/src/fleet/tests/keys_test.cpp
@@ -49,6 +49,25 @@
     return Fleet_.instance(Index).Decisions_.at(Call);
   }
 
+  /// Sends new keys through an instance at once and returns how many may run.
+  std::size_t countRuns(std::size_t Index, std::size_t Count) {
+    const std::uint64_t First = NextCall_;
+    for (; NextCall_ < First + Count; ++NextCall_)
+      Fleet_.run(
+          Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
+            Self.requestKey(framework::CallId(NextCall_),
+                            framework::IdempotencyKey(makeKey()), Now, Output);
+          });
+    Fleet_.advance(1s);
+    std::size_t Runs = 0;
+    for (std::uint64_t Call = First; Call < NextCall_; ++Call) {
+      const KeyDecided &Decided =
+          Fleet_.instance(Index).Decisions_.at(framework::CallId(Call));
+      Runs += Decided.Decision_ == KeyDecision::Run ? 1 : 0;
+    }
+    return Runs;
+  }
+
   void end(std::size_t Index, framework::CallId Call, calls::Ending Ending,
            bool IsAnswerKept) {
     Fleet_.run(
@@ -138,6 +157,18 @@
     CHECK(Fleet.send(3, Fleet.makeKey()).Decision_ == KeyDecision::Run);
 }
 
+TEST_CASE("keys sent while a planned leave settles are not refused",
+          "[fleet]") {
+  for (const framework::Duration After : {0ms, 50ms, 100ms, 200ms, 400ms}) {
+    KeyedFleet Fleet(38);
+    Fleet.fleet().setLeaving(2, true);
+    Fleet.fleet().publishList();
+    Fleet.fleet().advance(After);
+    CHECK(Fleet.countRuns(0, 40) == 40);
+    CHECK(Fleet.countRuns(1, 40) == 40);
+  }
+}
+
 TEST_CASE("after a crash of the home its keys do not run again", "[fleet]") {
   for (std::size_t Dead = 1; Dead < FleetSize; ++Dead) {
     KeyedFleet Fleet(35);
