Settle the homes of keys quickly after a change of the members

Cause: with four heartbeats every 500 ms a majority had the new list only after about a second, longer than askers wait for a home. Change: until the homes are settled, for a second at most, heartbeats go to 16 peers every 100 ms.

--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -386,6 +386,8 @@
   if (Shares_.noteConfirmed(ConfirmedUntil, Now))
     Output.push_back(SharesChanged{});
   KeyHome_.update(Instances_, Peers_, Moment, Output);
+  if (KeyHome_.isSettling(Now))
+    NextRoundAt_ = std::min(NextRoundAt_, Now + SettlingHeartbeatInterval);
   const bool IsFresh = isViewFresh(Now);
   if (IsFresh != WasFresh_)
     Output.push_back(ViewChanged{IsFresh});
--- a/src/fleet/internal/heartbeatrounds.cpp
+++ b/src/fleet/internal/heartbeatrounds.cpp
@@ -12,6 +12,9 @@
 /// fleet.
 constexpr std::size_t RoundSize = 4;
 
+/// Heartbeats in a round after a change of the members.
+constexpr std::size_t SettlingRoundSize = 16;
+
 /// While the platform is out of reach, a round covers one in this many peers.
 constexpr std::size_t PeersPerUrgentRound = 6;
 
@@ -59,6 +62,8 @@
   const std::size_t Listed = Instances_.members().size();
   if (isStarting())
     return Listed;
+  if (KeyHome_.isSettling(Now))
+    return SettlingRoundSize;
   const auto DocumentAge = DocumentConfirmed_.age(Now);
   const auto ListAge = ListConfirmed_.age(Now);
   const bool IsConfirmed = DocumentAge && ListAge &&
--- a/src/fleet/internal/keyhome.h
+++ b/src/fleet/internal/keyhome.h
@@ -27,8 +27,11 @@
   /// while it has just become the home and may know more within moments.
   std::optional<KeyReply> decide(const KeyRequest &Request,
                                  const PeerTable &Peers, framework::Moment Now);
-  /// False after a change of the members until a majority has the new ones.
-  bool isSettled() const { return Ownership_.isSettled(); }
+  /// True for moments after a change of the members, until a majority has the
+  /// new ones.
+  bool isSettling(framework::Instant Now) const {
+    return Ownership_.isSettling(Now);
+  }
   /// Notes how an admitted call ended.
   void noteEnded(const KeyEnded &Message, framework::Moment Now);
   void receive(const KeyHandover &Message, OutputList &Output) {
--- a/src/fleet/internal/keyownership.cpp
+++ b/src/fleet/internal/keyownership.cpp
@@ -126,6 +126,10 @@
   return floorOf(*Item, Now);
 }
 
+bool KeyOwnership::isSettling(framework::Instant Now) const {
+  return !Homes_.isSettled() && Now < MembersChangedAt_ + KeySettlingTime;
+}
+
 bool KeyOwnership::isTakingOver(const framework::IdempotencyKey &Key,
                                 framework::Instant Now) const {
   const document::PublishedInstance *Home = findHome(Key.value(), Members_);
--- a/src/fleet/internal/keyownership.h
+++ b/src/fleet/internal/keyownership.h
@@ -40,7 +40,7 @@
   /// moments, so that a settled list or a handover may soon let it decide.
   bool isTakingOver(const framework::IdempotencyKey &Key,
                     framework::Instant Now) const;
-  bool isSettled() const { return Homes_.isSettled(); }
+  bool isSettling(framework::Instant Now) const;
   /// Returns the latest floor of all keys that this instance was home of.
   std::optional<framework::WallTime> latestFloor(framework::Moment Now) const;
 
--- a/src/fleet/internal/timing.h
+++ b/src/fleet/internal/timing.h
@@ -40,6 +40,10 @@
 inline constexpr framework::Duration UrgentHeartbeatInterval =
     std::chrono::milliseconds(250);
 
+/// The same after a change of the members, so that homes settle soon.
+inline constexpr framework::Duration SettlingHeartbeatInterval =
+    std::chrono::milliseconds(100);
+
 /// A new home of a target waits for this long before it sends anything: more
 /// than twice `FreshBound`, so that the home before has stopped even when one
 /// of both missed a revision of the list.
