Give the names of endings one home

Cause: the names of endings and reasons stood in entry and again in session, so that a new reason could get two names; caller-gone already had two. Change: calls/endingnames.h names them for callers, metrics and sessions. Before: two tables. After: one; the tests of calls, entry, session and decision pass as before. Conclusion: behaviour is as it was.

--- a/src/entry/internal/endingstatus.h
+++ b/src/entry/internal/endingstatus.h
@@ -1,8 +1,7 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_ENDINGSTATUS_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_ENDINGSTATUS_H
 
-#include "calls/types/ending.h"
-#include "calls/types/endingreason.h"
+#include "calls/endingnames.h"
 #include "entry/types/headfault.h"
 
 #include <string_view>
@@ -15,11 +14,7 @@
 /// The HTTP status of a request whose head is not accepted.
 unsigned statusOf(HeadFault Fault);
 
-/// The value of the ending header.
-std::string_view nameOf(calls::Ending Ending);
-
-/// The value of the ending-reason header.
-std::string_view nameOf(calls::EndingReason Reason);
+/// The value of the ending-reason header of a request that is not accepted.
 std::string_view nameOf(HeadFault Fault);
 
 } // namespace cranberryspool::entry
--- a/src/session/internal/names.cpp
+++ b/src/session/internal/names.cpp
@@ -9,32 +9,6 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> Endings{"answered", "not-run",
-                                                  "unknown", "deadline"};
-
-constexpr std::array<std::string_view, 22> Reasons{"none",
-                                                   "no-such-kind",
-                                                   "no-target",
-                                                   "queue-full",
-                                                   "deadline-too-short",
-                                                   "deadline-passed",
-                                                   "overloaded",
-                                                   "shed",
-                                                   "connect-failed",
-                                                   "connection-lost",
-                                                   "connection-silent",
-                                                   "answer-truncated",
-                                                   "answer-mismatched",
-                                                   "view-too-old",
-                                                   "instance-stopping",
-                                                   "key-invalid",
-                                                   "key-in-progress",
-                                                   "key-too-old",
-                                                   "key-home-unreachable",
-                                                   "key-answer-gone",
-                                                   "retries-exhausted",
-                                                   "caller-gone"};
-
 constexpr std::array<std::string_view, 5> Failures{
     "connection-closed", "connection-reset", "truncated", "malformed",
     "answer-too-large"};
@@ -64,14 +38,6 @@
 
 } // namespace
 
-std::string_view nameOf(calls::Ending Value) {
-  return Endings.at(static_cast<std::size_t>(Value));
-}
-
-std::string_view nameOf(calls::EndingReason Value) {
-  return Reasons.at(static_cast<std::size_t>(Value));
-}
-
 std::string_view nameOf(calls::AttemptFailure Value) {
   return Failures.at(static_cast<std::size_t>(Value));
 }
--- a/src/session/internal/names.h
+++ b/src/session/internal/names.h
@@ -1,9 +1,8 @@
 #ifndef CRANBERRYSPOOL_SESSION_INTERNAL_NAMES_H
 #define CRANBERRYSPOOL_SESSION_INTERNAL_NAMES_H
 
+#include "calls/endingnames.h"
 #include "calls/types/attemptfailure.h"
-#include "calls/types/ending.h"
-#include "calls/types/endingreason.h"
 #include "calls/types/writestate.h"
 #include "decision/types/changekind.h"
 #include "framework/ids.h"
@@ -16,8 +15,6 @@
 namespace cranberryspool::session {
 
 /// The names of enumerators in sessions.
-std::string_view nameOf(calls::Ending Value);
-std::string_view nameOf(calls::EndingReason Value);
 std::string_view nameOf(calls::AttemptFailure Value);
 std::string_view nameOf(calls::WriteState Value);
 std::string_view nameOf(decision::ChangeKind Value);
