--- a/experiments/deployments.py
+++ b/experiments/deployments.py
@@ -102,6 +102,13 @@
 ALL = {deployment.name: deployment for deployment in (LAGOS, CENTRAL_BELT)}
 
 
+def hedged_kinds(text):
+    """Returns the names of the kinds that the document allows to hedge."""
+    kinds = re.findall(r'\{[^{}]*"method"[^{}]*\}', text)
+    return {re.search(r'"name": "([^"]+)"', kind)[1] for kind in kinds
+            if '"hedging": true' in kind}
+
+
 def with_zone_state(text, zone, state):
     """Returns the document with one availability zone taken out or put in."""
     pattern = r'(\{"name": "%s", "state": )"(in|out)"' % re.escape(zone)
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -418,10 +418,10 @@
     """What a caller saw of one call; times in microseconds."""
 
     __slots__ = ("call", "stream", "phase", "ending", "reason", "status", "latency", "overhead",
-                 "address")
+                 "address", "end_phase")
 
     def __init__(self, call, stream, phase, ending, reason, status, latency, overhead,
-                 address):
+                 address, end_phase):
         self.call = call
         self.stream = stream
         self.phase = phase
@@ -431,3 +431,4 @@
         self.latency = latency
         self.overhead = overhead
         self.address = address
+        self.end_phase = end_phase
--- a/src/standins/callrecord.h
+++ b/src/standins/callrecord.h
@@ -13,7 +13,9 @@
 struct CallRecord {
   std::string Call_;
   std::size_t Stream_ = 0;
+  /// The phase in which the call began, and that in which it ended.
   std::size_t Phase_ = 0;
+  std::size_t EndPhase_ = 0;
   /// `answered`, `not-run`, `unknown`, `deadline`, `no-connection`, `cut` (the
   /// connection ended without a whole answer), `timeout` (nothing came in
   /// time), `wrong` (the answer was for another call) or `status-N` (no ending
--- a/src/standins/internal/callerstandin.cpp
+++ b/src/standins/internal/callerstandin.cpp
@@ -177,6 +177,7 @@
   Record.Latency_ =
       std::chrono::duration_cast<framework::Duration>(Clock::now() - Arrival);
   Record.Overhead_ = Record.Latency_ - targetTime(Reply);
+  Record.EndPhase_ = Phases_.size() - 1;
   Record.Status_ = Reply.Status_;
   Record.Ending_ = endingOf(Reply, Record.Call_, IsDirect);
   Record.Reason_ = find(Reply.Headers_, lower(protocol::EndingReasonHeader));
--- a/src/standins/internal/controlport.cpp
+++ b/src/standins/internal/controlport.cpp
@@ -247,7 +247,7 @@
         Record.Call_, Callers_->settings().Streams_[Record.Stream_].Name_,
         Callers_->phases()[Record.Phase_], Record.Ending_, Record.Reason_,
         Record.Status_, Record.Latency_.count(), Record.Overhead_.count(),
-        Record.Address_});
+        Record.Address_, Callers_->phases()[Record.EndPhase_]});
   return json::serialize(Calls);
 }
 
