Blank comments in the stand-ins' settings as everywhere else

Cause: fuzzing had shown that Boost.JSON 1.81 reads past its input when it skips comments; documents and instance settings blank them first, the stand-ins' settings still let Boost.JSON skip them. Change: blankComments is a public part of document, and the stand-ins use it. Ruled out: readJson for them, whose tree is made for positions and faults. Before: one reader on the faulty path. Conclusion: one way to read JSON with comments.

--- a/src/document/internal/blankcomments.cpp
+++ b/src/document/internal/blankcomments.cpp
@@ -1,4 +1,4 @@
-#include "document/internal/blankcomments.h"
+#include "document/blankcomments.h"
 
 namespace cranberryspool::document {
 
--- a/src/document/internal/readjson.cpp
+++ b/src/document/internal/readjson.cpp
@@ -1,6 +1,6 @@
 #include "document/readjson.h"
 
-#include "document/internal/blankcomments.h"
+#include "document/blankcomments.h"
 #include "document/internal/jsontreebuilder.h"
 #include "document/internal/utf8.h"
 #include "document/parsedocument.h"
--- a/src/standins/internal/standinsettings.cpp
+++ b/src/standins/internal/standinsettings.cpp
@@ -1,5 +1,7 @@
 #include "standins/standinsettings.h"
 
+#include "document/blankcomments.h"
+
 #include <boost/json.hpp>
 
 #include <utility>
@@ -178,10 +180,8 @@
 
 framework::Result<StandinSettings, SettingsFailure>
 parseStandinSettings(std::string_view Text) {
-  json::parse_options Options;
-  Options.allow_comments = true;
   boost::system::error_code Error;
-  const json::value Root = json::parse(Text, Error, {}, Options);
+  const json::value Root = json::parse(document::blankComments(Text), Error);
   if (Error || !Root.is_object())
     return SettingsFailure{};
   std::optional<SettingsFailure> Bad;
