Route by host and prefix, choose by reported slowness, bound cold targets by rate

The users' platform routes by virtual host and longest path prefix, splits routes over services, tells how slow a target's machine is now, and bounds a cold target by requests a second. The product had kinds by method and pattern, no use for a slowness figure and a bound on requests in flight only.

--- a/src/calls/types/callrequest.h
+++ b/src/calls/types/callrequest.h
@@ -26,6 +26,10 @@
   /// 1 unless an instance above already repeats the call.
   std::uint32_t AttemptMark_ = 1;
   std::optional<framework::IdempotencyKey> Key_;
+  /// Targets to which it may be sent.
+  std::uint32_t MaxAttempts_ = 1;
+  /// An answer within this time is worth most; zero when none is stated.
+  framework::Duration LatencyObjective_{};
 };
 
 } // namespace cranberryspool::calls
--- a/src/document/types/coldstartbudget.h
+++ b/src/document/types/coldstartbudget.h
@@ -13,6 +13,8 @@
   std::uint32_t MaxInFlight_ = 1;
   /// How long a target counts as cold after its start.
   framework::Duration Warmup_{};
+  /// Requests a second at most; 0 when only `MaxInFlight_` bounds them.
+  double MaxPerSecond_ = 0;
 
   friend bool operator==(const ColdStartBudget &,
                          const ColdStartBudget &) = default;
--- a/src/document/types/environmentdocument.h
+++ b/src/document/types/environmentdocument.h
@@ -1,11 +1,14 @@
 #ifndef CRANBERRYSPOOL_DOCUMENT_TYPES_ENVIRONMENTDOCUMENT_H
 #define CRANBERRYSPOOL_DOCUMENT_TYPES_ENVIRONMENTDOCUMENT_H
 
+#include "document/types/callerlimits.h"
+#include "document/types/route.h"
 #include "document/types/service.h"
 #include "document/types/zone.h"
 #include "framework/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace cranberryspool::document {
@@ -16,6 +19,10 @@
 struct EnvironmentDocument {
   std::vector<Zone> Zones_;
   std::vector<Service> Services_;
+  /// When there are any, they decide instead of the kinds of the services.
+  std::vector<Route> Routes_;
+  /// The instances' own settings hold where there are none.
+  std::optional<CallerLimits> CallerLimits_;
   /// The largest number of instances that may run at once; shares of
   /// fleet-wide bounds are never computed from fewer.
   std::uint32_t MaxInstances_ = 1;
--- a/src/document/types/service.h
+++ b/src/document/types/service.h
@@ -8,6 +8,7 @@
 #include "framework/ids.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace cranberryspool::document {
@@ -23,6 +24,8 @@
   std::uint32_t ConnectionsPerTarget_ = 1;
   /// Probes that one target bears in a minute, summed over all instances.
   std::uint32_t ProbesPerTargetPerMinute_ = 1;
+  /// Where targets tell their health; empty when they do not.
+  std::string HealthPath_;
   ColdStartBudget ColdStart_;
   std::vector<Objective> Objectives_;
 
--- a/src/routing/candidates.h
+++ b/src/routing/candidates.h
@@ -18,9 +18,10 @@
   Candidates(const std::vector<TargetState> &Targets,
              const std::vector<framework::TargetId> &Open,
              const ChoiceRequest &Request, double ServiceLatencyMicros,
-             framework::Instant Now)
+             double ServiceSlowdown, framework::Instant Now)
       : Targets_(Targets), Open_(Open), Request_(Request),
-        ServiceLatencyMicros_(ServiceLatencyMicros), Now_(Now) {}
+        ServiceLatencyMicros_(ServiceLatencyMicros),
+        ServiceSlowdown_(ServiceSlowdown), Now_(Now) {}
 
   std::size_t size() const { return Open_.size(); }
 
@@ -44,6 +45,10 @@
   /// Moving average of the time of an answer over the whole service.
   double serviceLatencyMicros() const { return ServiceLatencyMicros_; }
 
+  /// Moving average of how slow targets report their machines to be; 1 is as
+  /// usual.
+  double serviceSlowdown() const { return ServiceSlowdown_; }
+
   framework::Instant now() const { return Now_; }
 
 private:
@@ -51,6 +56,7 @@
   const std::vector<framework::TargetId> &Open_;
   const ChoiceRequest &Request_;
   double ServiceLatencyMicros_;
+  double ServiceSlowdown_;
   framework::Instant Now_;
 };
 
--- a/src/routing/defaultpolicy.h
+++ b/src/routing/defaultpolicy.h
@@ -1,12 +1,12 @@
 #ifndef CRANBERRYSPOOL_ROUTING_DEFAULTPOLICY_H
 #define CRANBERRYSPOOL_ROUTING_DEFAULTPOLICY_H
 
-#include "routing/policies/affinitypolicy.h"
+#include "routing/policies/reportedloadpolicy.h"
 
 namespace cranberryspool::routing {
 
 /// The policy that instances run; docs/DESIGN.md gives the comparison.
-using DefaultPolicy = AffinityPolicy;
+using DefaultPolicy = ReportedLoadPolicy;
 
 } // namespace cranberryspool::routing
 
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -17,6 +17,10 @@
 constexpr double MaxEjectedShare = 0.34;
 constexpr double LatencyWeight = 0.2;
 constexpr double ServiceLatencyWeight = 0.02;
+constexpr double SlowdownWeight = 0.05;
+/// Requests that may follow each other at once at a cold target with a bound on
+/// its rate.
+constexpr double ColdBurst = 1;
 /// A cold start shows as so many answers in a row, each so many times slower
 /// than the service's average, while the target reports no queue.
 constexpr std::uint32_t SlowAnswersOfColdStart = 6;
@@ -74,8 +78,11 @@
   if (Entry.IsListed_ &&
       States_[Index].Description_.Service_ != Description.Service_)
     unlist(Description.Target_, Now);
-  const bool IsBack = Entry.IsListed_ && !Description.IsLeaving_ &&
-                      States_[Index].Description_.IsLeaving_;
+  const TargetDescription Before = States_[Index].Description_;
+  const bool IsBack =
+      Entry.IsListed_ && !Description.IsLeaving_ && Before.IsLeaving_;
+  const bool IsNewLife =
+      !Entry.IsListed_ || Description.Start_ != Before.Start_;
   States_[Index].Description_ = Description;
   States_[Index].IsInOwnZone_ = Description.Zone_ == OwnZone_;
   if (!Entry.IsListed_) {
@@ -84,9 +91,14 @@
     Entry.Temperature_ =
         IsFirstPicture ? Temperature::Unknown : Temperature::Cold;
     Entry.ColdSince_ = Now;
-    if (!IsFirstPicture)
+    if (!IsFirstPicture && !Description.WarmupLeft_)
       Changes_.push_back({Description.Target_, TargetChangeKind::TurnedCold});
   }
+  if (IsNewLife && Description.WarmupLeft_)
+    Entry.Health_.reset();
+  if (Description.WarmupLeft_ &&
+      (IsNewLife || Description.WarmupLeft_ != Before.WarmupLeft_))
+    noteWarmup(Description.Target_, *Description.WarmupLeft_, Now);
   if (IsBack)
     readmit(Description.Target_, Now);
   if (Description.IsLeaving_)
@@ -96,7 +108,7 @@
 
 void TargetRegistry::release(TargetId Target) {
   Record &Entry = Records_[Target.value()];
-  if (Entry.Temperature_ != Temperature::Warm)
+  if (Entry.Temperature_ != Temperature::Warm || tellsWarmup(Target))
     return;
   // From now on it may restart without anybody noticing.
   Entry.Temperature_ = Temperature::Unknown;
@@ -107,6 +119,8 @@
   Record &Entry = Records_[Target.value()];
   if (!Entry.Health_.isEjected())
     Entry.Health_.restore(Now);
+  if (tellsWarmup(Target))
+    return;
   const Duration Warmup = States_[Target.value()].Bounds_.ColdWarmup_;
   const bool IsStillCold = Entry.Temperature_ == Temperature::Cold &&
                            Now < Entry.ColdSince_ + Warmup;
@@ -147,6 +161,9 @@
   TargetState &State = States_[Target.value()];
   ++State.InFlight_;
   ++State.SentSincePeers_;
+  ++State.SentSinceReport_;
+  if (isCold(Target))
+    takeColdToken(Target, Now);
   State.SentTimeSum_ += micros(Now);
   refresh(Target, Now);
 }
@@ -193,7 +210,7 @@
                       State.Report_.Queued_ == 0;
   Entry.SlowStreak_ = IsSlow ? Entry.SlowStreak_ + 1 : 0;
   if (Entry.SlowStreak_ >= SlowAnswersOfColdStart &&
-      Entry.Temperature_ == Temperature::Warm)
+      Entry.Temperature_ == Temperature::Warm && !tellsWarmup(Target))
     turnCold(Target, Now);
   Service.LatencyMicros_ +=
       ServiceLatencyWeight * (Sample - Service.LatencyMicros_);
@@ -224,6 +241,13 @@
   TargetState &State = States_[Target.value()];
   State.Report_ = Report;
   State.ReportedAt_ = Now;
+  State.SentSinceReport_ = 0;
+  if (Report.SlowdownPercent_) {
+    double &Usual = group(Target).Slowdown_;
+    Usual += SlowdownWeight * (*Report.SlowdownPercent_ / 100.0 - Usual);
+  }
+  if (Report.WarmupLeft_)
+    noteWarmup(Target, *Report.WarmupLeft_, Now);
   if (Report.IsDraining_ && !Entry.IsDraining_)
     Changes_.push_back({Target, TargetChangeKind::Draining});
   Entry.IsDraining_ = Report.IsDraining_;
@@ -254,7 +278,7 @@
 }
 
 void TargetRegistry::noteTurnedCold(TargetId Target, Instant Now) {
-  if (Target.value() >= Records_.size())
+  if (Target.value() >= Records_.size() || tellsWarmup(Target))
     return;
   turnCold(Target, Now);
   refresh(Target, Now);
@@ -271,6 +295,44 @@
   refresh(Target, Now);
 }
 
+void TargetRegistry::noteWarmup(TargetId Target, Duration Left, Instant Now) {
+  Record &Entry = Records_[Target.value()];
+  if (Left <= Duration::zero()) {
+    if (Entry.Temperature_ != Temperature::Warm)
+      turnWarm(Target);
+    return;
+  }
+  Entry.ColdUntil_ = Now + Left;
+  wakeAt(Entry.ColdUntil_, Target);
+  if (Entry.Temperature_ == Temperature::Cold &&
+      Entry.ColdFilledAt_ != Instant{})
+    return;
+  Entry.ColdTokens_ = 0;
+  Entry.ColdFilledAt_ = Now;
+  turnCold(Target, Now);
+}
+
+bool TargetRegistry::tellsWarmup(TargetId Target) const {
+  return States_[Target.value()].Description_.WarmupLeft_.has_value();
+}
+
+double TargetRegistry::coldTokens(const Record &Entry, double PerSecond,
+                                  Instant Now) const {
+  const double Seconds =
+      std::chrono::duration<double>(Now - Entry.ColdFilledAt_).count();
+  return std::min(ColdBurst, Entry.ColdTokens_ + PerSecond * Seconds);
+}
+
+void TargetRegistry::takeColdToken(TargetId Target, Instant Now) {
+  const std::optional<double> &Rate =
+      States_[Target.value()].Bounds_.ColdPerSecond_;
+  if (!Rate)
+    return;
+  Record &Entry = Records_[Target.value()];
+  Entry.ColdTokens_ = coldTokens(Entry, *Rate, Now) - 1;
+  Entry.ColdFilledAt_ = Now;
+}
+
 void TargetRegistry::turnCold(TargetId Target, Instant Now) {
   Record &Entry = Records_[Target.value()];
   if (Entry.Temperature_ != Temperature::Cold)
@@ -318,8 +380,11 @@
   if (Now >= Entry.CutUntil_)
     Entry.Cut_ = 0;
   const bool TakesWork = Entry.IsListed_ && !State.Description_.IsLeaving_;
-  if (isCold(Entry) && TakesWork &&
-      Now >= Entry.ColdSince_ + State.Bounds_.ColdWarmup_) {
+  if (tellsWarmup(Target)) {
+    if (isCold(Entry) && Now >= Entry.ColdUntil_)
+      turnWarm(Target);
+  } else if (isCold(Entry) && TakesWork &&
+             Now >= Entry.ColdSince_ + State.Bounds_.ColdWarmup_) {
     if (State.Report_.IsCold_ && State.ReportedAt_ >= Entry.ColdSince_)
       turnCold(Target, Now);
     else
@@ -332,6 +397,21 @@
   return Timers_.empty() ? Instant::max() : Timers_.top().At_;
 }
 
+void TargetRegistry::wakeForColdToken(TargetId Target, double Rate,
+                                      Instant Now) {
+  Record &Entry = Records_[Target.value()];
+  const double Missing = 1 - coldTokens(Entry, Rate, Now);
+  if (Missing <= 0 || !Entry.IsListed_)
+    return;
+  const auto Wait = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Missing / Rate));
+  const Instant At = Now + Wait + Duration(1);
+  if (Entry.ColdWakeAt_ > Now && Entry.ColdWakeAt_ <= At)
+    return;
+  Entry.ColdWakeAt_ = At;
+  wakeAt(At, Target);
+}
+
 void TargetRegistry::wakeAt(Instant At, TargetId Target) {
   Timers_.push({At, Target});
 }
@@ -341,6 +421,9 @@
   auto &Open = group(Target).Open_;
   const bool IsOpen = Entry.OpenPosition_ != NotOpen;
   const bool ShallBeOpen = mayTakeOne(Target, Now);
+  const auto &ColdRate = States_[Target.value()].Bounds_.ColdPerSecond_;
+  if (!ShallBeOpen && isCold(Entry) && ColdRate && *ColdRate > 0)
+    wakeForColdToken(Target, *ColdRate, Now);
   if (IsOpen == ShallBeOpen)
     return;
   if (ShallBeOpen) {
@@ -365,6 +448,9 @@
                                  State.Bounds_.MaxConnections_);
   if (!isCold(Entry))
     return State.InFlight_ < Limit;
+  if (const auto &Rate = State.Bounds_.ColdPerSecond_)
+    return *Rate > 0 && State.InFlight_ < Limit &&
+           coldTokens(Entry, *Rate, Now) >= 1;
   Limit = std::min(Limit, State.Bounds_.ColdInFlight_);
   return State.InFlight_ + Entry.Cut_ < Limit;
 }
@@ -391,9 +477,10 @@
   static const std::vector<TargetId> None;
   const auto Service = Request.Service_.value();
   if (Service >= Groups_.size())
-    return {States_, None, Request, 0, Now};
+    return {States_, None, Request, 0, 1, Now};
   const ServiceGroup &Group = Groups_[Service];
-  return {States_, Group.Open_, Request, Group.LatencyMicros_, Now};
+  return {States_,         Group.Open_, Request, Group.LatencyMicros_,
+          Group.Slowdown_, Now};
 }
 
 void TargetRegistry::probeCandidates(std::size_t Max, Instant Now,
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -72,6 +72,13 @@
     bool IsDraining_ = false;
     std::uint32_t OpenPosition_ = NotOpen;
     std::uint32_t SlowStreak_ = 0;
+    /// The end of a cold start that the target has told.
+    framework::Instant ColdUntil_{};
+    /// Requests that a rate bound lets through now, at `ColdFilledAt_`.
+    double ColdTokens_ = 0;
+    framework::Instant ColdFilledAt_{};
+    /// When the next request is let through, as far as a timer is set for it.
+    framework::Instant ColdWakeAt_{};
     /// Attempts at a cold target that ended unanswered and may still run there,
     /// all forgotten at `CutUntil_`.
     std::uint32_t Cut_ = 0;
@@ -83,6 +90,8 @@
     std::uint32_t Listed_ = 0;
     std::uint32_t Ejected_ = 0;
     double LatencyMicros_ = 0;
+    /// Moving average of what targets tell of their slowness, 1 is as usual.
+    double Slowdown_ = 1;
   };
 
   struct Timer {
@@ -105,6 +114,16 @@
   void noteCut(framework::TargetId Target, framework::Instant Now);
   void turnCold(framework::TargetId Target, framework::Instant Now);
   void turnWarm(framework::TargetId Target);
+  /// Takes the target's word on how long it stays cold.
+  void noteWarmup(framework::TargetId Target, framework::Duration Left,
+                  framework::Instant Now);
+  /// True when the target tells of its cold starts, so that none is inferred.
+  bool tellsWarmup(framework::TargetId Target) const;
+  double coldTokens(const Record &Entry, double PerSecond,
+                    framework::Instant Now) const;
+  void takeColdToken(framework::TargetId Target, framework::Instant Now);
+  void wakeForColdToken(framework::TargetId Target, double Rate,
+                        framework::Instant Now);
   void judgeHealth(framework::TargetId Target, framework::Instant Now);
   void noteLatency(framework::TargetId Target, framework::Duration Elapsed,
                    framework::Instant Now);
--- a/src/routing/types/targetbounds.h
+++ b/src/routing/types/targetbounds.h
@@ -4,6 +4,7 @@
 #include "framework/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cranberryspool::routing {
 
@@ -18,6 +19,9 @@
   /// How far the target is from this instance on the ring on which all
   /// instances and the targets of a service are spread evenly, from 0 to 0.5.
   double RingDistance_ = 0;
+  /// When set, requests a second that this instance may send to the target
+  /// while it is cold, in place of `ColdInFlight_`.
+  std::optional<double> ColdPerSecond_ = std::nullopt;
 };
 
 } // namespace cranberryspool::routing
--- a/src/routing/types/targetdescription.h
+++ b/src/routing/types/targetdescription.h
@@ -15,6 +15,11 @@
   std::uint32_t Slots_ = 1;
   /// True when the list calls the target leaving or its zone is out.
   bool IsLeaving_ = false;
+  /// Changes when the target starts anew; 0 when the list does not tell.
+  framework::Incarnation Start_{};
+  /// How long the target stays cold. When it is told, a cold start is never
+  /// inferred from resets or slow answers.
+  std::optional<framework::Duration> WarmupLeft_ = std::nullopt;
 };
 
 } // namespace cranberryspool::routing
--- a/src/routing/types/targetstate.h
+++ b/src/routing/types/targetstate.h
@@ -26,6 +26,8 @@
 
   LoadReport Report_;
   std::optional<framework::Instant> ReportedAt_;
+  /// Attempts that this instance has sent since the report.
+  std::uint32_t SentSinceReport_ = 0;
 
   /// Attempts in flight of all other instances, as they told last.
   std::uint32_t PeerInFlight_ = 0;
