--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,7 +1,9 @@
 # Helpers that give each module of src/ the same shape.
 
 # The main function of Catch2, compiled once for all test programs.
-add_library(cranberry_catch_main OBJECT ${CMAKE_SOURCE_DIR}/cmake/catchmain.cpp)
+if(NOT CRANBERRY_ONLY_PLATFORM)
+  add_library(cranberry_catch_main OBJECT ${CMAKE_SOURCE_DIR}/cmake/catchmain.cpp)
+endif()
 
 # cranberry_module(NAME SOURCES file... DEPENDS target...)
 # Declares the library cranberry_NAME; a module without sources is an interface library.
@@ -28,6 +30,9 @@
 # cranberry_test(NAME SOURCES file... DEPENDS target...)
 # Declares the Catch2 program test_NAME and one CTest entry of the same name.
 function(cranberry_test name)
+  if(CRANBERRY_ONLY_PLATFORM)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(test_${name} ${ARG_SOURCES} $<TARGET_OBJECTS:cranberry_catch_main>)
   target_compile_options(test_${name} PRIVATE -Wall -Wextra -Wpedantic -Werror)
--- a/src/decision/action.h
+++ b/src/decision/action.h
@@ -12,6 +12,7 @@
 #include "decision/types/actions/probetarget.h"
 #include "decision/types/actions/readdocument.h"
 #include "decision/types/actions/readinstances.h"
+#include "decision/types/actions/readrecords.h"
 #include "decision/types/actions/refusecall.h"
 #include "decision/types/actions/replaykeptanswer.h"
 #include "decision/types/actions/reportchange.h"
@@ -29,9 +30,9 @@
 using Action =
     std::variant<AnswerCall, CloseConnection, DropKeptAnswer, FetchKeptAnswer,
                  FetchSections, FinishStop, KeepAnswer, OpenConnection,
-                 ProbeTarget, ReadDocument, ReadInstances, RefuseCall,
-                 ReplayKeptAnswer, ReportChange, SendAttempt, SendPeerMessage,
-                 ServeSections, SetReadiness>;
+                 ProbeTarget, ReadDocument, ReadInstances, ReadRecords,
+                 RefuseCall, ReplayKeptAnswer, ReportChange, SendAttempt,
+                 SendPeerMessage, ServeSections, SetReadiness>;
 
 /// Actions in the order in which they must be carried out.
 using ActionList = std::vector<Action>;
--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -1,10 +1,12 @@
 #ifndef CRANBERRYSPOOL_DECISION_CORESETTINGS_H
 #define CRANBERRYSPOOL_DECISION_CORESETTINGS_H
 
+#include "fleet/types/seedsettings.h"
 #include "framework/ids.h"
 #include "framework/time.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace cranberryspool::decision {
@@ -16,6 +18,9 @@
   framework::ZoneName Zone_;
   /// `IP:port` of this instance's peer messages.
   std::string PeerAddress_{};
+  /// Set where instances find each other by seeds and read the platform's
+  /// store; otherwise they read its document and its list of instances.
+  std::optional<fleet::SeedSettings> Seeds_ = std::nullopt;
   /// How long a stopping instance goes on accepting calls, so that the
   /// platform's balancer can notice that it is not ready any more.
   framework::Duration StopLinger_ = std::chrono::seconds(3);
--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -18,9 +18,14 @@
 #include "decision/types/events/peermessagereceived.h"
 #include "decision/types/events/probeanswered.h"
 #include "decision/types/events/probefailed.h"
+#include "decision/types/events/recordhistorylost.h"
+#include "decision/types/events/recordschanged.h"
+#include "decision/types/events/recordsread.h"
+#include "decision/types/events/recordsunavailable.h"
 #include "decision/types/events/sectionsfetched.h"
 #include "decision/types/events/sectionsrequested.h"
 #include "decision/types/events/sectionsunavailable.h"
+#include "decision/types/events/seedschanged.h"
 #include "decision/types/events/stoprequested.h"
 #include "decision/types/events/tick.h"
 
@@ -35,8 +40,9 @@
                  DocumentPublished, DocumentUnavailable, DocumentUnchanged,
                  InstancesPublished, InstancesUnchanged, InstancesUnavailable,
                  KeptAnswerFetched, PeerMessageReceived, ProbeAnswered,
-                 ProbeFailed, SectionsFetched, SectionsRequested,
-                 SectionsUnavailable, StopRequested, Tick>;
+                 ProbeFailed, RecordHistoryLost, RecordsChanged, RecordsRead,
+                 RecordsUnavailable, SectionsFetched, SectionsRequested,
+                 SectionsUnavailable, SeedsChanged, StopRequested, Tick>;
 
 } // namespace cranberryspool::decision
 
--- a/src/decision/internal/attemptflow.cpp
+++ b/src/decision/internal/attemptflow.cpp
@@ -62,14 +62,15 @@
   Ready.State_ = calls::AttemptState::Sent;
   Ready.SentAt_ = At.now();
   Parts_.Silence_.noteSent(Ready);
-  At.Output_.push_back(
-      SendAttempt{.Attempt_ = Ready.Attempt_,
-                  .Call_ = Ready.Call_,
-                  .Connection_ = Id,
-                  .Target_ = Ready.Target_,
-                  .Timeout_ = Request.Deadline_ - At.now(),
-                  .Depth_ = Request.Depth_ + 1,
-                  .AttemptMark_ = Request.AttemptMark_ + Owner.Sent_});
+  At.Output_.push_back(SendAttempt{
+      .Attempt_ = Ready.Attempt_,
+      .Call_ = Ready.Call_,
+      .Connection_ = Id,
+      .Target_ = Ready.Target_,
+      .Timeout_ = Request.Deadline_ - At.now(),
+      .Depth_ = Request.Depth_ + 1,
+      .AttemptMark_ = Request.AttemptMark_ + Owner.Sent_,
+      .TargetName_ = Parts_.Environment_.targetName(Ready.Target_)});
   ++Owner.Sent_;
   ++Parts_.Counters_.AttemptsSent_;
   if (Ready.Kind_ == calls::AttemptKind::Retry)
--- a/src/decision/internal/callender.cpp
+++ b/src/decision/internal/callender.cpp
@@ -1,5 +1,7 @@
 #include "decision/internal/callender.h"
 
+#include <algorithm>
+
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -38,7 +40,12 @@
     ++Parts_.Counters_.CallsNotRun_;
   if (How == calls::Ending::DeadlinePassed)
     ++Parts_.Counters_.CallsDeadlinePassed_;
-  const framework::Duration RetryAfter = retryAfter(Why);
+  framework::Duration RetryAfter = retryAfter(Why);
+  if (const auto Share = Parts_.Calling_.RetryAfterShare_) {
+    const auto Left = std::chrono::duration_cast<framework::Duration>(
+        (Owner.Request_.Deadline_ - At.now()) * *Share);
+    RetryAfter = std::max(std::min(RetryAfter, Left), framework::Duration{});
+  }
   note(At, Owner, How);
   tell(At, release(At, Owner).refuse(How, Why, RetryAfter));
 }
--- a/src/decision/internal/callsettings.h
+++ b/src/decision/internal/callsettings.h
@@ -2,10 +2,13 @@
 #define CRANBERRYSPOOL_DECISION_INTERNAL_CALLSETTINGS_H
 
 #include "calls/types/silencebounds.h"
+#include "decision/internal/extrawindow.h"
+#include "fleet/types/fleetbounds.h"
 #include "framework/time.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace cranberryspool::decision {
 
@@ -23,6 +26,8 @@
   std::uint32_t ResendsPerThousand_ = 200;
   std::uint32_t ResendsCapacity_ = 100;
   std::uint32_t ResendsInitial_ = 20;
+  /// Bounds retries, hedges and resends together, in place of the above.
+  std::optional<ExtraWindow> Window_ = std::nullopt;
 
   /// A hedge starts when the first attempt has taken longer than this share of
   /// the recent attempts of its kind.
@@ -38,6 +43,9 @@
   framework::Duration ConnectTimeout_ = std::chrono::milliseconds(500);
   /// Idle connections kept ready for each target that may take work.
   std::uint32_t SpareConnections_ = 1;
+  /// True when a target that lately ran requests which must not run twice
+  /// always has a connection that is fit for the next one.
+  bool AreFreshKept_ = true;
   /// Spare connections opened at one wake-up at most.
   std::uint32_t MaxOpensPerRound_ = 16;
 
@@ -56,8 +64,26 @@
   /// When a caller may come back after a refusal; up to as much again is added
   /// at random so that callers do not come back together.
   framework::Duration RetryAfter_ = std::chrono::seconds(1);
+  /// When set, a caller is never asked to wait longer than this part of the
+  /// time that it has left, which it would not do.
+  std::optional<double> RetryAfterShare_ = std::nullopt;
 };
 
+/// Returns the settings for instances that find each other by seeds.
+inline CallSettings seededCallSettings(const fleet::FleetBounds &Bounds) {
+  CallSettings Settings;
+  Settings.Window_ = ExtraWindow{.Length_ = Bounds.RetryWindow_};
+  Settings.RetryAfter_ = std::chrono::milliseconds(150);
+  Settings.RetryAfterShare_ = 0.25;
+  // New connections are dear, and targets close idle ones only after seconds.
+  Settings.SpareConnections_ = 0;
+  Settings.AreFreshKept_ = false;
+  Settings.AliveWithin_ = std::chrono::seconds(5);
+  Settings.MaxIdle_ = std::chrono::seconds(8);
+  Settings.ConnectTimeout_ = std::chrono::milliseconds(300);
+  return Settings;
+}
+
 } // namespace cranberryspool::decision
 
 #endif // CRANBERRYSPOOL_DECISION_INTERNAL_CALLSETTINGS_H
--- a/src/decision/internal/connectionkeeper.cpp
+++ b/src/decision/internal/connectionkeeper.cpp
@@ -39,7 +39,8 @@
 void ConnectionKeeper::tend(const Step &At) {
   closeIdle(At);
   openSpares(At);
-  refreshSpares(At);
+  if (Parts_.Calling_.AreFreshKept_)
+    refreshSpares(At);
 }
 
 void ConnectionKeeper::openSpares(const Step &At) {
--- a/src/decision/internal/coreparts.h
+++ b/src/decision/internal/coreparts.h
@@ -28,14 +28,19 @@
 /// life of a call.
 struct CoreParts {
   CoreParts(CoreSettings Settings, framework::Random Rng)
-      : Settings_(std::move(Settings)), Rng_(Rng),
+      : Settings_(std::move(Settings)),
+        Calling_(Settings_.Seeds_
+                     ? seededCallSettings(Settings_.Seeds_->Bounds_)
+                     : CallSettings()),
+        Rng_(Rng),
         Targets_(Environment_.internZone(Settings_.Zone_),
                  routing::DefaultPolicy(), framework::Random(Rng_.bits())),
         Learning_(Calling_),
         Fleet_(fleet::FleetSettings{.Self_ = Settings_.Self_,
                                     .Incarnation_ = Settings_.Incarnation_,
                                     .Zone_ = Settings_.Zone_,
-                                    .Address_ = Settings_.PeerAddress_},
+                                    .Address_ = Settings_.PeerAddress_,
+                                    .Seeds_ = Settings_.Seeds_},
                framework::Random(Rng_.bits())),
         Silence_(Calling_.SilenceIdempotent_, Calling_.SilenceNonIdempotent_),
         AttemptNumbers_(Settings_.Self_, Settings_.Incarnation_) {}
--- a/src/decision/internal/dispatcher.cpp
+++ b/src/decision/internal/dispatcher.cpp
@@ -41,6 +41,8 @@
     calls::Call *Owner = Parts_.Calls_.find(*Id);
     if (!MayStart || !Owner || Owner->Live_.size() != 1)
       continue;
+    if (Owner->Sent_ >= Owner->Request_.MaxAttempts_)
+      continue;
     const calls::Attempt &First = Parts_.Calls_.attempts().at(Owner->Live_[0]);
     if (First.HasAnswerBegun_ ||
         Parts_.Queue_.hasWaiting(Owner->Request_.Service_))
@@ -52,7 +54,7 @@
         At.now());
     if (!Target)
       continue;
-    if (!Parts_.Learning_.extra(Owner->Request_.Service_).tryTake()) {
+    if (!Parts_.Learning_.tryExtra(Owner->Request_.Service_, At.now())) {
       ++Parts_.Counters_.RetriesOverBudget_;
       continue;
     }
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -115,6 +115,8 @@
 }
 
 bool Engine::maySendSomewhere(const Step &At) const {
+  if (Parts_.Fleet_.readsStore())
+    return true;
   const std::size_t Usable = Environment_.usableServices(At.now());
   if (Usable == 0)
     return false;
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -11,6 +11,11 @@
   Document_ = Document;
   Digest_ = document::documentDigest(Document);
   Kinds_ = document::KindIndex(*Document_);
+  Routes_ = document::RouteIndex(*Document_);
+  RouteKinds_.clear();
+  for (const document::Route &Each : Document_->Routes_)
+    RouteKinds_.push_back(
+        KindNames_.intern({framework::ServiceName(), Each.Name_}));
   KindIds_.clear();
   ByService_.clear();
   for (const document::Service &Service : Document_->Services_) {
@@ -29,6 +34,13 @@
   rebuildTargets();
 }
 
+void Environment::setStoredTargets(
+    std::vector<fleet::PublishedTarget> Targets) {
+  StoredTargets_ = std::move(Targets);
+  HasInstances_ = true;
+  rebuildTargets();
+}
+
 std::uint32_t Environment::instanceCount() const {
   const auto Count = std::count_if(
       Instances_.begin(), Instances_.end(),
@@ -37,29 +49,76 @@
 }
 
 std::optional<MatchedKind> Environment::match(std::string_view Method,
-                                              std::string_view Path) const {
+                                              std::string_view Host,
+                                              std::string_view Path,
+                                              double Draw) const {
   if (!Document_)
     return std::nullopt;
+  if (!Document_->Routes_.empty())
+    return matchRoute(Host, Path, Draw);
   const auto Found = Kinds_.match(Method, Path);
   if (!Found)
     return std::nullopt;
   const document::Service &Service =
       Document_->Services_[Found->Service_.value()];
+  const document::RequestKind &Rules = Service.Kinds_[Found->Kind_.value()];
   return MatchedKind{
       .Service_ = *Services_.find(Service.Name_),
       .Kind_ = KindIds_[Found->Service_.value()][Found->Kind_.value()],
-      .Rules_ = &Service.Kinds_[Found->Kind_.value()]};
+      .IsIdempotent_ = Rules.IsIdempotent_,
+      .IsHedgingAllowed_ = Rules.IsHedgingAllowed_,
+      .Urgency_ = Rules.Urgency_,
+      .Deadline_ = Rules.Deadline_};
+}
+
+std::optional<MatchedKind> Environment::matchRoute(std::string_view Host,
+                                                   std::string_view Path,
+                                                   double Draw) const {
+  const auto Found = Routes_.match(Host, Path);
+  if (!Found)
+    return std::nullopt;
+  const document::Route &Rules = Document_->Routes_[*Found];
+  std::uint64_t Sum = 0;
+  for (const document::RoutePart &Part : Rules.Parts_)
+    Sum += Part.Weight_;
+  double Point = Draw * static_cast<double>(Sum);
+  const document::RoutePart *Chosen = &Rules.Parts_.front();
+  for (const document::RoutePart &Part : Rules.Parts_) {
+    if (Part.Weight_ == 0)
+      continue;
+    Chosen = &Part;
+    Point -= Part.Weight_;
+    if (Point < 0)
+      break;
+  }
+  return MatchedKind{.Service_ = *Services_.find(Chosen->Service_),
+                     .Kind_ = RouteKinds_[*Found],
+                     .IsIdempotent_ = Rules.IsIdempotent_,
+                     .IsHedgingAllowed_ = Rules.IsIdempotent_,
+                     .Urgency_ = Rules.Priority_ == 0
+                                     ? document::Urgency::Urgent
+                                     : document::Urgency::Ordinary,
+                     .Deadline_ = Rules.Timeout_,
+                     .LongestWait_ = Rules.Timeout_,
+                     .LatencyObjective_ = Rules.LatencyObjective_,
+                     .MaxAttempts_ = Rules.MaxAttempts_};
 }
 
 bool Environment::takesWork(framework::TargetId Target) const {
+  const auto Position = find(Target);
+  return Position != Targets_.end() && !Position->IsLeaving_;
+}
+
+std::vector<routing::TargetDescription>::const_iterator
+Environment::find(framework::TargetId Target) const {
   const auto Position = std::lower_bound(
       Targets_.begin(), Targets_.end(), Target,
       [](const routing::TargetDescription &Left, framework::TargetId Right) {
         return Left.Target_ < Right;
       });
-  if (Position == Targets_.end() || Position->Target_ != Target)
-    return false;
-  return !Position->IsLeaving_;
+  const bool IsFound =
+      Position != Targets_.end() && Position->Target_ == Target;
+  return IsFound ? Position : Targets_.end();
 }
 
 const document::Service *
@@ -72,6 +131,13 @@
   return Addresses_.at(Target.value());
 }
 
+std::string Environment::healthPath(framework::TargetId Target) const {
+  const auto Position = find(Target);
+  if (Position == Targets_.end())
+    return {};
+  return ByService_.at(Position->Service_)->HealthPath_;
+}
+
 framework::TargetName
 Environment::targetName(framework::TargetId Target) const {
   return TargetNames_.name(Target);
@@ -120,6 +186,15 @@
   Targets_.clear();
   if (!Document_)
     return;
+  addListed();
+  addStored();
+  std::sort(Targets_.begin(), Targets_.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.Target_ < Right.Target_;
+            });
+}
+
+void Environment::addListed() {
   const auto Places = placeGroups();
   for (const document::PublishedInstance &Instance : Instances_) {
     if (!Instance.Group_)
@@ -127,22 +202,40 @@
     const auto Place = Places.find(*Instance.Group_);
     if (Place == Places.end())
       continue;
-    const framework::TargetId Id =
-        TargetNames_.intern(framework::TargetName(Instance.Name_.value()));
-    if (Id.value() >= Addresses_.size())
-      Addresses_.resize(Id.value() + 1);
-    Addresses_[Id.value()] = Instance.Address_;
-    Targets_.push_back(routing::TargetDescription{
-        .Target_ = Id,
-        .Service_ = Place->second.Service_,
-        .Zone_ = Zones_.intern(Place->second.Zone_),
-        .Slots_ = Place->second.Slots_,
-        .IsLeaving_ = Instance.IsLeaving_ || Place->second.IsZoneOut_});
+    addTarget(framework::TargetName(Instance.Name_.value()), Instance.Address_,
+              {.Target_ = {},
+               .Service_ = Place->second.Service_,
+               .Zone_ = Zones_.intern(Place->second.Zone_),
+               .Slots_ = Place->second.Slots_,
+               .IsLeaving_ = Instance.IsLeaving_ || Place->second.IsZoneOut_});
   }
-  std::sort(Targets_.begin(), Targets_.end(),
-            [](const auto &Left, const auto &Right) {
-              return Left.Target_ < Right.Target_;
-            });
+}
+
+void Environment::addStored() {
+  for (const fleet::PublishedTarget &Each : StoredTargets_) {
+    const auto Service = Services_.find(Each.Service_);
+    if (!Service || !ByService_.contains(*Service))
+      continue;
+    addTarget(Each.Name_, Each.Address_,
+              {.Target_ = {},
+               .Service_ = *Service,
+               .Zone_ = Zones_.intern(Each.Zone_),
+               .Slots_ = Each.Slots_,
+               .IsLeaving_ = Each.IsDraining_,
+               .Start_ = Each.Start_,
+               .WarmupLeft_ = Each.WarmupLeft_});
+  }
+}
+
+void Environment::addTarget(const framework::TargetName &Name,
+                            const std::string &Address,
+                            routing::TargetDescription Description) {
+  Description.Target_ = TargetNames_.intern(Name);
+  const std::size_t At = Description.Target_.value();
+  if (At >= Addresses_.size())
+    Addresses_.resize(At + 1);
+  Addresses_[At] = Address;
+  Targets_.push_back(Description);
 }
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -4,8 +4,10 @@
 #include "calls/types/kindid.h"
 #include "decision/internal/matchedkind.h"
 #include "document/kindindex.h"
+#include "document/routeindex.h"
 #include "document/types/environmentdocument.h"
 #include "document/types/publishedinstance.h"
+#include "fleet/types/publishedtarget.h"
 #include "framework/ids.h"
 #include "framework/interner.h"
 #include "routing/types/targetdescription.h"
@@ -23,6 +25,9 @@
 public:
   void setDocument(const document::EnvironmentDocument &Document);
   void setInstances(std::vector<document::PublishedInstance> Instances);
+  /// Takes targets that name their service and zone themselves; the list then
+  /// counts for nothing.
+  void setStoredTargets(std::vector<fleet::PublishedTarget> Targets);
 
   bool hasDocument() const { return Document_.has_value(); }
   framework::Digest digest() const { return Digest_; }
@@ -39,8 +44,10 @@
   std::uint32_t instanceCount() const;
 
   /// Returns the kind that a request belongs to under the document in force.
+  /// `Draw`, between 0 and 1, chooses among the parts of a split route.
   std::optional<MatchedKind> match(std::string_view Method,
-                                   std::string_view Path) const;
+                                   std::string_view Host, std::string_view Path,
+                                   double Draw) const;
 
   /// Returns the targets of the list that belong to a service of the document,
   /// in the order of their numbers.
@@ -51,6 +58,8 @@
   bool takesWork(framework::TargetId Target) const;
   const document::Service *service(framework::ServiceId Service) const;
   const std::string &address(framework::TargetId Target) const;
+  /// Returns where the target tells its health; empty for the default.
+  std::string healthPath(framework::TargetId Target) const;
   framework::TargetName targetName(framework::TargetId Target) const;
   std::optional<framework::TargetId>
   findTarget(const framework::TargetName &Name) const;
@@ -69,14 +78,26 @@
   };
   using KindKey = std::pair<framework::ServiceName, framework::KindName>;
 
+  std::optional<MatchedKind>
+  matchRoute(std::string_view Host, std::string_view Path, double Draw) const;
+  std::vector<routing::TargetDescription>::const_iterator
+  find(framework::TargetId Target) const;
   void rebuildTargets();
+  void addListed();
+  void addStored();
+  void addTarget(const framework::TargetName &Name, const std::string &Address,
+                 routing::TargetDescription Description);
   std::map<framework::GroupName, GroupPlace> placeGroups();
 
   std::optional<document::EnvironmentDocument> Document_;
   framework::Digest Digest_;
   document::KindIndex Kinds_;
+  document::RouteIndex Routes_;
+  /// By position of the route in the document.
+  std::vector<calls::KindId> RouteKinds_;
   std::vector<document::PublishedInstance> Instances_;
   bool HasInstances_ = false;
+  std::vector<fleet::PublishedTarget> StoredTargets_;
 
   framework::Interner<framework::ServiceName, framework::ServiceId> Services_;
   framework::Interner<framework::TargetName, framework::TargetId> TargetNames_;
--- a/src/decision/internal/environmentkeeper.h
+++ b/src/decision/internal/environmentkeeper.h
@@ -23,6 +23,8 @@
                    const document::EnvironmentDocument &Document);
   void setInstances(const Step &At,
                     std::vector<document::PublishedInstance> Instances);
+  void setStoredTargets(const Step &At,
+                        std::vector<fleet::PublishedTarget> Targets);
   /// Brings this instance's shares of fleet-wide bounds up to date.
   void applyShares(const Step &At);
   /// Returns the number of services with listed targets that take work.
@@ -33,7 +35,11 @@
 
 private:
   void apply(const Step &At);
+  std::uint32_t instanceCount() const;
   void applyCapacities();
+  routing::TargetBounds boundsOf(const Step &At,
+                                 const routing::TargetDescription &Target);
+  void applyExtraWindow();
   void placeOnRing();
 
   CoreParts &Parts_;
--- a/src/decision/internal/fleetlink.cpp
+++ b/src/decision/internal/fleetlink.cpp
@@ -55,6 +55,28 @@
       Input.Request_, Parts_.Fleet_.serveSections(Input.Wanted_)});
 }
 
+void FleetLink::handle(const Step &At, const RecordsRead &Input) {
+  Parts_.Fleet_.noteAllRecords(Input.Records_, Input.AsOf_, At.Now_,
+                               Parts_.FleetOutput_);
+}
+
+void FleetLink::handle(const Step &At, const RecordsChanged &Input) {
+  Parts_.Fleet_.noteChangedRecords(Input.Records_, Input.AsOf_, At.Now_,
+                                   Parts_.FleetOutput_);
+}
+
+void FleetLink::handle(const Step &At, const RecordHistoryLost &) {
+  Parts_.Fleet_.noteHistoryLost(At.Now_, Parts_.FleetOutput_);
+}
+
+void FleetLink::handle(const Step &At, const RecordsUnavailable &) {
+  Parts_.Fleet_.noteRecordsUnavailable(At.Now_, Parts_.FleetOutput_);
+}
+
+void FleetLink::handle(const Step &, const SeedsChanged &Input) {
+  Parts_.Fleet_.setSeeds(Input.Addresses_);
+}
+
 void FleetLink::carryOut(const Step &At) {
   while (!Parts_.FleetOutput_.empty()) {
     const fleet::OutputList Asked = std::exchange(Parts_.FleetOutput_, {});
@@ -88,7 +110,7 @@
 void FleetLink::apply(const Step &At, const fleet::InstancesChanged &) {
   std::vector<document::PublishedInstance> All =
       Parts_.Fleet_.publishedTargets();
-  const auto &Peers = Parts_.Fleet_.publishedPeers();
+  const auto Peers = Parts_.Fleet_.publishedPeers();
   All.insert(All.end(), Peers.begin(), Peers.end());
   Keeper_.setInstances(At, std::move(All));
 }
@@ -121,6 +143,18 @@
     At.Output_.push_back(ReadInstances{Asked.NewerThan_, Asked.Wait_});
 }
 
+void FleetLink::apply(const Step &At, const fleet::ReadRecords &Asked) {
+  At.Output_.push_back(ReadRecords{Asked.After_, Asked.Wait_});
+}
+
+void FleetLink::apply(const Step &At, const fleet::RecordRejected &Asked) {
+  report(At, ChangeKind::RecordRejected, Asked.Key_ + ": " + Asked.Reason_);
+}
+
+void FleetLink::apply(const Step &At, const fleet::TargetsChanged &) {
+  Keeper_.setStoredTargets(At, Parts_.Fleet_.storedTargets());
+}
+
 void FleetLink::apply(const Step &At, const fleet::SendMessage &Asked) {
   At.Output_.push_back(SendPeerMessage{Asked.PeerAddress_, Asked.Message_});
 }
--- a/src/decision/internal/fleetlink.h
+++ b/src/decision/internal/fleetlink.h
@@ -13,9 +13,14 @@
 #include "decision/types/events/instancesunavailable.h"
 #include "decision/types/events/instancesunchanged.h"
 #include "decision/types/events/peermessagereceived.h"
+#include "decision/types/events/recordhistorylost.h"
+#include "decision/types/events/recordschanged.h"
+#include "decision/types/events/recordsread.h"
+#include "decision/types/events/recordsunavailable.h"
 #include "decision/types/events/sectionsfetched.h"
 #include "decision/types/events/sectionsrequested.h"
 #include "decision/types/events/sectionsunavailable.h"
+#include "decision/types/events/seedschanged.h"
 #include "fleet/output.h"
 
 namespace cranberryspool::decision {
@@ -38,6 +43,11 @@
   void handle(const Step &At, const SectionsFetched &Input);
   void handle(const Step &At, const SectionsUnavailable &Input);
   void handle(const Step &At, const SectionsRequested &Input);
+  void handle(const Step &At, const RecordsRead &Input);
+  void handle(const Step &At, const RecordsChanged &Input);
+  void handle(const Step &At, const RecordHistoryLost &Input);
+  void handle(const Step &At, const RecordsUnavailable &Input);
+  void handle(const Step &At, const SeedsChanged &Input);
 
   /// Carries out everything that the fleet has asked for.
   void carryOut(const Step &At);
@@ -52,11 +62,14 @@
   void apply(const Step &At, const fleet::OlderIgnored &Asked);
   void apply(const Step &At, const fleet::PeerChanged &Asked);
   void apply(const Step &At, const fleet::ReadPublished &Asked);
+  void apply(const Step &At, const fleet::ReadRecords &Asked);
+  void apply(const Step &At, const fleet::RecordRejected &Asked);
   void apply(const Step &At, const fleet::SendMessage &Asked);
   void apply(const Step &At, const fleet::SharesChanged &Asked);
   void apply(const Step &At, const fleet::Superseded &Asked);
   void apply(const Step &At, const fleet::TargetReportedCold &Asked);
   void apply(const Step &At, const fleet::TargetReportedWarm &Asked);
+  void apply(const Step &At, const fleet::TargetsChanged &Asked);
   void apply(const Step &At, const fleet::ViewChanged &Asked);
   void report(const Step &At, ChangeKind Kind, std::string Subject);
 
--- a/src/decision/internal/outcomes.cpp
+++ b/src/decision/internal/outcomes.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint32_t FirstServerError = 500;
+/// Attempts of one call at most when nothing of them reaches a target.
+constexpr std::uint32_t MaxStarts = 4;
 
 calls::EndingReason reasonOf(calls::AttemptFailure Failure) {
   switch (Failure) {
@@ -179,14 +181,13 @@
     Owner.FallbackAnswer_ = Ended.Attempt_;
     if (!Owner.Live_.empty())
       return;
-    if (mayRetry(Owner)) {
+    if (mayRetry(At, Owner)) {
       Waiting_.enqueueAgain(At, Owner);
       return;
     }
   }
   if (!IsFailure) {
-    Parts_.Learning_.extra(Ended.Service_).noteSuccess();
-    Parts_.Learning_.resends(Ended.Service_).noteSuccess();
+    Parts_.Learning_.noteSuccess(Ended.Service_);
     if (Ended.Kind_ == calls::AttemptKind::Hedge)
       ++Parts_.Counters_.HedgesWon_;
   }
@@ -201,7 +202,7 @@
   Owner->MayHaveRun_ = true;
   if (!Owner->Live_.empty())
     return;
-  if (Owner->Request_.IsIdempotent_ && mayRetry(*Owner))
+  if (Owner->Request_.IsIdempotent_ && mayRetry(At, *Owner))
     Waiting_.enqueueAgain(At, *Owner);
   else
     Ender_.giveUp(At, *Owner, Why);
@@ -213,7 +214,7 @@
     return;
   if (Owner->IsCallerGone_)
     Ender_.giveUp(At, *Owner, calls::EndingReason::CallerGone);
-  else if (Owner->Started_ < Parts_.Calling_.MaxAttempts_)
+  else if (Owner->Started_ < MaxStarts)
     Waiting_.enqueueAgain(At, *Owner);
   else
     Ender_.giveUp(At, *Owner, calls::EndingReason::ConnectFailed);
@@ -227,8 +228,8 @@
     Ender_.giveUp(At, Owner, calls::EndingReason::CallerGone);
     return;
   }
-  if (Owner.Started_ < Parts_.Calling_.MaxAttempts_ &&
-      Parts_.Learning_.resends(Owner.Request_.Service_).tryTake()) {
+  if (Owner.Sent_ < Owner.Request_.MaxAttempts_ &&
+      Parts_.Learning_.tryResend(Owner.Request_.Service_, At.now())) {
     Waiting_.enqueueAgain(At, Owner);
     return;
   }
@@ -236,12 +237,12 @@
   Ender_.giveUp(At, Owner, calls::EndingReason::Shed);
 }
 
-bool Outcomes::mayRetry(const calls::Call &Owner) {
+bool Outcomes::mayRetry(const Step &At, const calls::Call &Owner) {
   if (Owner.IsCallerGone_ || Owner.Request_.AttemptMark_ > 1)
     return false;
-  if (Owner.Started_ >= Parts_.Calling_.MaxAttempts_)
+  if (Owner.Sent_ >= Owner.Request_.MaxAttempts_)
     return false;
-  if (Parts_.Learning_.extra(Owner.Request_.Service_).tryTake())
+  if (Parts_.Learning_.tryExtra(Owner.Request_.Service_, At.now()))
     return true;
   ++Parts_.Counters_.RetriesOverBudget_;
   return false;
--- a/src/decision/internal/outcomes.h
+++ b/src/decision/internal/outcomes.h
@@ -60,7 +60,7 @@
   void followNotRun(const Step &At, calls::Call &Owner);
   void followAnswer(const Step &At, calls::Call &Owner,
                     const calls::Attempt &Ended, std::uint32_t Status);
-  bool mayRetry(const calls::Call &Owner);
+  bool mayRetry(const Step &At, const calls::Call &Owner);
   /// The other end closed a connection to the target.
   void noteReset(const Step &At, framework::TargetId Target, bool WasIdle);
   void failOpening(const Step &At, framework::ConnectionId Id);
--- a/src/decision/internal/prober.cpp
+++ b/src/decision/internal/prober.cpp
@@ -5,20 +5,37 @@
 namespace cranberryspool::decision {
 
 void Prober::probe(const Step &At) {
+  if (Parts_.Fleet_.readsStore()) {
+    probeStored(At);
+    return;
+  }
   std::vector<framework::TargetId> Unseen;
   Parts_.Targets_.nextProbeCandidates(Parts_.Environment_.targets().size(),
                                       At.now(), Unseen);
-  for (const framework::TargetId Target : Unseen) {
-    const framework::TargetName Name = Parts_.Environment_.targetName(Target);
-    if (!Parts_.Fleet_.mayProbe(Name, At.now()))
-      continue;
-    Parts_.Fleet_.noteProbed(Name, At.now());
-    const framework::ProbeId Id(++LastProbe_);
-    Running_.emplace(Id, Target);
-    ++Parts_.Counters_.ProbesSent_;
-    At.Output_.push_back(
-        ProbeTarget{Id, Target, Parts_.Environment_.address(Target)});
-  }
+  for (const framework::TargetId Target : Unseen)
+    if (Parts_.Fleet_.mayProbe(Parts_.Environment_.targetName(Target),
+                               At.now()))
+      send(At, Target);
+}
+
+void Prober::probeStored(const Step &At) {
+  for (const routing::TargetDescription &Target : Parts_.Environment_.targets())
+    if (Parts_.Fleet_.mayProbe(Parts_.Environment_.targetName(Target.Target_),
+                               At.now()))
+      send(At, Target.Target_);
+}
+
+void Prober::send(const Step &At, framework::TargetId Target) {
+  Parts_.Fleet_.noteProbed(Parts_.Environment_.targetName(Target), At.now());
+  const framework::ProbeId Id(++LastProbe_);
+  Running_.emplace(Id, Target);
+  ++Parts_.Counters_.ProbesSent_;
+  At.Output_.push_back(
+      ProbeTarget{.Probe_ = Id,
+                  .Target_ = Target,
+                  .Address_ = Parts_.Environment_.address(Target),
+                  .Path_ = Parts_.Environment_.healthPath(Target),
+                  .TargetName_ = Parts_.Environment_.targetName(Target)});
 }
 
 void Prober::handle(const Step &At, const ProbeAnswered &Input) {
--- a/src/decision/internal/prober.h
+++ b/src/decision/internal/prober.h
@@ -23,6 +23,11 @@
   void handle(const Step &At, const ProbeFailed &Input);
 
 private:
+  void send(const Step &At, framework::TargetId Target);
+  /// Targets of a store tell their warmth only to probes, so that traffic does
+  /// not replace these.
+  void probeStored(const Step &At);
+
   CoreParts &Parts_;
   TargetNotes &Notes_;
   std::map<framework::ProbeId, framework::TargetId> Running_;
--- a/src/decision/types/actions/probetarget.h
+++ b/src/decision/types/actions/probetarget.h
@@ -12,6 +12,9 @@
   framework::ProbeId Probe_;
   framework::TargetId Target_;
   std::string Address_;
+  /// Where the target tells its health; empty for the default.
+  std::string Path_ = {};
+  framework::TargetName TargetName_ = {};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/actions/sendattempt.h
+++ b/src/decision/types/actions/sendattempt.h
@@ -20,6 +20,7 @@
   std::uint32_t Depth_ = 0;
   /// The repeat mark told to the target.
   std::uint32_t AttemptMark_ = 1;
+  framework::TargetName TargetName_ = {};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -8,6 +8,7 @@
   DocumentInForce,
   DocumentRejected,
   DocumentOlderIgnored,
+  RecordRejected,
   TargetEjected,
   TargetRestored,
   TargetCold,
--- a/src/decision/types/events/callarrived.h
+++ b/src/decision/types/events/callarrived.h
@@ -16,6 +16,8 @@
   framework::CallId Call_;
   std::string Method_;
   std::string Path_;
+  /// The host that the caller names; empty when kinds do not go by hosts.
+  std::string Host_ = {};
   /// The urgency that the caller asks for; the document's when absent.
   std::optional<document::Urgency> Urgency_;
   /// The time in which the caller wants the answer; the document's deadline
--- a/src/entry/internal/base64.h
+++ b/src/entry/base64.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_BASE64_H
-#define CRANBERRYSPOOL_ENTRY_INTERNAL_BASE64_H
+#ifndef CRANBERRYSPOOL_ENTRY_BASE64_H
+#define CRANBERRYSPOOL_ENTRY_BASE64_H
 
 #include <optional>
 #include <string>
@@ -15,4 +15,4 @@
 
 } // namespace cranberryspool::entry
 
-#endif // CRANBERRYSPOOL_ENTRY_INTERNAL_BASE64_H
+#endif // CRANBERRYSPOOL_ENTRY_BASE64_H
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -7,6 +7,8 @@
 #include "framework/result.h"
 
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace cranberryspool::entry {
 
@@ -26,6 +28,9 @@
   /// Asks for a stop that cuts no call; returns at once.
   void requestStop();
 
+  /// Takes other addresses of seeds, when the settings have changed.
+  void setSeeds(std::vector<std::string> Addresses);
+
   /// Returns when the instance has stopped, and how it ended.
   ExitCode waitUntilStopped();
 
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -1,11 +1,17 @@
 #ifndef CRANBERRYSPOOL_ENTRY_ENTRYSETTINGS_H
 #define CRANBERRYSPOOL_ENTRY_ENTRYSETTINGS_H
 
+#include "entry/owndialect.h"
+#include "entry/publishedstore.h"
+#include "entry/types/dialect.h"
 #include "entry/types/endpoint.h"
 #include "entry/types/entrylimits.h"
+#include "fleet/types/seedsettings.h"
 #include "framework/ids.h"
 #include "framework/time.h"
 
+#include <optional>
+
 namespace cranberryspool::entry {
 
 /// What an operator sets for one instance.
@@ -22,6 +28,11 @@
   /// How long a stopping instance goes on accepting calls, so that the balancer
   /// notices first.
   framework::Duration StopLinger_ = std::chrono::seconds(3);
+  Dialect Dialect_ = ownDialect();
+  /// Set both or none: where instances find each other by seeds and read the
+  /// platform's store, the document service and the instance list are unused.
+  std::optional<fleet::SeedSettings> Seeds_ = std::nullopt;
+  StoreFactory MakeStore_ = {};
 };
 
 } // namespace cranberryspool::entry
--- /dev/null
+++ b/src/entry/httpexchange.h
@@ -0,0 +1,85 @@
+#ifndef CRANBERRYSPOOL_ENTRY_HTTPEXCHANGE_H
+#define CRANBERRYSPOOL_ENTRY_HTTPEXCHANGE_H
+
+#include "entry/types/endpoint.h"
+#include "framework/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cranberryspool::entry {
+
+/// A GET request of the system itself.
+struct HttpQuestion {
+  Endpoint To_;
+  /// The path and the query.
+  std::string Target_;
+  std::string UserAgent_;
+  /// For connecting, asking and reading the answer together.
+  framework::Duration Timeout_{};
+  /// Bytes of an answer's body.
+  std::size_t BodyBytes_ = 0;
+  /// True when the connection is kept for the next question.
+  bool IsKeptAlive_ = true;
+};
+
+/// Asks an HTTP server one question at a time, over a connection that may be
+/// kept between questions. Belongs to the duty that runs the I/O context.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+public:
+  using Answer = boost::beast::http::response<boost::beast::http::string_body>;
+  /// Takes the whole answer, or nothing when there is none in time.
+  using Handler = std::function<void(std::optional<Answer>)>;
+
+  explicit HttpExchange(boost::asio::io_context &Io);
+
+  /// Asks; the handler is called once. A question under way is given up and its
+  /// handler not called.
+  void ask(HttpQuestion Question, Handler OnAnswer);
+  /// Closes the connection and gives up a question under way, silently.
+  void close();
+
+private:
+  using AnswerParser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void connect();
+  void write();
+  void onConnected(const boost::system::error_code &Error);
+  void onWritten(const boost::system::error_code &Error);
+  void onRead(const boost::system::error_code &Error);
+  /// Connects anew when the server has closed a kept connection; otherwise
+  /// there is no answer.
+  void retryOrFail();
+  void finish(std::optional<Answer> Given);
+  /// Wraps a step of the question under way, so that it does nothing once that
+  /// question has ended.
+  template <typename Step> auto guarded(Step Next);
+
+  boost::asio::ip::tcp::socket Socket_;
+  boost::asio::steady_timer Timer_;
+  HttpQuestion Question_;
+  Handler OnAnswer_;
+  Endpoint Connected_;
+  bool IsReused_ = false;
+  std::uint64_t Turn_ = 0;
+  boost::beast::http::request<boost::beast::http::empty_body> Output_;
+  boost::beast::flat_buffer Input_;
+  std::optional<AnswerParser> Parser_;
+};
+
+} // namespace cranberryspool::entry
+
+#endif // CRANBERRYSPOOL_ENTRY_HTTPEXCHANGE_H
--- a/src/entry/internal/answerfields.cpp
+++ b/src/entry/internal/answerfields.cpp
@@ -1,7 +1,6 @@
 #include "entry/internal/answerfields.h"
 
 #include "entry/internal/fieldtext.h"
-#include "protocol/headers.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -49,21 +48,33 @@
   return framework::Incarnation(XXH3_64bits(Bare.data(), Bare.size()));
 }
 
-void readAnswerFields(const std::vector<HeaderField> &Fields,
-                      decision::AttemptAnswered &Event) {
+AnswerHead readAnswerFields(const std::vector<HeaderField> &Fields,
+                            const Dialect &Spoken) {
+  AnswerHead Head;
   for (const HeaderField &Field : Fields) {
-    if (isSameField(Field.Name_, protocol::AttemptIdHeader)) {
-      // An unreadable echo is a wrong one: no attempt has the number 0.
-      Event.EchoedAttempt_ =
-          framework::AttemptId(parseCount(trimmed(Field.Value_)).value_or(0));
-    } else if (isSameField(Field.Name_, protocol::NotRunHeader)) {
-      Event.IsNotRun_ = isSameField(trimmed(Field.Value_), "true");
-    } else if (isSameField(Field.Name_, protocol::StartIdHeader)) {
-      Event.StartId_ = readStartId(Field.Value_);
-    } else if (isSameField(Field.Name_, protocol::LoadReportHeader)) {
-      Event.Report_ = readLoadReport(Field.Value_);
-    }
+    const auto Is = [&](const std::string &Name) {
+      return !Name.empty() && isSameField(Field.Name_, Name);
+    };
+    const std::string_view Value = trimmed(Field.Value_);
+    if (Is(Spoken.AttemptIdField_))
+      Head.AttemptId_ = std::string(Value);
+    else if (Is(Spoken.NotRunField_))
+      Head.IsNotRun_ = Spoken.NotRunValue_.empty() ||
+                       isSameField(Value, Spoken.NotRunValue_);
+    else if (Is(Spoken.StartIdField_))
+      Head.StartId_ = readStartId(Value);
+    else if (Is(Spoken.LoadReportField_))
+      Head.Report_ = Spoken.ReadLoadReport_(Value);
+    else if (Is(Spoken.TargetIdField_))
+      Head.TargetId_ = std::string(Value);
+    else if (Is(Spoken.ProofField_))
+      Head.HasProof_ = true;
+    else if (isSameField(Field.Name_, "Content-Encoding"))
+      Head.IsEncoded_ = true;
+    else if (Is(Spoken.WarmupField_))
+      Head.WarmupMs_ = parseCount(Value);
   }
+  return Head;
 }
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/answerfields.h
+++ b/src/entry/internal/answerfields.h
@@ -1,7 +1,8 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_ANSWERFIELDS_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_ANSWERFIELDS_H
 
-#include "decision/types/events/attemptanswered.h"
+#include "entry/types/answerhead.h"
+#include "entry/types/dialect.h"
 #include "entry/types/headerfield.h"
 
 #include <optional>
@@ -17,9 +18,9 @@
 /// Reads a start id: a decimal number, or any other text by its hash.
 framework::Incarnation readStartId(std::string_view Text);
 
-/// Copies what a target says in the fields of its answer into the event.
-void readAnswerFields(const std::vector<HeaderField> &Fields,
-                      decision::AttemptAnswered &Event);
+/// Reads what a target says in the fields of its answer.
+AnswerHead readAnswerFields(const std::vector<HeaderField> &Fields,
+                            const Dialect &Spoken);
 
 } // namespace cranberryspool::entry
 
--- a/src/entry/internal/base64.cpp
+++ b/src/entry/internal/base64.cpp
@@ -1,4 +1,4 @@
-#include "entry/internal/base64.h"
+#include "entry/base64.h"
 
 #include <openssl/evp.h>
 
--- a/src/entry/internal/callerserver.cpp
+++ b/src/entry/internal/callerserver.cpp
@@ -119,7 +119,7 @@
 
 void CallerServer::carryOut(GiveAnswer &Command) {
   if (const auto Session = takeSession(Command.Call_))
-    Session->giveAnswer(std::move(Command.Answer_));
+    Session->giveAnswer(Command.Call_, std::move(Command.Answer_));
 }
 
 void CallerServer::carryOut(const decision::RefuseCall &Command) {
--- a/src/entry/internal/callerserver.h
+++ b/src/entry/internal/callerserver.h
@@ -39,6 +39,8 @@
 
   const EntryLimits &limits() const { return Limits_; }
   InstanceState &shared() { return Shared_; }
+  /// The limits in force now.
+  const CallerLimitsNow &callerLimits() const { return Shared_.CallerLimits_; }
   bool isWindingDown() const { return IsWindingDown_; }
   framework::Instant now() const;
 
--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -3,12 +3,20 @@
 #include "entry/internal/callerserver.h"
 #include "entry/internal/callfields.h"
 #include "entry/internal/endingstatus.h"
+#include "entry/internal/fieldsof.h"
 #include "entry/internal/headshape.h"
-#include "protocol/headers.h"
+#include "entry/internal/instancestate.h"
+#include "entry/internal/retryafter.h"
 
-#include <boost/beast/http/error.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace cranberryspool::entry {
 
 namespace net = boost::asio;
@@ -22,6 +30,10 @@
 constexpr std::size_t BodyReadBytes = 64 * 1024;
 /// A chunk's head, extensions included, or a trailer, must fit in this.
 constexpr std::size_t ChunkHeadBytes = 16 * 1024;
+/// Requests that are read before the first of them is answered.
+constexpr std::size_t MaxExchanges = 16;
+/// Bytes of requests that wait unread until answers have left.
+constexpr std::size_t MaxWaitingBytes = 64 * 1024;
 constexpr framework::Duration LingerTime = std::chrono::seconds(1);
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -42,17 +54,39 @@
 
 void CallerSession::start() { awaitNextRequest(); }
 
+bool CallerSession::mayReadAhead() const {
+  if (IsLast_ || Exchanges_.size() >= MaxExchanges)
+    return false;
+  // The last answer closes the connection, so that nothing follows it.
+  return Exchanges_.empty() || !Server_.isWindingDown();
+}
+
 void CallerSession::awaitNextRequest() {
-  Phase_ = Phase::Idle;
   Request_ = CallerRequest();
   Searched_ = 0;
-  setDeadline(Server_.limits().IdleTimeout_);
+  if (!mayReadAhead()) {
+    Phase_ = Phase::Full;
+    Deadline_ = framework::Instant::max();
+    readMore();
+    return;
+  }
+  Phase_ = Phase::Idle;
+  if (Exchanges_.empty())
+    setDeadline(Server_.callerLimits().idleTimeout());
+  else
+    Deadline_ = framework::Instant::max();
   continueWithInput();
 }
 
 void CallerSession::readMore() {
   if (IsReading_ || isClosed())
     return;
+  // Reading goes on while requests are answered: it shows that the caller is
+  // gone.
+  if (Phase_ == Phase::Full && Input_.size() >= MaxWaitingBytes)
+    return;
+  if (Input_.size() == 0 && Phase_ != Phase::Body)
+    Input_ = beast::flat_buffer();
   IsReading_ = true;
   const std::size_t Bytes = Phase_ == Phase::Body ? BodyReadBytes : ReadBytes;
   Socket_.async_read_some(
@@ -67,14 +101,15 @@
   if (isClosed())
     return;
   if (Error) {
-    if (Phase_ != Phase::Writing)
-      close();
+    // A caller that ends its side after its last request gets its answer.
+    if (Serializer_ && Exchanges_.size() == 1)
+      Exchanges_.front().IsKeptAlive_ = false;
     else
-      IsKeptAlive_ = false;
+      close();
     return;
   }
   Input_.commit(Bytes);
-  if (IsLingering_) {
+  if (Phase_ == Phase::Lingering) {
     Input_.clear();
     readMore();
     return;
@@ -85,25 +120,25 @@
 void CallerSession::continueWithInput() {
   if (Phase_ == Phase::Idle && Input_.size() > 0) {
     Phase_ = Phase::Head;
-    setDeadline(Server_.limits().HeadTimeout_);
+    setDeadline(Server_.callerLimits().headTimeout());
   }
   if (Phase_ == Phase::Head)
     continueHead();
   else if (Phase_ == Phase::Body)
     continueBody();
-  else if (Phase_ == Phase::Idle)
+  else
     readMore();
 }
 
 void CallerSession::continueHead() {
   const std::string_view Seen = viewOf(Input_);
+  const std::size_t Limit = Server_.callerLimits().headBytes();
   const std::size_t End = Seen.find(HeadEnd, Searched_);
-  if (End != std::string_view::npos &&
-      End + HeadEnd.size() <= Server_.limits().HeadBytes_) {
+  if (End != std::string_view::npos && End + HeadEnd.size() <= Limit) {
     acceptHead(Seen.substr(0, End + HeadEnd.size()));
     return;
   }
-  if (Seen.size() > Server_.limits().HeadBytes_) {
+  if (Seen.size() > Limit) {
     refuseRequest(431, "head-too-large");
     return;
   }
@@ -118,7 +153,7 @@
   }
   Parser_.emplace();
   Parser_->header_limit(static_cast<std::uint32_t>(Raw.size() + 1));
-  Parser_->body_limit(Server_.limits().BodyBytes_);
+  Parser_->body_limit(Server_.callerLimits().bodyBytes());
   error_code Error;
   const std::size_t Used =
       Parser_->put(net::buffer(Raw.data(), Raw.size()), Error);
@@ -136,19 +171,19 @@
   Request_.Method_ = std::string(Message.method_string());
   Request_.Target_ = std::string(Message.target());
   // Taken before the body is read: trailers must not become header fields.
-  std::vector<HeaderField> Fields;
-  for (const auto &Field : Message)
-    Fields.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  const auto Head = readCallFields(Fields);
+  const std::vector<HeaderField> Fields = fieldsOf(Message);
+  const Dialect &Spoken = Server_.shared().Dialect_;
+  const auto Head = readCallFields(Fields, Spoken);
   if (!Head) {
     refuseHead(Head.error());
     return;
   }
-  Request_.Fields_ = forwardableRequestFields(Fields);
+  Request_.Fields_ = forwardableRequestFields(Fields, Spoken);
+  Request_.AttemptId_ = Head.value().AttemptId_;
   Arrival_ = decision::CallArrived();
   Arrival_.Method_ = Request_.Method_;
   Arrival_.Path_ = std::string(pathOf(Request_.Target_));
+  Arrival_.Host_ = std::string(Message[http::field::host]);
   Arrival_.Urgency_ = Head.value().Urgency_;
   Arrival_.Timeout_ = Head.value().Timeout_;
   Arrival_.Key_ = Head.value().Key_;
@@ -171,13 +206,12 @@
 bool CallerSession::reserveBody() {
   std::size_t Bytes = 0;
   if (Parser_->chunked())
-    Bytes = Server_.limits().BodyBytes_;
+    Bytes = Server_.callerLimits().bodyBytes();
   else if (Parser_->content_length())
     Bytes = *Parser_->content_length();
   if (Request_.Reservation_.take(Server_.shared().RequestBytes_, Bytes))
     return true;
-  IsKeptAlive_ = false;
-  answerNotRun(503, "overloaded", true);
+  answerNotRun(503, "overloaded", false);
   return false;
 }
 
@@ -213,55 +247,72 @@
   Request_.Reservation_.shrink(Request_.Body_.size());
   Parser_.reset();
   Arrival_.BodyBytes_ = Request_.Body_.size();
-  Deadline_ = framework::Instant::max();
-  Phase_ = Phase::Called;
-  Call_ = Server_.accept(Number_, std::move(Arrival_), std::move(Request_));
-  if (!Call_) {
+  const auto Call =
+      Server_.accept(Number_, std::move(Arrival_), std::move(Request_));
+  if (!Call) {
     answerNotRun(503, "overloaded", true);
     return;
   }
-  if (Input_.size() > 0)
-    return;
-  Input_ = beast::flat_buffer();
-  // Shows when the caller goes away; bytes of a next request wait.
-  readMore();
+  IsLast_ = !IsKeptAlive_;
+  Exchanges_.push_back(Exchange{.Call_ = Call,
+                                .IsHeadRequest_ = IsHeadRequest_,
+                                .IsKeptAlive_ = IsKeptAlive_,
+                                .Answer_ = std::nullopt,
+                                .Source_ = nullptr});
+  awaitNextRequest();
 }
 
-void CallerSession::giveAnswer(std::shared_ptr<const TargetAnswer> Answer) {
-  if (isClosed())
+Exchange *CallerSession::find(framework::CallId Call) {
+  const auto Position =
+      std::find_if(Exchanges_.begin(), Exchanges_.end(),
+                   [&](const Exchange &Each) { return Each.Call_ == Call; });
+  return Position == Exchanges_.end() ? nullptr : &*Position;
+}
+
+void CallerSession::giveAnswer(framework::CallId Call,
+                               std::shared_ptr<const TargetAnswer> Answer) {
+  Exchange *Owner = isClosed() ? nullptr : find(Call);
+  if (!Owner)
     return;
-  Call_.reset();
-  Answer_ = std::move(Answer);
-  Response Message = startResponse(Answer_->Status_);
-  for (const HeaderField &Field : Answer_->Fields_) {
-    if (IsHeadRequest_ || !beast::iequals(Field.Name_, "Content-Length"))
+  Owner->Call_.reset();
+  Owner->Source_ = std::move(Answer);
+  const TargetAnswer &Source = *Owner->Source_;
+  Response Message = startResponse(Source.Status_);
+  for (const HeaderField &Field : Source.Fields_) {
+    if (Owner->IsHeadRequest_ || !beast::iequals(Field.Name_, "Content-Length"))
       Message.insert(Field.Name_, Field.Value_);
   }
-  Message.set(protocol::EndingHeader, nameOf(calls::Ending::Answered));
-  Message.body() = {Answer_->Body_.data(), Answer_->Body_.size()};
+  const Dialect &Spoken = Server_.shared().Dialect_;
+  if (!Spoken.EndingField_.empty())
+    Message.set(Spoken.EndingField_, nameOf(calls::Ending::Answered));
+  Message.body() = {Source.Body_.data(), Source.Body_.size()};
   const bool HasNoBody =
-      IsHeadRequest_ || Answer_->Status_ == 204 || Answer_->Status_ == 304;
+      Owner->IsHeadRequest_ || Source.Status_ == 204 || Source.Status_ == 304;
   if (!HasNoBody)
-    Message.content_length(Answer_->Body_.size());
-  write(std::move(Message));
+    Message.content_length(Source.Body_.size());
+  Owner->Answer_ = std::move(Message);
+  writeNext();
 }
 
 void CallerSession::giveRefusal(const decision::RefuseCall &Refusal) {
-  if (isClosed())
+  Exchange *Owner = isClosed() ? nullptr : find(Refusal.Call_);
+  if (!Owner)
     return;
-  Call_.reset();
+  Owner->Call_.reset();
+  const Dialect &Spoken = Server_.shared().Dialect_;
   Response Message = startResponse(statusOf(Refusal.Ending_, Refusal.Reason_));
-  Message.set(protocol::EndingHeader, nameOf(Refusal.Ending_));
-  Message.set(protocol::EndingReasonHeader, nameOf(Refusal.Reason_));
-  const auto Wait =
-      std::chrono::ceil<std::chrono::seconds>(Refusal.RetryAfter_);
+  if (!Spoken.EndingField_.empty()) {
+    Message.set(Spoken.EndingField_, nameOf(Refusal.Ending_));
+    Message.set(Spoken.EndingReasonField_, nameOf(Refusal.Reason_));
+  }
   const bool IsUnavailable =
       Message.result_int() == 503 || Message.result_int() == 429;
-  if (IsUnavailable || Wait.count() > 0)
+  if (IsUnavailable || Refusal.RetryAfter_ > framework::Duration::zero())
     Message.set(http::field::retry_after,
-                std::to_string(std::max<std::int64_t>(Wait.count(), 1)));
+                retryAfterText(Refusal.RetryAfter_, Spoken));
   Message.content_length(0);
-  write(std::move(Message));
+  Owner->Answer_ = std::move(Message);
+  writeNext();
 }
 
 void CallerSession::refuseHead(HeadFault Fault) {
@@ -276,15 +327,28 @@
 void CallerSession::answerNotRun(unsigned Status, std::string_view Reason,
                                  bool MayGoOn) {
   IsKeptAlive_ = IsKeptAlive_ && MayGoOn;
+  IsLast_ = !IsKeptAlive_;
   Parser_.reset();
   Request_ = CallerRequest();
+  const Dialect &Spoken = Server_.shared().Dialect_;
   Response Message = startResponse(Status);
-  Message.set(protocol::EndingHeader, nameOf(calls::Ending::NotRun));
-  Message.set(protocol::EndingReasonHeader, Reason);
+  if (!Spoken.EndingField_.empty()) {
+    Message.set(Spoken.EndingField_, nameOf(calls::Ending::NotRun));
+    Message.set(Spoken.EndingReasonField_, Reason);
+  }
   if (Status == 503)
-    Message.set(http::field::retry_after, "1");
+    Message.set(http::field::retry_after,
+                retryAfterText(std::chrono::milliseconds(100), Spoken));
   Message.content_length(0);
-  write(std::move(Message));
+  Exchanges_.push_back(Exchange{.Call_ = std::nullopt,
+                                .IsHeadRequest_ = IsHeadRequest_,
+                                .IsKeptAlive_ = IsKeptAlive_,
+                                .Answer_ = std::move(Message),
+                                .Source_ = nullptr});
+  // Set first: the write may end the connection.
+  Phase_ = Phase::Full;
+  Deadline_ = framework::Instant::max();
+  writeNext();
 }
 
 CallerSession::Response CallerSession::startResponse(unsigned Status) const {
@@ -294,13 +358,22 @@
   return Message;
 }
 
-void CallerSession::write(Response Message) {
-  Phase_ = Phase::Writing;
-  setDeadline(Server_.limits().WriteTimeout_);
-  IsLast_ = IsLast_ || !IsKeptAlive_ || Server_.isWindingDown();
-  Message.keep_alive(!IsLast_);
-  Output_ = std::move(Message);
-  Serializer_.emplace(*Output_);
+void CallerSession::writeNext() {
+  if (isClosed() || Serializer_ || Exchanges_.empty() ||
+      !Exchanges_.front().Answer_)
+    return;
+  Exchange &Next = Exchanges_.front();
+  WriteDeadline_ = Server_.now() + Server_.limits().WriteTimeout_;
+  // An answer may close the connection only when no request that was passed
+  // on, or is being read, stands behind it.
+  const bool IsIdleBehind =
+      Exchanges_.size() == 1 && Phase_ != Phase::Head && Phase_ != Phase::Body;
+  if (Server_.isWindingDown() && IsIdleBehind)
+    Next.IsKeptAlive_ = false;
+  if (!Next.IsKeptAlive_)
+    IsLast_ = true;
+  Next.Answer_->keep_alive(Next.IsKeptAlive_);
+  Serializer_.emplace(*Next.Answer_);
   Serializer_->split(false);
   http::async_write(
       Socket_, *Serializer_,
@@ -311,22 +384,30 @@
 
 void CallerSession::onWritten(const error_code &Error) {
   Serializer_.reset();
-  Output_.reset();
-  Answer_.reset();
+  WriteDeadline_ = framework::Instant::max();
   if (isClosed())
     return;
-  if (Error || !IsKeptAlive_ || IsLast_) {
-    Error ? close() : linger();
+  const bool IsKeptAlive = Exchanges_.front().IsKeptAlive_;
+  Exchanges_.pop_front();
+  if (Error) {
+    close();
     return;
   }
-  awaitNextRequest();
+  if (!IsKeptAlive) {
+    linger();
+    return;
+  }
+  writeNext();
+  if (Phase_ == Phase::Full)
+    awaitNextRequest();
+  else if (Phase_ == Phase::Idle && Exchanges_.empty())
+    setDeadline(Server_.callerLimits().idleTimeout());
 }
 
 /// Lets the caller read the last answer before the connection goes: closing
 /// with unread input would reset it.
 void CallerSession::linger() {
-  IsLingering_ = true;
-  Phase_ = Phase::Idle;
+  Phase_ = Phase::Lingering;
   error_code Ignored;
   Socket_.shutdown(net::ip::tcp::socket::shutdown_send, Ignored);
   Input_.clear();
@@ -335,15 +416,19 @@
 }
 
 void CallerSession::finish() {
-  IsLast_ = true;
-  if (Phase_ == Phase::Idle && !IsLingering_ && Socket_.available() == 0)
+  IsLast_ = IsLast_ || !Exchanges_.empty();
+  if (Phase_ == Phase::Idle && Exchanges_.empty() && Socket_.available() == 0)
     close();
 }
 
 void CallerSession::closeIfOverdue(framework::Instant Now) {
+  if (Now >= WriteDeadline_) {
+    close();
+    return;
+  }
   if (Now < Deadline_)
     return;
-  if ((Phase_ == Phase::Head || Phase_ == Phase::Body) && !IsLingering_) {
+  if (Phase_ == Phase::Head || Phase_ == Phase::Body) {
     refuseRequest(408, "request-too-slow");
     return;
   }
@@ -360,9 +445,9 @@
   Phase_ = Phase::Closed;
   error_code Ignored;
   Socket_.close(Ignored);
-  if (Call_)
-    Server_.noteGone(*Call_);
-  Call_.reset();
+  for (const Exchange &Each : Exchanges_)
+    if (Each.Call_)
+      Server_.noteGone(*Each.Call_);
   Server_.remove(Number_);
 }
 
--- a/src/entry/internal/callfields.cpp
+++ b/src/entry/internal/callfields.cpp
@@ -1,7 +1,6 @@
 #include "entry/internal/callfields.h"
 
 #include "entry/internal/fieldtext.h"
-#include "protocol/headers.h"
 
 #include <algorithm>
 #include <array>
@@ -56,25 +55,34 @@
   return static_cast<std::uint32_t>(*Count);
 }
 
-Result<void, HeadFault> readField(const HeaderField &Field, CallHead &Head) {
+/// True for the field of that name; a dialect leaves out what it does not speak
+/// by an empty name.
+bool isSpoken(const HeaderField &Field, std::string_view Name) {
+  return !Name.empty() && isSameField(Field.Name_, Name);
+}
+
+Result<void, HeadFault> readField(const HeaderField &Field,
+                                  const Dialect &Spoken, CallHead &Head) {
   const std::string_view Value = trimmed(Field.Value_);
-  if (isSameField(Field.Name_, protocol::PriorityHeader)) {
+  if (isSpoken(Field, Spoken.UrgencyField_)) {
     if (const auto Urgency = readUrgency(Value))
       Head.Urgency_ = Urgency;
-  } else if (isSameField(Field.Name_, protocol::TimeoutHeader)) {
+  } else if (isSpoken(Field, Spoken.TimeoutField_)) {
     const std::optional<std::uint64_t> Count = parseCount(Value);
     if (!Count || *Count == 0 || *Count > LongestTimeoutMs || Head.Timeout_)
       return HeadFault::Timeout;
     Head.Timeout_ = std::chrono::milliseconds(*Count);
-  } else if (isSameField(Field.Name_, protocol::IdempotencyKeyHeader)) {
+  } else if (isSpoken(Field, Spoken.KeyField_)) {
     const auto Key = readKey(Value);
     if (!Key || Head.Key_)
       return HeadFault::Key;
     Head.Key_ = Key;
-  } else if (isSameField(Field.Name_, protocol::DepthHeader)) {
+  } else if (isSpoken(Field, Spoken.DepthField_)) {
     BOOST_OUTCOME_TRY(Head.Depth_, readCountIn(Value, 0, HeadFault::Depth));
-  } else if (isSameField(Field.Name_, protocol::AttemptHeader)) {
+  } else if (isSpoken(Field, Spoken.RepeatField_)) {
     BOOST_OUTCOME_TRY(Head.Attempt_, readCountIn(Value, 1, HeadFault::Attempt));
+  } else if (isSpoken(Field, Spoken.AttemptIdField_)) {
+    Head.AttemptId_ = std::string(Value);
   }
   return framework::success();
 }
@@ -82,7 +90,7 @@
 bool isOneOf(std::string_view Name,
              std::initializer_list<std::string_view> Names) {
   return std::any_of(Names.begin(), Names.end(), [Name](std::string_view One) {
-    return isSameField(Name, One);
+    return !One.empty() && isSameField(Name, One);
   });
 }
 
@@ -123,30 +131,34 @@
 } // namespace
 
 Result<CallHead, HeadFault>
-readCallFields(const std::vector<HeaderField> &Fields) {
+readCallFields(const std::vector<HeaderField> &Fields, const Dialect &Spoken) {
   CallHead Head;
   for (const HeaderField &Field : Fields) {
-    BOOST_OUTCOME_TRY(readField(Field, Head));
+    BOOST_OUTCOME_TRY(readField(Field, Spoken, Head));
   }
   return Head;
 }
 
 std::vector<HeaderField>
-forwardableRequestFields(const std::vector<HeaderField> &Fields) {
+forwardableRequestFields(const std::vector<HeaderField> &Fields,
+                         const Dialect &Spoken) {
   return forwardableFields(
-      Fields, {"Content-Length", protocol::TimeoutHeader, protocol::DepthHeader,
-               protocol::AttemptHeader, protocol::AttemptIdHeader,
-               protocol::NotRunHeader, protocol::StartIdHeader,
-               protocol::LoadReportHeader, protocol::EndingHeader,
-               protocol::EndingReasonHeader});
+      Fields,
+      {"Content-Length", Spoken.TimeoutField_, Spoken.DepthField_,
+       Spoken.RepeatField_, Spoken.AttemptIdField_, Spoken.ExpectedTargetField_,
+       Spoken.NotRunField_, Spoken.StartIdField_, Spoken.LoadReportField_,
+       Spoken.EndingField_, Spoken.EndingReasonField_});
 }
 
 std::vector<HeaderField>
-forwardableAnswerFields(const std::vector<HeaderField> &Fields) {
-  return forwardableFields(
-      Fields, {protocol::AttemptIdHeader, protocol::NotRunHeader,
-               protocol::StartIdHeader, protocol::LoadReportHeader,
-               protocol::EndingHeader, protocol::EndingReasonHeader});
+forwardableAnswerFields(const std::vector<HeaderField> &Fields,
+                        const Dialect &Spoken) {
+  const std::string_view OwnAttemptId =
+      Spoken.IsAttemptIdOfCaller_ ? std::string_view() : Spoken.AttemptIdField_;
+  return forwardableFields(Fields,
+                           {OwnAttemptId, Spoken.NotRunField_,
+                            Spoken.StartIdField_, Spoken.LoadReportField_,
+                            Spoken.EndingField_, Spoken.EndingReasonField_});
 }
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/changelog.cpp
+++ b/src/entry/internal/changelog.cpp
@@ -18,6 +18,8 @@
     return "document-rejected";
   case ChangeKind::DocumentOlderIgnored:
     return "document-older-ignored";
+  case ChangeKind::RecordRejected:
+    return "record-rejected";
   case ChangeKind::TargetEjected:
     return "target-ejected";
   case ChangeKind::TargetRestored:
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -11,7 +11,7 @@
                        const ChangeLog &Log)
     : Core_(std::move(Core)), Rings_(Rings), Shared_(Shared), Log_(Log),
       Callers_(Io, Rings.Callers_), Targets_(Io, Rings.Targets_),
-      Platform_(Io, Rings.Platform_),
+      Platform_(Io, Rings.Platform_), Records_(Io, Rings.Records_),
       SectionFetches_(Io, Rings.SectionFetches_),
       AnswerFetches_(Io, Rings.AnswerFetches_), Timer_(Io) {
   Rings_.Dispatch_.attach(Io, [this](DispatchInput &Input) { onInput(Input); });
@@ -163,6 +163,10 @@
   Platform_.send(Action);
 }
 
+void Dispatcher::carryOut(const decision::ReadRecords &Action) {
+  Records_.send(Action);
+}
+
 void Dispatcher::carryOut(const decision::SetReadiness &Action) {
   Shared_.IsReady_.store(Action.IsReady_);
 }
@@ -209,8 +213,12 @@
 
 void Dispatcher::carryOut(const decision::ReportChange &Action) {
   Log_.note(Action.Kind_, Action.Subject_);
-  if (Action.Kind_ == decision::ChangeKind::DocumentInForce)
-    Statistics_.setObjectives(Core_.document());
+  if (Action.Kind_ != decision::ChangeKind::DocumentInForce)
+    return;
+  const document::EnvironmentDocument *Document = Core_.document();
+  Statistics_.setObjectives(Document);
+  if (Document && Document->CallerLimits_)
+    Shared_.CallerLimits_.set(*Document->CallerLimits_);
 }
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -55,6 +55,7 @@
   void carryOut(const decision::ProbeTarget &Action);
   void carryOut(const decision::ReadDocument &Action);
   void carryOut(const decision::ReadInstances &Action);
+  void carryOut(const decision::ReadRecords &Action);
   void carryOut(const decision::SetReadiness &Action);
   void carryOut(const decision::FinishStop &Action);
   void carryOut(const decision::KeepAnswer &Action);
@@ -74,6 +75,7 @@
   framework::Outbox<CallerCommand> Callers_;
   framework::Outbox<TargetCommand> Targets_;
   framework::Outbox<PlatformCommand> Platform_;
+  framework::Outbox<decision::ReadRecords> Records_;
   framework::Outbox<decision::FetchSections> SectionFetches_;
   framework::Outbox<decision::FetchKeptAnswer> AnswerFetches_;
   boost::asio::steady_timer Timer_;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -9,6 +9,7 @@
 #include "entry/internal/peerlibrary.h"
 #include "entry/internal/peermessenger.h"
 #include "entry/internal/platformreader.h"
+#include "entry/internal/storereader.h"
 #include "entry/internal/targetconnections.h"
 #include "framework/runtime/clocks.h"
 #include "framework/runtime/supervisor.h"
@@ -74,6 +75,7 @@
 
   Result<void, StartFailure> start();
   void requestStop();
+  void tell(decision::Event Event);
   ExitCode waitUntilStopped();
 
   Endpoint callerEndpoint() const { return endpointOf(CallerListener_); }
@@ -84,6 +86,7 @@
   Result<void, StartFailure> bind(tcp::acceptor &Listener, const Endpoint &At);
   void startCallPath();
   void startControl();
+  void startMessenger();
   void startPeerDuties();
   void end(ExitCode Code);
   void giveUp(const std::string &Duty);
@@ -108,7 +111,8 @@
 };
 
 EntryInstance::Workings::Workings(EntrySettings Settings)
-    : Settings_(std::move(Settings)), Shared_(Settings_.Limits_, Rings_),
+    : Settings_(std::move(Settings)),
+      Shared_(Settings_.Limits_, Rings_, Settings_.Dialect_),
       Log_(Settings_.Name_), CallerListener_(ListenIo_),
       OperatorListener_(ListenIo_), PeerListener_(ListenIo_),
       PeerSocket_(ListenIo_),
@@ -187,17 +191,28 @@
           return Pages.answer(Question);
         });
   });
+  if (Settings_.MakeStore_) {
+    startDuty(Control_, "store", [this](net::io_context &Io) {
+      return std::make_unique<StoreReader>(Io, Settings_.MakeStore_, Rings_);
+    });
+    startMessenger();
+    return;
+  }
   startDuty(Control_, "platform", [this](net::io_context &Io) {
     return std::make_unique<PlatformReader>(Io, Settings_, Rings_);
   });
   startPeerDuties();
 }
 
-void EntryInstance::Workings::startPeerDuties() {
+void EntryInstance::Workings::startMessenger() {
   startDuty(Control_, "peer-messages", [this](net::io_context &Io) {
     return std::make_unique<PeerMessenger>(Io, shareSocket(Io, PeerSocket_),
                                            Rings_);
   });
+}
+
+void EntryInstance::Workings::startPeerDuties() {
+  startMessenger();
   startDuty(Control_, "peer-server", [this](net::io_context &Io) {
     return std::make_unique<HttpService>(
         Io, shareListener(Io, PeerListener_), Settings_.Limits_.PlatformBytes_,
@@ -223,13 +238,18 @@
   Core.StopLinger_ = Settings_.StopLinger_;
   Core.PeerAddress_ = textOf(endpointOf(PeerListener_));
   Core.Incarnation_ = Incarnation_;
+  Core.Seeds_ = Settings_.Seeds_;
   return decision::Core(std::move(Core), framework::Random(randomSeed()));
 }
 
 void EntryInstance::Workings::requestStop() {
   Shared_.IsReady_.store(false);
+  tell(decision::StopRequested{});
+}
+
+void EntryInstance::Workings::tell(decision::Event Event) {
   DispatchInput Input;
-  Input.Event_ = decision::StopRequested{};
+  Input.Event_ = std::move(Event);
   while (!Rings_.Dispatch_.tryPush(Input))
     std::this_thread::yield();
 }
@@ -256,6 +276,10 @@
 
 void EntryInstance::requestStop() { Workings_->requestStop(); }
 
+void EntryInstance::setSeeds(std::vector<std::string> Addresses) {
+  Workings_->tell(decision::SeedsChanged{std::move(Addresses)});
+}
+
 ExitCode EntryInstance::waitUntilStopped() {
   return Workings_->waitUntilStopped();
 }
--- a/src/entry/internal/keptanswerjson.cpp
+++ b/src/entry/internal/keptanswerjson.cpp
@@ -1,6 +1,6 @@
 #include "entry/internal/keptanswerjson.h"
 
-#include "entry/internal/base64.h"
+#include "entry/base64.h"
 #include "entry/internal/fieldtext.h"
 
 #include <boost/json/array.hpp>
--- a/src/entry/internal/listen.h
+++ b/src/entry/internal/listen.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_LISTEN_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_LISTEN_H
 
+#include "entry/endpointtext.h"
 #include "entry/types/endpoint.h"
 #include "framework/result.h"
 
@@ -33,13 +34,6 @@
 /// Returns the endpoint in Asio's form; the address must be an IP number.
 boost::asio::ip::tcp::endpoint toTcp(const Endpoint &At);
 
-/// Writes the endpoint as `IP:port`.
-std::string textOf(const Endpoint &At);
-
-/// Parses `IP:port`.
-framework::Result<Endpoint, boost::system::error_code>
-parseEndpoint(const std::string &Text);
-
 } // namespace cranberryspool::entry
 
 #endif // CRANBERRYSPOOL_ENTRY_INTERNAL_LISTEN_H
--- a/src/entry/internal/mailboxes.h
+++ b/src/entry/internal/mailboxes.h
@@ -3,6 +3,7 @@
 
 #include "decision/types/actions/fetchkeptanswer.h"
 #include "decision/types/actions/fetchsections.h"
+#include "decision/types/actions/readrecords.h"
 #include "entry/types/callercommand.h"
 #include "entry/types/dispatchinput.h"
 #include "entry/types/peercommand.h"
@@ -23,6 +24,7 @@
   framework::Mailbox<CallerCommand> Callers_{CommandCapacity};
   framework::Mailbox<TargetCommand> Targets_{CommandCapacity};
   framework::Mailbox<PlatformCommand> Platform_{PlatformCapacity};
+  framework::Mailbox<decision::ReadRecords> Records_{PlatformCapacity};
   framework::Mailbox<PeerCommand> Peers_{PeerCapacity};
   framework::Mailbox<decision::FetchSections> SectionFetches_{PeerCapacity};
   framework::Mailbox<decision::FetchKeptAnswer> AnswerFetches_{PeerCapacity};
--- a/src/entry/internal/platformread.h
+++ b/src/entry/internal/platformread.h
@@ -1,15 +1,9 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_PLATFORMREAD_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_PLATFORMREAD_H
 
+#include "entry/httpexchange.h"
 #include "entry/types/platformcommand.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <memory>
 #include <optional>
 
@@ -25,13 +19,10 @@
   void start();
 
 private:
-  void onConnected(const boost::system::error_code &Error);
-  void onWritten(const boost::system::error_code &Error);
-  void onRead(const boost::system::error_code &Error);
+  void onAnswer(const std::optional<HttpExchange::Answer> &Given);
   void tellUnchanged();
-  void tellPublished();
+  void tellPublished(const HttpExchange::Answer &Given);
   void fail();
-  void finish();
   bool isDocument() const;
   std::optional<framework::Revision> newerThan() const;
   framework::Duration wait() const;
@@ -39,12 +30,7 @@
 
   const PlatformCommand Order_;
   PlatformReader &Reader_;
-  boost::asio::ip::tcp::socket Socket_;
-  boost::asio::steady_timer Timer_;
-  bool IsDone_ = false;
-  boost::beast::flat_buffer Input_;
-  boost::beast::http::request<boost::beast::http::empty_body> Question_;
-  boost::beast::http::response_parser<boost::beast::http::string_body> Answer_;
+  std::shared_ptr<HttpExchange> Exchange_;
 };
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -2,8 +2,10 @@
 
 #include "entry/internal/answerfields.h"
 #include "entry/internal/callfields.h"
+#include "entry/internal/fieldsof.h"
+#include "entry/internal/fieldtext.h"
+#include "entry/internal/instancestate.h"
 #include "entry/internal/targetconnections.h"
-#include "protocol/headers.h"
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -27,14 +29,6 @@
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
 
-std::vector<HeaderField> fieldsOf(const http::fields &Source) {
-  std::vector<HeaderField> Fields;
-  for (const auto &Field : Source)
-    Fields.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  return Fields;
-}
-
 } // namespace
 
 TargetConnection::TargetConnection(const decision::OpenConnection &Order,
@@ -115,6 +109,21 @@
   awaitReadable();
 }
 
+std::string TargetConnection::attemptIdText() const {
+  if (Pool_.shared().Dialect_.IsAttemptIdOfCaller_)
+    return Attempt_->Request_->AttemptId_;
+  return std::to_string(Attempt_->Attempt_.Attempt_.value());
+}
+
+framework::AttemptId
+TargetConnection::echoedAttempt(const std::string &Echo) const {
+  if (Echo == attemptIdText())
+    return Attempt_->Attempt_.Attempt_;
+  // An unreadable echo is a wrong one: no attempt has the number 0.
+  const bool IsOwnNumber = !Pool_.shared().Dialect_.IsAttemptIdOfCaller_;
+  return framework::AttemptId(IsOwnNumber ? parseCount(Echo).value_or(0) : 0);
+}
+
 void TargetConnection::writeRequest() {
   const CallerRequest &Source = *Attempt_->Request_;
   const decision::SendAttempt &Attempt = Attempt_->Attempt_;
@@ -126,11 +135,16 @@
     Output_->insert(Field.Name_, Field.Value_);
   const auto LeftMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(Attempt.Timeout_);
-  Output_->set(protocol::TimeoutHeader, std::to_string(LeftMs.count()));
-  Output_->set(protocol::DepthHeader, std::to_string(Attempt.Depth_));
-  Output_->set(protocol::AttemptHeader, std::to_string(Attempt.AttemptMark_));
-  Output_->set(protocol::AttemptIdHeader,
-               std::to_string(Attempt.Attempt_.value()));
+  const Dialect &Spoken = Pool_.shared().Dialect_;
+  const auto Set = [this](const std::string &Name, const std::string &Value) {
+    if (!Name.empty())
+      Output_->set(Name, Value);
+  };
+  Set(Spoken.TimeoutField_, std::to_string(LeftMs.count()));
+  Set(Spoken.DepthField_, std::to_string(Attempt.Depth_));
+  Set(Spoken.RepeatField_, std::to_string(Attempt.AttemptMark_));
+  Set(Spoken.AttemptIdField_, attemptIdText());
+  Set(Spoken.ExpectedTargetField_, Attempt.TargetName_.value());
   Output_->body() = {Source.Body_.data(), Source.Body_.size()};
   const bool HasBody = !Source.Body_.empty() ||
                        (Source.Method_ != "GET" && Source.Method_ != "HEAD");
@@ -190,12 +204,12 @@
   // Taken before the body is read: trailers must not become header fields.
   Fields_ = fieldsOf(Head);
   // An answer that ends when the connection does cannot be told from one that
-  // was cut short.
+  // was cut short, unless targets are known to reset what they cut short.
   const bool HasLength = Parser_->chunked() || Parser_->content_length() ||
                          Head.result_int() == NoContent ||
                          Head.result_int() == NotModified ||
                          Attempt_->Request_->Method_ == "HEAD";
-  if (!HasLength) {
+  if (!HasLength && !Pool_.shared().Dialect_.MayAnswersEndByClose_) {
     fail(AttemptFailure::Malformed);
     return;
   }
@@ -240,7 +254,13 @@
   const std::vector<HeaderField> Fields = std::move(Fields_);
   auto Answer = std::make_shared<TargetAnswer>();
   Answer->Status_ = Message.result_int();
-  Answer->Fields_ = forwardableAnswerFields(Fields);
+  const Dialect &Spoken = Pool_.shared().Dialect_;
+  const AnswerHead Head = readAnswerFields(Fields, Spoken);
+  if (isForeign(Head, Message.result_int())) {
+    fail(AttemptFailure::Malformed);
+    return;
+  }
+  Answer->Fields_ = forwardableAnswerFields(Fields, Spoken);
   Answer->Body_ = std::move(Message.body());
   Reservation_.shrink(Answer->Body_.size());
   Answer->Reservation_ = std::move(Reservation_);
@@ -250,7 +270,11 @@
   Event.Attempt_ = Attempt_->Attempt_.Attempt_;
   Event.Connection_ = Order_.Connection_;
   Event.Status_ = Answer->Status_;
-  readAnswerFields(Fields, Event);
+  if (Head.AttemptId_)
+    Event.EchoedAttempt_ = echoedAttempt(*Head.AttemptId_);
+  Event.IsNotRun_ = Head.IsNotRun_ || isMisdirected(Answer->Status_);
+  Event.StartId_ = Head.StartId_;
+  Event.Report_ = Head.Report_;
   Event.IsReusable_ = Message.keep_alive() && IsWritten_ && Input_.size() == 0;
   Attempt_.reset();
   Serializer_.reset();
@@ -264,6 +288,20 @@
   Pool_.tell(Event, std::move(Answer));
 }
 
+/// True for a success that the target cannot have given.
+bool TargetConnection::isForeign(const AnswerHead &Head,
+                                 unsigned Status) const {
+  const Dialect &Spoken = Pool_.shared().Dialect_;
+  if (Spoken.ProofField_.empty() || Status / 100 != 2)
+    return false;
+  return !Head.HasProof_ || Head.IsEncoded_;
+}
+
+bool TargetConnection::isMisdirected(unsigned Status) const {
+  const unsigned Misdirected = Pool_.shared().Dialect_.MisdirectedStatus_;
+  return Misdirected != 0 && Status == Misdirected;
+}
+
 void TargetConnection::fail(AttemptFailure Failure) {
   decision::AttemptFailed Event;
   Event.Attempt_ = Attempt_->Attempt_.Attempt_;
--- a/src/entry/internal/targetconnection.h
+++ b/src/entry/internal/targetconnection.h
@@ -3,7 +3,9 @@
 
 #include "calls/types/attemptfailure.h"
 #include "calls/types/writestate.h"
+#include "entry/types/answerhead.h"
 #include "entry/types/entrylimits.h"
+#include "entry/types/headerfield.h"
 #include "entry/types/targetcommand.h"
 #include "framework/runtime/bytereservation.h"
 
@@ -53,6 +55,10 @@
   void onOpened(const boost::system::error_code &Error);
   void awaitReadable();
   void onReadable(const boost::system::error_code &Error);
+  std::string attemptIdText() const;
+  framework::AttemptId echoedAttempt(const std::string &Echo) const;
+  bool isForeign(const AnswerHead &Head, unsigned Status) const;
+  bool isMisdirected(unsigned Status) const;
   void writeRequest();
   void onWritten(const boost::system::error_code &Error, std::size_t Bytes);
   void readHead();
--- a/src/entry/internal/targetconnections.cpp
+++ b/src/entry/internal/targetconnections.cpp
@@ -1,7 +1,7 @@
 #include "entry/internal/targetconnections.h"
 
 #include "entry/internal/listen.h"
-#include "entry/internal/targetprobe.h"
+#include "entry/internal/probeconnection.h"
 #include "framework/runtime/clocks.h"
 
 namespace cranberryspool::entry {
@@ -91,7 +91,10 @@
 }
 
 void TargetConnections::carryOut(const decision::ProbeTarget &Command) {
-  std::make_shared<TargetProbe>(Command, *this)->start();
+  auto &Probe = Probes_[Command.Target_];
+  if (!Probe)
+    Probe = std::make_shared<ProbeConnection>(*this);
+  Probe->ask(Command);
 }
 
 void TargetConnections::carryOut(SendRequest &Command) {
--- a/src/entry/internal/targetconnections.h
+++ b/src/entry/internal/targetconnections.h
@@ -14,7 +14,7 @@
 
 namespace cranberryspool::entry {
 
-class TargetProbe;
+class ProbeConnection;
 
 /// The duty that holds the connections to targets and carries attempts and
 /// probes over them.
@@ -56,6 +56,8 @@
   std::vector<framework::ConnectionId> WaitingForBudget_;
   std::unordered_map<framework::ConnectionId, std::shared_ptr<TargetConnection>>
       Connections_;
+  std::unordered_map<framework::TargetId, std::shared_ptr<ProbeConnection>>
+      Probes_;
 };
 
 } // namespace cranberryspool::entry
--- a/src/entry/tests/callfields_test.cpp
+++ b/src/entry/tests/callfields_test.cpp
@@ -1,4 +1,5 @@
 #include "entry/internal/callfields.h"
+#include "entry/owndialect.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,7 +12,8 @@
                                     {"Request-Timeout-Ms", "250"},
                                     {"Idempotency-Key", "\"k-1\""},
                                     {"Call-Depth", "3"},
-                                    {"Call-Attempt", "2"}});
+                                    {"Call-Attempt", "2"}},
+                                   ownDialect());
   REQUIRE(Head);
   CHECK(Head.value().Urgency_ == document::Urgency::Urgent);
   CHECK(Head.value().Timeout_ == framework::Duration(250ms));
@@ -23,7 +25,7 @@
 TEST_CASE("an unreadable priority is ignored", "[entry]") {
   const char *Value = GENERATE("u=9", "u=", "urgent", "u=-1", "u=1x", "");
   CAPTURE(Value);
-  const auto Head = readCallFields({{"Priority", Value}});
+  const auto Head = readCallFields({{"Priority", Value}}, ownDialect());
   REQUIRE(Head);
   CHECK_FALSE(Head.value().Urgency_.has_value());
 }
@@ -38,14 +40,15 @@
                               HeaderField{"Call-Depth", "deep"},
                               HeaderField{"Call-Attempt", "0"});
   CAPTURE(Field.Name_, Field.Value_);
-  CHECK_FALSE(readCallFields({Field}));
+  CHECK_FALSE(readCallFields({Field}, ownDialect()));
 }
 
 TEST_CASE("a doubled timeout or key is a fault", "[entry]") {
-  CHECK_FALSE(readCallFields(
-      {{"Request-Timeout-Ms", "5"}, {"Request-Timeout-Ms", "6"}}));
   CHECK_FALSE(
-      readCallFields({{"Idempotency-Key", "a"}, {"Idempotency-Key", "b"}}));
+      readCallFields({{"Request-Timeout-Ms", "5"}, {"Request-Timeout-Ms", "6"}},
+                     ownDialect()));
+  CHECK_FALSE(readCallFields(
+      {{"Idempotency-Key", "a"}, {"Idempotency-Key", "b"}}, ownDialect()));
 }
 
 TEST_CASE("hop-by-hop fields and our own do not travel on", "[entry]") {
@@ -61,7 +64,8 @@
                                 {"Not-Run", "true"},
                                 {"Attempt-Id", "9"},
                                 {"Idempotency-Key", "k"},
-                                {"Caller-Call-Id", "7"}});
+                                {"Caller-Call-Id", "7"}},
+                               ownDialect());
   CHECK(Kept == std::vector<HeaderField>{{"Host", "a"},
                                          {"Idempotency-Key", "k"},
                                          {"Caller-Call-Id", "7"}});
@@ -70,6 +74,7 @@
                                {"Start-Id", "4"},
                                {"Connection", "close"},
                                {"Call-Ending", "unknown"},
-                               {"Content-Type", "text/plain"}});
+                               {"Content-Type", "text/plain"}},
+                              ownDialect());
   CHECK(Given == std::vector<HeaderField>{{"Content-Type", "text/plain"}});
 }
--- a/src/entry/tests/callhead_fuzz.cpp
+++ b/src/entry/tests/callhead_fuzz.cpp
@@ -4,6 +4,7 @@
 #include "entry/internal/callfields.h"
 #include "entry/internal/fieldtext.h"
 #include "entry/internal/headshape.h"
+#include "entry/owndialect.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -63,7 +64,7 @@
         {std::string(Field.name_string()), std::string(Field.value())});
   require(Fields.size() == countFields(Raw));
   require(!(Parser.chunked() && Parser.content_length()));
-  const auto Head = readCallFields(Fields);
+  const auto Head = readCallFields(Fields, ownDialect());
   if (Head)
     require(Head.value().Attempt_ >= 1);
   checkForwarded(Fields);
--- a/src/entry/types/callerrequest.h
+++ b/src/entry/types/callerrequest.h
@@ -17,6 +17,8 @@
   std::string Target_;
   /// End-to-end fields only.
   std::vector<HeaderField> Fields_;
+  /// The caller's own id of this attempt; empty when it gives none.
+  std::string AttemptId_;
   std::string Body_;
   framework::ByteReservation Reservation_;
 };
--- a/src/entry/types/callhead.h
+++ b/src/entry/types/callhead.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace cranberryspool::entry {
 
@@ -15,6 +16,8 @@
   std::optional<document::Urgency> Urgency_;
   std::optional<framework::Duration> Timeout_;
   std::optional<framework::IdempotencyKey> Key_;
+  /// The caller's own id of this attempt, where it gives one.
+  std::string AttemptId_;
   std::uint32_t Depth_ = 0;
   std::uint32_t Attempt_ = 1;
 };
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -7,8 +7,10 @@
 #include "fleet/fleetsettings.h"
 #include "fleet/output.h"
 #include "fleet/peermessage.h"
+#include "fleet/types/publishedtarget.h"
 #include "fleet/types/sectionreply.h"
 #include "fleet/types/sectionrequest.h"
+#include "fleet/types/storedrecord.h"
 #include "framework/ids.h"
 #include "framework/moment.h"
 #include "framework/random.h"
@@ -23,6 +25,7 @@
 namespace cranberryspool::fleet {
 
 class FleetState;
+class SeededFleet;
 
 /// One instance's part in the fleet: membership, the spread of published
 /// values, shares of fleet-wide bounds and the homes of idempotency keys. It
@@ -55,6 +58,20 @@
   void noteUnavailable(SectionKind Kind, framework::Moment Now,
                        OutputList &Output);
 
+  /// The store returned all its entries.
+  void noteAllRecords(const std::vector<StoredRecord> &Records,
+                      framework::Revision AsOf, framework::Moment Now,
+                      OutputList &Output);
+  /// A watch of the store ended, with changes or without.
+  void noteChangedRecords(const std::vector<StoredRecord> &Records,
+                          framework::Revision AsOf, framework::Moment Now,
+                          OutputList &Output);
+  /// The store has dropped the changes that a watch asked for.
+  void noteHistoryLost(framework::Moment Now, OutputList &Output);
+  void noteRecordsUnavailable(framework::Moment Now, OutputList &Output);
+  /// The seeds were set anew.
+  void setSeeds(std::vector<std::string> Addresses);
+
   void notePeerMessage(const PeerMessage &Message, framework::Moment Now,
                        OutputList &Output);
   /// A peer answered `FetchSections`.
@@ -86,7 +103,19 @@
   /// Returns the published targets, sorted by name.
   const std::vector<document::PublishedInstance> &publishedTargets() const;
   /// Returns the published instances of this system, sorted by name.
-  const std::vector<document::PublishedInstance> &publishedPeers() const;
+  std::vector<document::PublishedInstance> publishedPeers() const;
+
+  /// Returns the targets of the platform's store; those in evacuated zones are
+  /// marked as draining. Empty where the platform publishes a list.
+  std::vector<PublishedTarget> storedTargets() const;
+  /// True when targets come from the platform's store, not from a list.
+  bool readsStore() const { return Seeded_ != nullptr; }
+  /// The most instances that may run, this one included.
+  std::size_t fleetSize() const;
+  /// Bounds for the sum over all instances; null where the document sets them.
+  const FleetBounds *bounds() const;
+  /// How old the view of the platform's store is; zero where it does not count.
+  framework::Duration viewAge(framework::Instant Now) const;
 
   /// True while new work may be sent to targets. False as well until a
   /// starting instance has asked its peers for their document.
@@ -94,6 +123,11 @@
   /// The requests in flight that this instance may have at a cold target.
   std::uint32_t coldShare(const framework::TargetName &Target,
                           framework::Instant Now) const;
+  /// The requests a second that this instance may send to a cold target, of
+  /// `FleetRate` that all may send; nothing when only those in flight count.
+  std::optional<double> coldRate(const framework::TargetName &Target,
+                                 double FleetRate,
+                                 framework::Instant Now) const;
   /// The connections that this instance may hold to a target.
   std::uint32_t connectionShare(const framework::TargetName &Target) const;
   /// True when this instance may probe the target now.
@@ -112,7 +146,9 @@
                           OutputList &Output);
 
 private:
+  /// One of the two.
   std::unique_ptr<FleetState> State_;
+  std::unique_ptr<SeededFleet> Seeded_;
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -1,8 +1,10 @@
 #ifndef CRANBERRYSPOOL_FLEET_FLEETSETTINGS_H
 #define CRANBERRYSPOOL_FLEET_FLEETSETTINGS_H
 
+#include "fleet/types/seedsettings.h"
 #include "framework/ids.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,8 @@
   framework::ZoneName Zone_;
   /// `IP:port` of this instance's peer messages.
   std::string Address_;
+  /// Set where instances find each other by seeds, not by the platform's list.
+  std::optional<SeedSettings> Seeds_ = std::nullopt;
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -115,6 +115,21 @@
   Visit(Item.Part_);
 }
 
+template <typename Visitor>
+void visitFields(KnownMember &Item, Visitor &&Visit) {
+  Visit(Item.Name_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Zone_);
+  Visit(Item.Address_);
+  Visit(Item.Age_);
+}
+
+template <typename Visitor> void visitFields(Greeting &Item, Visitor &&Visit) {
+  Visit(Item.Members_);
+  Visit(Item.IsAnswerWanted_);
+  Visit(Item.IsStopping_);
+}
+
 } // namespace cranberryspool::fleet
 
 #endif // CRANBERRYSPOOL_FLEET_INTERNAL_FIELDLISTS_H
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -1,147 +1,267 @@
 #include "fleet/fleet.h"
 #include "fleet/internal/fleetstate.h"
+#include "fleet/internal/seeded/seededfleet.h"
 
+#include <type_traits>
 #include <utility>
 
 namespace cranberryspool::fleet {
 
-Fleet::Fleet(FleetSettings Settings, framework::Random Rng)
-    : State_(std::make_unique<FleetState>(std::move(Settings), Rng)) {}
+Fleet::Fleet(FleetSettings Settings, framework::Random Rng) {
+  if (Settings.Seeds_)
+    Seeded_ = std::make_unique<SeededFleet>(std::move(Settings), Rng);
+  else
+    State_ = std::make_unique<FleetState>(std::move(Settings), Rng);
+}
 
 Fleet::Fleet(Fleet &&) noexcept = default;
 Fleet &Fleet::operator=(Fleet &&) noexcept = default;
 Fleet::~Fleet() = default;
 
 void Fleet::start(framework::Moment Now, OutputList &Output) {
-  State_->start(Now, Output);
+  if (Seeded_)
+    Seeded_->start(Now, Output);
+  else
+    State_->start(Now, Output);
 }
 
 void Fleet::tick(framework::Moment Now, OutputList &Output) {
-  State_->tick(Now, Output);
+  if (Seeded_)
+    Seeded_->tick(Now, Output);
+  else
+    State_->tick(Now, Output);
 }
 
-framework::Instant Fleet::nextWakeUp() const { return State_->nextWakeUp(); }
+framework::Instant Fleet::nextWakeUp() const {
+  return Seeded_ ? Seeded_->nextWakeUp() : State_->nextWakeUp();
+}
 
 void Fleet::noteDocument(framework::Revision Revision, const std::string &Text,
                          framework::Moment Now, OutputList &Output) {
-  State_->noteDocument(Revision, Text, Now, Output);
+  if (State_)
+    State_->noteDocument(Revision, Text, Now, Output);
 }
 
 void Fleet::noteInstances(
     framework::Revision Revision,
     const std::vector<document::PublishedInstance> &Instances,
     framework::Moment Now, OutputList &Output) {
-  State_->noteInstances(Revision, Instances, Now, Output);
+  if (State_)
+    State_->noteInstances(Revision, Instances, Now, Output);
 }
 
 void Fleet::noteUnchanged(SectionKind Kind, framework::Moment Now,
                           OutputList &Output) {
-  State_->noteUnchanged(Kind, Now, Output);
+  if (State_)
+    State_->noteUnchanged(Kind, Now, Output);
 }
 
 void Fleet::noteUnavailable(SectionKind Kind, framework::Moment Now,
                             OutputList &Output) {
-  State_->noteUnavailable(Kind, Now, Output);
+  if (State_)
+    State_->noteUnavailable(Kind, Now, Output);
+}
+
+void Fleet::noteAllRecords(const std::vector<StoredRecord> &Records,
+                           framework::Revision AsOf, framework::Moment Now,
+                           OutputList &Output) {
+  if (Seeded_)
+    Seeded_->noteAllRecords(Records, AsOf, Now, Output);
+}
+
+void Fleet::noteChangedRecords(const std::vector<StoredRecord> &Records,
+                               framework::Revision AsOf, framework::Moment Now,
+                               OutputList &Output) {
+  if (Seeded_)
+    Seeded_->noteChangedRecords(Records, AsOf, Now, Output);
+}
+
+void Fleet::noteHistoryLost(framework::Moment Now, OutputList &Output) {
+  if (Seeded_)
+    Seeded_->noteHistoryLost(Now, Output);
+}
+
+void Fleet::noteRecordsUnavailable(framework::Moment Now, OutputList &Output) {
+  if (Seeded_)
+    Seeded_->noteRecordsUnavailable(Now, Output);
+}
+
+void Fleet::setSeeds(std::vector<std::string> Addresses) {
+  if (Seeded_)
+    Seeded_->setSeeds(std::move(Addresses));
 }
 
 void Fleet::notePeerMessage(const PeerMessage &Message, framework::Moment Now,
                             OutputList &Output) {
-  std::visit([&](const auto &Item) { State_->handle(Item, Now, Output); },
-             Message);
+  // Messages of the other kind of fleet are ignored, as unknown ones are.
+  std::visit(
+      [&](const auto &Item) {
+        using Kind = std::decay_t<decltype(Item)>;
+        if constexpr (std::is_same_v<Kind, Greeting>) {
+          if (Seeded_)
+            Seeded_->handle(Item, Now, Output);
+        } else {
+          if (State_)
+            State_->handle(Item, Now, Output);
+        }
+      },
+      Message);
 }
 
 void Fleet::noteSections(const std::string &PeerAddress,
                          const SectionReply &Reply, framework::Moment Now,
                          OutputList &Output) {
-  State_->noteSections(PeerAddress, Reply, Now, Output);
+  if (State_)
+    State_->noteSections(PeerAddress, Reply, Now, Output);
 }
 
 void Fleet::noteSectionsUnavailable(const std::string &PeerAddress) {
-  State_->noteSectionsUnavailable(PeerAddress);
+  if (State_)
+    State_->noteSectionsUnavailable(PeerAddress);
 }
 
 SectionReply Fleet::serveSections(const SectionRequest &Request) const {
+  if (!State_) {
+    SectionReply Empty;
+    Empty.Kind_ = Request.Kind_;
+    return Empty;
+  }
   if (Request.Kind_ == SectionKind::Document)
     return State_->documents().sections().reply(Request, documentRevision());
   return State_->instances().sections().reply(Request, listRevision());
 }
 
 void Fleet::noteStopRequested(framework::Moment Now, OutputList &Output) {
+  if (Seeded_) {
+    Seeded_->noteStopRequested(Now, Output);
+    return;
+  }
   State_->noteStopRequested();
   State_->tick(Now, Output);
 }
 
-bool Fleet::isHandoverDone() const { return State_->isHandoverDone(); }
+bool Fleet::isHandoverDone() const {
+  return !State_ || State_->isHandoverDone();
+}
 
 void Fleet::notePause(framework::Moment Now, OutputList &Output) {
-  State_->notePause(Now, Output);
+  if (Seeded_)
+    Seeded_->notePause(Now, Output);
+  else
+    State_->notePause(Now, Output);
 }
 
 void Fleet::noteTurnedCold(const framework::TargetName &Target,
                            framework::Incarnation StartId,
                            framework::Moment Now, OutputList &Output) {
-  State_->noteTurnedCold(ColdNotice{Target, StartId}, Now, Output);
+  if (State_)
+    State_->noteTurnedCold(ColdNotice{Target, StartId}, Now, Output);
 }
 
 void Fleet::setWarm(const framework::TargetName &Target, bool IsWarm) {
-  State_->setWarm(Target, IsWarm);
+  if (State_)
+    State_->setWarm(Target, IsWarm);
 }
 
 const document::EnvironmentDocument *Fleet::currentDocument() const {
+  if (Seeded_)
+    return Seeded_->view().configuration().Document_.get();
   return State_->documents().current();
 }
 
 framework::Revision Fleet::documentRevision() const {
+  if (Seeded_)
+    return framework::Revision(Seeded_->view().configuration().Version_);
   return State_->documents().revision();
 }
 
 framework::Revision Fleet::listRevision() const {
-  return State_->instances().revision();
+  return Seeded_ ? Seeded_->view().revision() : State_->instances().revision();
 }
 
 const std::vector<document::PublishedInstance> &
 Fleet::publishedTargets() const {
-  return State_->instances().targets();
+  static const std::vector<document::PublishedInstance> None;
+  return State_ ? State_->instances().targets() : None;
+}
+
+std::vector<document::PublishedInstance> Fleet::publishedPeers() const {
+  return Seeded_ ? Seeded_->peers() : State_->instances().members();
+}
+
+std::vector<PublishedTarget> Fleet::storedTargets() const {
+  return Seeded_ ? Seeded_->view().targets() : std::vector<PublishedTarget>();
 }
 
-const std::vector<document::PublishedInstance> &Fleet::publishedPeers() const {
-  return State_->instances().members();
+std::size_t Fleet::fleetSize() const {
+  return Seeded_ ? Seeded_->fleetSize() : State_->instances().members().size();
+}
+
+const FleetBounds *Fleet::bounds() const {
+  return Seeded_ ? &Seeded_->bounds() : nullptr;
+}
+
+framework::Duration Fleet::viewAge(framework::Instant Now) const {
+  if (!Seeded_)
+    return {};
+  return Seeded_->view().age(Now).value_or(framework::Duration::max());
 }
 
 bool Fleet::isViewFresh(framework::Instant Now) const {
-  return State_->isViewFresh(Now);
+  return Seeded_ ? Seeded_->isViewFresh(Now) : State_->isViewFresh(Now);
 }
 
 std::uint32_t Fleet::coldShare(const framework::TargetName &Target,
                                framework::Instant Now) const {
-  return State_->shares().coldShare(Target, Now);
+  return State_ ? State_->shares().coldShare(Target, Now) : 0;
+}
+
+std::optional<double> Fleet::coldRate(const framework::TargetName &Target,
+                                      double FleetRate,
+                                      framework::Instant Now) const {
+  if (!Seeded_)
+    return std::nullopt;
+  return Seeded_->coldRate(Target, FleetRate, Now);
 }
 
 std::uint32_t
 Fleet::connectionShare(const framework::TargetName &Target) const {
-  return State_->shares().connectionShare(Target);
+  return State_ ? State_->shares().connectionShare(Target) : 1;
 }
 
 bool Fleet::mayProbe(const framework::TargetName &Target,
                      framework::Instant Now) const {
-  return State_->shares().mayProbe(Target, Now);
+  return Seeded_ ? Seeded_->mayProbe(Target, Now)
+                 : State_->shares().mayProbe(Target, Now);
 }
 
 void Fleet::noteProbed(const framework::TargetName &Target,
                        framework::Instant Now) {
-  State_->shares().noteProbed(Target, Now);
+  if (Seeded_)
+    Seeded_->noteProbed(Target, Now);
+  else
+    State_->shares().noteProbed(Target, Now);
 }
 
 void Fleet::requestKey(framework::CallId Call,
                        const framework::IdempotencyKey &Key,
                        framework::Moment Now, OutputList &Output) {
-  State_->requestKey(Call, Key, Now, Output);
+  if (State_) {
+    State_->requestKey(Call, Key, Now, Output);
+    return;
+  }
+  // Keys have no home where the platform lists no instances.
+  KeyDecided Refused;
+  Refused.Call_ = Call;
+  Refused.Decision_ = KeyDecision::HomeUnreachable;
+  Output.push_back(Refused);
 }
 
 void Fleet::noteKeyedCallEnded(framework::CallId Call, calls::Ending Ending,
                                bool IsAnswerKept, framework::Moment Now,
                                OutputList &Output) {
-  State_->noteKeyedCallEnded(Call, Ending, IsAnswerKept, Now, Output);
+  if (State_)
+    State_->noteKeyedCallEnded(Call, Ending, IsAnswerKept, Now, Output);
 }
 
 } // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/internal/seeded/members.cpp
@@ -0,0 +1,96 @@
+#include "fleet/internal/seeded/members.h"
+
+#include <algorithm>
+
+namespace cranberryspool::fleet {
+
+bool Members::take(const KnownMember &Told, framework::Instant HeardAt) {
+  if (Told.Name_ == Self_.Name_)
+    return false;
+  const auto Position = Records_.find(Told.Name_);
+  if (Position == Records_.end()) {
+    Records_.emplace(Told.Name_, Record{Told, HeardAt});
+    return true;
+  }
+  Record &Known = Position->second;
+  if (Told.Incarnation_ < Known.Known_.Incarnation_)
+    return false;
+  const bool IsNewer = Told.Incarnation_ > Known.Known_.Incarnation_;
+  if (!IsNewer && HeardAt <= Known.HeardAt_)
+    return false;
+  const bool IsNews = IsNewer || Known.IsLost_;
+  Known.Known_ = Told;
+  Known.HeardAt_ = HeardAt;
+  Known.IsStopping_ = Known.IsStopping_ && !IsNewer;
+  return IsNews;
+}
+
+bool Members::note(const Greeting &Message, framework::Instant Now) {
+  bool IsSenderNew = false;
+  for (std::size_t At = 0; At < Message.Members_.size(); ++At) {
+    const KnownMember &Told = Message.Members_[At];
+    const framework::Instant HeardAt =
+        Now - (At == 0 ? framework::Duration{} : Told.Age_);
+    const bool IsNews = take(Told, HeardAt);
+    const auto Position = Records_.find(Told.Name_);
+    if (Position == Records_.end())
+      continue;
+    Record &Known = Position->second;
+    if (Now - Known.HeardAt_ < LostAfter)
+      Known.IsLost_ = false;
+    if (At > 0)
+      continue;
+    IsSenderNew = IsNews;
+    if (Known.Known_.Incarnation_ == Told.Incarnation_)
+      Known.IsStopping_ = Message.IsStopping_;
+  }
+  return IsSenderNew;
+}
+
+std::vector<framework::InstanceName> Members::expire(framework::Instant Now) {
+  std::vector<framework::InstanceName> Lost;
+  for (auto &[Name, Known] : Records_) {
+    if (Known.IsLost_ || Now - Known.HeardAt_ < LostAfter)
+      continue;
+    Known.IsLost_ = true;
+    Lost.push_back(Name);
+  }
+  std::erase_if(Records_, [&](const auto &Each) {
+    return Now - Each.second.HeardAt_ > PeakMemory;
+  });
+  return Lost;
+}
+
+std::size_t Members::count() const {
+  const auto Running =
+      std::count_if(Records_.begin(), Records_.end(), [](const auto &Each) {
+        return !Each.second.IsLost_ && !Each.second.IsStopping_;
+      });
+  return static_cast<std::size_t>(Running) + 1;
+}
+
+std::size_t Members::peak() const { return Records_.size() + 1; }
+
+std::vector<KnownMember> Members::sample(std::size_t Most,
+                                         framework::Instant Now,
+                                         framework::Random &Rng) const {
+  std::vector<KnownMember> Chosen{Self_};
+  if (Records_.empty())
+    return Chosen;
+  const std::size_t Start = Rng.index(Records_.size());
+  auto Position =
+      std::next(Records_.begin(), static_cast<std::ptrdiff_t>(Start));
+  for (std::size_t Seen = 0; Seen < Records_.size() && Chosen.size() <= Most;
+       ++Seen, ++Position) {
+    if (Position == Records_.end())
+      Position = Records_.begin();
+    const Record &Known = Position->second;
+    if (Known.IsLost_)
+      continue;
+    Chosen.push_back(Known.Known_);
+    Chosen.back().Age_ = Now - Known.HeardAt_;
+  }
+  return Chosen;
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/internal/seeded/members.h
@@ -0,0 +1,63 @@
+#ifndef CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_MEMBERS_H
+#define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_MEMBERS_H
+
+#include "fleet/types/greeting.h"
+#include "framework/ids.h"
+#include "framework/random.h"
+#include "framework/time.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// The instances that were heard of lately, this one excluded, each by its
+/// newest incarnation.
+class Members {
+public:
+  struct Record {
+    KnownMember Known_;
+    framework::Instant HeardAt_;
+    bool IsStopping_ = false;
+    bool IsLost_ = false;
+  };
+
+  explicit Members(KnownMember Self) : Self_(std::move(Self)) {}
+
+  /// Takes what a greeting tells. Returns true when its sender was not known
+  /// or counted as lost.
+  bool note(const Greeting &Message, framework::Instant Now);
+
+  /// Marks those that have not been heard of for long as lost and forgets them
+  /// later. Returns the names of those that were lost just now.
+  std::vector<framework::InstanceName> expire(framework::Instant Now);
+
+  const KnownMember &self() const { return Self_; }
+  const std::map<framework::InstanceName, Record> &records() const {
+    return Records_;
+  }
+
+  /// Returns the instances that run as far as is known, this one included.
+  std::size_t count() const;
+  /// Returns the highest `count` of the last `PeakMemory`, so that a share of
+  /// a bound does not grow while some instances are only cut off.
+  std::size_t peak() const;
+
+  /// Returns this instance and a random selection of the others.
+  std::vector<KnownMember> sample(std::size_t Most, framework::Instant Now,
+                                  framework::Random &Rng) const;
+
+private:
+  static constexpr framework::Duration LostAfter = std::chrono::seconds(6);
+  static constexpr framework::Duration PeakMemory = std::chrono::seconds(40);
+
+  bool take(const KnownMember &Told, framework::Instant HeardAt);
+
+  KnownMember Self_;
+  std::map<framework::InstanceName, Record> Records_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_MEMBERS_H
--- /dev/null
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -0,0 +1,263 @@
+#include "fleet/internal/seeded/seededfleet.h"
+
+#include "fleet/internal/rendezvous.h"
+
+#include <algorithm>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+using framework::Duration;
+using framework::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration TickInterval = milliseconds(100);
+/// Greetings to a few members, and how many.
+constexpr Duration RoundInterval = milliseconds(500);
+constexpr std::size_t MembersPerRound = 4;
+/// Members that a greeting names besides its sender; keeps it within one
+/// datagram.
+constexpr std::size_t MembersPerGreeting = 8;
+/// Seeds are greeted at this pace while nobody has been heard, and slowly for
+/// as long as the process runs, so that parts of the fleet that lost each
+/// other meet again.
+constexpr Duration FirstSeedInterval = milliseconds(100);
+constexpr Duration SeedInterval = seconds(2);
+/// How long a watch of the store may wait: bounds the age of the view.
+constexpr Duration WatchWait = milliseconds(1000);
+constexpr Duration FirstReadRetry = milliseconds(100);
+constexpr std::uint32_t MaxRetryDoublings = 2;
+/// An instance that has just started may not have heard of most others yet.
+constexpr Duration SettlingTime = seconds(1);
+/// Members that may send to one cold target.
+constexpr std::size_t ColdSenders = 3;
+/// Requests a second to a cold target by an instance that knows nobody.
+constexpr double LonelyColdRate = 1;
+constexpr Duration ProbeSpacing = milliseconds(450);
+constexpr Duration ProbeJitter = milliseconds(100);
+
+KnownMember selfOf(const FleetSettings &Settings) {
+  return KnownMember{.Name_ = Settings.Self_,
+                     .Incarnation_ = Settings.Incarnation_,
+                     .Zone_ = Settings.Zone_,
+                     .Address_ = Settings.Address_};
+}
+
+} // namespace
+
+SeededFleet::SeededFleet(FleetSettings Settings, framework::Random Rng)
+    : Seeds_(*Settings.Seeds_), Rng_(Rng), Members_(selfOf(Settings)),
+      View_(Seeds_.Decode_, Seeds_.Bounds_.LapseGrace_) {}
+
+void SeededFleet::start(framework::Moment Now, OutputList &Output) {
+  StartedAt_ = Now.Monotonic_;
+  tick(Now, Output);
+}
+
+void SeededFleet::tick(framework::Moment Now, OutputList &Output) {
+  const Instant At = Now.Monotonic_;
+  NextTickAt_ = At + TickInterval;
+  for (const framework::InstanceName &Lost : Members_.expire(At))
+    Output.push_back(PeerChanged{Lost, false});
+  tell(View_.advance(At), Output);
+  read(At, Output);
+  if (At >= NextRoundAt_)
+    greetRound(At, Output);
+  if (At >= NextSeedsAt_)
+    greetSeeds(At, Output);
+}
+
+void SeededFleet::handle(const Greeting &Message, framework::Moment Now,
+                         OutputList &Output) {
+  if (Message.Members_.empty())
+    return;
+  const std::size_t Before = Members_.peak();
+  const KnownMember &Sender = Message.Members_.front();
+  const bool IsNew = Members_.note(Message, Now.Monotonic_);
+  if (IsNew)
+    Output.push_back(PeerChanged{Sender.Name_, true});
+  if (Message.IsAnswerWanted_ || IsNew)
+    greet(Sender.Address_, false, Now.Monotonic_, Output);
+  if (Members_.peak() != Before)
+    Output.push_back(SharesChanged{});
+}
+
+void SeededFleet::greetRound(Instant Now, OutputList &Output) {
+  NextRoundAt_ = Now + RoundInterval;
+  std::vector<const Members::Record *> Near;
+  std::vector<const Members::Record *> Far;
+  for (const auto &[Name, Known] : Members_.records()) {
+    const bool IsNear = Known.Known_.Zone_ == Members_.self().Zone_;
+    (IsNear && !Known.IsLost_ ? Near : Far).push_back(&Known);
+  }
+  // Mostly inside the zone: traffic between zones is dear.
+  for (std::size_t Sent = 0; Sent < MembersPerRound; ++Sent) {
+    auto &From = Far.empty() || (Sent > 0 && !Near.empty()) ? Near : Far;
+    if (From.empty())
+      return;
+    const std::size_t Chosen = Rng_.index(From.size());
+    greet(From[Chosen]->Known_.Address_, false, Now, Output);
+    From.erase(From.begin() + static_cast<std::ptrdiff_t>(Chosen));
+  }
+}
+
+void SeededFleet::greetSeeds(Instant Now, OutputList &Output) {
+  const bool IsAlone = Members_.records().empty();
+  NextSeedsAt_ = Now + (IsAlone ? FirstSeedInterval : SeedInterval);
+  if (Seeds_.Addresses_.empty())
+    return;
+  if (!IsAlone) {
+    greet(Seeds_.Addresses_[Rng_.index(Seeds_.Addresses_.size())], false, Now,
+          Output);
+    return;
+  }
+  for (const std::string &Address : Seeds_.Addresses_)
+    greet(Address, true, Now, Output);
+}
+
+void SeededFleet::greet(const std::string &Address, bool IsAnswerWanted,
+                        Instant Now, OutputList &Output) {
+  if (Address == Members_.self().Address_)
+    return;
+  Greeting Message;
+  Message.Members_ = Members_.sample(MembersPerGreeting, Now, Rng_);
+  Message.IsAnswerWanted_ = IsAnswerWanted;
+  Message.IsStopping_ = IsStopping_;
+  Output.push_back(SendMessage{Address, std::move(Message)});
+}
+
+void SeededFleet::read(Instant Now, OutputList &Output) {
+  if (IsReading_ || Now < NextReadAt_)
+    return;
+  IsReading_ = true;
+  if (IsListNeeded_ || !View_.hasList()) {
+    Output.push_back(ReadRecords{std::nullopt, Duration{}});
+    return;
+  }
+  // After a failure an answer at once tells how things stand.
+  Output.push_back(
+      ReadRecords{View_.revision(), Failures_ > 0 ? Duration{} : WatchWait});
+}
+
+void SeededFleet::noteAllRecords(const std::vector<StoredRecord> &Records,
+                                 framework::Revision AsOf,
+                                 framework::Moment Now, OutputList &Output) {
+  IsReading_ = false;
+  IsListNeeded_ = false;
+  Failures_ = 0;
+  tell(View_.replaceAll(Records, AsOf, Now.Monotonic_), Output);
+  read(Now.Monotonic_, Output);
+}
+
+void SeededFleet::noteChangedRecords(const std::vector<StoredRecord> &Records,
+                                     framework::Revision AsOf,
+                                     framework::Moment Now,
+                                     OutputList &Output) {
+  IsReading_ = false;
+  Failures_ = 0;
+  tell(View_.apply(Records, AsOf, Now.Monotonic_), Output);
+  read(Now.Monotonic_, Output);
+}
+
+void SeededFleet::noteHistoryLost(framework::Moment Now, OutputList &Output) {
+  IsReading_ = false;
+  IsListNeeded_ = true;
+  read(Now.Monotonic_, Output);
+}
+
+void SeededFleet::noteRecordsUnavailable(framework::Moment Now,
+                                         OutputList &Output) {
+  IsReading_ = false;
+  const Duration Pause =
+      FirstReadRetry * (1U << std::min(Failures_, MaxRetryDoublings));
+  // A watch that was cut is ordinary: the first retry follows at once.
+  NextReadAt_ = Now.Monotonic_;
+  if (Failures_ > 0)
+    NextReadAt_ += Pause / 2 + Duration(static_cast<Duration::rep>(Rng_.index(
+                                   static_cast<std::size_t>(Pause.count()))));
+  ++Failures_;
+  read(Now.Monotonic_, Output);
+}
+
+void SeededFleet::tell(const StoreView::Changes &Changed, OutputList &Output) {
+  for (const auto &[Key, Reason] : Changed.Rejected_)
+    Output.push_back(RecordRejected{Key, Reason});
+  if (Changed.IsDocumentNew_)
+    Output.push_back(
+        DocumentInForce{framework::Revision(View_.configuration().Version_)});
+  if (Changed.AreTargetsNew_)
+    Output.push_back(TargetsChanged{});
+}
+
+void SeededFleet::noteStopRequested(framework::Moment Now, OutputList &Output) {
+  IsStopping_ = true;
+  NextRoundAt_ = Now.Monotonic_;
+  tick(Now, Output);
+}
+
+void SeededFleet::notePause(framework::Moment Now, OutputList &Output) {
+  NextRoundAt_ = Now.Monotonic_;
+  tick(Now, Output);
+}
+
+void SeededFleet::setSeeds(std::vector<std::string> Addresses) {
+  Seeds_.Addresses_ = std::move(Addresses);
+}
+
+bool SeededFleet::isViewFresh(Instant) const {
+  // A view that is old is still better than none: the bounds that hold for an
+  // instance that is cut off do not depend on it.
+  return View_.hasList() && View_.configuration().Document_;
+}
+
+std::vector<document::PublishedInstance> SeededFleet::peers() const {
+  std::vector<document::PublishedInstance> Found;
+  for (const auto &[Name, Known] : Members_.records())
+    Found.push_back(
+        document::PublishedInstance{.Name_ = Name,
+                                    .Group_ = std::nullopt,
+                                    .Zone_ = Known.Known_.Zone_,
+                                    .Address_ = Known.Known_.Address_,
+                                    .IsLeaving_ = Known.IsStopping_});
+  return Found;
+}
+
+std::size_t SeededFleet::fleetSize() const { return Members_.peak(); }
+
+double SeededFleet::coldRate(const framework::TargetName &Target,
+                             double FleetRate, Instant Now) const {
+  if (Members_.peak() == 1)
+    return std::min(LonelyColdRate, FleetRate);
+  if (Now < StartedAt_ + SettlingTime)
+    return 0;
+  const std::uint64_t Own =
+      rendezvousWeight(Target.value(), Members_.self().Name_.value());
+  const auto Ahead = std::count_if(
+      Members_.records().begin(), Members_.records().end(),
+      [&](const auto &Each) {
+        return !Each.second.IsLost_ && !Each.second.IsStopping_ &&
+               rendezvousWeight(Target.value(), Each.first.value()) > Own;
+      });
+  if (static_cast<std::size_t>(Ahead) >= ColdSenders)
+    return 0;
+  const std::size_t Senders = std::min(ColdSenders, Members_.peak());
+  return FleetRate / static_cast<double>(Senders);
+}
+
+bool SeededFleet::mayProbe(const framework::TargetName &Target,
+                           Instant Now) const {
+  const auto Position = ProbedAt_.find(Target);
+  return Position == ProbedAt_.end() || Now >= Position->second + ProbeSpacing;
+}
+
+void SeededFleet::noteProbed(const framework::TargetName &Target, Instant Now) {
+  // Spread at random so that instances that started together do not probe
+  // together.
+  const auto Extra = static_cast<Duration::rep>(
+      Rng_.index(static_cast<std::size_t>(ProbeJitter.count())));
+  ProbedAt_[Target] = Now + Duration(Extra);
+}
+
+} // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -0,0 +1,87 @@
+#ifndef CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_SEEDEDFLEET_H
+#define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_SEEDEDFLEET_H
+
+#include "document/types/publishedinstance.h"
+#include "fleet/fleetsettings.h"
+#include "fleet/internal/seeded/members.h"
+#include "fleet/internal/seeded/storeview.h"
+#include "fleet/output.h"
+#include "framework/moment.h"
+#include "framework/random.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// The part of one instance in a fleet whose members find each other by seeds
+/// and read documents and targets from the platform's store. Its shares of the
+/// fleet-wide bounds follow from the most members that it has lately heard of.
+class SeededFleet {
+public:
+  SeededFleet(FleetSettings Settings, framework::Random Rng);
+
+  void start(framework::Moment Now, OutputList &Output);
+  void tick(framework::Moment Now, OutputList &Output);
+  framework::Instant nextWakeUp() const { return NextTickAt_; }
+
+  void handle(const Greeting &Message, framework::Moment Now,
+              OutputList &Output);
+  void noteAllRecords(const std::vector<StoredRecord> &Records,
+                      framework::Revision AsOf, framework::Moment Now,
+                      OutputList &Output);
+  void noteChangedRecords(const std::vector<StoredRecord> &Records,
+                          framework::Revision AsOf, framework::Moment Now,
+                          OutputList &Output);
+  /// The store has dropped the changes that a watch asked for.
+  void noteHistoryLost(framework::Moment Now, OutputList &Output);
+  void noteRecordsUnavailable(framework::Moment Now, OutputList &Output);
+
+  void noteStopRequested(framework::Moment Now, OutputList &Output);
+  void notePause(framework::Moment Now, OutputList &Output);
+  void setSeeds(std::vector<std::string> Addresses);
+
+  const StoreView &view() const { return View_; }
+  bool isViewFresh(framework::Instant Now) const;
+  std::vector<document::PublishedInstance> peers() const;
+  std::size_t fleetSize() const;
+
+  /// Requests a second that this instance may send to a target while it is
+  /// cold, given what all instances together may send.
+  double coldRate(const framework::TargetName &Target, double FleetRate,
+                  framework::Instant Now) const;
+  bool mayProbe(const framework::TargetName &Target,
+                framework::Instant Now) const;
+  void noteProbed(const framework::TargetName &Target, framework::Instant Now);
+  const FleetBounds &bounds() const { return Seeds_.Bounds_; }
+
+private:
+  void tell(const StoreView::Changes &Changed, OutputList &Output);
+  void read(framework::Instant Now, OutputList &Output);
+  void greetRound(framework::Instant Now, OutputList &Output);
+  void greet(const std::string &Address, bool IsAnswerWanted,
+             framework::Instant Now, OutputList &Output);
+  void greetSeeds(framework::Instant Now, OutputList &Output);
+
+  SeedSettings Seeds_;
+  framework::Random Rng_;
+  Members Members_;
+  StoreView View_;
+  bool IsReading_ = false;
+  bool IsListNeeded_ = true;
+  bool IsStopping_ = false;
+  std::uint32_t Failures_ = 0;
+  framework::Instant StartedAt_{};
+  framework::Instant NextReadAt_{};
+  framework::Instant NextTickAt_{};
+  framework::Instant NextRoundAt_{};
+  framework::Instant NextSeedsAt_{};
+  std::map<framework::TargetName, framework::Instant> ProbedAt_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_SEEDEDFLEET_H
--- a/src/fleet/output.h
+++ b/src/fleet/output.h
@@ -10,11 +10,14 @@
 #include "fleet/types/outputs/olderignored.h"
 #include "fleet/types/outputs/peerchanged.h"
 #include "fleet/types/outputs/readpublished.h"
+#include "fleet/types/outputs/readrecords.h"
+#include "fleet/types/outputs/recordrejected.h"
 #include "fleet/types/outputs/sendmessage.h"
 #include "fleet/types/outputs/shareschanged.h"
 #include "fleet/types/outputs/superseded.h"
 #include "fleet/types/outputs/targetreportedcold.h"
 #include "fleet/types/outputs/targetreportedwarm.h"
+#include "fleet/types/outputs/targetschanged.h"
 #include "fleet/types/outputs/viewchanged.h"
 
 #include <variant>
@@ -26,9 +29,9 @@
 using Output =
     std::variant<DocumentInForce, DocumentRejected, FetchSections,
                  InstancesChanged, KeptAnswerExpired, KeyDecided, OlderIgnored,
-                 PeerChanged, ReadPublished, SendMessage, Superseded,
-                 SharesChanged, TargetReportedCold, TargetReportedWarm,
-                 ViewChanged>;
+                 PeerChanged, ReadPublished, ReadRecords, RecordRejected,
+                 SendMessage, Superseded, SharesChanged, TargetReportedCold,
+                 TargetReportedWarm, TargetsChanged, ViewChanged>;
 
 /// Outputs in the order in which they must be carried out.
 using OutputList = std::vector<Output>;
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_FLEET_PEERMESSAGE_H
 #define CRANBERRYSPOOL_FLEET_PEERMESSAGE_H
 
+#include "fleet/types/greeting.h"
 #include "fleet/types/heartbeat.h"
 #include "fleet/types/heartbeatack.h"
 #include "fleet/types/keyended.h"
@@ -18,7 +19,7 @@
 /// alternatives is part of the encoding.
 using PeerMessage =
     std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
-                 KeyEndedAck, KeyHandover, KeyHandoverAck>;
+                 KeyEndedAck, KeyHandover, KeyHandoverAck, Greeting>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -60,6 +60,13 @@
                   framework::WallTime(std::chrono::seconds(5)),
                   {Record, Record}},
       KeyHandoverAck{Name, Incarnation, framework::Digest(4), 1},
+      Greeting{{KnownMember{
+                    Name, Incarnation, framework::ZoneName("a"), Address, {}},
+                KnownMember{framework::InstanceName("entry-13"), Incarnation,
+                            framework::ZoneName("b"), "127.0.0.13:7000",
+                            std::chrono::milliseconds(700)}},
+               true,
+               false},
   };
 }
 
--- a/src/session/internal/actionlines.cpp
+++ b/src/session/internal/actionlines.cpp
@@ -97,6 +97,8 @@
           {"mark", Asked.AttemptMark_}};
 }
 
+json::object write(const ReadRecords &) { return {{"action", "read-records"}}; }
+
 json::object write(const SendPeerMessage &Asked) {
   return {{"action", "send-peer-message"}, {"peer", Asked.PeerAddress_}};
 }
--- a/src/session/internal/eventlines.cpp
+++ b/src/session/internal/eventlines.cpp
@@ -100,6 +100,26 @@
   return {{"event", "peer-message-received"}};
 }
 
+json::object write(const RecordsRead &Seen) {
+  return {{"event", "records-read"}, {"as-of", Seen.AsOf_.value()}};
+}
+
+json::object write(const RecordsChanged &Seen) {
+  return {{"event", "records-changed"}, {"as-of", Seen.AsOf_.value()}};
+}
+
+json::object write(const RecordHistoryLost &) {
+  return {{"event", "record-history-lost"}};
+}
+
+json::object write(const RecordsUnavailable &) {
+  return {{"event", "records-unavailable"}};
+}
+
+json::object write(const SeedsChanged &) {
+  return {{"event", "seeds-changed"}};
+}
+
 json::object write(const SectionsFetched &Seen) {
   return {{"event", "sections-fetched"}, {"peer", Seen.PeerAddress_}};
 }
--- a/src/session/internal/names.cpp
+++ b/src/session/internal/names.cpp
@@ -15,13 +15,13 @@
 
 constexpr std::array<std::string_view, 2> WriteStates{"nothing", "maybe"};
 
-constexpr std::array<std::string_view, 17> Changes{
+constexpr std::array<std::string_view, 18> Changes{
     "document-in-force", "document-rejected", "document-older-ignored",
-    "target-ejected",    "target-restored",   "target-cold",
-    "target-warm",       "target-leaving",    "zone-out",
-    "zone-in",           "peer-joined",       "peer-lost",
-    "view-lost",         "view-restored",     "pause-detected",
-    "stop-started",      "stop-finished"};
+    "record-rejected",   "target-ejected",    "target-restored",
+    "target-cold",       "target-warm",       "target-leaving",
+    "zone-out",          "zone-in",           "peer-joined",
+    "peer-lost",         "view-lost",         "view-restored",
+    "pause-detected",    "stop-started",      "stop-finished"};
 
 constexpr std::array<std::string_view, 9> Modes{"answer", "fail",   "shed",
                                                 "drain",  "cross",  "truncate",
