Share load reports, probes and reads of the store among neighbours

Members of a zone, nine at the most, tell each other fresh load reports each 50 ms, let one of them probe a target at 90 ms, and let one read the store and pass on its changes. Others take over after 0.5 s (probes) and 1.2 s (store) without word.

--- a/src/decision/internal/fleetlink.cpp
+++ b/src/decision/internal/fleetlink.cpp
@@ -97,6 +97,11 @@
          std::to_string(Asked.Revision_.value()));
 }
 
+void FleetLink::apply(const Step &, const fleet::LoadShared &Asked) {
+  if (const auto Target = Parts_.Environment_.findTarget(Asked.Target_))
+    Parts_.Targets_.noteReport(*Target, Asked.Report_, Asked.SeenAt_);
+}
+
 void FleetLink::apply(const Step &At, const fleet::OlderIgnored &Asked) {
   ++Parts_.Counters_.DocumentsOlderIgnored_;
   report(At, ChangeKind::DocumentOlderIgnored,
--- a/src/decision/internal/targetnotes.cpp
+++ b/src/decision/internal/targetnotes.cpp
@@ -28,8 +28,11 @@
   if (Start && Parts_.Targets_.noteStart(Target, *Start, At.now()))
     Parts_.Fleet_.noteTurnedCold(Parts_.Environment_.targetName(Target), *Start,
                                  At.Now_, Parts_.FleetOutput_);
-  if (Report)
-    Parts_.Targets_.noteReport(Target, *Report, At.now());
+  if (!Report)
+    return;
+  Parts_.Targets_.noteReport(Target, *Report, At.now());
+  Parts_.Fleet_.noteLoad(Parts_.Environment_.targetName(Target), *Report,
+                         At.now());
 }
 
 void TargetNotes::report(const Step &At) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -92,6 +92,10 @@
                       framework::Incarnation StartId, framework::Moment Now,
                       OutputList &Output);
 
+  /// A target has reported its load to this instance.
+  void noteLoad(const framework::TargetName &Target,
+                const routing::LoadReport &Report, framework::Instant Now);
+
   /// This instance knows that a target is warm, or no longer knows it.
   void setWarm(const framework::TargetName &Target, bool IsWarm);
 
--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -130,6 +130,49 @@
   Visit(Item.IsStopping_);
 }
 
+template <typename Visitor>
+void visitFields(routing::LoadReport &Item, Visitor &&Visit) {
+  Visit(Item.InFlight_);
+  Visit(Item.Queued_);
+  Visit(Item.Slots_);
+  Visit(Item.IsCold_);
+  Visit(Item.IsDraining_);
+  Visit(Item.SlowdownPercent_);
+  Visit(Item.WarmupLeft_);
+}
+
+template <typename Visitor>
+void visitFields(SharedLoad &Item, Visitor &&Visit) {
+  Visit(Item.Target_);
+  Visit(Item.Report_);
+  Visit(Item.Age_);
+}
+
+template <typename Visitor>
+void visitFields(LoadNotice &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Loads_);
+}
+
+template <typename Visitor>
+void visitFields(SharedRecord &Item, Visitor &&Visit) {
+  Visit(Item.Key_);
+  Visit(Item.Value_);
+  Visit(Item.Revision_);
+  Visit(Item.IsDeleted_);
+}
+
+template <typename Visitor>
+void visitFields(RecordNotice &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.After_);
+  Visit(Item.AsOf_);
+  Visit(Item.Age_);
+  Visit(Item.Records_);
+}
+
 } // namespace cranberryspool::fleet
 
 #endif // CRANBERRYSPOOL_FLEET_INTERNAL_FIELDLISTS_H
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -97,7 +97,9 @@
   std::visit(
       [&](const auto &Item) {
         using Kind = std::decay_t<decltype(Item)>;
-        if constexpr (std::is_same_v<Kind, Greeting>) {
+        if constexpr (std::is_same_v<Kind, Greeting> ||
+                      std::is_same_v<Kind, LoadNotice> ||
+                      std::is_same_v<Kind, RecordNotice>) {
           if (Seeded_)
             Seeded_->handle(Item, Now, Output);
         } else {
@@ -158,6 +160,13 @@
     State_->noteTurnedCold(ColdNotice{Target, StartId}, Now, Output);
 }
 
+void Fleet::noteLoad(const framework::TargetName &Target,
+                     const routing::LoadReport &Report,
+                     framework::Instant Now) {
+  if (Seeded_)
+    Seeded_->noteLoad(Target, Report, Now);
+}
+
 void Fleet::setWarm(const framework::TargetName &Target, bool IsWarm) {
   if (State_)
     State_->setWarm(Target, IsWarm);
--- /dev/null
+++ b/src/fleet/internal/seeded/neighbours.h
@@ -0,0 +1,50 @@
+#ifndef CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_NEIGHBOURS_H
+#define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_NEIGHBOURS_H
+
+#include "fleet/internal/seeded/members.h"
+#include "framework/ids.h"
+#include "framework/time.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// The group of instances of this availability zone that share what they hear
+/// of targets and of the platform's store. Its size is bounded, so that the
+/// cost of an instance does not grow with the fleet; within a group each task
+/// has one instance that is responsible for it.
+class Neighbours {
+public:
+  static constexpr std::size_t MaxSize = 9;
+
+  /// Forms the group anew from the members that run.
+  void form(const Members &From);
+
+  /// Takes a notice of a neighbour as its sign of life.
+  void noteHeard(const framework::InstanceName &Name, framework::Instant Now);
+
+  /// Returns the addresses of the others.
+  const std::map<framework::InstanceName, std::string> &addresses() const {
+    return Addresses_;
+  }
+
+  /// True when this instance comes first for the task among those that were
+  /// heard lately.
+  bool isResponsible(std::string_view Task, const framework::InstanceName &Self,
+                     framework::Instant Now) const;
+
+private:
+  /// A neighbour that was not heard for so long is responsible for nothing.
+  static constexpr framework::Duration SilentAfter =
+      std::chrono::milliseconds(700);
+
+  std::map<framework::InstanceName, std::string> Addresses_;
+  std::map<framework::InstanceName, framework::Instant> HeardAt_;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_NEIGHBOURS_H
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -3,6 +3,8 @@
 #include "fleet/internal/rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
 
 namespace cranberryspool::fleet {
 
@@ -13,7 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration TickInterval = milliseconds(100);
+constexpr Duration TickInterval = milliseconds(50);
 /// Greetings to a few members, and how many.
 constexpr Duration RoundInterval = milliseconds(500);
 constexpr std::size_t MembersPerRound = 4;
@@ -35,8 +37,28 @@
 constexpr std::size_t ColdSenders = 3;
 /// Requests a second to a cold target by an instance that knows nobody.
 constexpr double LonelyColdRate = 1;
-constexpr Duration ProbeSpacing = milliseconds(450);
-constexpr Duration ProbeJitter = milliseconds(100);
+/// A target is probed at this pace by the instance of a group of neighbours
+/// that is responsible for it, or slower where there are many groups: the
+/// platform allows each target so many probes a second.
+constexpr Duration ProbeInterval = milliseconds(90);
+constexpr std::int64_t ProbesPerSecond = 40;
+/// Others probe when nobody told them of the target for so long.
+constexpr Duration HealthPatience = milliseconds(500);
+/// Neighbours are told something at least so often, as a sign of life.
+constexpr Duration NoticeInterval = milliseconds(200);
+/// An instance reads the store itself when its neighbours' word is older.
+constexpr Duration ViewPatience = milliseconds(1200);
+/// The task of reading the store, for which one of a group is responsible.
+constexpr std::string_view ReadingTask = "store";
+
+std::vector<StoredRecord> newerThan(framework::Revision Known,
+                                    const std::vector<StoredRecord> &Records) {
+  std::vector<StoredRecord> Newer;
+  std::copy_if(
+      Records.begin(), Records.end(), std::back_inserter(Newer),
+      [&](const StoredRecord &Each) { return Each.Revision_ > Known; });
+  return Newer;
+}
 
 KnownMember selfOf(const FleetSettings &Settings) {
   return KnownMember{.Name_ = Settings.Self_,
@@ -62,7 +84,10 @@
   for (const framework::InstanceName &Lost : Members_.expire(At))
     Output.push_back(PeerChanged{Lost, false});
   tell(View_.advance(At), Output);
+  Neighbours_.form(Members_);
   read(At, Output);
+  shareLoads(At, Output);
+  shareRecords(At, Output);
   if (At >= NextRoundAt_)
     greetRound(At, Output);
   if (At >= NextSeedsAt_)
@@ -128,17 +153,28 @@
   Output.push_back(SendMessage{Address, std::move(Message)});
 }
 
+bool SeededFleet::isReader(Instant Now) const {
+  const auto Age = View_.age(Now);
+  return !Age || *Age > ViewPatience ||
+         Neighbours_.isResponsible(ReadingTask, Members_.self().Name_, Now);
+}
+
 void SeededFleet::read(Instant Now, OutputList &Output) {
   if (IsReading_ || Now < NextReadAt_)
     return;
+  const bool IsWatchWanted = isReader(Now);
+  if (!IsWatchWanted && !IsBehind_ && !IsListNeeded_)
+    return;
   IsReading_ = true;
+  IsBehind_ = false;
   if (IsListNeeded_ || !View_.hasList()) {
     Output.push_back(ReadRecords{std::nullopt, Duration{}});
     return;
   }
   // After a failure an answer at once tells how things stand.
+  IsWatching_ = IsWatchWanted && Failures_ == 0;
   Output.push_back(
-      ReadRecords{View_.revision(), Failures_ > 0 ? Duration{} : WatchWait});
+      ReadRecords{View_.revision(), IsWatching_ ? WatchWait : Duration{}});
 }
 
 void SeededFleet::noteAllRecords(const std::vector<StoredRecord> &Records,
@@ -147,6 +183,7 @@
   IsReading_ = false;
   IsListNeeded_ = false;
   Failures_ = 0;
+  RecordLog_.clear();
   tell(View_.replaceAll(Records, AsOf, Now.Monotonic_), Output);
   read(Now.Monotonic_, Output);
 }
@@ -157,7 +194,14 @@
                                      OutputList &Output) {
   IsReading_ = false;
   Failures_ = 0;
-  tell(View_.apply(Records, AsOf, Now.Monotonic_), Output);
+  // Neighbours may have told of some of it meanwhile.
+  const framework::Revision Before = View_.revision();
+  const bool IsNews = AsOf > Before;
+  RecordLog_.note(Before, AsOf, newerThan(Before, Records), Now.Monotonic_);
+  tell(View_.apply(newerThan(Before, Records), AsOf, Now.Monotonic_), Output);
+  if (IsNews)
+    NextRecordNoticeAt_ = Now.Monotonic_;
+  shareRecords(Now.Monotonic_, Output);
   read(Now.Monotonic_, Output);
 }
 
@@ -246,18 +290,92 @@
   return FleetRate / static_cast<double>(Senders);
 }
 
+Duration SeededFleet::probeInterval() const {
+  const std::size_t Groups =
+      (Members_.peak() + Neighbours::MaxSize - 1) / Neighbours::MaxSize;
+  const Duration ByBound = Duration(seconds(1)) *
+                           static_cast<std::int64_t>(Groups) / ProbesPerSecond;
+  return std::max(ProbeInterval, ByBound);
+}
+
 bool SeededFleet::mayProbe(const framework::TargetName &Target,
                            Instant Now) const {
-  const auto Position = ProbedAt_.find(Target);
-  return Position == ProbedAt_.end() || Now >= Position->second + ProbeSpacing;
+  const Duration SinceOwn = Loads_.probeAge(Target, Now);
+  if (Neighbours_.isResponsible(Target.value(), Members_.self().Name_, Now))
+    return SinceOwn >= probeInterval();
+  return Loads_.healthAge(Target, Now) >= HealthPatience &&
+         SinceOwn >= HealthPatience;
 }
 
 void SeededFleet::noteProbed(const framework::TargetName &Target, Instant Now) {
-  // Spread at random so that instances that started together do not probe
-  // together.
-  const auto Extra = static_cast<Duration::rep>(
-      Rng_.index(static_cast<std::size_t>(ProbeJitter.count())));
-  ProbedAt_[Target] = Now + Duration(Extra);
+  Loads_.noteProbed(Target, Now);
+}
+
+void SeededFleet::shareLoads(Instant Now, OutputList &Output) {
+  if (!Loads_.hasNews() && Now < NextLoadNoticeAt_)
+    return;
+  NextLoadNoticeAt_ = Now + NoticeInterval;
+  LoadNotice Notice;
+  Notice.From_ = Members_.self().Name_;
+  Notice.Incarnation_ = Members_.self().Incarnation_;
+  Notice.Loads_ = Loads_.take(Now);
+  sendToNeighbours(Notice, Output);
+}
+
+void SeededFleet::shareRecords(Instant Now, OutputList &Output) {
+  const auto Age = View_.age(Now);
+  // Only what this instance has read itself: words of neighbours would keep
+  // each other young.
+  if (Now < NextRecordNoticeAt_ || !View_.hasList() || !Age || !isReader(Now) ||
+      Failures_ > 0)
+    return;
+  NextRecordNoticeAt_ = Now + NoticeInterval;
+  RecordNotice Notice;
+  Notice.From_ = Members_.self().Name_;
+  Notice.Incarnation_ = Members_.self().Incarnation_;
+  Notice.AsOf_ = View_.revision();
+  Notice.Age_ = *Age;
+  RecordLog_.fill(Notice, Now);
+  sendToNeighbours(Notice, Output);
+}
+
+void SeededFleet::sendToNeighbours(const PeerMessage &Message,
+                                   OutputList &Output) const {
+  for (const auto &[Name, Address] : Neighbours_.addresses())
+    Output.push_back(SendMessage{Address, Message});
+}
+
+void SeededFleet::handle(const LoadNotice &Message, framework::Moment Now,
+                         OutputList &Output) {
+  Neighbours_.noteHeard(Message.From_, Now.Monotonic_);
+  for (const SharedLoad &Each : Message.Loads_) {
+    Loads_.noteShared(Each, Now.Monotonic_);
+    Output.push_back(
+        LoadShared{Each.Target_, Each.Report_, Now.Monotonic_ - Each.Age_});
+  }
+}
+
+void SeededFleet::handle(const RecordNotice &Message, framework::Moment Now,
+                         OutputList &Output) {
+  const Instant At = Now.Monotonic_;
+  Neighbours_.noteHeard(Message.From_, At);
+  const framework::Revision Before = View_.revision();
+  if (!View_.hasList() || Message.AsOf_ < Before)
+    return;
+  if (Message.After_ > Before) {
+    IsBehind_ = true;
+    read(At, Output);
+    return;
+  }
+  std::vector<StoredRecord> Records;
+  for (const SharedRecord &Each : Message.Records_)
+    if (Each.Revision_ > Before)
+      Records.push_back({Each.Key_,
+                         {Each.Value_.begin(), Each.Value_.end()},
+                         Each.Revision_,
+                         Each.IsDeleted_});
+  RecordLog_.note(Before, Message.AsOf_, Records, At);
+  tell(View_.apply(Records, Message.AsOf_, At - Message.Age_), Output);
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -3,7 +3,10 @@
 
 #include "document/types/publishedinstance.h"
 #include "fleet/fleetsettings.h"
+#include "fleet/internal/seeded/loadsharing.h"
 #include "fleet/internal/seeded/members.h"
+#include "fleet/internal/seeded/neighbours.h"
+#include "fleet/internal/seeded/recordlog.h"
 #include "fleet/internal/seeded/storeview.h"
 #include "fleet/output.h"
 #include "framework/moment.h"
@@ -30,6 +33,14 @@
 
   void handle(const Greeting &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const LoadNotice &Message, framework::Moment Now,
+              OutputList &Output);
+  void handle(const RecordNotice &Message, framework::Moment Now,
+              OutputList &Output);
+  void noteLoad(const framework::TargetName &Target,
+                const routing::LoadReport &Report, framework::Instant Now) {
+    Loads_.noteOwn(Target, Report, Now);
+  }
   void noteAllRecords(const std::vector<StoredRecord> &Records,
                       framework::Revision AsOf, framework::Moment Now,
                       OutputList &Output);
@@ -61,6 +72,13 @@
 private:
   void tell(const StoreView::Changes &Changed, OutputList &Output);
   void read(framework::Instant Now, OutputList &Output);
+  /// True when this instance keeps a watch of the store for its neighbours, or
+  /// for itself when they tell it nothing.
+  bool isReader(framework::Instant Now) const;
+  void shareLoads(framework::Instant Now, OutputList &Output);
+  void shareRecords(framework::Instant Now, OutputList &Output);
+  void sendToNeighbours(const PeerMessage &Message, OutputList &Output) const;
+  framework::Duration probeInterval() const;
   void greetRound(framework::Instant Now, OutputList &Output);
   void greet(const std::string &Address, bool IsAnswerWanted,
              framework::Instant Now, OutputList &Output);
@@ -69,9 +87,16 @@
   SeedSettings Seeds_;
   framework::Random Rng_;
   Members Members_;
+  Neighbours Neighbours_;
+  LoadSharing Loads_;
+  RecordLog RecordLog_;
   StoreView View_;
+  /// A neighbour has seen more of the store than it could tell.
+  bool IsBehind_ = false;
   bool IsReading_ = false;
   bool IsListNeeded_ = true;
+  /// The read under way is a watch that may wait.
+  bool IsWatching_ = false;
   bool IsStopping_ = false;
   std::uint32_t Failures_ = 0;
   framework::Instant StartedAt_{};
@@ -79,7 +104,8 @@
   framework::Instant NextTickAt_{};
   framework::Instant NextRoundAt_{};
   framework::Instant NextSeedsAt_{};
-  std::map<framework::TargetName, framework::Instant> ProbedAt_;
+  framework::Instant NextLoadNoticeAt_{};
+  framework::Instant NextRecordNoticeAt_{};
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -13,6 +13,10 @@
 } // namespace
 
 void StoreView::noteAnswered(framework::Revision AsOf, framework::Instant Now) {
+  if (AnsweredAt_ && Now <= *AnsweredAt_) {
+    AsOf_ = std::max(AsOf_, AsOf);
+    return;
+  }
   if (AnsweredAt_ && Now - *AnsweredAt_ > AwayAfter)
     SettledAt_ = Now + LapseGrace_;
   AnsweredAt_ = Now;
--- a/src/fleet/output.h
+++ b/src/fleet/output.h
@@ -7,6 +7,7 @@
 #include "fleet/types/outputs/instanceschanged.h"
 #include "fleet/types/outputs/keptanswerexpired.h"
 #include "fleet/types/outputs/keydecided.h"
+#include "fleet/types/outputs/loadshared.h"
 #include "fleet/types/outputs/olderignored.h"
 #include "fleet/types/outputs/peerchanged.h"
 #include "fleet/types/outputs/readpublished.h"
@@ -28,10 +29,11 @@
 /// All that a fleet member asks for or tells.
 using Output =
     std::variant<DocumentInForce, DocumentRejected, FetchSections,
-                 InstancesChanged, KeptAnswerExpired, KeyDecided, OlderIgnored,
-                 PeerChanged, ReadPublished, ReadRecords, RecordRejected,
-                 SendMessage, Superseded, SharesChanged, TargetReportedCold,
-                 TargetReportedWarm, TargetsChanged, ViewChanged>;
+                 InstancesChanged, KeptAnswerExpired, KeyDecided, LoadShared,
+                 OlderIgnored, PeerChanged, ReadPublished, ReadRecords,
+                 RecordRejected, SendMessage, Superseded, SharesChanged,
+                 TargetReportedCold, TargetReportedWarm, TargetsChanged,
+                 ViewChanged>;
 
 /// Outputs in the order in which they must be carried out.
 using OutputList = std::vector<Output>;
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -10,6 +10,8 @@
 #include "fleet/types/keyhandoverack.h"
 #include "fleet/types/keyreply.h"
 #include "fleet/types/keyrequest.h"
+#include "fleet/types/loadnotice.h"
+#include "fleet/types/recordnotice.h"
 
 #include <variant>
 
@@ -19,7 +21,8 @@
 /// alternatives is part of the encoding.
 using PeerMessage =
     std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
-                 KeyEndedAck, KeyHandover, KeyHandoverAck, Greeting>;
+                 KeyEndedAck, KeyHandover, KeyHandoverAck, Greeting, LoadNotice,
+                 RecordNotice>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -26,6 +26,10 @@
   const std::string Address = "127.0.0.12:7000";
   const KeyRecord Record{
       Key, Name, Incarnation, Address, framework::CallId(9), KeyOutcome::Kept};
+  routing::LoadReport Report;
+  Report.InFlight_ = 2;
+  Report.SlowdownPercent_ = 700;
+  Report.WarmupLeft_ = std::chrono::milliseconds(1500);
   return {
       Heartbeat{Name,
                 Incarnation,
@@ -67,6 +71,20 @@
                             std::chrono::milliseconds(700)}},
                true,
                false},
+      LoadNotice{Name,
+                 Incarnation,
+                 {SharedLoad{framework::TargetName("t1"), Report,
+                             std::chrono::milliseconds(12)},
+                  SharedLoad{}}},
+      RecordNotice{
+          Name,
+          Incarnation,
+          framework::Revision(7),
+          framework::Revision(9),
+          std::chrono::milliseconds(3),
+          {SharedRecord{
+               "servers/t1", {0, 0xff, 'x'}, framework::Revision(8), false},
+           SharedRecord{"servers/t2", {}, framework::Revision(9), true}}},
   };
 }
 
--- /dev/null
+++ b/src/fleet/types/sharedrecord.h
@@ -0,0 +1,24 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_SHAREDRECORD_H
+#define CRANBERRYSPOOL_FLEET_TYPES_SHAREDRECORD_H
+
+#include "framework/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// An entry of the platform's store in a message; its value may be any bytes.
+struct SharedRecord {
+  std::string Key_;
+  std::vector<std::uint8_t> Value_;
+  framework::Revision Revision_;
+  bool IsDeleted_ = false;
+
+  friend bool operator==(const SharedRecord &, const SharedRecord &) = default;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_SHAREDRECORD_H
--- a/src/routing/internal/reportedloadpolicy.cpp
+++ b/src/routing/internal/reportedloadpolicy.cpp
@@ -42,9 +42,11 @@
       Known * *State.Report_.SlowdownPercent_ / 100.0 + (1 - Known) * Usual;
   const double Slots = std::max(State.Description_.Slots_, 1U);
   const double Reported = State.Report_.InFlight_ + State.Report_.Queued_;
-  const double Load = Known * Reported +
-                      (1 - Known) * Settings_.AssumedLoad_ * Slots +
-                      std::min(State.SentSinceReport_, State.InFlight_) + 1;
+  const double Load =
+      Known * Reported + (1 - Known) * Settings_.AssumedLoad_ * Slots +
+      static_cast<double>(std::min<std::size_t>(State.SentSinceReport_.size(),
+                                                State.InFlight_)) +
+      1;
   const double Waiting = std::max(0.0, Load - Slots) / Slots;
   const double Busy =
       Load > Settings_.BusyShare_ * Slots ? Settings_.BusySlowness_ : 1.0;
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -161,7 +161,7 @@
   TargetState &State = States_[Target.value()];
   ++State.InFlight_;
   ++State.SentSincePeers_;
-  ++State.SentSinceReport_;
+  State.noteSent(Now);
   if (isCold(Target))
     takeColdToken(Target, Now);
   State.SentTimeSum_ += micros(Now);
@@ -239,9 +239,12 @@
     return;
   Record &Entry = Records_[Target.value()];
   TargetState &State = States_[Target.value()];
+  // Reports that others pass on may be older than one that is known.
+  if (State.ReportedAt_ && Now < *State.ReportedAt_)
+    return;
   State.Report_ = Report;
   State.ReportedAt_ = Now;
-  State.SentSinceReport_ = 0;
+  State.forgetSentBefore(Now);
   if (Report.SlowdownPercent_) {
     double &Usual = group(Target).Slowdown_;
     Usual += SlowdownWeight * (*Report.SlowdownPercent_ / 100.0 - Usual);
--- a/src/routing/types/targetstate.h
+++ b/src/routing/types/targetstate.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace cranberryspool::routing {
 
@@ -26,8 +27,8 @@
 
   LoadReport Report_;
   std::optional<framework::Instant> ReportedAt_;
-  /// Attempts that this instance has sent since the report.
-  std::uint32_t SentSinceReport_ = 0;
+  /// When this instance sent attempts since the report, the last few.
+  std::vector<framework::Instant> SentSinceReport_;
 
   /// Attempts in flight of all other instances, as they told last.
   std::uint32_t PeerInFlight_ = 0;
@@ -41,6 +42,18 @@
   /// Moving average of the time of an answer; zero before the first answer.
   double LatencyMicros_ = 0;
 
+  void noteSent(framework::Instant Now) {
+    if (SentSinceReport_.size() < MaxSentKept)
+      SentSinceReport_.push_back(Now);
+  }
+
+  void forgetSentBefore(framework::Instant Then) {
+    std::erase_if(SentSinceReport_,
+                  [&](framework::Instant Sent) { return Sent <= Then; });
+  }
+
+  static constexpr std::size_t MaxSentKept = 64;
+
   /// The sum of the ages of the attempts in flight, in microseconds.
   double ageSumMicros(framework::Instant Now) const {
     const auto NowMicros = Now.time_since_epoch().count();
