Hedge look-ups by their latency objective when the target turns slow

Cause: hedges started at the 96th percentile of recent answers, which is the time of a slow target itself (about 700 ms where the objective is 300 ms).

A call with a latency objective is now hedged at 0.3 of it when the target's fresh report says that it works twice as slow, at 0.65 of it in any case, within the budget for extra attempts.

--- a/src/decision/internal/attemptflow.cpp
+++ b/src/decision/internal/attemptflow.cpp
@@ -86,6 +86,14 @@
     return;
   if (Owner.WasHedged_ || Request.AttemptMark_ > 1 || Owner.Sent_ > 1)
     return;
+  if (Request.LatencyObjective_ > framework::Duration::zero()) {
+    Parts_.Hedges_.set(Request.Call_,
+                       At.now() +
+                           std::chrono::duration_cast<framework::Duration>(
+                               Request.LatencyObjective_ *
+                               Parts_.Calling_.HedgeWhenSlow_));
+    return;
+  }
   const auto Usual = Parts_.Learning_.latency(Request.Kind_).quantile();
   if (!Usual)
     return;
--- a/src/decision/internal/callsettings.h
+++ b/src/decision/internal/callsettings.h
@@ -33,6 +33,15 @@
   /// the recent attempts of its kind.
   std::uint32_t HedgeQuantilePerThousand_ = 960;
   framework::Duration MinHedgeDelay_ = std::chrono::milliseconds(2);
+  /// Calls with a latency objective are hedged by it instead: after the first
+  /// share of it when the target is known to be slow now, after the second in
+  /// any case.
+  double HedgeWhenSlow_ = 0.3;
+  double HedgeAlways_ = 0.65;
+  /// A target is slow when it reports to be so many times slower than usual.
+  double SlowTarget_ = 2.0;
+  /// How often a call is looked at between the two.
+  framework::Duration HedgeRecheck_ = std::chrono::milliseconds(30);
 
   /// A request that must not run twice goes only on a connection on which the
   /// target was heard this recently.
--- a/src/decision/internal/dispatcher.cpp
+++ b/src/decision/internal/dispatcher.cpp
@@ -36,6 +36,17 @@
   return Parts_.Targets_.choose(Request, At.now());
 }
 
+bool Dispatcher::isHedgeDue(const Step &At, const calls::Call &Owner,
+                            const calls::Attempt &First) const {
+  const framework::Duration Objective = Owner.Request_.LatencyObjective_;
+  if (Objective <= framework::Duration::zero())
+    return true;
+  if (At.now() - First.SentAt_ >= Objective * Parts_.Calling_.HedgeAlways_)
+    return true;
+  return Parts_.Targets_.slowdown(First.Target_, At.now()) >=
+         Parts_.Calling_.SlowTarget_;
+}
+
 void Dispatcher::startHedges(const Step &At, bool MayStart) {
   while (const auto Id = Parts_.Hedges_.takeDue(At.now())) {
     calls::Call *Owner = Parts_.Calls_.find(*Id);
@@ -47,6 +58,10 @@
     if (First.HasAnswerBegun_ ||
         Parts_.Queue_.hasWaiting(Owner->Request_.Service_))
       continue;
+    if (!isHedgeDue(At, *Owner, First)) {
+      Parts_.Hedges_.set(*Id, At.now() + Parts_.Calling_.HedgeRecheck_);
+      continue;
+    }
     const auto Target = Parts_.Targets_.choose(
         routing::ChoiceRequest{.Service_ = Owner->Request_.Service_,
                                .Urgency_ = Owner->Request_.Urgency_,
--- a/src/decision/internal/dispatcher.h
+++ b/src/decision/internal/dispatcher.h
@@ -22,6 +22,10 @@
   void startHedges(const Step &At, bool MayStart);
 
 private:
+  /// True when a second attempt of a call whose first one is under way should
+  /// start now.
+  bool isHedgeDue(const Step &At, const calls::Call &Owner,
+                  const calls::Attempt &First) const;
   /// Returns false when no target may take one more attempt.
   bool startNext(const Step &At, calls::Call &Owner);
   std::optional<framework::TargetId> choose(const Step &At,
--- /dev/null
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -0,0 +1,246 @@
+#include "fleet/internal/seeded/seededfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+using framework::Duration;
+using framework::Revision;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+PublishedItem decode(const std::string &, const std::string &Value) {
+  if (Value != "document")
+    return UnreadableRecord{"unknown value"};
+  PublishedConfiguration Item;
+  Item.Version_ = 3;
+  Item.Document_ = std::make_shared<document::EnvironmentDocument>();
+  return Item;
+}
+
+FleetSettings settingsOf(int Number, const char *Zone = "a") {
+  FleetSettings Settings;
+  Settings.Self_ = framework::InstanceName("entry-" + std::to_string(Number));
+  Settings.Incarnation_ = framework::Incarnation(1000);
+  Settings.Zone_ = framework::ZoneName(Zone);
+  Settings.Address_ = "127.0.0." + std::to_string(Number) + ":7000";
+  Settings.Seeds_ = SeedSettings{
+      .Addresses_ = {"127.0.0.1:7000"}, .Decode_ = decode, .Bounds_ = {}};
+  return Settings;
+}
+
+template <typename Kind> std::vector<Kind> only(const OutputList &Output) {
+  std::vector<Kind> Found;
+  for (const fleet::Output &Each : Output)
+    if (const auto *Match = std::get_if<Kind>(&Each))
+      Found.push_back(*Match);
+  return Found;
+}
+
+/// Several instances that hear each other at once, and a store.
+struct World {
+  std::vector<SeededFleet> Fleets_;
+  framework::Moment Now_{framework::Instant(seconds(100)),
+                         framework::WallTime(seconds(1'000'000))};
+  bool IsStoreDown_ = false;
+  Revision Stored_{10};
+  int Reads_ = 0;
+  /// Instances that neither hear nor are heard.
+  std::set<std::size_t> Deaf_;
+
+  World(int Count, const char *Zone = "a") {
+    for (int Number = 1; Number <= Count; ++Number)
+      Fleets_.emplace_back(settingsOf(Number, Zone),
+                           framework::Random(static_cast<unsigned>(Number)));
+    for (std::size_t At = 0; At < Fleets_.size(); ++At) {
+      OutputList Output;
+      Fleets_[At].start(Now_, Output);
+      carryOut(At, Output);
+    }
+  }
+
+  void carryOut(std::size_t From, const OutputList &Output) {
+    for (const SendMessage &Each : only<SendMessage>(Output))
+      deliver(From, Each);
+    for (const ReadRecords &Each : only<ReadRecords>(Output))
+      answer(From, Each);
+  }
+
+  void deliver(std::size_t From, const SendMessage &Message) {
+    for (std::size_t To = 0; To < Fleets_.size(); ++To) {
+      if (settingsOf(static_cast<int>(To) + 1).Address_ !=
+              Message.PeerAddress_ ||
+          Deaf_.contains(To) || Deaf_.contains(From))
+        continue;
+      OutputList Output;
+      std::visit(
+          [&](const auto &Kind) {
+            if constexpr (requires { Fleets_[To].handle(Kind, Now_, Output); })
+              Fleets_[To].handle(Kind, Now_, Output);
+          },
+          Message.Message_);
+      carryOut(To, Output);
+    }
+  }
+
+  void answer(std::size_t From, const ReadRecords &Order) {
+    ++Reads_;
+    OutputList Output;
+    if (IsStoreDown_)
+      Fleets_[From].noteRecordsUnavailable(Now_, Output);
+    else if (!Order.After_)
+      Fleets_[From].noteAllRecords({{"c", "document", Revision(9), false}},
+                                   Stored_, Now_, Output);
+    else if (Order.Wait_ > Duration::zero() && *Order.After_ == Stored_)
+      Waiting_[From] = Now_.Monotonic_ + Order.Wait_;
+    else
+      Fleets_[From].noteChangedRecords({}, Stored_, Now_, Output);
+    carryOut(From, Output);
+  }
+
+  void pass(Duration Time) {
+    const framework::Instant End = Now_.Monotonic_ + Time;
+    while (Now_.Monotonic_ < End) {
+      Now_.Monotonic_ += milliseconds(10);
+      for (std::size_t At = 0; At < Fleets_.size(); ++At) {
+        OutputList Output;
+        const auto Watch = Waiting_.find(At);
+        if (Watch != Waiting_.end() && Watch->second <= Now_.Monotonic_) {
+          Waiting_.erase(Watch);
+          if (IsStoreDown_)
+            Fleets_[At].noteRecordsUnavailable(Now_, Output);
+          else
+            Fleets_[At].noteChangedRecords({}, Stored_, Now_, Output);
+        }
+        if (Fleets_[At].nextWakeUp() <= Now_.Monotonic_)
+          Fleets_[At].tick(Now_, Output);
+        carryOut(At, Output);
+      }
+    }
+  }
+
+  std::map<std::size_t, framework::Instant> Waiting_;
+};
+
+} // namespace
+
+TEST_CASE("instances find each other by one seed", "[seeds]") {
+  World Fleet(6);
+  Fleet.pass(seconds(1));
+  for (const SeededFleet &Each : Fleet.Fleets_)
+    CHECK(Each.fleetSize() == 6);
+}
+
+TEST_CASE("an instance serves as soon as it has read the store", "[seeds]") {
+  World Fleet(1);
+  CHECK(Fleet.Fleets_[0].isViewFresh(Fleet.Now_.Monotonic_));
+}
+
+TEST_CASE("one of a group of neighbours reads the store", "[seeds]") {
+  World Fleet(5);
+  Fleet.pass(seconds(2));
+  Fleet.Reads_ = 0;
+  Fleet.pass(seconds(10));
+  // A watch waits for a second.
+  CHECK(Fleet.Reads_ <= 12);
+  for (const SeededFleet &Each : Fleet.Fleets_)
+    CHECK(*Each.view().age(Fleet.Now_.Monotonic_) < seconds(2));
+}
+
+TEST_CASE("an instance that hears nobody reads the store itself", "[seeds]") {
+  World Fleet(5);
+  Fleet.pass(seconds(2));
+  Fleet.Deaf_ = {0, 1, 2, 3, 4};
+  Fleet.pass(seconds(4));
+  for (const SeededFleet &Each : Fleet.Fleets_)
+    CHECK(*Each.view().age(Fleet.Now_.Monotonic_) < milliseconds(1500));
+}
+
+TEST_CASE("a store that is down is asked at a bounded pace", "[seeds]") {
+  World Fleet(1);
+  Fleet.pass(seconds(2));
+  Fleet.IsStoreDown_ = true;
+  Fleet.Reads_ = 0;
+  Fleet.pass(seconds(10));
+  CHECK(Fleet.Reads_ <= 60);
+  Fleet.IsStoreDown_ = false;
+  Fleet.pass(seconds(1));
+  CHECK(*Fleet.Fleets_[0].view().age(Fleet.Now_.Monotonic_) < seconds(2));
+}
+
+TEST_CASE("a share follows the most members of the last while", "[seeds]") {
+  World Fleet(6);
+  Fleet.pass(seconds(2));
+  Fleet.Deaf_ = {0};
+  Fleet.pass(seconds(20));
+  CHECK(Fleet.Fleets_[0].fleetSize() == 6);
+}
+
+TEST_CASE("a cold target has few senders, who share its rate", "[seeds]") {
+  World Fleet(8);
+  Fleet.pass(seconds(2));
+  const framework::TargetName Target("t1");
+  double Sum = 0;
+  int Senders = 0;
+  for (const SeededFleet &Each : Fleet.Fleets_) {
+    const double Rate = Each.coldRate(Target, 9, Fleet.Now_.Monotonic_);
+    Sum += Rate;
+    Senders += Rate > 0 ? 1 : 0;
+  }
+  CHECK(Sum == Approx(9));
+  CHECK(Senders == 3);
+}
+
+TEST_CASE("an instance that has just started sends little to cold targets",
+          "[seeds]") {
+  World Fleet(4);
+  double Sum = 0;
+  for (const SeededFleet &Each : Fleet.Fleets_)
+    Sum +=
+        Each.coldRate(framework::TargetName("t1"), 100, Fleet.Now_.Monotonic_);
+  CHECK(Sum <= 4);
+}
+
+TEST_CASE("a target is probed by one of a group, and by others in its absence",
+          "[seeds]") {
+  World Fleet(5);
+  Fleet.pass(seconds(2));
+  const framework::TargetName Target("t1");
+  int Probers = 0;
+  for (SeededFleet &Each : Fleet.Fleets_) {
+    Each.noteProbed(Target, Fleet.Now_.Monotonic_ - seconds(1));
+    routing::LoadReport Report;
+    Report.WarmupLeft_ = Duration::zero();
+    Each.noteLoad(Target, Report, Fleet.Now_.Monotonic_);
+    Probers += Each.mayProbe(Target, Fleet.Now_.Monotonic_) ? 1 : 0;
+  }
+  CHECK(Probers == 1);
+  Fleet.Deaf_ = {0, 1, 2, 3, 4};
+  Fleet.pass(seconds(1));
+  for (const SeededFleet &Each : Fleet.Fleets_)
+    CHECK(Each.mayProbe(Target, Fleet.Now_.Monotonic_));
+}
+
+TEST_CASE("a group of neighbours is bounded in a large zone", "[seeds]") {
+  Members Known(KnownMember{.Name_ = framework::InstanceName("e-10"),
+                            .Incarnation_ = {},
+                            .Zone_ = framework::ZoneName("a"),
+                            .Address_ = "127.0.0.10:1"});
+  Greeting Heard;
+  Heard.Members_.push_back(KnownMember{});
+  for (int Number = 11; Number < 50; ++Number)
+    Heard.Members_.push_back(KnownMember{
+        .Name_ = framework::InstanceName("e-" + std::to_string(Number)),
+        .Incarnation_ = {},
+        .Zone_ = framework::ZoneName(Number % 2 == 0 ? "a" : "b"),
+        .Address_ = "127.0.0." + std::to_string(Number) + ":1"});
+  Known.note(Heard, framework::Instant(seconds(100)));
+  Neighbours Group;
+  Group.form(Known);
+  CHECK(Group.addresses().size() < Neighbours::MaxSize);
+  CHECK(Group.addresses().size() >= 5);
+}
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -18,6 +18,8 @@
 constexpr double LatencyWeight = 0.2;
 constexpr double ServiceLatencyWeight = 0.02;
 constexpr double SlowdownWeight = 0.05;
+/// Targets change their speed many times a second.
+constexpr Duration FreshReport = std::chrono::milliseconds(300);
 /// Requests that may follow each other at once at a cold target with a bound on
 /// its rate.
 constexpr double ColdBurst = 1;
@@ -466,6 +468,17 @@
   return Target.value() < Records_.size() && isCold(Records_[Target.value()]);
 }
 
+double TargetRegistry::slowdown(TargetId Target, Instant Now) const {
+  if (Target.value() >= States_.size())
+    return 1;
+  const TargetState &State = States_[Target.value()];
+  const bool IsFresh =
+      State.ReportedAt_ && Now - *State.ReportedAt_ < FreshReport;
+  if (!IsFresh || !State.Report_.SlowdownPercent_)
+    return 1;
+  return *State.Report_.SlowdownPercent_ / 100.0;
+}
+
 std::uint32_t TargetRegistry::inFlight(TargetId Target) const {
   return Target.value() < States_.size() ? States_[Target.value()].InFlight_
                                          : 0;
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -45,6 +45,7 @@
   std::uint32_t inFlight(framework::TargetId Target) const;
   bool isKnown(framework::TargetId Target) const;
   bool isCold(framework::TargetId Target) const;
+  double slowdown(framework::TargetId Target, framework::Instant Now) const;
   const TargetState &state(framework::TargetId Target) const;
 
   /// The view of one service for a policy; the arguments must outlive it.
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -92,6 +92,12 @@
     return Registry_.inFlight(Target);
   }
 
+  /// Returns how many times slower than usual the target has just reported to
+  /// work; 1 when it has not.
+  double slowdown(framework::TargetId Target, framework::Instant Now) const {
+    return Registry_.slowdown(Target, Now);
+  }
+
   bool isCold(framework::TargetId Target) const {
     return Registry_.isCold(Target);
   }
--- /dev/null
+++ b/src/routing/tests/reportedloadpolicy_test.cpp
@@ -0,0 +1,102 @@
+#include "routing/policies/reportedloadpolicy.h"
+#include "routing/targettable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::framework;
+using namespace cranberryspool::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Instant at(Duration Time) { return Instant(seconds(100)) + Time; }
+
+struct Fixture {
+  TargetTable<ReportedLoadPolicy> Table_{ZoneId(0), ReportedLoadPolicy(),
+                                         Random(7)};
+
+  /// The second target is in another availability zone.
+  Fixture() {
+    std::vector<TargetDescription> Targets(2);
+    for (std::uint32_t Index = 0; Index < 2; ++Index) {
+      Targets[Index].Target_ = TargetId(Index);
+      Targets[Index].Zone_ = ZoneId(Index);
+      Targets[Index].Slots_ = 3;
+      Targets[Index].WarmupLeft_ = Duration{};
+    }
+    Table_.setTargets(Targets, at({}));
+    TargetBounds Bounds;
+    Bounds.MaxConnections_ = 50;
+    for (std::uint32_t Index = 0; Index < 2; ++Index) {
+      Table_.setBounds(TargetId(Index), Bounds);
+      Table_.noteSent(TargetId(Index), at({}));
+      Table_.noteEnded(TargetId(Index), AttemptResult::Answered,
+                       milliseconds(100), at(milliseconds(100)));
+    }
+  }
+
+  void report(std::uint32_t Target, std::uint32_t Running, std::uint32_t Slow,
+              Duration When) {
+    LoadReport Report;
+    Report.InFlight_ = Running;
+    Report.Slots_ = 3;
+    Report.SlowdownPercent_ = Slow;
+    Table_.noteReport(TargetId(Target), Report, at(When));
+  }
+
+  TargetId choose(Duration When) {
+    return *Table_.choose({ServiceId(0)}, at(When));
+  }
+};
+
+} // namespace
+
+TEST_CASE("the own zone is preferred between equals", "[routing]") {
+  Fixture World;
+  World.report(0, 0, 100, milliseconds(200));
+  World.report(1, 0, 100, milliseconds(200));
+  CHECK(World.choose(milliseconds(210)) == TargetId(0));
+}
+
+TEST_CASE("a slow target is left for one of another zone", "[routing]") {
+  Fixture World;
+  World.report(0, 0, 700, milliseconds(200));
+  World.report(1, 0, 100, milliseconds(200));
+  CHECK(World.choose(milliseconds(210)) == TargetId(1));
+}
+
+TEST_CASE("a full target is left for one of another zone", "[routing]") {
+  Fixture World;
+  World.report(0, 3, 100, milliseconds(200));
+  World.report(1, 0, 100, milliseconds(200));
+  CHECK(World.choose(milliseconds(210)) == TargetId(1));
+}
+
+TEST_CASE("an old report counts for little", "[routing]") {
+  Fixture World;
+  World.report(0, 0, 300, milliseconds(200));
+  World.report(1, 0, 300, milliseconds(200));
+  World.report(1, 0, 100, milliseconds(210));
+  CHECK(World.choose(milliseconds(220)) == TargetId(1));
+  CHECK(World.choose(seconds(4)) == TargetId(0));
+}
+
+TEST_CASE("a report that comes late does not replace a newer one",
+          "[routing]") {
+  Fixture World;
+  World.report(1, 0, 100, milliseconds(200));
+  World.report(0, 0, 100, milliseconds(300));
+  World.report(0, 0, 700, milliseconds(250));
+  CHECK(World.choose(milliseconds(310)) == TargetId(0));
+}
+
+TEST_CASE("what was sent since a report counts", "[routing]") {
+  Fixture World;
+  World.report(0, 0, 100, milliseconds(200));
+  World.report(1, 0, 100, milliseconds(200));
+  for (int Sent = 0; Sent < 3; ++Sent)
+    World.Table_.noteSent(TargetId(0), at(milliseconds(205)));
+  CHECK(World.choose(milliseconds(210)) == TargetId(1));
+}
