Write structured logs without log4cplus, one line a decision

Ruled out: open sessions (none were left), the duties (all joined), a stop that takes long (3.0 s on loopback).

framework/log writes JSON lines from a ring on a thread of its own, within a byte budget a second of which routine lines may use half; what does not fit is dropped, counted and told once a second. Lines: each attempt with what decided it, each ending, each change of belief with the version and age of the view, start, stop, reload.

--- a/src/apps/cranberryd/main.cpp
+++ b/src/apps/cranberryd/main.cpp
@@ -2,16 +2,13 @@
 #include "entry/settingsfile.h"
 
 #include <gflags/gflags.h>
-#include <log4cplus/asyncappender.h>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/logger.h>
 
 #include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 #include <thread>
+#include <unistd.h>
 
 DEFINE_string(settings, "", "the settings file, JSON with comments");
 DEFINE_bool(check, false, "check the settings and exit");
@@ -29,8 +26,6 @@
     "settings are wrong; 3 an address cannot be listened on; 4 a duty failed\n"
     "more often than it may be restarted.";
 
-constexpr unsigned LogQueueLines = 1024;
-
 int exitWith(ExitCode Code) { return static_cast<int>(Code); }
 
 framework::Result<std::string, ExitCode> readFile(const std::string &Path) {
@@ -63,21 +58,10 @@
   return Signals;
 }
 
-/// Writes log lines to the standard error output, on a thread of their own so
-/// that a slow reader holds up no duty.
-void startLog() {
-  using log4cplus::SharedAppenderPtr;
-  SharedAppenderPtr Console(new log4cplus::ConsoleAppender(true, true));
-  Console->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      LOG4CPLUS_TEXT("time=%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n")));
-  log4cplus::Logger::getRoot().addAppender(
-      SharedAppenderPtr(new log4cplus::AsyncAppender(Console, LogQueueLines)));
-}
-
 int run(entry::EntrySettings Settings) {
-  const log4cplus::Initializer Log;
-  startLog();
   std::signal(SIGPIPE, SIG_IGN);
+  framework::LogWriter Log(STDOUT_FILENO, Settings.Name_.value());
+  Settings.Log_ = &Log;
   const sigset_t Signals = blockStopSignals();
   entry::EntryInstance Instance(std::move(Settings));
   if (const auto Started = Instance.start(); !Started) {
--- a/src/decision/action.h
+++ b/src/decision/action.h
@@ -15,6 +15,8 @@
 #include "decision/types/actions/readrecords.h"
 #include "decision/types/actions/refusecall.h"
 #include "decision/types/actions/replaykeptanswer.h"
+#include "decision/types/actions/reportattempt.h"
+#include "decision/types/actions/reportattemptend.h"
 #include "decision/types/actions/reportchange.h"
 #include "decision/types/actions/sendattempt.h"
 #include "decision/types/actions/sendpeermessage.h"
@@ -31,8 +33,9 @@
     std::variant<AnswerCall, CloseConnection, DropKeptAnswer, FetchKeptAnswer,
                  FetchSections, FinishStop, KeepAnswer, OpenConnection,
                  ProbeTarget, ReadDocument, ReadInstances, ReadRecords,
-                 RefuseCall, ReplayKeptAnswer, ReportChange, SendAttempt,
-                 SendPeerMessage, ServeSections, SetReadiness>;
+                 RefuseCall, ReportAttempt, ReportAttemptEnd, ReplayKeptAnswer,
+                 ReportChange, SendAttempt, SendPeerMessage, ServeSections,
+                 SetReadiness>;
 
 /// Actions in the order in which they must be carried out.
 using ActionList = std::vector<Action>;
--- a/src/decision/core.h
+++ b/src/decision/core.h
@@ -7,6 +7,7 @@
 #include "decision/corestatus.h"
 #include "decision/event.h"
 #include "decision/types/endedcall.h"
+#include "decision/types/viewstatus.h"
 #include "framework/moment.h"
 #include "framework/random.h"
 
@@ -41,6 +42,8 @@
   const CoreCounters &counters() const;
   /// What the instance believes and does as of the last event.
   CoreStatus status() const;
+  /// The version and age of what it knows of the platform, as of that event.
+  ViewStatus view() const;
 
   /// The document in force, or null when there is none. Valid until the next
   /// event is handled.
--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -21,6 +21,8 @@
   /// Set where instances find each other by seeds and read the platform's
   /// store; otherwise they read its document and its list of instances.
   std::optional<fleet::SeedSettings> Seeds_ = std::nullopt;
+  /// Whether attempts are reported with what decided them, for the log.
+  bool ReportsAttempts_ = false;
   /// How long a stopping instance goes on accepting calls, so that the
   /// platform's balancer can notice that it is not ready any more.
   framework::Duration StopLinger_ = std::chrono::seconds(3);
--- a/src/decision/internal/attemptflow.cpp
+++ b/src/decision/internal/attemptflow.cpp
@@ -22,12 +22,31 @@
                             .Connection_ = {},
                             .Kind_ = Kind,
                             .StartedAt_ = At.now()});
+  report(At, Started);
   Parts_.Targets_.noteSent(Target, At.now());
   if (!Request.IsIdempotent_)
     Keeper_.noteFreshNeeded(At, Target);
   connect(At, Started);
 }
 
+void AttemptFlow::report(const Step &At, const calls::Attempt &Started) const {
+  if (!Parts_.Settings_.ReportsAttempts_)
+    return;
+  const routing::TargetState &Known = Parts_.Targets_.state(Started.Target_);
+  ReportAttempt Report;
+  Report.Call_ = Started.Call_;
+  Report.Attempt_ = Started.Attempt_;
+  Report.Target_ = Parts_.Environment_.targetName(Started.Target_);
+  Report.Zone_ = Parts_.Environment_.zoneName(Known.Description_.Zone_);
+  Report.Kind_ = Started.Kind_;
+  Report.Known_ = Known.Report_;
+  Report.IsCold_ = Parts_.Targets_.isCold(Started.Target_);
+  Report.InFlight_ = Known.InFlight_;
+  if (Known.ReportedAt_)
+    Report.ReportAge_ = At.now() - *Known.ReportedAt_;
+  At.Output_.push_back(std::move(Report));
+}
+
 void AttemptFlow::connect(const Step &At, const calls::Attempt &Waiting) {
   const framework::Instant AliveSince =
       Waiting.IsIdempotent_ ? framework::Instant::min()
@@ -87,11 +106,11 @@
   if (Owner.WasHedged_ || Request.AttemptMark_ > 1 || Owner.Sent_ > 1)
     return;
   if (Request.LatencyObjective_ > framework::Duration::zero()) {
-    Parts_.Hedges_.set(Request.Call_,
-                       At.now() +
-                           std::chrono::duration_cast<framework::Duration>(
-                               Request.LatencyObjective_ *
-                               Parts_.Calling_.HedgeWhenSlow_));
+    Parts_.Hedges_.set(
+        Request.Call_,
+        At.now() +
+            std::chrono::duration_cast<framework::Duration>(
+                Request.LatencyObjective_ * Parts_.Calling_.HedgeWhenSlow_));
     return;
   }
   const auto Usual = Parts_.Learning_.latency(Request.Kind_).quantile();
@@ -119,6 +138,10 @@
 void AttemptFlow::finish(const Step &At, const calls::Attempt &Ended,
                          routing::AttemptResult Result) {
   const calls::Attempt Copy = Ended;
+  if (Parts_.Settings_.ReportsAttempts_)
+    At.Output_.push_back(ReportAttemptEnd{
+        Copy.Call_, Copy.Attempt_, Parts_.Environment_.targetName(Copy.Target_),
+        Result, At.now() - Copy.StartedAt_});
   Parts_.Silence_.forget(Copy);
   Parts_.Abandoned_.clear(Copy.Attempt_);
   if (calls::Call *Owner = Parts_.Calls_.find(Copy.Call_))
--- a/src/decision/internal/attemptflow.h
+++ b/src/decision/internal/attemptflow.h
@@ -35,6 +35,7 @@
   void dropAbandoned(const Step &At);
 
 private:
+  void report(const Step &At, const calls::Attempt &Started) const;
   void connect(const Step &At, const calls::Attempt &Waiting);
   void send(const Step &At, calls::Attempt &Ready, framework::ConnectionId Id);
   void armHedge(const Step &At, const calls::Call &Owner);
--- a/src/decision/internal/callender.cpp
+++ b/src/decision/internal/callender.cpp
@@ -46,7 +46,7 @@
         (Owner.Request_.Deadline_ - At.now()) * *Share);
     RetryAfter = std::max(std::min(RetryAfter, Left), framework::Duration{});
   }
-  note(At, Owner, How);
+  note(At, Owner, How, Why);
   tell(At, release(At, Owner).refuse(How, Why, RetryAfter));
 }
 
@@ -91,7 +91,7 @@
 }
 
 void CallEnder::note(const Step &At, const calls::Call &Owner,
-                     calls::Ending How) {
+                     calls::Ending How, calls::EndingReason Why) {
   const calls::CallRequest &Request = Owner.Request_;
   Parts_.Ended_.push_back(
       EndedCall{.Call_ = Request.Call_,
@@ -100,7 +100,10 @@
                 .Ending_ = How,
                 .Status_ = Owner.AnswerStatus_,
                 .Elapsed_ = At.now() - Request.Arrival_,
-                .IsCallerGone_ = Owner.IsCallerGone_});
+                .IsCallerGone_ = Owner.IsCallerGone_,
+                .Reason_ = Why,
+                .Attempts_ = Owner.Sent_,
+                .Kind_ = Parts_.Environment_.kindName(Request.Kind_)});
   if (Owner.HoldsKey_)
     Parts_.Fleet_.noteKeyedCallEnded(Request.Call_, How,
                                      How == calls::Ending::Answered, At.Now_,
--- a/src/decision/internal/callender.h
+++ b/src/decision/internal/callender.h
@@ -35,7 +35,8 @@
   calls::Ending endingOf(const calls::Call &Owner,
                          calls::EndingReason Why) const;
   /// Tells those who count calls, and the home of its key, of the ending.
-  void note(const Step &At, const calls::Call &Owner, calls::Ending How);
+  void note(const Step &At, const calls::Call &Owner, calls::Ending How,
+            calls::EndingReason Why = calls::EndingReason::None);
   framework::Duration retryAfter(calls::EndingReason Why);
   calls::PendingEnding release(const Step &At, calls::Call &Owner);
   void tell(const Step &At, const calls::CallEnding &Told);
--- a/src/decision/internal/core.cpp
+++ b/src/decision/internal/core.cpp
@@ -22,6 +22,8 @@
 
 CoreStatus Core::status() const { return Engine_->status(); }
 
+ViewStatus Core::view() const { return Engine_->view(); }
+
 const document::EnvironmentDocument *Core::document() const {
   return Engine_->parts().Fleet_.currentDocument();
 }
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -63,6 +63,13 @@
   return Status;
 }
 
+ViewStatus Engine::view() const {
+  const framework::Instant Now = LastHandled_.value_or(framework::Instant{});
+  return ViewStatus{.Document_ = Parts_.Fleet_.documentRevision(),
+                    .Revision_ = Parts_.Fleet_.listRevision(),
+                    .Age_ = Parts_.Fleet_.viewAge(Now)};
+}
+
 void Engine::begin(const Step &At) {
   BegunAt_ = At.now();
   At.Output_.push_back(SetReadiness{false});
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -22,6 +22,8 @@
 #include "decision/internal/viewguard.h"
 #include "framework/random.h"
 
+#include "decision/types/viewstatus.h"
+
 #include <optional>
 
 namespace cranberryspool::decision {
@@ -37,6 +39,7 @@
   const CoreParts &parts() const { return Parts_; }
   CoreParts &parts() { return Parts_; }
   CoreStatus status() const;
+  ViewStatus view() const;
 
 private:
   void begin(const Step &At);
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -148,6 +148,10 @@
   return TargetNames_.find(Name);
 }
 
+const framework::KindName &Environment::kindName(calls::KindId Kind) const {
+  return KindNames_.name(Kind).second;
+}
+
 const framework::ServiceName &
 Environment::serviceName(framework::ServiceId Service) const {
   return Services_.name(Service);
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -63,6 +63,7 @@
   framework::TargetName targetName(framework::TargetId Target) const;
   std::optional<framework::TargetId>
   findTarget(const framework::TargetName &Name) const;
+  const framework::KindName &kindName(calls::KindId Kind) const;
   const framework::ServiceName &serviceName(framework::ServiceId Service) const;
   std::optional<framework::ServiceId>
   findService(const framework::ServiceName &Name) const;
--- /dev/null
+++ b/src/decision/types/actions/reportattemptend.h
@@ -0,0 +1,22 @@
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPTEND_H
+#define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPTEND_H
+
+#include "framework/ids.h"
+#include "framework/time.h"
+#include "routing/types/attemptresult.h"
+
+namespace cranberryspool::decision {
+
+/// An attempt has ended, for the log.
+struct ReportAttemptEnd {
+  framework::CallId Call_;
+  framework::AttemptId Attempt_;
+  framework::TargetName Target_;
+  routing::AttemptResult Result_ = routing::AttemptResult::TimedOut;
+  /// Since it was decided on.
+  framework::Duration Elapsed_{};
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPTEND_H
--- a/src/decision/types/endedcall.h
+++ b/src/decision/types/endedcall.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_TYPES_ENDEDCALL_H
 
 #include "calls/types/ending.h"
+#include "calls/types/endingreason.h"
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 #include "framework/time.h"
@@ -21,6 +22,10 @@
   /// From the arrival of the whole request.
   framework::Duration Elapsed_{};
   bool IsCallerGone_ = false;
+  calls::EndingReason Reason_ = calls::EndingReason::None;
+  /// Attempts that reached a connection.
+  std::uint32_t Attempts_ = 0;
+  framework::KindName Kind_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -12,6 +12,10 @@
 
 #include <optional>
 
+namespace cranberryspool::framework {
+class LogWriter;
+} // namespace cranberryspool::framework
+
 namespace cranberryspool::entry {
 
 /// What an operator sets for one instance.
@@ -33,6 +37,11 @@
   /// platform's store, the document service and the instance list are unused.
   std::optional<fleet::SeedSettings> Seeds_ = std::nullopt;
   StoreFactory MakeStore_ = {};
+  /// Takes the log lines; must outlive the instance. None are written when it
+  /// is null.
+  framework::LogWriter *Log_ = nullptr;
+  /// Whether each request and attempt has lines of its own.
+  bool LogsRequests_ = false;
 };
 
 } // namespace cranberryspool::entry
--- /dev/null
+++ b/src/entry/internal/decisionlog.cpp
@@ -0,0 +1,186 @@
+#include "entry/internal/decisionlog.h"
+
+#include "calls/endingnames.h"
+#include "framework/log/logline.h"
+#include "framework/log/logwriter.h"
+
+#include <algorithm>
+
+namespace cranberryspool::entry {
+
+using decision::ChangeKind;
+using framework::LogImportance;
+using framework::LogLine;
+
+namespace {
+
+std::string_view nameOf(ChangeKind Kind) {
+  switch (Kind) {
+  case ChangeKind::DocumentInForce:
+    return "document-in-force";
+  case ChangeKind::DocumentRejected:
+    return "document-rejected";
+  case ChangeKind::DocumentOlderIgnored:
+    return "document-older-ignored";
+  case ChangeKind::RecordRejected:
+    return "record-rejected";
+  case ChangeKind::TargetEjected:
+    return "target-ejected";
+  case ChangeKind::TargetRestored:
+    return "target-restored";
+  case ChangeKind::TargetCold:
+    return "target-cold";
+  case ChangeKind::TargetWarm:
+    return "target-warm";
+  case ChangeKind::TargetLeaving:
+    return "target-leaving";
+  case ChangeKind::ZoneOut:
+    return "zone-out";
+  case ChangeKind::ZoneIn:
+    return "zone-in";
+  case ChangeKind::PeerJoined:
+    return "peer-joined";
+  case ChangeKind::PeerLost:
+    return "peer-lost";
+  case ChangeKind::ViewLost:
+    return "view-lost";
+  case ChangeKind::ViewRestored:
+    return "view-restored";
+  case ChangeKind::PauseDetected:
+    return "pause-detected";
+  case ChangeKind::StopStarted:
+    return "stop-started";
+  case ChangeKind::StopFinished:
+    return "stop-finished";
+  }
+  return "other";
+}
+
+std::string_view nameOf(calls::AttemptKind Kind) {
+  switch (Kind) {
+  case calls::AttemptKind::First:
+    return "first";
+  case calls::AttemptKind::Retry:
+    return "retry";
+  case calls::AttemptKind::Hedge:
+    return "hedge";
+  }
+  return "other";
+}
+
+std::string_view nameOf(routing::AttemptResult Result) {
+  switch (Result) {
+  case routing::AttemptResult::Answered:
+    return "answered";
+  case routing::AttemptResult::ServerError:
+    return "server-error";
+  case routing::AttemptResult::NotRun:
+    return "not-run";
+  case routing::AttemptResult::ConnectionFailed:
+    return "connection-failed";
+  case routing::AttemptResult::ConnectionSilent:
+    return "connection-silent";
+  case routing::AttemptResult::TimedOut:
+    return "timed-out";
+  case routing::AttemptResult::Cancelled:
+    return "cancelled";
+  }
+  return "other";
+}
+
+/// Adds the version and the age of the view that decided.
+void addView(LogLine &Line, const decision::Core &View) {
+  const decision::ViewStatus Known = View.view();
+  Line.number("version", static_cast<std::int64_t>(Known.Document_.value()));
+  Line.number("revision", static_cast<std::int64_t>(Known.Revision_.value()));
+  Line.millis("view_age_ms", Known.Age_);
+}
+
+} // namespace
+
+void DecisionLog::note(ChangeKind Kind, const std::string &Subject,
+                       const decision::Core &View) const {
+  if (!Writer_)
+    return;
+  LogLine Line(nameOf(Kind), LogImportance::Telling);
+  Line.text("subject", Subject);
+  addView(Line, View);
+  Writer_->write(Line);
+}
+
+void DecisionLog::note(const decision::ReportAttempt &Decided,
+                       std::string_view RequestId) const {
+  if (!Writer_ || !LogsRequests_)
+    return;
+  const bool IsFirst = Decided.Kind_ == calls::AttemptKind::First;
+  LogLine Line("attempt-sent",
+               IsFirst ? LogImportance::Routine : LogImportance::Telling);
+  Line.text("request", RequestId);
+  Line.number("attempt", static_cast<std::int64_t>(Decided.Attempt_.value()));
+  Line.text("kind", nameOf(Decided.Kind_));
+  Line.text("target", Decided.Target_.value());
+  Line.text("zone", Decided.Zone_.value());
+  Line.number("in_flight", Decided.InFlight_);
+  Line.flag("cold", Decided.IsCold_);
+  if (Decided.ReportAge_) {
+    Line.millis("report_age_ms", *Decided.ReportAge_);
+    Line.number("running", Decided.Known_.InFlight_);
+    Line.number("queued", Decided.Known_.Queued_);
+    Line.number("slow_percent", Decided.Known_.SlowdownPercent_.value_or(0));
+  }
+  Writer_->write(Line);
+}
+
+void DecisionLog::note(const decision::ReportAttemptEnd &Ended,
+                       std::string_view RequestId) const {
+  if (!Writer_ || !LogsRequests_)
+    return;
+  const bool IsWell = Ended.Result_ == routing::AttemptResult::Answered;
+  LogLine Line("attempt-ended",
+               IsWell ? LogImportance::Routine : LogImportance::Telling);
+  Line.text("request", RequestId);
+  Line.number("attempt", static_cast<std::int64_t>(Ended.Attempt_.value()));
+  Line.text("target", Ended.Target_.value());
+  Line.text("result", nameOf(Ended.Result_));
+  Line.millis("elapsed_ms", Ended.Elapsed_);
+  Writer_->write(Line);
+}
+
+void DecisionLog::noteEnded(const decision::EndedCall &Call,
+                            std::string_view RequestId,
+                            const decision::Core &View) const {
+  if (!Writer_ || !LogsRequests_)
+    return;
+  const bool IsWell = Call.Ending_ == calls::Ending::Answered &&
+                      Call.Status_ < 500 && Call.Attempts_ <= 1;
+  LogLine Line("request-ended",
+               IsWell ? LogImportance::Routine : LogImportance::Telling);
+  Line.text("request", RequestId);
+  Line.text("route", Call.Kind_.value());
+  Line.text("service", Call.Service_.value());
+  Line.text("ending", calls::nameOf(Call.Ending_));
+  Line.text("reason", calls::nameOf(Call.Reason_));
+  Line.number("status", Call.Status_);
+  Line.number("attempts", Call.Attempts_);
+  Line.flag("caller_gone", Call.IsCallerGone_);
+  Line.millis("elapsed_ms", Call.Elapsed_);
+  addView(Line, View);
+  Writer_->write(Line);
+}
+
+void DecisionLog::noteDutyFailed(const std::string &Duty,
+                                 const char *Reason) const {
+  if (!Writer_)
+    return;
+  Writer_->write(LogLine("duty-failed", LogImportance::Telling)
+                     .text("subject", Duty)
+                     .text("reason", Reason));
+}
+
+void DecisionLog::noteGivenUp(const std::string &Duty) const {
+  if (Writer_)
+    Writer_->write(
+        LogLine("gave-up", LogImportance::Telling).text("subject", Duty));
+}
+
+} // namespace cranberryspool::entry
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -8,7 +8,7 @@
 
 Dispatcher::Dispatcher(boost::asio::io_context &Io, decision::Core Core,
                        Mailboxes &Rings, InstanceState &Shared,
-                       const ChangeLog &Log)
+                       const DecisionLog &Log)
     : Core_(std::move(Core)), Rings_(Rings), Shared_(Shared), Log_(Log),
       Callers_(Io, Rings.Callers_), Targets_(Io, Rings.Targets_),
       Platform_(Io, Rings.Platform_), Records_(Io, Rings.Records_),
@@ -72,8 +72,10 @@
   if (Ended.empty())
     return;
   const framework::WallTime Now = framework::readMoment().Wall_;
-  for (const decision::EndedCall &Call : Ended)
+  for (const decision::EndedCall &Call : Ended) {
     Statistics_.note(Call, Now);
+    Log_.noteEnded(Call, requestId(Call.Call_), Core_);
+  }
 }
 
 void Dispatcher::forgetEnded() {
@@ -211,8 +213,23 @@
   Shared_.Sections_.answer(Action.Request_, Action.Reply_);
 }
 
+void Dispatcher::carryOut(const decision::ReportAttempt &Action) {
+  Log_.note(Action, requestId(Action.Call_));
+}
+
+void Dispatcher::carryOut(const decision::ReportAttemptEnd &Action) {
+  Log_.note(Action, requestId(Action.Call_));
+}
+
+std::string_view Dispatcher::requestId(framework::CallId Call) const {
+  const auto Position = Calls_.find(Call);
+  if (Position == Calls_.end() || !Position->second.Request_)
+    return {};
+  return Position->second.Request_->AttemptId_;
+}
+
 void Dispatcher::carryOut(const decision::ReportChange &Action) {
-  Log_.note(Action.Kind_, Action.Subject_);
+  Log_.note(Action.Kind_, Action.Subject_, Core_);
   if (Action.Kind_ != decision::ChangeKind::DocumentInForce)
     return;
   const document::EnvironmentDocument *Document = Core_.document();
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -3,7 +3,7 @@
 
 #include "decision/core.h"
 #include "entry/internal/callstatistics.h"
-#include "entry/internal/changelog.h"
+#include "entry/internal/decisionlog.h"
 #include "entry/internal/instancestate.h"
 #include "entry/internal/mailboxes.h"
 #include "framework/runtime/outbox.h"
@@ -21,7 +21,7 @@
 class Dispatcher {
 public:
   Dispatcher(boost::asio::io_context &Io, decision::Core Core, Mailboxes &Rings,
-             InstanceState &Shared, const ChangeLog &Log);
+             InstanceState &Shared, const DecisionLog &Log);
   ~Dispatcher();
 
 private:
@@ -65,12 +65,16 @@
   void carryOut(const decision::SendPeerMessage &Action);
   void carryOut(const decision::FetchSections &Action);
   void carryOut(const decision::ServeSections &Action);
+  void carryOut(const decision::ReportAttempt &Action);
+  void carryOut(const decision::ReportAttemptEnd &Action);
   void carryOut(const decision::ReportChange &Action);
+  /// The caller's id of its request, for the log.
+  std::string_view requestId(framework::CallId Call) const;
 
   decision::Core Core_;
   Mailboxes &Rings_;
   InstanceState &Shared_;
-  const ChangeLog &Log_;
+  const DecisionLog &Log_;
   CallStatistics Statistics_;
   framework::Outbox<CallerCommand> Callers_;
   framework::Outbox<TargetCommand> Targets_;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -96,7 +96,7 @@
   const framework::Incarnation Incarnation_ = newIncarnation();
   Mailboxes Rings_;
   InstanceState Shared_;
-  const ChangeLog Log_;
+  const DecisionLog Log_;
   /// Holds the listeners; each duty accepts on a context of its own.
   net::io_context ListenIo_;
   tcp::acceptor CallerListener_;
@@ -113,7 +113,7 @@
 EntryInstance::Workings::Workings(EntrySettings Settings)
     : Settings_(std::move(Settings)),
       Shared_(Settings_.Limits_, Rings_, Settings_.Dialect_),
-      Log_(Settings_.Name_), CallerListener_(ListenIo_),
+      Log_(Settings_.Log_, Settings_.LogsRequests_), CallerListener_(ListenIo_),
       OperatorListener_(ListenIo_), PeerListener_(ListenIo_),
       PeerSocket_(ListenIo_),
       Control_(
@@ -239,6 +239,7 @@
   Core.PeerAddress_ = textOf(endpointOf(PeerListener_));
   Core.Incarnation_ = Incarnation_;
   Core.Seeds_ = Settings_.Seeds_;
+  Core.ReportsAttempts_ = Settings_.LogsRequests_;
   return decision::Core(std::move(Core), framework::Random(randomSeed()));
 }
 
--- /dev/null
+++ b/src/framework/log/logline.h
@@ -0,0 +1,38 @@
+#ifndef CRANBERRYSPOOL_FRAMEWORK_LOG_LOGLINE_H
+#define CRANBERRYSPOOL_FRAMEWORK_LOG_LOGLINE_H
+
+#include "framework/log/logimportance.h"
+#include "framework/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cranberryspool::framework {
+
+/// One line of a structured log, a JSON object under construction. Its first
+/// member is `event`.
+class LogLine {
+public:
+  LogLine(std::string_view Event, LogImportance Importance);
+
+  LogLine &text(std::string_view Name, std::string_view Value);
+  LogLine &number(std::string_view Name, std::int64_t Value);
+  /// Writes milliseconds with three decimals.
+  LogLine &millis(std::string_view Name, Duration Value);
+  LogLine &flag(std::string_view Name, bool Value);
+
+  /// Returns the members without the closing brace.
+  const std::string &members() const { return Members_; }
+  LogImportance importance() const { return Importance_; }
+
+private:
+  void name(std::string_view Name);
+
+  std::string Members_;
+  LogImportance Importance_;
+};
+
+} // namespace cranberryspool::framework
+
+#endif // CRANBERRYSPOOL_FRAMEWORK_LOG_LOGLINE_H
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -92,6 +92,11 @@
     return Registry_.inFlight(Target);
   }
 
+  /// Returns what is known of a listed target.
+  const TargetState &state(framework::TargetId Target) const {
+    return Registry_.state(Target);
+  }
+
   /// Returns how many times slower than usual the target has just reported to
   /// work; 1 when it has not.
   double slowdown(framework::TargetId Target, framework::Instant Now) const {
--- a/src/session/internal/actionlines.cpp
+++ b/src/session/internal/actionlines.cpp
@@ -97,6 +97,14 @@
           {"mark", Asked.AttemptMark_}};
 }
 
+json::object write(const ReportAttempt &Asked) {
+  return {{"action", "report-attempt"}, {"call", Asked.Call_.value()}};
+}
+
+json::object write(const ReportAttemptEnd &Asked) {
+  return {{"action", "report-attempt-end"}, {"call", Asked.Call_.value()}};
+}
+
 json::object write(const ReadRecords &) { return {{"action", "read-records"}}; }
 
 json::object write(const SendPeerMessage &Asked) {
