--- a/src/apps/cranberryd/main.cpp
+++ b/src/apps/cranberryd/main.cpp
@@ -1,5 +1,6 @@
 #include "entry/entryinstance.h"
 #include "entry/settingsfile.h"
+#include "framework/log/logwriter.h"
 
 #include <gflags/gflags.h>
 
