Keep work from targets that cannot be reached or have just reported a queue

A target for which no connection opens, or that leaves two probes unanswered, now gets nothing until it reports, for a second at most. One that reported 1.5 waiting requests a slot within 200 ms gets nothing.

--- a/src/decision/internal/outcomes.cpp
+++ b/src/decision/internal/outcomes.cpp
@@ -80,7 +80,7 @@
   if (!Waiter)
     return;
   const calls::Attempt Unsent = *Parts_.Calls_.findAttempt(*Waiter);
-  Attempts_.finish(At, Unsent, routing::AttemptResult::ConnectionFailed);
+  Attempts_.finish(At, Unsent, routing::AttemptResult::NotConnected);
   followUnsent(At, Unsent);
 }
 
--- a/src/decision/internal/prober.cpp
+++ b/src/decision/internal/prober.cpp
@@ -46,9 +46,13 @@
   Running_.erase(Position);
 }
 
-void Prober::handle(const Step &, const ProbeFailed &Input) {
-  if (Running_.erase(Input.Probe_) > 0)
-    ++Parts_.Counters_.ProbesFailed_;
+void Prober::handle(const Step &At, const ProbeFailed &Input) {
+  const auto Position = Running_.find(Input.Probe_);
+  if (Position == Running_.end())
+    return;
+  ++Parts_.Counters_.ProbesFailed_;
+  Parts_.Targets_.noteProbeFailed(Position->second, At.now());
+  Running_.erase(Position);
 }
 
 } // namespace cranberryspool::decision
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -78,6 +78,8 @@
     return "not-run";
   case routing::AttemptResult::ConnectionFailed:
     return "connection-failed";
+  case routing::AttemptResult::NotConnected:
+    return "not-connected";
   case routing::AttemptResult::ConnectionSilent:
     return "connection-silent";
   case routing::AttemptResult::TimedOut:
--- a/src/routing/internal/targethealth.cpp
+++ b/src/routing/internal/targethealth.cpp
@@ -34,6 +34,7 @@
     return noteFailure();
   case AttemptResult::NotRun:
     return noteShed(Now);
+  case AttemptResult::NotConnected:
   case AttemptResult::ConnectionSilent:
   case AttemptResult::Cancelled:
     return;
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -16,6 +16,15 @@
 /// Never more than this share of a service's targets is ejected at once.
 constexpr double MaxEjectedShare = 0.34;
 constexpr double LatencyWeight = 0.2;
+/// A target that has just reported so many waiting requests for each slot gets
+/// none: they would be late or, where it is full, be cut.
+constexpr double MaxQueuedPerSlot = 1.5;
+constexpr Duration FullReport = std::chrono::milliseconds(200);
+/// How long a target that cannot be connected to gets nothing unless it
+/// reports; probes find out sooner when it is back.
+constexpr Duration UnreachableTime = seconds(1);
+/// A single probe may fail because the target is busy.
+constexpr std::uint32_t FailedProbesOfUnreachable = 2;
 constexpr double ServiceLatencyWeight = 0.02;
 constexpr double SlowdownWeight = 0.05;
 /// Targets change their speed many times a second.
@@ -42,6 +51,7 @@
   case AttemptResult::Answered:
   case AttemptResult::ServerError:
   case AttemptResult::NotRun:
+  case AttemptResult::NotConnected:
     return false;
   }
   return true;
@@ -182,6 +192,8 @@
   // A slow attempt that a hedge has overtaken still tells of the target.
   if (Result == AttemptResult::Cancelled || Result == AttemptResult::TimedOut)
     State.Recent_.noteUnanswered(Elapsed, Now);
+  if (Result == AttemptResult::NotConnected)
+    noteUnreachable(Target, Now);
   if (mayStillRun(Result) && isCold(Target))
     noteCut(Target, Now);
   Records_[Target.value()].Health_.note(Result, Now);
@@ -247,6 +259,10 @@
   State.Report_ = Report;
   State.ReportedAt_ = Now;
   State.forgetSentBefore(Now);
+  Entry.UnreachableUntil_ = Instant{};
+  if (isFull(State, Now))
+    wakeAt(Now + FullReport, Target);
+  Entry.FailedProbes_ = 0;
   if (Report.SlowdownPercent_) {
     double &Usual = group(Target).Slowdown_;
     Usual += SlowdownWeight * (*Report.SlowdownPercent_ / 100.0 - Usual);
@@ -300,6 +316,21 @@
   refresh(Target, Now);
 }
 
+void TargetRegistry::noteProbeFailed(TargetId Target, Instant Now) {
+  if (Target.value() >= Records_.size())
+    return;
+  if (++Records_[Target.value()].FailedProbes_ < FailedProbesOfUnreachable)
+    return;
+  noteUnreachable(Target, Now);
+  refresh(Target, Now);
+}
+
+void TargetRegistry::noteUnreachable(TargetId Target, Instant Now) {
+  Record &Entry = Records_[Target.value()];
+  Entry.UnreachableUntil_ = Now + UnreachableTime;
+  wakeAt(Entry.UnreachableUntil_, Target);
+}
+
 void TargetRegistry::noteWarmup(TargetId Target, Duration Left, Instant Now) {
   Record &Entry = Records_[Target.value()];
   if (Left <= Duration::zero()) {
@@ -449,6 +480,8 @@
     return false;
   if (Entry.Health_.isEjected() || Entry.Health_.isPaused(Now))
     return false;
+  if (Now < Entry.UnreachableUntil_ || isFull(State, Now))
+    return false;
   std::uint32_t Limit = std::min(Entry.Health_.limit(State.Description_.Slots_),
                                  State.Bounds_.MaxConnections_);
   if (!isCold(Entry))
@@ -460,6 +493,14 @@
   return State.InFlight_ + Entry.Cut_ < Limit;
 }
 
+bool TargetRegistry::isFull(const TargetState &State, Instant Now) {
+  if (!State.ReportedAt_ || Now - *State.ReportedAt_ >= FullReport)
+    return false;
+  // Only targets that report their slowness are known to report in time.
+  return State.Report_.SlowdownPercent_ &&
+         State.Report_.Queued_ >= MaxQueuedPerSlot * State.Description_.Slots_;
+}
+
 bool TargetRegistry::isKnown(TargetId Target) const {
   return Target.value() < Records_.size() && Records_[Target.value()].IsListed_;
 }
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -30,6 +30,8 @@
                  framework::Duration Elapsed, framework::Instant Now);
   void noteReport(framework::TargetId Target, const LoadReport &Report,
                   framework::Instant Now);
+  /// A probe got no answer.
+  void noteProbeFailed(framework::TargetId Target, framework::Instant Now);
   /// Returns true when the target has started anew since it was last seen.
   bool noteStart(framework::TargetId Target, framework::Incarnation Start,
                  framework::Instant Now);
@@ -73,6 +75,10 @@
     bool IsDraining_ = false;
     std::uint32_t OpenPosition_ = NotOpen;
     std::uint32_t SlowStreak_ = 0;
+    /// Nobody answers at the target's address; it gets nothing until it reports
+    /// again, or until then.
+    framework::Instant UnreachableUntil_{};
+    std::uint32_t FailedProbes_ = 0;
     /// The end of a cold start that the target has told.
     framework::Instant ColdUntil_{};
     /// Requests that a rate bound lets through now, at `ColdFilledAt_`.
@@ -115,6 +121,7 @@
   void noteCut(framework::TargetId Target, framework::Instant Now);
   void turnCold(framework::TargetId Target, framework::Instant Now);
   void turnWarm(framework::TargetId Target);
+  void noteUnreachable(framework::TargetId Target, framework::Instant Now);
   /// Takes the target's word on how long it stays cold.
   void noteWarmup(framework::TargetId Target, framework::Duration Left,
                   framework::Instant Now);
@@ -130,6 +137,7 @@
                    framework::Instant Now);
   void refresh(framework::TargetId Target, framework::Instant Now);
   bool mayTakeOne(framework::TargetId Target, framework::Instant Now) const;
+  static bool isFull(const TargetState &State, framework::Instant Now);
   void expire(framework::TargetId Target, framework::Instant Now);
   void wakeAt(framework::Instant At, framework::TargetId Target);
   ServiceGroup &group(framework::TargetId Target);
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -62,6 +62,12 @@
     Registry_.noteReport(Target, Report, Now);
   }
 
+  /// Takes that a probe got no answer. Two in a row, or an attempt for which no
+  /// connection could be opened, keep a target from work until it reports.
+  void noteProbeFailed(framework::TargetId Target, framework::Instant Now) {
+    Registry_.noteProbeFailed(Target, Now);
+  }
+
   /// Takes the start id of an answer or a probe. Returns true when the target
   /// has started anew since it was last seen and so counts as cold.
   bool noteStart(framework::TargetId Target, framework::Incarnation Start,
--- a/src/routing/types/attemptresult.h
+++ b/src/routing/types/attemptresult.h
@@ -11,6 +11,8 @@
   /// The target said that it did not run the request.
   NotRun,
   ConnectionFailed,
+  /// No connection could be opened, so nothing was sent.
+  NotConnected,
   /// The connection was judged silent; the target is not at fault.
   ConnectionSilent,
   TimedOut,
