--- a/src/decision/corestatus.h
+++ b/src/decision/corestatus.h
@@ -5,6 +5,7 @@
 #include "decision/types/queuestatus.h"
 #include "decision/types/targetstatus.h"
 #include "framework/ids.h"
+#include "framework/time.h"
 
 #include <cstddef>
 #include <vector>
@@ -16,6 +17,10 @@
   framework::Revision DocumentRevision_;
   framework::Digest DocumentDigest_;
   framework::Revision ListRevision_;
+  /// Since the platform's store last answered; zero where a list is published.
+  framework::Duration ViewAge_{};
+  /// The most instances that may run, this one included.
+  std::size_t FleetSize_ = 0;
   bool IsReady_ = false;
   bool IsStopping_ = false;
   /// True while new work may be sent to targets.
--- a/src/decision/internal/statusview.cpp
+++ b/src/decision/internal/statusview.cpp
@@ -7,6 +7,8 @@
   Status.DocumentRevision_ = Parts_.Fleet_.documentRevision();
   Status.DocumentDigest_ = Parts_.Environment_.digest();
   Status.ListRevision_ = Parts_.Fleet_.listRevision();
+  Status.ViewAge_ = Parts_.Fleet_.viewAge(Now);
+  Status.FleetSize_ = Parts_.Fleet_.fleetSize();
   Status.IsViewFresh_ = Parts_.Fleet_.isViewFresh(Now);
   Status.Calls_ = Parts_.Calls_.calls().size();
   Status.Attempts_ = Parts_.Calls_.attempts().size();
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -37,6 +37,9 @@
   /// platform's store, the document service and the instance list are unused.
   std::optional<fleet::SeedSettings> Seeds_ = std::nullopt;
   StoreFactory MakeStore_ = {};
+  /// Where the operators' pages are served besides, as far as the address can
+  /// be had.
+  std::optional<Endpoint> MetricsListen_ = std::nullopt;
   /// Takes the log lines; must outlive the instance. None are written when it
   /// is null.
   framework::LogWriter *Log_ = nullptr;
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -179,6 +179,15 @@
                      .text("reason", Reason));
 }
 
+void DecisionLog::noteNoMetrics(const std::string &Address,
+                                const std::string &Reason) const {
+  if (!Writer_)
+    return;
+  Writer_->write(LogLine("no-metrics", LogImportance::Telling)
+                     .text("subject", Address)
+                     .text("reason", Reason));
+}
+
 void DecisionLog::noteGivenUp(const std::string &Duty) const {
   if (Writer_)
     Writer_->write(
--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -37,6 +37,9 @@
 
   /// A duty of the instance failed; its supervisor decides what follows.
   void noteDutyFailed(const std::string &Duty, const char *Reason) const;
+  /// The address for metrics cannot be had.
+  void noteNoMetrics(const std::string &Address,
+                     const std::string &Reason) const;
   /// The instance ends because a duty failed too often.
   void noteGivenUp(const std::string &Duty) const;
 
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -86,6 +86,9 @@
   Result<void, StartFailure> bind(tcp::acceptor &Listener, const Endpoint &At);
   void startCallPath();
   void startControl();
+  void startOperatorPages(std::string Duty, tcp::acceptor &Listener);
+  /// An instance serves without the address for metrics, if it must.
+  void bindMetrics();
   void startMessenger();
   void startPeerDuties();
   void end(ExitCode Code);
@@ -101,6 +104,7 @@
   net::io_context ListenIo_;
   tcp::acceptor CallerListener_;
   tcp::acceptor OperatorListener_;
+  tcp::acceptor MetricsListener_;
   tcp::acceptor PeerListener_;
   net::ip::udp::socket PeerSocket_;
   std::mutex EndLock_;
@@ -114,8 +118,8 @@
     : Settings_(std::move(Settings)),
       Shared_(Settings_.Limits_, Rings_, Settings_.Dialect_),
       Log_(Settings_.Log_, Settings_.LogsRequests_), CallerListener_(ListenIo_),
-      OperatorListener_(ListenIo_), PeerListener_(ListenIo_),
-      PeerSocket_(ListenIo_),
+      OperatorListener_(ListenIo_), MetricsListener_(ListenIo_),
+      PeerListener_(ListenIo_), PeerSocket_(ListenIo_),
       Control_(
           ControlLimit,
           [this](const std::string &Duty, const char *Reason) {
@@ -161,6 +165,7 @@
   if (!Socket)
     return StartFailure{Settings_.PeerListen_, Socket.error()};
   PeerSocket_ = std::move(Socket.value());
+  bindMetrics();
   startControl();
   startCallPath();
   return framework::success();
@@ -182,15 +187,33 @@
   });
 }
 
-void EntryInstance::Workings::startControl() {
-  startDuty(Control_, "operator", [this](net::io_context &Io) {
+void EntryInstance::Workings::startOperatorPages(std::string Duty,
+                                                 tcp::acceptor &Listener) {
+  startDuty(Control_, std::move(Duty), [this, &Listener](net::io_context &Io) {
     return std::make_unique<HttpService>(
-        Io, shareListener(Io, OperatorListener_), OperatorBodyBytes,
+        Io, shareListener(Io, Listener), OperatorBodyBytes,
         [Pages = OperatorPages(Settings_, Rings_, Shared_)](
             const ServiceQuestion &Question) {
           return Pages.answer(Question);
         });
   });
+}
+
+void EntryInstance::Workings::bindMetrics() {
+  if (!Settings_.MetricsListen_)
+    return;
+  auto Bound = listen(ListenIo_, *Settings_.MetricsListen_);
+  if (Bound)
+    MetricsListener_ = std::move(Bound.value());
+  else
+    Log_.noteNoMetrics(textOf(*Settings_.MetricsListen_),
+                       Bound.error().message());
+}
+
+void EntryInstance::Workings::startControl() {
+  startOperatorPages("operator", OperatorListener_);
+  if (MetricsListener_.is_open())
+    startOperatorPages("metrics", MetricsListener_);
   if (Settings_.MakeStore_) {
     startDuty(Control_, "store", [this](net::io_context &Io) {
       return std::make_unique<StoreReader>(Io, Settings_.MakeStore_, Rings_);
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -146,6 +146,14 @@
            Status.IsReady_ ? 1 : 0);
   AddGauge("cranberryspool_view_fresh", "1 while new work may be sent",
            Status.IsViewFresh_ ? 1 : 0);
+  AddGauge("cranberryspool_view_age_seconds",
+           "Time since the platform's store last answered",
+           std::chrono::duration<double>(Status.ViewAge_).count());
+  AddGauge("cranberryspool_fleet_size",
+           "Instances by which shares of bounds are computed",
+           static_cast<double>(Status.FleetSize_));
+  AddGauge("cranberryspool_log_lines_dropped", "Log lines dropped so far",
+           static_cast<double>(Shell.LogLinesDropped_));
   AddGauge("cranberryspool_peers_heard", "Peers heard lately",
            static_cast<double>(Heard));
   AddGauge("cranberryspool_calls_open", "Calls that have not ended",
--- a/src/entry/internal/operatorpages.cpp
+++ b/src/entry/internal/operatorpages.cpp
@@ -4,6 +4,7 @@
 #include "entry/internal/callstatistics.h"
 #include "entry/internal/metricspage.h"
 #include "entry/internal/statuspage.h"
+#include "framework/log/logwriter.h"
 
 #include <future>
 
@@ -86,7 +87,8 @@
 ServiceAnswer OperatorPages::metrics() const {
   const ShellFigures Shell{Shared_.RequestBytes_.used(),
                            Shared_.AnswerBytes_.used(),
-                           Shared_.KeptAnswers_.usedBytes()};
+                           Shared_.KeptAnswers_.usedBytes(),
+                           Settings_.Log_ ? Settings_.Log_->dropped() : 0};
   return answerOf(askDispatch(Rings_,
                               [Shell](const decision::Core &Core,
                                       const CallStatistics &Statistics) {
--- a/src/fleet/internal/seeded/recordlog.cpp
+++ b/src/fleet/internal/seeded/recordlog.cpp
@@ -17,15 +17,45 @@
                      framework::Instant Now) {
   if (AsOf <= After)
     return;
-  Batch New{After, AsOf, Now, {}, 0};
+  Batch Next{After, After, Now, {}, 0};
   for (const StoredRecord &Each : Records) {
-    New.Records_.push_back({Each.Key_,
-                            {Each.Value_.begin(), Each.Value_.end()},
-                            Each.Revision_,
-                            Each.IsDeleted_});
-    New.Bytes_ += Each.Key_.size() + Each.Value_.size() + RecordOverhead;
+    const std::size_t Bytes =
+        Each.Key_.size() + Each.Value_.size() + RecordOverhead;
+    // Records come in the order of their revisions, so that a part ends at one.
+    if (Next.Bytes_ + Bytes > MaxBytes && !Next.Records_.empty()) {
+      const framework::Revision End = Next.Records_.back().Revision_;
+      Next.AsOf_ = End;
+      push(std::exchange(Next, Batch{End, End, Now, {}, 0}));
+    }
+    Next.Records_.push_back({Each.Key_,
+                             {Each.Value_.begin(), Each.Value_.end()},
+                             Each.Revision_,
+                             Each.IsDeleted_});
+    Next.Bytes_ += Bytes;
   }
-  Batches_.push_back(std::move(New));
+  Next.AsOf_ = AsOf;
+  push(std::move(Next));
+}
+
+void RecordLog::push(Batch Next) {
+  Batches_.push_back(std::move(Next));
+  ++New_;
+}
+
+std::vector<RecordNotice> RecordLog::takeNew() {
+  std::vector<RecordNotice> Parts;
+  const std::size_t Count = std::min(std::exchange(New_, 0), Batches_.size());
+  for (auto Each = Batches_.end() - static_cast<std::ptrdiff_t>(Count);
+       Each != Batches_.end(); ++Each) {
+    if (Each->Bytes_ > MaxBytes)
+      continue;
+    RecordNotice Part;
+    Part.After_ = Each->After_;
+    Part.AsOf_ = Each->AsOf_;
+    Part.Records_ = Each->Records_;
+    Parts.push_back(std::move(Part));
+  }
+  return Parts;
 }
 
 void RecordLog::fill(RecordNotice &Notice, framework::Instant Now) {
--- a/src/fleet/internal/seeded/recordlog.h
+++ b/src/fleet/internal/seeded/recordlog.h
@@ -18,8 +18,15 @@
   /// Takes the changes that led from one revision to another.
   void note(framework::Revision After, framework::Revision AsOf,
             const std::vector<StoredRecord> &Records, framework::Instant Now);
+  /// Takes the changes that were not taken before, each part small enough for a
+  /// message. A change that is too large for one is left out: who lacks it sees
+  /// the gap.
+  std::vector<RecordNotice> takeNew();
   /// Forgets everything: the changes up to now are not known one by one.
-  void clear() { Batches_.clear(); }
+  void clear() {
+    Batches_.clear();
+    New_ = 0;
+  }
 
   /// Fills in the latest changes without a gap, as far back as they fit in a
   /// datagram. Without any, the notice says only how far the reader is.
@@ -39,7 +46,11 @@
   /// Bytes of records in one message.
   static constexpr std::size_t MaxBytes = 1'100;
 
+  void push(Batch Next);
+
   std::deque<Batch> Batches_;
+  /// Of these, the latest that were not taken.
+  std::size_t New_ = 0;
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -42,8 +42,10 @@
 /// platform allows each target so many probes a second.
 constexpr Duration ProbeInterval = milliseconds(90);
 constexpr std::int64_t ProbesPerSecond = 40;
-/// Others probe when nobody told them of the target for so long.
+/// Others probe when nobody told them of the target for so long, and for so
+/// many intervals of the responsible instance.
 constexpr Duration HealthPatience = milliseconds(500);
+constexpr int PatientIntervals = 3;
 /// Neighbours are told something at least so often, as a sign of life.
 constexpr Duration NoticeInterval = milliseconds(200);
 /// An instance reads the store itself when its neighbours' word is older.
@@ -196,11 +198,9 @@
   Failures_ = 0;
   // Neighbours may have told of some of it meanwhile.
   const framework::Revision Before = View_.revision();
-  const bool IsNews = AsOf > Before;
   RecordLog_.note(Before, AsOf, newerThan(Before, Records), Now.Monotonic_);
   tell(View_.apply(newerThan(Before, Records), AsOf, Now.Monotonic_), Output);
-  if (IsNews)
-    NextRecordNoticeAt_ = Now.Monotonic_;
+  shareNewRecords(Now.Monotonic_, Output);
   shareRecords(Now.Monotonic_, Output);
   read(Now.Monotonic_, Output);
 }
@@ -303,8 +303,9 @@
   const Duration SinceOwn = Loads_.probeAge(Target, Now);
   if (Neighbours_.isResponsible(Target.value(), Members_.self().Name_, Now))
     return SinceOwn >= probeInterval();
-  return Loads_.healthAge(Target, Now) >= HealthPatience &&
-         SinceOwn >= HealthPatience;
+  const Duration Patience =
+      std::max(HealthPatience, probeInterval() * PatientIntervals);
+  return Loads_.healthAge(Target, Now) >= Patience && SinceOwn >= Patience;
 }
 
 void SeededFleet::noteProbed(const framework::TargetName &Target, Instant Now) {
@@ -330,13 +331,29 @@
       Failures_ > 0)
     return;
   NextRecordNoticeAt_ = Now + NoticeInterval;
+  RecordNotice Notice = makeRecordNotice(*Age);
+  RecordLog_.fill(Notice, Now);
+  sendToNeighbours(Notice, Output);
+}
+
+void SeededFleet::shareNewRecords(Instant Now, OutputList &Output) {
+  if (!isReader(Now))
+    return;
+  NextRecordNoticeAt_ = Now + NoticeInterval;
+  for (RecordNotice &Part : RecordLog_.takeNew()) {
+    Part.From_ = Members_.self().Name_;
+    Part.Incarnation_ = Members_.self().Incarnation_;
+    sendToNeighbours(Part, Output);
+  }
+}
+
+RecordNotice SeededFleet::makeRecordNotice(Duration Age) const {
   RecordNotice Notice;
   Notice.From_ = Members_.self().Name_;
   Notice.Incarnation_ = Members_.self().Incarnation_;
   Notice.AsOf_ = View_.revision();
-  Notice.Age_ = *Age;
-  RecordLog_.fill(Notice, Now);
-  sendToNeighbours(Notice, Output);
+  Notice.Age_ = Age;
+  return Notice;
 }
 
 void SeededFleet::sendToNeighbours(const PeerMessage &Message,
@@ -375,6 +392,7 @@
                          Each.Revision_,
                          Each.IsDeleted_});
   RecordLog_.note(Before, Message.AsOf_, Records, At);
+  RecordLog_.takeNew();
   tell(View_.apply(Records, Message.AsOf_, At - Message.Age_), Output);
 }
 
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -77,6 +77,9 @@
   bool isReader(framework::Instant Now) const;
   void shareLoads(framework::Instant Now, OutputList &Output);
   void shareRecords(framework::Instant Now, OutputList &Output);
+  /// Tells changes that have just been read, in as many messages as it takes.
+  void shareNewRecords(framework::Instant Now, OutputList &Output);
+  RecordNotice makeRecordNotice(framework::Duration Age) const;
   void sendToNeighbours(const PeerMessage &Message, OutputList &Output) const;
   framework::Duration probeInterval() const;
   void greetRound(framework::Instant Now, OutputList &Output);
--- a/src/fleet/tests/recordlog_test.cpp
+++ b/src/fleet/tests/recordlog_test.cpp
@@ -50,3 +50,24 @@
   Log.note(Revision(1), Revision(2), {{"a", "1", Revision(2), false}}, at({}));
   CHECK(noticeOf(Log, 4, at(milliseconds(1))).After_ == Revision(4));
 }
+
+TEST_CASE("many changes are told in parts that follow each other",
+          "[records]") {
+  RecordLog Log;
+  std::vector<StoredRecord> Records;
+  for (std::uint64_t Number = 11; Number <= 40; ++Number)
+    Records.push_back(
+        {"servers/i", std::string(200, 'x'), Revision(Number), false});
+  Log.note(Revision(10), Revision(42), Records, at({}));
+  Revision Reached(10);
+  std::size_t Told = 0;
+  for (const RecordNotice &Part : Log.takeNew()) {
+    CHECK(Part.After_ == Reached);
+    Reached = Part.AsOf_;
+    Told += Part.Records_.size();
+    CHECK(Part.Records_.size() <= 5);
+  }
+  CHECK(Reached == Revision(42));
+  CHECK(Told == 30);
+  CHECK(Log.takeNew().empty());
+}
