--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t MembersPerRound = 4;
 /// Members that a greeting names besides its sender; keeps it within one
 /// datagram.
-constexpr std::size_t MembersPerGreeting = 8;
+constexpr std::size_t MembersPerGreeting = 18;
 /// Seeds are greeted at this pace while nobody has been heard, and slowly for
 /// as long as the process runs, so that parts of the fleet that lost each
 /// other meet again.
@@ -29,6 +29,11 @@
 constexpr Duration SeedInterval = seconds(2);
 /// How long a watch of the store may wait: bounds the age of the view.
 constexpr Duration WatchWait = milliseconds(1000);
+/// After changes a reader waits before it watches again, the longer the more
+/// groups of neighbours there are, so that a busy store is not asked at each
+/// change by all of them.
+constexpr Duration ReadPauseOfGroup = milliseconds(20);
+constexpr Duration LongestReadPause = milliseconds(400);
 constexpr Duration FirstReadRetry = milliseconds(100);
 constexpr std::uint32_t MaxRetryDoublings = 2;
 /// An instance that has just started may not have heard of most others yet.
@@ -41,7 +46,7 @@
 /// that is responsible for it, or slower where there are many groups: the
 /// platform allows each target so many probes a second.
 constexpr Duration ProbeInterval = milliseconds(90);
-constexpr std::int64_t ProbesPerSecond = 40;
+constexpr std::int64_t ProbesPerSecond = 36;
 /// Others probe when nobody told them of the target for so long, and for so
 /// many intervals of the responsible instance.
 constexpr Duration HealthPatience = milliseconds(500);
@@ -49,7 +54,8 @@
 /// Neighbours are told something at least so often, as a sign of life.
 constexpr Duration NoticeInterval = milliseconds(200);
 /// An instance reads the store itself when its neighbours' word is older.
-constexpr Duration ViewPatience = milliseconds(1200);
+/// Longer than a watch waits and a notice takes.
+constexpr Duration ViewPatience = milliseconds(1600);
 /// The task of reading the store, for which one of a group is responsible.
 constexpr std::string_view ReadingTask = "store";
 
@@ -200,7 +206,14 @@
   const framework::Revision Before = View_.revision();
   RecordLog_.note(Before, AsOf, newerThan(Before, Records), Now.Monotonic_);
   tell(View_.apply(newerThan(Before, Records), AsOf, Now.Monotonic_), Output);
+  if (!Records.empty())
+    NextReadAt_ =
+        Now.Monotonic_ +
+        std::min(LongestReadPause,
+                 ReadPauseOfGroup * static_cast<std::int64_t>(groups()));
   shareNewRecords(Now.Monotonic_, Output);
+  // The view is as young as it gets: neighbours learn it at once.
+  NextRecordNoticeAt_ = Now.Monotonic_;
   shareRecords(Now.Monotonic_, Output);
   read(Now.Monotonic_, Output);
 }
@@ -290,17 +303,23 @@
   return FleetRate / static_cast<double>(Senders);
 }
 
+std::size_t SeededFleet::groups() const {
+  return (Members_.peak() + Neighbours::MaxSize - 1) / Neighbours::MaxSize;
+}
+
 Duration SeededFleet::probeInterval() const {
-  const std::size_t Groups =
-      (Members_.peak() + Neighbours::MaxSize - 1) / Neighbours::MaxSize;
   const Duration ByBound = Duration(seconds(1)) *
-                           static_cast<std::int64_t>(Groups) / ProbesPerSecond;
+                           static_cast<std::int64_t>(groups()) /
+                           ProbesPerSecond;
   return std::max(ProbeInterval, ByBound);
 }
 
 bool SeededFleet::mayProbe(const framework::TargetName &Target,
                            Instant Now) const {
   const Duration SinceOwn = Loads_.probeAge(Target, Now);
+  // Until it has heard its neighbours, an instance asks each target once.
+  if (Now < StartedAt_ + SettlingTime)
+    return SinceOwn >= SettlingTime;
   if (Neighbours_.isResponsible(Target.value(), Members_.self().Name_, Now))
     return SinceOwn >= probeInterval();
   const Duration Patience =
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -59,6 +59,8 @@
   bool isViewFresh(framework::Instant Now) const;
   std::vector<document::PublishedInstance> peers() const;
   std::size_t fleetSize() const;
+  /// The instances that run as far as is known, this one included.
+  std::size_t runningMembers() const { return Members_.count(); }
 
   /// Requests a second that this instance may send to a target while it is
   /// cold, given what all instances together may send.
@@ -81,6 +83,8 @@
   void shareNewRecords(framework::Instant Now, OutputList &Output);
   RecordNotice makeRecordNotice(framework::Duration Age) const;
   void sendToNeighbours(const PeerMessage &Message, OutputList &Output) const;
+  /// The groups of neighbours in the fleet, about.
+  std::size_t groups() const;
   framework::Duration probeInterval() const;
   void greetRound(framework::Instant Now, OutputList &Output);
   void greet(const std::string &Address, bool IsAnswerWanted,
