Compute shares at cold targets anew whenever their members change

Cause: SharesChanged was told only when the number of known members grew in a greeting. The share at a cold target also depends on the end of an instance's first second and on members that are lost, stop, restart or are forgotten: an instance could keep a share of 0 until the targets changed. Ruled out: recomputing per request (a hash a member and target on the request path). Now the members count their changes, and one tick tells all of them at once.

--- a/src/fleet/internal/seeded/members.cpp
+++ b/src/fleet/internal/seeded/members.cpp
@@ -10,6 +10,7 @@
   const auto Position = Records_.find(Told.Name_);
   if (Position == Records_.end()) {
     Records_.emplace(Told.Name_, Record{Told, HeardAt});
+    ++Changes_;
     return true;
   }
   Record &Known = Position->second;
@@ -19,6 +20,7 @@
   if (!IsNewer && HeardAt <= Known.HeardAt_)
     return false;
   const bool IsNews = IsNewer || Known.IsLost_;
+  Changes_ += IsNewer ? 1 : 0;
   Known.Known_ = Told;
   Known.HeardAt_ = HeardAt;
   Known.IsStopping_ = Known.IsStopping_ && !IsNewer;
@@ -36,13 +38,18 @@
     if (Position == Records_.end())
       continue;
     Record &Known = Position->second;
-    if (Now - Known.HeardAt_ < LostAfter)
+    if (Known.IsLost_ && Now - Known.HeardAt_ < LostAfter) {
       Known.IsLost_ = false;
+      ++Changes_;
+    }
     if (At > 0)
       continue;
     IsSenderNew = IsNews;
-    if (Known.Known_.Incarnation_ == Told.Incarnation_)
-      Known.IsStopping_ = Message.IsStopping_;
+    if (Known.Known_.Incarnation_ != Told.Incarnation_ ||
+        Known.IsStopping_ == Message.IsStopping_)
+      continue;
+    Known.IsStopping_ = Message.IsStopping_;
+    ++Changes_;
   }
   return IsSenderNew;
 }
@@ -55,9 +62,10 @@
     Known.IsLost_ = true;
     Lost.push_back(Name);
   }
-  std::erase_if(Records_, [&](const auto &Each) {
+  const std::size_t Forgotten = std::erase_if(Records_, [&](const auto &Each) {
     return Now - Each.second.HeardAt_ > PeakMemory;
   });
+  Changes_ += Lost.size() + Forgotten;
   return Lost;
 }
 
--- a/src/fleet/internal/seeded/members.h
+++ b/src/fleet/internal/seeded/members.h
@@ -6,6 +6,7 @@
 #include "framework/random.h"
 #include "framework/time.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -38,6 +39,9 @@
     return Records_;
   }
 
+  /// Grows with each change of who is known, runs or stops.
+  std::uint64_t changes() const { return Changes_; }
+
   /// Returns the instances that run as far as is known, this one included.
   std::size_t count() const;
   /// Returns the highest `count` of the last `PeakMemory`, so that a share of
@@ -56,6 +60,7 @@
 
   KnownMember Self_;
   std::map<framework::InstanceName, Record> Records_;
+  std::uint64_t Changes_ = 0;
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -93,6 +93,7 @@
     Output.push_back(PeerChanged{Lost, false});
   tell(View_.advance(At), Output);
   Neighbours_.form(Members_);
+  tellShares(At, Output);
   read(At, Output);
   shareLoads(At, Output);
   shareRecords(At, Output);
@@ -106,15 +107,24 @@
                          OutputList &Output) {
   if (Message.Members_.empty())
     return;
-  const std::size_t Before = Members_.peak();
   const KnownMember &Sender = Message.Members_.front();
   const bool IsNew = Members_.note(Message, Now.Monotonic_);
   if (IsNew)
     Output.push_back(PeerChanged{Sender.Name_, true});
   if (Message.IsAnswerWanted_ || IsNew)
     greet(Sender.Address_, false, Now.Monotonic_, Output);
-  if (Members_.peak() != Before)
-    Output.push_back(SharesChanged{});
+}
+
+bool SeededFleet::isSettled(Instant Now) const {
+  return Now >= StartedAt_ + SettlingTime;
+}
+
+void SeededFleet::tellShares(Instant Now, OutputList &Output) {
+  const ShareInputs Inputs{Members_.changes(), isSettled(Now)};
+  if (Inputs == ToldInputs_)
+    return;
+  ToldInputs_ = Inputs;
+  Output.push_back(SharesChanged{});
 }
 
 void SeededFleet::greetRound(Instant Now, OutputList &Output) {
@@ -287,7 +297,7 @@
                              double FleetRate, Instant Now) const {
   if (Members_.peak() == 1)
     return std::min(LonelyColdRate, FleetRate);
-  if (Now < StartedAt_ + SettlingTime)
+  if (!isSettled(Now))
     return 0;
   const std::uint64_t Own =
       rendezvousWeight(Target.value(), Members_.self().Name_.value());
@@ -318,7 +328,7 @@
                            Instant Now) const {
   const Duration SinceOwn = Loads_.probeAge(Target, Now);
   // Until it has heard its neighbours, an instance asks each target once.
-  if (Now < StartedAt_ + SettlingTime)
+  if (!isSettled(Now))
     return SinceOwn >= SettlingTime;
   if (Neighbours_.isResponsible(Target.value(), Members_.self().Name_, Now))
     return SinceOwn >= probeInterval();
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -72,6 +72,19 @@
   const FleetBounds &bounds() const { return Seeds_.Bounds_; }
 
 private:
+  /// What the shares of fleet-wide bounds follow from.
+  struct ShareInputs {
+    std::uint64_t MemberChanges_ = 0;
+    bool IsSettled_ = false;
+
+    bool operator==(const ShareInputs &) const = default;
+  };
+
+  /// False while an instance may not have heard of most others yet.
+  bool isSettled(framework::Instant Now) const;
+  /// Asks for new shares when what they follow from has changed, at most once
+  /// a tick however many members are heard of.
+  void tellShares(framework::Instant Now, OutputList &Output);
   void tell(const StoreView::Changes &Changed, OutputList &Output);
   void read(framework::Instant Now, OutputList &Output);
   /// True when this instance keeps a watch of the store for its neighbours, or
@@ -106,6 +119,7 @@
   bool IsWatching_ = false;
   bool IsStopping_ = false;
   std::uint32_t Failures_ = 0;
+  ShareInputs ToldInputs_;
   framework::Instant StartedAt_{};
   framework::Instant NextReadAt_{};
   framework::Instant NextTickAt_{};
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -69,12 +69,28 @@
   }
 
   void carryOut(std::size_t From, const OutputList &Output) {
+    if (!only<SharesChanged>(Output).empty())
+      AppliedRates_[From] = coldRate(From);
     for (const SendMessage &Each : only<SendMessage>(Output))
       deliver(From, Each);
     for (const ReadRecords &Each : only<ReadRecords>(Output))
       answer(From, Each);
   }
 
+  double coldRate(std::size_t Of) const {
+    return Fleets_[Of].coldRate(framework::TargetName("t1"), 9,
+                                Now_.Monotonic_);
+  }
+
+  /// Instances whose rate at a cold target differs from the one that they
+  /// computed when they were last told of a change.
+  std::size_t outdatedRates() {
+    std::size_t Count = 0;
+    for (std::size_t At = 0; At < Fleets_.size(); ++At)
+      Count += AppliedRates_[At] != coldRate(At) ? 1U : 0U;
+    return Count;
+  }
+
   void deliver(std::size_t From, const SendMessage &Message) {
     LargestMessage_ =
         std::max(LargestMessage_, encodePeerMessage(Message.Message_).size());
@@ -131,6 +147,8 @@
   }
 
   std::map<std::size_t, framework::Instant> Waiting_;
+  /// The rate at a cold target that each instance last computed.
+  std::map<std::size_t, double> AppliedRates_;
 };
 
 } // namespace
@@ -202,6 +220,35 @@
   CHECK(Senders == 3);
 }
 
+TEST_CASE("shares are computed anew when an instance has settled", "[seeds]") {
+  World Fleet(8);
+  Fleet.pass(milliseconds(900));
+  CHECK(Fleet.outdatedRates() == 0);
+  Fleet.pass(milliseconds(300));
+  CHECK(Fleet.outdatedRates() == 0);
+}
+
+TEST_CASE("shares are computed anew when a member is lost or stops",
+          "[seeds]") {
+  World Fleet(8);
+  Fleet.pass(seconds(2));
+  std::size_t Sender = 0;
+  while (Fleet.coldRate(Sender) == 0)
+    ++Sender;
+  SECTION("lost") {
+    Fleet.Deaf_ = {Sender};
+    Fleet.pass(seconds(8));
+    Fleet.Deaf_.clear();
+  }
+  SECTION("stopping") {
+    OutputList Output;
+    Fleet.Fleets_[Sender].noteStopRequested(Fleet.Now_, Output);
+    Fleet.carryOut(Sender, Output);
+    Fleet.pass(seconds(2));
+  }
+  CHECK(Fleet.outdatedRates() == 0);
+}
+
 TEST_CASE("an instance that has just started sends little to cold targets",
           "[seeds]") {
   World Fleet(4);
