Let a starting fleet find its groups before it probes targets

Cause: in its first second an instance probed every target once, since it did not yet know its neighbours; each probing instance opens a connection to each target. Ruled out: requests alone (at most one connection each).

Change: greetings each 100 ms in the first second; neighbours who join a group count as just heard, so that tasks go to one of them before the first notice; nothing is probed in the first 400 ms; others step in only when their group has had the time to tell them.

--- a/src/fleet/internal/seeded/neighbours.cpp
+++ b/src/fleet/internal/seeded/neighbours.cpp
@@ -3,10 +3,11 @@
 #include "fleet/internal/rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberryspool::fleet {
 
-void Neighbours::form(const Members &From) {
+bool Neighbours::form(const Members &From, framework::Instant Now) {
   std::map<framework::InstanceName, std::string> Near;
   const KnownMember &Self = From.self();
   Near.emplace(Self.Name_, Self.Address_);
@@ -19,16 +20,22 @@
   const auto Rank = static_cast<std::size_t>(
       std::distance(Near.begin(), Near.find(Self.Name_)));
   const std::size_t OwnGroup = Rank * Groups / Near.size();
-  Addresses_.clear();
+  std::map<framework::InstanceName, std::string> Group;
   std::size_t At = 0;
   for (const auto &[Name, Address] : Near) {
     if (At * Groups / Near.size() == OwnGroup && Name != Self.Name_)
-      Addresses_.emplace(Name, Address);
+      Group.emplace(Name, Address);
     ++At;
   }
+  if (Group == Addresses_)
+    return false;
+  Addresses_ = std::move(Group);
   std::erase_if(HeardAt_, [&](const auto &Each) {
     return !Addresses_.contains(Each.first);
   });
+  for (const auto &[Name, Address] : Addresses_)
+    HeardAt_.try_emplace(Name, Now);
+  return true;
 }
 
 void Neighbours::noteHeard(const framework::InstanceName &Name,
--- a/src/fleet/internal/seeded/neighbours.h
+++ b/src/fleet/internal/seeded/neighbours.h
@@ -20,8 +20,10 @@
 public:
   static constexpr std::size_t MaxSize = 9;
 
-  /// Forms the group anew from the members that run.
-  void form(const Members &From);
+  /// Forms the group anew from the members that run. Returns true when it has
+  /// changed. Those who join count as just heard, so that tasks go to one of
+  /// them before the first notices arrive.
+  bool form(const Members &From, framework::Instant Now);
 
   /// Takes a notice of a neighbour as its sign of life.
   void noteHeard(const framework::InstanceName &Name, framework::Instant Now);
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -18,6 +18,9 @@
 constexpr Duration TickInterval = milliseconds(50);
 /// Greetings to a few members, and how many.
 constexpr Duration RoundInterval = milliseconds(500);
+/// In its first second an instance greets more often, so that it knows the
+/// group of neighbours that it belongs to before it probes targets.
+constexpr Duration FirstRoundInterval = milliseconds(100);
 constexpr std::size_t MembersPerRound = 4;
 /// Members that a greeting names besides its sender; keeps it within one
 /// datagram.
@@ -38,6 +41,8 @@
 constexpr std::uint32_t MaxRetryDoublings = 2;
 /// An instance that has just started may not have heard of most others yet.
 constexpr Duration SettlingTime = seconds(1);
+/// Until then neighbours have not told an instance which targets they probe.
+constexpr Duration FirstProbeDelay = milliseconds(400);
 /// Members that may send to one cold target.
 constexpr std::size_t ColdSenders = 3;
 /// Requests a second to a cold target by an instance that knows nobody.
@@ -92,7 +97,8 @@
   for (const framework::InstanceName &Lost : Members_.expire(At))
     Output.push_back(PeerChanged{Lost, false});
   tell(View_.advance(At), Output);
-  Neighbours_.form(Members_);
+  if (Neighbours_.form(Members_, At))
+    GroupFormedAt_ = At;
   tellShares(At, Output);
   read(At, Output);
   shareLoads(At, Output);
@@ -128,7 +134,7 @@
 }
 
 void SeededFleet::greetRound(Instant Now, OutputList &Output) {
-  NextRoundAt_ = Now + RoundInterval;
+  NextRoundAt_ = Now + (isSettled(Now) ? RoundInterval : FirstRoundInterval);
   std::vector<const Members::Record *> Near;
   std::vector<const Members::Record *> Far;
   for (const auto &[Name, Known] : Members_.records()) {
@@ -326,15 +332,26 @@
 
 bool SeededFleet::mayProbe(const framework::TargetName &Target,
                            Instant Now) const {
+  // Each instance that probes a target opens a connection to it, which would be
+  // too many when a large fleet starts.
+  if (Now < StartedAt_ + FirstProbeDelay)
+    return false;
   const Duration SinceOwn = Loads_.probeAge(Target, Now);
-  // Until it has heard its neighbours, an instance asks each target once.
   if (!isSettled(Now))
-    return SinceOwn >= SettlingTime;
+    return SinceOwn >= SettlingTime &&
+           Neighbours_.isResponsible(Target.value(), Members_.self().Name_,
+                                     Now);
   if (Neighbours_.isResponsible(Target.value(), Members_.self().Name_, Now))
     return SinceOwn >= probeInterval();
   const Duration Patience =
       std::max(HealthPatience, probeInterval() * PatientIntervals);
-  return Loads_.healthAge(Target, Now) >= Patience && SinceOwn >= Patience;
+  // Neighbours probe little before they have settled, and a new group has to
+  // tell what it knows first.
+  const Instant ListensSince =
+      std::max(GroupFormedAt_, StartedAt_ + SettlingTime);
+  const Duration Unheard =
+      std::min(Loads_.healthAge(Target, Now), Now - ListensSince);
+  return Unheard >= Patience && SinceOwn >= Patience;
 }
 
 void SeededFleet::noteProbed(const framework::TargetName &Target, Instant Now) {
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -121,6 +121,9 @@
   std::uint32_t Failures_ = 0;
   ShareInputs ToldInputs_;
   framework::Instant StartedAt_{};
+  /// When the group of neighbours changed last: what it knows of targets takes
+  /// a while to arrive.
+  framework::Instant GroupFormedAt_{};
   framework::Instant NextReadAt_{};
   framework::Instant NextTickAt_{};
   framework::Instant NextRoundAt_{};
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -294,7 +294,7 @@
         .Address_ = "127.0.0." + std::to_string(Number) + ":1"});
   Known.note(Heard, framework::Instant(seconds(100)));
   Neighbours Group;
-  Group.form(Known);
+  Group.form(Known, framework::Instant(seconds(100)));
   CHECK(Group.addresses().size() < Neighbours::MaxSize);
   CHECK(Group.addresses().size() >= 5);
 }
@@ -317,6 +317,31 @@
   CHECK(Fleet.LargestMessage_ <= MaxDatagramBytes);
 }
 
+TEST_CASE("a large fleet that starts is not probed by all of its instances",
+          "[seeds]") {
+  constexpr std::size_t Instances = 40;
+  constexpr std::size_t Groups =
+      (Instances + Neighbours::MaxSize - 1) / Neighbours::MaxSize;
+  World Fleet(Instances);
+  const framework::TargetName Target("t1");
+  routing::LoadReport Healthy;
+  Healthy.WarmupLeft_ = Duration::zero();
+  std::set<std::size_t> Probers;
+  for (int Step = 0; Step < 300; ++Step) {
+    Fleet.pass(milliseconds(10));
+    for (std::size_t At = 0; At < Instances; ++At) {
+      if (!Fleet.Fleets_[At].mayProbe(Target, Fleet.Now_.Monotonic_))
+        continue;
+      Fleet.Fleets_[At].noteProbed(Target, Fleet.Now_.Monotonic_);
+      Fleet.Fleets_[At].noteLoad(Target, Healthy, Fleet.Now_.Monotonic_);
+      Probers.insert(At);
+    }
+  }
+  // Each probes over a connection of its own; groups change while instances
+  // find each other.
+  CHECK(Probers.size() <= 2 * Groups);
+}
+
 TEST_CASE("an instance that has just started probes a target once", "[seeds]") {
   World Fleet(1);
   const framework::TargetName Target("t1");
