Let one instance of a zone watch the store and tell the others

Change: a zone's reader, by rendezvous over its members, tells two members of each other group, which tell theirs; ages travel along, so that nobody takes an old word for a young one. Who is not told in time asks at once: tellers after 1.3 s, others after 1.5 to 1.7 s. A large record travels in parts. The first list is asked for as it may be seconds old (a tenth of the price); what is newer is told by others or asked for after 300 to 600 ms. A 404 still needs a view younger than 1.5 s, so an instance answers 503 for unknown paths in its first moments.

Tests first failing on the old code: one reader a large zone, a large change without further reads, a start with one read each. The reader's loss is tested (20 changes, each known everywhere within 2 s).

--- a/src/decision/tests/routes_test.cpp
+++ b/src/decision/tests/routes_test.cpp
@@ -183,11 +183,16 @@
 
 TEST_CASE("a path without a route is denied only by a fresh view", "[routes]") {
   World Test;
+  // The first list may be as it was a while ago.
   auto Ended = only<RefuseCall>(Test.call(1, "/none/"));
   REQUIRE(Ended.size() == 1);
+  CHECK(Ended[0].Reason_ == calls::EndingReason::ViewTooOld);
+  Test.tell(RecordsChanged{{}, framework::Revision(5)});
+  Ended = only<RefuseCall>(Test.call(2, "/none/"));
+  REQUIRE(Ended.size() == 1);
   CHECK(Ended[0].Reason_ == calls::EndingReason::NoSuchKind);
   Test.pass(seconds(3));
-  Ended = only<RefuseCall>(Test.call(2, "/none/"));
+  Ended = only<RefuseCall>(Test.call(3, "/none/"));
   REQUIRE(Ended.size() == 1);
   CHECK(Ended[0].Reason_ == calls::EndingReason::ViewTooOld);
 }
--- a/src/decision/types/actions/readrecords.h
+++ b/src/decision/types/actions/readrecords.h
@@ -15,6 +15,8 @@
   std::optional<framework::Revision> After_;
   /// How long the store may hold the answer back while nothing changes.
   framework::Duration Wait_{};
+  /// The entries may be as they were seconds ago, which costs the store less.
+  bool MayBeOld_ = false;
 };
 
 } // namespace cranberryspool::decision
--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -173,6 +173,18 @@
   Visit(Item.Records_);
 }
 
+template <typename Visitor>
+void visitFields(RecordPiece &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.After_);
+  Visit(Item.AsOf_);
+  Visit(Item.Age_);
+  Visit(Item.Key_);
+  Visit(Item.Number_);
+  Visit(Item.Count_);
+  Visit(Item.Bytes_);
+}
+
 } // namespace cranberryspool::fleet
 
 #endif // CRANBERRYSPOOL_FLEET_INTERNAL_FIELDLISTS_H
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -99,7 +99,8 @@
         using Kind = std::decay_t<decltype(Item)>;
         if constexpr (std::is_same_v<Kind, Greeting> ||
                       std::is_same_v<Kind, LoadNotice> ||
-                      std::is_same_v<Kind, RecordNotice>) {
+                      std::is_same_v<Kind, RecordNotice> ||
+                      std::is_same_v<Kind, RecordPiece>) {
           if (Seeded_)
             Seeded_->handle(Item, Now, Output);
         } else {
--- a/src/fleet/internal/seeded/neighbours.cpp
+++ b/src/fleet/internal/seeded/neighbours.cpp
@@ -7,26 +7,39 @@
 
 namespace cranberryspool::fleet {
 
+namespace {
+
+/// The task of reading the store.
+constexpr std::string_view ReadingTask = "store";
+/// The second takes over as soon as the first is silent.
+constexpr std::size_t DelegatesOfGroup = 2;
+
+} // namespace
+
 bool Neighbours::form(const Members &From, framework::Instant Now) {
-  std::map<framework::InstanceName, std::string> Near;
+  if (From.changes() == FormedFor_)
+    return false;
+  FormedFor_ = From.changes();
   const KnownMember &Self = From.self();
+  // Sorted by name, so that all members form the same groups.
+  std::map<framework::InstanceName, std::string> Near;
   Near.emplace(Self.Name_, Self.Address_);
   for (const auto &[Name, Known] : From.records())
     if (!Known.IsLost_ && !Known.IsStopping_ &&
         Known.Known_.Zone_ == Self.Zone_)
       Near.emplace(Name, Known.Known_.Address_);
-  // Blocks of the zone's members by name, all of about the same size.
-  const std::size_t Groups = (Near.size() + MaxSize - 1) / MaxSize;
+  std::vector<Member> Zone;
+  for (const auto &[Name, Address] : Near)
+    Zone.push_back({Name, Address});
+  const std::size_t Groups = (Zone.size() + MaxSize - 1) / MaxSize;
   const auto Rank = static_cast<std::size_t>(
       std::distance(Near.begin(), Near.find(Self.Name_)));
-  const std::size_t OwnGroup = Rank * Groups / Near.size();
+  const std::size_t OwnGroup = Rank * Groups / Zone.size();
+  appoint(Zone, Groups, OwnGroup);
   std::map<framework::InstanceName, std::string> Group;
-  std::size_t At = 0;
-  for (const auto &[Name, Address] : Near) {
-    if (At * Groups / Near.size() == OwnGroup && Name != Self.Name_)
-      Group.emplace(Name, Address);
-    ++At;
-  }
+  for (std::size_t At = 0; At < Zone.size(); ++At)
+    if (At * Groups / Zone.size() == OwnGroup && At != Rank)
+      Group.emplace(Zone[At].Name_, Zone[At].Address_);
   if (Group == Addresses_)
     return false;
   Addresses_ = std::move(Group);
@@ -38,6 +51,38 @@
   return true;
 }
 
+void Neighbours::appoint(const std::vector<Member> &Zone, std::size_t Groups,
+                         std::size_t OwnGroup) {
+  Delegates_.clear();
+  BestElsewhere_ = 0;
+  std::vector<std::vector<std::pair<std::uint64_t, std::size_t>>> Ranked(
+      Groups);
+  for (std::size_t At = 0; At < Zone.size(); ++At)
+    Ranked[At * Groups / Zone.size()].emplace_back(
+        rendezvousWeight(ReadingTask, Zone[At].Name_.value()), At);
+  for (std::size_t Group = 0; Group < Groups; ++Group) {
+    if (Group == OwnGroup)
+      continue;
+    auto &Ranks = Ranked[Group];
+    std::sort(Ranks.rbegin(), Ranks.rend());
+    BestElsewhere_ = std::max(BestElsewhere_, Ranks.front().first);
+    const std::size_t Count = std::min(DelegatesOfGroup, Ranks.size());
+    for (std::size_t Place = 0; Place < Count; ++Place)
+      Delegates_.push_back(Zone[Ranks[Place].second].Address_);
+  }
+}
+
+bool Neighbours::isTeller(const framework::InstanceName &Self,
+                          framework::Instant Now) const {
+  return isResponsible(ReadingTask, Self, Now);
+}
+
+bool Neighbours::isZoneReader(const framework::InstanceName &Self,
+                              framework::Instant Now) const {
+  return rendezvousWeight(ReadingTask, Self.value()) > BestElsewhere_ &&
+         isTeller(Self, Now);
+}
+
 void Neighbours::noteHeard(const framework::InstanceName &Name,
                            framework::Instant Now) {
   if (Addresses_.contains(Name))
--- a/src/fleet/internal/seeded/neighbours.h
+++ b/src/fleet/internal/seeded/neighbours.h
@@ -5,6 +5,8 @@
 #include "framework/ids.h"
 #include "framework/time.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -28,6 +30,19 @@
   /// Takes a notice of a neighbour as its sign of life.
   void noteHeard(const framework::InstanceName &Name, framework::Instant Now);
 
+  /// Returns the addresses of those members of the zone's other groups that are
+  /// told what the zone's reader of the store learns: of each group the two
+  /// that come first for reading it.
+  const std::vector<std::string> &delegates() const { return Delegates_; }
+
+  /// True when this instance reads the store for its zone, as far as it can
+  /// tell which members run.
+  bool isZoneReader(const framework::InstanceName &Self,
+                    framework::Instant Now) const;
+  /// True when it tells its group what is in the store.
+  bool isTeller(const framework::InstanceName &Self,
+                framework::Instant Now) const;
+
   /// Returns the addresses of the others.
   const std::map<framework::InstanceName, std::string> &addresses() const {
     return Addresses_;
@@ -39,11 +54,23 @@
                      framework::Instant Now) const;
 
 private:
+  struct Member {
+    framework::InstanceName Name_;
+    std::string Address_;
+  };
+
   /// A neighbour that was not heard for so long is responsible for nothing.
   static constexpr framework::Duration SilentAfter =
       std::chrono::milliseconds(700);
 
+  void appoint(const std::vector<Member> &Zone, std::size_t Groups,
+               std::size_t OwnGroup);
+
+  std::uint64_t FormedFor_ = ~std::uint64_t{};
   std::map<framework::InstanceName, std::string> Addresses_;
+  std::vector<std::string> Delegates_;
+  /// The highest rank for reading the store in the zone's other groups.
+  std::uint64_t BestElsewhere_ = 0;
   std::map<framework::InstanceName, framework::Instant> HeardAt_;
 };
 
--- a/src/fleet/internal/seeded/recordlog.cpp
+++ b/src/fleet/internal/seeded/recordlog.cpp
@@ -10,6 +10,10 @@
 /// Bytes of a record's encoding beside its key and value.
 constexpr std::size_t RecordOverhead = 24;
 
+template <typename Record> std::size_t bytesOf(const Record &Each) {
+  return Each.Key_.size() + Each.Value_.size() + RecordOverhead;
+}
+
 } // namespace
 
 void RecordLog::note(framework::Revision After, framework::Revision AsOf,
@@ -19,8 +23,7 @@
     return;
   Batch Next{After, After, Now, {}, 0};
   for (const StoredRecord &Each : Records) {
-    const std::size_t Bytes =
-        Each.Key_.size() + Each.Value_.size() + RecordOverhead;
+    const std::size_t Bytes = bytesOf(Each);
     // Records come in the order of their revisions, so that a part ends at one.
     if (Next.Bytes_ + Bytes > MaxBytes && !Next.Records_.empty()) {
       const framework::Revision End = Next.Records_.back().Revision_;
@@ -47,8 +50,6 @@
   const std::size_t Count = std::min(std::exchange(New_, 0), Batches_.size());
   for (auto Each = Batches_.end() - static_cast<std::ptrdiff_t>(Count);
        Each != Batches_.end(); ++Each) {
-    if (Each->Bytes_ > MaxBytes)
-      continue;
     RecordNotice Part;
     Part.After_ = Each->After_;
     Part.AsOf_ = Each->AsOf_;
@@ -58,6 +59,11 @@
   return Parts;
 }
 
+bool RecordLog::fitsInMessage(const RecordNotice &Part) {
+  return Part.Records_.size() != 1 ||
+         bytesOf(Part.Records_.front()) <= MaxBytes;
+}
+
 void RecordLog::fill(RecordNotice &Notice, framework::Instant Now) {
   while (!Batches_.empty() && Now - Batches_.front().SeenAt_ > Memory)
     Batches_.pop_front();
--- a/src/fleet/internal/seeded/recordlog.h
+++ b/src/fleet/internal/seeded/recordlog.h
@@ -19,8 +19,7 @@
   void note(framework::Revision After, framework::Revision AsOf,
             const std::vector<StoredRecord> &Records, framework::Instant Now);
   /// Takes the changes that were not taken before, each part small enough for a
-  /// message. A change that is too large for one is left out: who lacks it sees
-  /// the gap.
+  /// message but for a single record that is larger.
   std::vector<RecordNotice> takeNew();
   /// Forgets everything: the changes up to now are not known one by one.
   void clear() {
@@ -28,6 +27,8 @@
     New_ = 0;
   }
 
+  static bool fitsInMessage(const RecordNotice &Part);
+
   /// Fills in the latest changes without a gap, as far back as they fit in a
   /// datagram. Without any, the notice says only how far the reader is.
   void fill(RecordNotice &Notice, framework::Instant Now);
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -3,8 +3,6 @@
 #include "fleet/internal/rendezvous.h"
 
 #include <algorithm>
-#include <iterator>
-#include <string_view>
 
 namespace cranberryspool::fleet {
 
@@ -30,15 +28,6 @@
 /// other meet again.
 constexpr Duration FirstSeedInterval = milliseconds(100);
 constexpr Duration SeedInterval = seconds(2);
-/// How long a watch of the store may wait: bounds the age of the view.
-constexpr Duration WatchWait = milliseconds(1000);
-/// After changes a reader waits before it watches again, the longer the more
-/// groups of neighbours there are, so that a busy store is not asked at each
-/// change by all of them.
-constexpr Duration ReadPauseOfGroup = milliseconds(20);
-constexpr Duration LongestReadPause = milliseconds(400);
-constexpr Duration FirstReadRetry = milliseconds(100);
-constexpr std::uint32_t MaxRetryDoublings = 2;
 /// An instance that has just started may not have heard of most others yet.
 constexpr Duration SettlingTime = seconds(1);
 /// Until then neighbours have not told an instance which targets they probe.
@@ -58,21 +47,6 @@
 constexpr int PatientIntervals = 3;
 /// Neighbours are told something at least so often, as a sign of life.
 constexpr Duration NoticeInterval = milliseconds(200);
-/// An instance reads the store itself when its neighbours' word is older.
-/// Longer than a watch waits and a notice takes.
-constexpr Duration ViewPatience = milliseconds(1600);
-/// The task of reading the store, for which one of a group is responsible.
-constexpr std::string_view ReadingTask = "store";
-
-std::vector<StoredRecord> newerThan(framework::Revision Known,
-                                    const std::vector<StoredRecord> &Records) {
-  std::vector<StoredRecord> Newer;
-  std::copy_if(
-      Records.begin(), Records.end(), std::back_inserter(Newer),
-      [&](const StoredRecord &Each) { return Each.Revision_ > Known; });
-  return Newer;
-}
-
 KnownMember selfOf(const FleetSettings &Settings) {
   return KnownMember{.Name_ = Settings.Self_,
                      .Incarnation_ = Settings.Incarnation_,
@@ -84,10 +58,12 @@
 
 SeededFleet::SeededFleet(FleetSettings Settings, framework::Random Rng)
     : Seeds_(*Settings.Seeds_), Rng_(Rng), Members_(selfOf(Settings)),
-      View_(Seeds_.Decode_, Seeds_.Bounds_.LapseGrace_) {}
+      Store_(Seeds_.Decode_, Seeds_.Bounds_.LapseGrace_,
+             framework::Random(Rng_.bits())) {}
 
 void SeededFleet::start(framework::Moment Now, OutputList &Output) {
   StartedAt_ = Now.Monotonic_;
+  Store_.start(StartedAt_);
   tick(Now, Output);
 }
 
@@ -96,13 +72,11 @@
   NextTickAt_ = At + TickInterval;
   for (const framework::InstanceName &Lost : Members_.expire(At))
     Output.push_back(PeerChanged{Lost, false});
-  tell(View_.advance(At), Output);
   if (Neighbours_.form(Members_, At))
     GroupFormedAt_ = At;
   tellShares(At, Output);
-  read(At, Output);
+  Store_.tick(around(At, Output));
   shareLoads(At, Output);
-  shareRecords(At, Output);
   if (At >= NextRoundAt_)
     greetRound(At, Output);
   if (At >= NextSeedsAt_)
@@ -177,91 +151,26 @@
   Output.push_back(SendMessage{Address, std::move(Message)});
 }
 
-bool SeededFleet::isReader(Instant Now) const {
-  const auto Age = View_.age(Now);
-  return !Age || *Age > ViewPatience ||
-         Neighbours_.isResponsible(ReadingTask, Members_.self().Name_, Now);
-}
-
-void SeededFleet::read(Instant Now, OutputList &Output) {
-  if (IsReading_ || Now < NextReadAt_)
-    return;
-  const bool IsWatchWanted = isReader(Now);
-  if (!IsWatchWanted && !IsBehind_ && !IsListNeeded_)
-    return;
-  IsReading_ = true;
-  IsBehind_ = false;
-  if (IsListNeeded_ || !View_.hasList()) {
-    Output.push_back(ReadRecords{std::nullopt, Duration{}});
-    return;
-  }
-  // After a failure an answer at once tells how things stand.
-  IsWatching_ = IsWatchWanted && Failures_ == 0;
-  Output.push_back(
-      ReadRecords{View_.revision(), IsWatching_ ? WatchWait : Duration{}});
-}
-
 void SeededFleet::noteAllRecords(const std::vector<StoredRecord> &Records,
                                  framework::Revision AsOf,
                                  framework::Moment Now, OutputList &Output) {
-  IsReading_ = false;
-  IsListNeeded_ = false;
-  Failures_ = 0;
-  RecordLog_.clear();
-  tell(View_.replaceAll(Records, AsOf, Now.Monotonic_), Output);
-  read(Now.Monotonic_, Output);
+  Store_.noteAllRecords(Records, AsOf, around(Now.Monotonic_, Output));
 }
 
 void SeededFleet::noteChangedRecords(const std::vector<StoredRecord> &Records,
                                      framework::Revision AsOf,
                                      framework::Moment Now,
                                      OutputList &Output) {
-  IsReading_ = false;
-  Failures_ = 0;
-  // Neighbours may have told of some of it meanwhile.
-  const framework::Revision Before = View_.revision();
-  RecordLog_.note(Before, AsOf, newerThan(Before, Records), Now.Monotonic_);
-  tell(View_.apply(newerThan(Before, Records), AsOf, Now.Monotonic_), Output);
-  if (!Records.empty())
-    NextReadAt_ =
-        Now.Monotonic_ +
-        std::min(LongestReadPause,
-                 ReadPauseOfGroup * static_cast<std::int64_t>(groups()));
-  shareNewRecords(Now.Monotonic_, Output);
-  // The view is as young as it gets: neighbours learn it at once.
-  NextRecordNoticeAt_ = Now.Monotonic_;
-  shareRecords(Now.Monotonic_, Output);
-  read(Now.Monotonic_, Output);
+  Store_.noteChangedRecords(Records, AsOf, around(Now.Monotonic_, Output));
 }
 
 void SeededFleet::noteHistoryLost(framework::Moment Now, OutputList &Output) {
-  IsReading_ = false;
-  IsListNeeded_ = true;
-  read(Now.Monotonic_, Output);
+  Store_.noteHistoryLost(around(Now.Monotonic_, Output));
 }
 
 void SeededFleet::noteRecordsUnavailable(framework::Moment Now,
                                          OutputList &Output) {
-  IsReading_ = false;
-  const Duration Pause =
-      FirstReadRetry * (1U << std::min(Failures_, MaxRetryDoublings));
-  // A watch that was cut is ordinary: the first retry follows at once.
-  NextReadAt_ = Now.Monotonic_;
-  if (Failures_ > 0)
-    NextReadAt_ += Pause / 2 + Duration(static_cast<Duration::rep>(Rng_.index(
-                                   static_cast<std::size_t>(Pause.count()))));
-  ++Failures_;
-  read(Now.Monotonic_, Output);
-}
-
-void SeededFleet::tell(const StoreView::Changes &Changed, OutputList &Output) {
-  for (const auto &[Key, Reason] : Changed.Rejected_)
-    Output.push_back(RecordRejected{Key, Reason});
-  if (Changed.IsDocumentNew_)
-    Output.push_back(
-        DocumentInForce{framework::Revision(View_.configuration().Version_)});
-  if (Changed.AreTargetsNew_)
-    Output.push_back(TargetsChanged{});
+  Store_.noteUnavailable(around(Now.Monotonic_, Output));
 }
 
 void SeededFleet::noteStopRequested(framework::Moment Now, OutputList &Output) {
@@ -282,7 +191,7 @@
 bool SeededFleet::isViewFresh(Instant) const {
   // A view that is old is still better than none: the bounds that hold for an
   // instance that is cut off do not depend on it.
-  return View_.hasList() && View_.configuration().Document_;
+  return view().hasList() && view().configuration().Document_;
 }
 
 std::vector<document::PublishedInstance> SeededFleet::peers() const {
@@ -319,6 +228,10 @@
   return FleetRate / static_cast<double>(Senders);
 }
 
+Surroundings SeededFleet::around(Instant Now, OutputList &Output) const {
+  return Surroundings{Now, Members_, Neighbours_, Output};
+}
+
 std::size_t SeededFleet::groups() const {
   return (Members_.peak() + Neighbours::MaxSize - 1) / Neighbours::MaxSize;
 }
@@ -366,46 +279,7 @@
   Notice.From_ = Members_.self().Name_;
   Notice.Incarnation_ = Members_.self().Incarnation_;
   Notice.Loads_ = Loads_.take(Now);
-  sendToNeighbours(Notice, Output);
-}
-
-void SeededFleet::shareRecords(Instant Now, OutputList &Output) {
-  const auto Age = View_.age(Now);
-  // Only what this instance has read itself: words of neighbours would keep
-  // each other young.
-  if (Now < NextRecordNoticeAt_ || !View_.hasList() || !Age || !isReader(Now) ||
-      Failures_ > 0)
-    return;
-  NextRecordNoticeAt_ = Now + NoticeInterval;
-  RecordNotice Notice = makeRecordNotice(*Age);
-  RecordLog_.fill(Notice, Now);
-  sendToNeighbours(Notice, Output);
-}
-
-void SeededFleet::shareNewRecords(Instant Now, OutputList &Output) {
-  if (!isReader(Now))
-    return;
-  NextRecordNoticeAt_ = Now + NoticeInterval;
-  for (RecordNotice &Part : RecordLog_.takeNew()) {
-    Part.From_ = Members_.self().Name_;
-    Part.Incarnation_ = Members_.self().Incarnation_;
-    sendToNeighbours(Part, Output);
-  }
-}
-
-RecordNotice SeededFleet::makeRecordNotice(Duration Age) const {
-  RecordNotice Notice;
-  Notice.From_ = Members_.self().Name_;
-  Notice.Incarnation_ = Members_.self().Incarnation_;
-  Notice.AsOf_ = View_.revision();
-  Notice.Age_ = Age;
-  return Notice;
-}
-
-void SeededFleet::sendToNeighbours(const PeerMessage &Message,
-                                   OutputList &Output) const {
-  for (const auto &[Name, Address] : Neighbours_.addresses())
-    Output.push_back(SendMessage{Address, Message});
+  around(Now, Output).sendToNeighbours(Notice);
 }
 
 void SeededFleet::handle(const LoadNotice &Message, framework::Moment Now,
@@ -420,26 +294,14 @@
 
 void SeededFleet::handle(const RecordNotice &Message, framework::Moment Now,
                          OutputList &Output) {
-  const Instant At = Now.Monotonic_;
-  Neighbours_.noteHeard(Message.From_, At);
-  const framework::Revision Before = View_.revision();
-  if (!View_.hasList() || Message.AsOf_ < Before)
-    return;
-  if (Message.After_ > Before) {
-    IsBehind_ = true;
-    read(At, Output);
-    return;
-  }
-  std::vector<StoredRecord> Records;
-  for (const SharedRecord &Each : Message.Records_)
-    if (Each.Revision_ > Before)
-      Records.push_back({Each.Key_,
-                         {Each.Value_.begin(), Each.Value_.end()},
-                         Each.Revision_,
-                         Each.IsDeleted_});
-  RecordLog_.note(Before, Message.AsOf_, Records, At);
-  RecordLog_.takeNew();
-  tell(View_.apply(Records, Message.AsOf_, At - Message.Age_), Output);
+  Neighbours_.noteHeard(Message.From_, Now.Monotonic_);
+  Store_.handle(Message, around(Now.Monotonic_, Output));
+}
+
+void SeededFleet::handle(const RecordPiece &Message, framework::Moment Now,
+                         OutputList &Output) {
+  Neighbours_.noteHeard(Message.From_, Now.Monotonic_);
+  Store_.handle(Message, around(Now.Monotonic_, Output));
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -6,8 +6,8 @@
 #include "fleet/internal/seeded/loadsharing.h"
 #include "fleet/internal/seeded/members.h"
 #include "fleet/internal/seeded/neighbours.h"
-#include "fleet/internal/seeded/recordlog.h"
-#include "fleet/internal/seeded/storeview.h"
+#include "fleet/internal/seeded/storefollower.h"
+#include "fleet/internal/seeded/surroundings.h"
 #include "fleet/output.h"
 #include "framework/moment.h"
 #include "framework/random.h"
@@ -37,6 +37,8 @@
               OutputList &Output);
   void handle(const RecordNotice &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const RecordPiece &Message, framework::Moment Now,
+              OutputList &Output);
   void noteLoad(const framework::TargetName &Target,
                 const routing::LoadReport &Report, framework::Instant Now) {
     Loads_.noteOwn(Target, Report, Now);
@@ -55,7 +57,7 @@
   void notePause(framework::Moment Now, OutputList &Output);
   void setSeeds(std::vector<std::string> Addresses);
 
-  const StoreView &view() const { return View_; }
+  const StoreView &view() const { return Store_.view(); }
   bool isViewFresh(framework::Instant Now) const;
   std::vector<document::PublishedInstance> peers() const;
   std::size_t fleetSize() const;
@@ -85,17 +87,8 @@
   /// Asks for new shares when what they follow from has changed, at most once
   /// a tick however many members are heard of.
   void tellShares(framework::Instant Now, OutputList &Output);
-  void tell(const StoreView::Changes &Changed, OutputList &Output);
-  void read(framework::Instant Now, OutputList &Output);
-  /// True when this instance keeps a watch of the store for its neighbours, or
-  /// for itself when they tell it nothing.
-  bool isReader(framework::Instant Now) const;
+  Surroundings around(framework::Instant Now, OutputList &Output) const;
   void shareLoads(framework::Instant Now, OutputList &Output);
-  void shareRecords(framework::Instant Now, OutputList &Output);
-  /// Tells changes that have just been read, in as many messages as it takes.
-  void shareNewRecords(framework::Instant Now, OutputList &Output);
-  RecordNotice makeRecordNotice(framework::Duration Age) const;
-  void sendToNeighbours(const PeerMessage &Message, OutputList &Output) const;
   /// The groups of neighbours in the fleet, about.
   std::size_t groups() const;
   framework::Duration probeInterval() const;
@@ -109,27 +102,17 @@
   Members Members_;
   Neighbours Neighbours_;
   LoadSharing Loads_;
-  RecordLog RecordLog_;
-  StoreView View_;
-  /// A neighbour has seen more of the store than it could tell.
-  bool IsBehind_ = false;
-  bool IsReading_ = false;
-  bool IsListNeeded_ = true;
-  /// The read under way is a watch that may wait.
-  bool IsWatching_ = false;
+  StoreFollower Store_;
   bool IsStopping_ = false;
-  std::uint32_t Failures_ = 0;
   ShareInputs ToldInputs_;
   framework::Instant StartedAt_{};
   /// When the group of neighbours changed last: what it knows of targets takes
   /// a while to arrive.
   framework::Instant GroupFormedAt_{};
-  framework::Instant NextReadAt_{};
   framework::Instant NextTickAt_{};
   framework::Instant NextRoundAt_{};
   framework::Instant NextSeedsAt_{};
   framework::Instant NextLoadNoticeAt_{};
-  framework::Instant NextRecordNoticeAt_{};
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -28,6 +28,21 @@
                       framework::Revision AsOf, framework::Instant Now) {
   Changes Out;
   noteAnswered(AsOf, Now);
+  replace(Records, Now, Out);
+  return Out;
+}
+
+StoreView::Changes StoreView::takeOld(const std::vector<StoredRecord> &Records,
+                                      framework::Revision AsOf,
+                                      framework::Instant Now) {
+  Changes Out;
+  AsOf_ = std::max(AsOf_, AsOf);
+  replace(Records, Now, Out);
+  return Out;
+}
+
+void StoreView::replace(const std::vector<StoredRecord> &Records,
+                        framework::Instant Now, Changes &Out) {
   std::set<std::string> Present;
   for (const StoredRecord &Each : Records) {
     Present.insert(Each.Key_);
@@ -44,7 +59,6 @@
     remove(Key, Now, Out);
   Out.AreTargetsNew_ = Out.AreTargetsNew_ || !HasList_;
   HasList_ = true;
-  return Out;
 }
 
 StoreView::Changes StoreView::apply(const std::vector<StoredRecord> &Records,
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -32,6 +32,10 @@
   /// Takes all entries of the store: what is missing was deleted.
   Changes replaceAll(const std::vector<StoredRecord> &Records,
                      framework::Revision AsOf, framework::Instant Now);
+  /// Takes all entries of the store as they were a while ago, at `AsOf`. They
+  /// tell nothing of what the store holds now.
+  Changes takeOld(const std::vector<StoredRecord> &Records,
+                  framework::Revision AsOf, framework::Instant Now);
   /// Takes changes in the order of their revisions.
   Changes apply(const std::vector<StoredRecord> &Records,
                 framework::Revision AsOf, framework::Instant Now);
@@ -64,6 +68,8 @@
   static constexpr framework::Duration AwayAfter =
       std::chrono::milliseconds(1700);
 
+  void replace(const std::vector<StoredRecord> &Records, framework::Instant Now,
+               Changes &Out);
   void noteAnswered(framework::Revision AsOf, framework::Instant Now);
   void put(const StoredRecord &Record, Changes &Out);
   void putTarget(const std::string &Key, PublishedTarget Target, Changes &Out);
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -12,6 +12,7 @@
 #include "fleet/types/keyrequest.h"
 #include "fleet/types/loadnotice.h"
 #include "fleet/types/recordnotice.h"
+#include "fleet/types/recordpiece.h"
 
 #include <variant>
 
@@ -22,7 +23,7 @@
 using PeerMessage =
     std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
                  KeyEndedAck, KeyHandover, KeyHandoverAck, Greeting, LoadNotice,
-                 RecordNotice>;
+                 RecordNotice, RecordPiece>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -85,6 +85,14 @@
           {SharedRecord{
                "servers/t1", {0, 0xff, 'x'}, framework::Revision(8), false},
            SharedRecord{"servers/t2", {}, framework::Revision(9), true}}},
+      RecordPiece{Name,
+                  framework::Revision(7),
+                  framework::Revision(9),
+                  std::chrono::milliseconds(3),
+                  "configuration",
+                  1,
+                  4,
+                  {0, 0xff, 'x'}},
   };
 }
 
--- a/src/fleet/tests/recordlog_test.cpp
+++ b/src/fleet/tests/recordlog_test.cpp
@@ -1,7 +1,11 @@
+#include "fleet/internal/seeded/pieceassembly.h"
 #include "fleet/internal/seeded/recordlog.h"
+#include "fleet/peercodec.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace cranberryspool;
 using namespace cranberryspool::fleet;
 using framework::Instant;
@@ -51,6 +55,54 @@
   CHECK(noticeOf(Log, 4, at(milliseconds(1))).After_ == Revision(4));
 }
 
+TEST_CASE("a large record is put together from its parts in any order",
+          "[records]") {
+  RecordLog Log;
+  std::string Value;
+  while (Value.size() < 4'500)
+    Value += std::to_string(Value.size());
+  Log.note(Revision(2), Revision(4), {{"b", Value, Revision(3), false}},
+           at({}));
+  const auto Parts = Log.takeNew();
+  REQUIRE(Parts.size() == 1);
+  REQUIRE_FALSE(RecordLog::fitsInMessage(Parts[0]));
+  std::vector<RecordPiece> Pieces = splitRecord(Parts[0]);
+  std::reverse(Pieces.begin(), Pieces.end());
+  PieceAssembly Assembly;
+  std::optional<RecordNotice> Whole;
+  for (const RecordPiece &Piece : Pieces) {
+    CHECK_FALSE(Whole);
+    CHECK(encodePeerMessage(Piece).size() <= MaxDatagramBytes);
+    Whole = Assembly.take(Piece);
+    Assembly.take(Piece);
+  }
+  REQUIRE(Whole);
+  CHECK(Whole->After_ == Revision(2));
+  CHECK(Whole->AsOf_ == Revision(4));
+  REQUIRE(Whole->Records_.size() == 1);
+  CHECK(std::string(Whole->Records_[0].Value_.begin(),
+                    Whole->Records_[0].Value_.end()) == Value);
+}
+
+TEST_CASE("a record of too many parts is not split", "[records]") {
+  RecordNotice Notice;
+  Notice.Records_.push_back(
+      {"b", std::vector<std::uint8_t>(100'000), {}, false});
+  CHECK(splitRecord(Notice).empty());
+}
+
+TEST_CASE("parts of an older record do not mix with a newer one", "[records]") {
+  PieceAssembly Assembly;
+  RecordPiece Old{{}, Revision(1), Revision(2), {}, "a", 0, 2, {'x'}};
+  RecordPiece New{{}, Revision(2), Revision(3), {}, "a", 1, 2, {'y'}};
+  CHECK_FALSE(Assembly.take(Old));
+  CHECK_FALSE(Assembly.take(New));
+  Old.Number_ = 1;
+  CHECK_FALSE(Assembly.take(Old));
+  New.Number_ = 0;
+  CHECK(Assembly.take(New));
+}
+
 TEST_CASE("many changes are told in parts that follow each other",
           "[records]") {
   RecordLog Log;
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -3,7 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 using namespace cranberryspool;
 using namespace cranberryspool::fleet;
@@ -52,6 +54,7 @@
                          framework::WallTime(seconds(1'000'000))};
   bool IsStoreDown_ = false;
   Revision Stored_{10};
+  std::vector<StoredRecord> Changes_;
   int Reads_ = 0;
   std::size_t LargestMessage_ = 0;
   /// Instances that neither hear nor are heard.
@@ -121,10 +124,38 @@
     else if (Order.Wait_ > Duration::zero() && *Order.After_ == Stored_)
       Waiting_[From] = Now_.Monotonic_ + Order.Wait_;
     else
-      Fleets_[From].noteChangedRecords({}, Stored_, Now_, Output);
+      Fleets_[From].noteChangedRecords(changesAfter(*Order.After_), Stored_,
+                                       Now_, Output);
     carryOut(From, Output);
   }
 
+  std::vector<StoredRecord> changesAfter(Revision Known) const {
+    std::vector<StoredRecord> Found;
+    for (const StoredRecord &Each : Changes_)
+      if (Each.Revision_ > Known)
+        Found.push_back(Each);
+    return Found;
+  }
+
+  /// Changes an entry of the store; watches hear of it at once.
+  void change(const std::string &Key, const std::string &Value) {
+    Stored_ = Revision(Stored_.value() + 1);
+    Changes_.push_back({Key, Value, Stored_, false});
+    const auto Watches = std::exchange(Waiting_, {});
+    for (const auto &[At, Until] : Watches) {
+      OutputList Output;
+      Fleets_[At].noteChangedRecords({Changes_.back()}, Stored_, Now_, Output);
+      carryOut(At, Output);
+    }
+  }
+
+  std::size_t behind() const {
+    return static_cast<std::size_t>(
+        std::count_if(Fleets_.begin(), Fleets_.end(), [&](const auto &Each) {
+          return Each.view().revision() != Stored_;
+        }));
+  }
+
   void pass(Duration Time) {
     const framework::Instant End = Now_.Monotonic_ + Time;
     while (Now_.Monotonic_ < End) {
@@ -176,6 +207,51 @@
     CHECK(*Each.view().age(Fleet.Now_.Monotonic_) < seconds(2));
 }
 
+TEST_CASE("one instance of a large zone reads the store", "[seeds]") {
+  World Fleet(40);
+  Fleet.pass(seconds(3));
+  Fleet.Reads_ = 0;
+  Fleet.pass(seconds(10));
+  // A watch waits for a second.
+  CHECK(Fleet.Reads_ <= 12);
+  for (const SeededFleet &Each : Fleet.Fleets_)
+    CHECK(*Each.view().age(Fleet.Now_.Monotonic_) < ChangeInForce);
+}
+
+TEST_CASE("a change reaches a large zone without further reads", "[seeds]") {
+  World Fleet(40);
+  Fleet.pass(seconds(3));
+  Fleet.Reads_ = 0;
+  const auto Bytes = GENERATE(std::size_t{20}, std::size_t{5'000});
+  Fleet.change("c", std::string(Bytes, 'x'));
+  Fleet.pass(milliseconds(500));
+  CHECK(Fleet.behind() == 0);
+  CHECK(Fleet.Reads_ <= 2);
+}
+
+TEST_CASE("a zone goes on when its reader of the store is gone", "[seeds]") {
+  World Fleet(40);
+  Fleet.pass(seconds(3));
+  for (std::size_t At = 0; At < 40; ++At)
+    if (Fleet.Waiting_.contains(At))
+      Fleet.Deaf_.insert(At);
+  REQUIRE(Fleet.Deaf_.size() == 1);
+  for (int Round = 0; Round < 20; ++Round) {
+    Fleet.change("c", "changed");
+    Fleet.pass(ChangeInForce);
+    CHECK(Fleet.behind() == 0);
+  }
+}
+
+TEST_CASE("instances that start together ask the store once each, and those "
+          "that read for others",
+          "[seeds]") {
+  World Fleet(40);
+  Fleet.pass(seconds(1));
+  CHECK(Fleet.Reads_ <= 50);
+  CHECK(Fleet.behind() == 0);
+}
+
 TEST_CASE("an instance that hears nobody reads the store itself", "[seeds]") {
   World Fleet(5);
   Fleet.pass(seconds(2));
--- /dev/null
+++ b/src/fleet/types/recordpiece.h
@@ -0,0 +1,33 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_RECORDPIECE_H
+#define CRANBERRYSPOOL_FLEET_TYPES_RECORDPIECE_H
+
+#include "framework/ids.h"
+#include "framework/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::fleet {
+
+/// A part of a changed entry of the platform's store that is too large for one
+/// message. Who has all up to `After_` has all up to `AsOf_` once it has put
+/// the parts together.
+struct RecordPiece {
+  framework::InstanceName From_;
+  framework::Revision After_;
+  framework::Revision AsOf_;
+  /// Since the store told of the change.
+  framework::Duration Age_{};
+  std::string Key_;
+  /// Of `Count_` parts, counted from zero.
+  std::uint32_t Number_ = 0;
+  std::uint32_t Count_ = 0;
+  std::vector<std::uint8_t> Bytes_;
+
+  friend bool operator==(const RecordPiece &, const RecordPiece &) = default;
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_RECORDPIECE_H
