Let zones tell each other how their targets are instead of probing them

Change: the instance that reads the store for its zone sends the health reports of its zone's targets to two members of each other zone each 150 ms, who pass them on. Targets of other zones are probed only when nobody has told of them for 800 ms. Ruled out: no knowledge of other zones (a zone whose targets are gone would choose blindly).

--- a/src/fleet/internal/seeded/loadsharing.cpp
+++ b/src/fleet/internal/seeded/loadsharing.cpp
@@ -1,9 +1,18 @@
 #include "fleet/internal/seeded/loadsharing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberryspool::fleet {
 
+namespace {
+
+/// Targets change their speed many times a second: older reports are of no use
+/// to other zones.
+constexpr framework::Duration OldestAbroad = std::chrono::milliseconds(600);
+
+} // namespace
+
 void LoadSharing::noteOwn(const framework::TargetName &Target,
                           const routing::LoadReport &Report,
                           framework::Instant Now) {
@@ -35,6 +44,28 @@
   return Taken;
 }
 
+void LoadSharing::noteForOtherZones(const framework::TargetName &Target,
+                                    const routing::LoadReport &Report,
+                                    framework::Instant SeenAt) {
+  Seen &Known = PendingAbroad_[Target];
+  if (SeenAt >= Known.At_)
+    Known = Seen{Report, SeenAt};
+}
+
+std::vector<std::vector<SharedLoad>>
+LoadSharing::takeForOtherZones(framework::Instant Now) {
+  std::vector<std::vector<SharedLoad>> Parts;
+  for (const auto &[Target, Known] : std::exchange(PendingAbroad_, {})) {
+    // One that has just become the zone's teller may hold old ones.
+    if (Now - Known.At_ > OldestAbroad)
+      continue;
+    if (Parts.empty() || Parts.back().size() == MaxPerNotice)
+      Parts.emplace_back();
+    Parts.back().push_back({Target, Known.Report_, Now - Known.At_});
+  }
+  return Parts;
+}
+
 framework::Duration LoadSharing::healthAge(const framework::TargetName &Target,
                                            framework::Instant Now) const {
   const auto Heard = HealthHeardAt_.find(Target);
--- a/src/fleet/internal/seeded/loadsharing.h
+++ b/src/fleet/internal/seeded/loadsharing.h
@@ -22,6 +22,15 @@
     ProbedAt_[Target] = Now;
   }
 
+  /// Keeps the report of a probe until other zones are told of it.
+  void noteForOtherZones(const framework::TargetName &Target,
+                         const routing::LoadReport &Report,
+                         framework::Instant SeenAt);
+  /// Takes what other zones have not been told, in parts that each fit in a
+  /// datagram.
+  std::vector<std::vector<SharedLoad>>
+  takeForOtherZones(framework::Instant Now);
+
   /// Takes the reports that have not been told, as many as fit in a datagram,
   /// the latest of each target only.
   std::vector<SharedLoad> take(framework::Instant Now);
@@ -44,6 +53,7 @@
   static constexpr std::size_t MaxPerNotice = 24;
 
   std::map<framework::TargetName, Seen> Pending_;
+  std::map<framework::TargetName, Seen> PendingAbroad_;
   std::map<framework::TargetName, framework::Instant> HealthHeardAt_;
   std::map<framework::TargetName, framework::Instant> ProbedAt_;
 };
--- a/src/fleet/internal/seeded/neighbours.cpp
+++ b/src/fleet/internal/seeded/neighbours.cpp
@@ -29,13 +29,17 @@
         Known.Known_.Zone_ == Self.Zone_)
       Near.emplace(Name, Known.Known_.Address_);
   std::vector<Member> Zone;
-  for (const auto &[Name, Address] : Near)
+  Zone_.clear();
+  for (const auto &[Name, Address] : Near) {
     Zone.push_back({Name, Address});
+    Zone_.insert(Name);
+  }
   const std::size_t Groups = (Zone.size() + MaxSize - 1) / MaxSize;
   const auto Rank = static_cast<std::size_t>(
       std::distance(Near.begin(), Near.find(Self.Name_)));
   const std::size_t OwnGroup = Rank * Groups / Zone.size();
   appoint(Zone, Groups, OwnGroup);
+  appointAbroad(From);
   std::map<framework::InstanceName, std::string> Group;
   for (std::size_t At = 0; At < Zone.size(); ++At)
     if (At * Groups / Zone.size() == OwnGroup && At != Rank)
@@ -72,6 +76,25 @@
   }
 }
 
+void Neighbours::appointAbroad(const Members &From) {
+  std::map<framework::ZoneName, std::vector<Member>> Zones;
+  for (const auto &[Name, Known] : From.records())
+    if (!Known.IsLost_ && !Known.IsStopping_ &&
+        Known.Known_.Zone_ != From.self().Zone_)
+      Zones[Known.Known_.Zone_].push_back({Name, Known.Known_.Address_});
+  OtherZones_.clear();
+  for (auto &[Zone, Found] : Zones) {
+    std::sort(Found.begin(), Found.end(),
+              [](const Member &Left, const Member &Right) {
+                return rendezvousWeight(ReadingTask, Left.Name_.value()) >
+                       rendezvousWeight(ReadingTask, Right.Name_.value());
+              });
+    const std::size_t Count = std::min(DelegatesOfGroup, Found.size());
+    for (std::size_t Place = 0; Place < Count; ++Place)
+      OtherZones_.push_back(Found[Place].Address_);
+  }
+}
+
 bool Neighbours::isTeller(const framework::InstanceName &Self,
                           framework::Instant Now) const {
   return isResponsible(ReadingTask, Self, Now);
--- a/src/fleet/internal/seeded/neighbours.h
+++ b/src/fleet/internal/seeded/neighbours.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,18 @@
   /// that come first for reading it.
   const std::vector<std::string> &delegates() const { return Delegates_; }
 
+  /// Returns the addresses of those members of other zones that are told of the
+  /// targets of this zone, and tell their zones.
+  const std::vector<std::string> &otherZones() const { return OtherZones_; }
+
+  bool isNeighbour(const framework::InstanceName &Name) const {
+    return Addresses_.contains(Name);
+  }
+  /// True when the member is in this zone, as far as is known.
+  bool isInZone(const framework::InstanceName &Name) const {
+    return Zone_.contains(Name);
+  }
+
   /// True when this instance reads the store for its zone, as far as it can
   /// tell which members run.
   bool isZoneReader(const framework::InstanceName &Self,
@@ -65,10 +78,13 @@
 
   void appoint(const std::vector<Member> &Zone, std::size_t Groups,
                std::size_t OwnGroup);
+  void appointAbroad(const Members &From);
 
   std::uint64_t FormedFor_ = ~std::uint64_t{};
   std::map<framework::InstanceName, std::string> Addresses_;
   std::vector<std::string> Delegates_;
+  std::vector<std::string> OtherZones_;
+  std::set<framework::InstanceName> Zone_;
   /// The highest rank for reading the store in the zone's other groups.
   std::uint64_t BestElsewhere_ = 0;
   std::map<framework::InstanceName, framework::Instant> HeardAt_;
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -45,6 +45,12 @@
 /// many intervals of the responsible instance.
 constexpr Duration HealthPatience = milliseconds(500);
 constexpr int PatientIntervals = 3;
+/// Targets of other zones are probed at this pace only when nobody has told of
+/// them for longer: their own zones tell how they are, at a fraction of the
+/// bytes.
+constexpr Duration ProbeIntervalAbroad = milliseconds(500);
+constexpr Duration PatienceAbroad = milliseconds(800);
+constexpr Duration NoticeIntervalAbroad = milliseconds(150);
 /// Neighbours are told something at least so often, as a sign of life.
 constexpr Duration NoticeInterval = milliseconds(200);
 KnownMember selfOf(const FleetSettings &Settings) {
@@ -77,6 +83,7 @@
   tellShares(At, Output);
   Store_.tick(around(At, Output));
   shareLoads(At, Output);
+  shareLoadsAbroad(At, Output);
   if (At >= NextRoundAt_)
     greetRound(At, Output);
   if (At >= NextSeedsAt_)
@@ -254,7 +261,12 @@
     return SinceOwn >= SettlingTime &&
            Neighbours_.isResponsible(Target.value(), Members_.self().Name_,
                                      Now);
-  if (Neighbours_.isResponsible(Target.value(), Members_.self().Name_, Now))
+  const bool IsResponsible =
+      Neighbours_.isResponsible(Target.value(), Members_.self().Name_, Now);
+  if (!isNear(Target))
+    return IsResponsible && SinceOwn >= ProbeIntervalAbroad &&
+           Loads_.healthAge(Target, Now) >= PatienceAbroad;
+  if (IsResponsible)
     return SinceOwn >= probeInterval();
   const Duration Patience =
       std::max(HealthPatience, probeInterval() * PatientIntervals);
@@ -284,12 +296,60 @@
 
 void SeededFleet::handle(const LoadNotice &Message, framework::Moment Now,
                          OutputList &Output) {
-  Neighbours_.noteHeard(Message.From_, Now.Monotonic_);
+  const Instant At = Now.Monotonic_;
+  Neighbours_.noteHeard(Message.From_, At);
   for (const SharedLoad &Each : Message.Loads_) {
-    Loads_.noteShared(Each, Now.Monotonic_);
-    Output.push_back(
-        LoadShared{Each.Target_, Each.Report_, Now.Monotonic_ - Each.Age_});
+    Loads_.noteShared(Each, At);
+    if (Each.Report_.WarmupLeft_ && isNear(Each.Target_))
+      Loads_.noteForOtherZones(Each.Target_, Each.Report_, At - Each.Age_);
+    Output.push_back(LoadShared{Each.Target_, Each.Report_, At - Each.Age_});
+  }
+  passOn(Message, At, Output);
+}
+
+void SeededFleet::noteLoad(const framework::TargetName &Target,
+                           const routing::LoadReport &Report, Instant Now) {
+  Loads_.noteOwn(Target, Report, Now);
+  if (Report.WarmupLeft_ && isNear(Target))
+    Loads_.noteForOtherZones(Target, Report, Now);
+}
+
+bool SeededFleet::isNear(const framework::TargetName &Target) const {
+  const framework::ZoneName *Zone = view().zoneOf(Target);
+  return !Zone || *Zone == Members_.self().Zone_;
+}
+
+void SeededFleet::shareLoadsAbroad(Instant Now, OutputList &Output) {
+  if (Now < NextNoticeAbroadAt_)
+    return;
+  NextNoticeAbroadAt_ = Now + NoticeIntervalAbroad;
+  if (!around(Now, Output).isZoneReader())
+    return;
+  LoadNotice Notice;
+  Notice.From_ = Members_.self().Name_;
+  Notice.Incarnation_ = Members_.self().Incarnation_;
+  for (auto &Part : Loads_.takeForOtherZones(Now)) {
+    Notice.Loads_ = std::move(Part);
+    for (const std::string &Address : Neighbours_.otherZones())
+      Output.push_back(SendMessage{Address, Notice});
+  }
+}
+
+void SeededFleet::passOn(const LoadNotice &Message, Instant Now,
+                         OutputList &Output) {
+  if (Message.Loads_.empty() || Neighbours_.isNeighbour(Message.From_))
+    return;
+  const Surroundings Around = around(Now, Output);
+  LoadNotice Copy = Message;
+  Copy.From_ = Members_.self().Name_;
+  Copy.Incarnation_ = Members_.self().Incarnation_;
+  if (Neighbours_.isInZone(Message.From_)) {
+    if (Around.isTeller())
+      Around.sendToNeighbours(Copy);
+    return;
   }
+  if (Around.isZoneReader())
+    Around.sendToZone(Copy);
 }
 
 void SeededFleet::handle(const RecordNotice &Message, framework::Moment Now,
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -40,9 +40,7 @@
   void handle(const RecordPiece &Message, framework::Moment Now,
               OutputList &Output);
   void noteLoad(const framework::TargetName &Target,
-                const routing::LoadReport &Report, framework::Instant Now) {
-    Loads_.noteOwn(Target, Report, Now);
-  }
+                const routing::LoadReport &Report, framework::Instant Now);
   void noteAllRecords(const std::vector<StoredRecord> &Records,
                       framework::Revision AsOf, framework::Moment Now,
                       OutputList &Output);
@@ -89,6 +87,12 @@
   void tellShares(framework::Instant Now, OutputList &Output);
   Surroundings around(framework::Instant Now, OutputList &Output) const;
   void shareLoads(framework::Instant Now, OutputList &Output);
+  /// Tells the other zones how the targets of this one are.
+  void shareLoadsAbroad(framework::Instant Now, OutputList &Output);
+  /// Passes on what came from outside the group of neighbours.
+  void passOn(const LoadNotice &Message, framework::Instant Now,
+              OutputList &Output);
+  bool isNear(const framework::TargetName &Target) const;
   /// The groups of neighbours in the fleet, about.
   std::size_t groups() const;
   framework::Duration probeInterval() const;
@@ -113,6 +117,7 @@
   framework::Instant NextRoundAt_{};
   framework::Instant NextSeedsAt_{};
   framework::Instant NextLoadNoticeAt_{};
+  framework::Instant NextNoticeAbroadAt_{};
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/storefollower.cpp
+++ b/src/fleet/internal/seeded/storefollower.cpp
@@ -208,11 +208,10 @@
 
 void StoreFollower::send(const PeerMessage &Message,
                          const Surroundings &Around) const {
-  Around.sendToNeighbours(Message);
-  if (!Around.isZoneReader())
-    return;
-  for (const std::string &Address : Around.Neighbours_.delegates())
-    Around.Output_.push_back(SendMessage{Address, Message});
+  if (Around.isZoneReader())
+    Around.sendToZone(Message);
+  else
+    Around.sendToNeighbours(Message);
 }
 
 void StoreFollower::handle(const RecordPiece &Message,
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -93,6 +93,12 @@
   return Now - *AnsweredAt_;
 }
 
+const framework::ZoneName *
+StoreView::zoneOf(const framework::TargetName &Target) const {
+  const auto Found = Zones_.find(Target);
+  return Found == Zones_.end() ? nullptr : &Found->second;
+}
+
 std::vector<PublishedTarget> StoreView::targets() const {
   std::vector<PublishedTarget> Found;
   Found.reserve(Targets_.size());
@@ -149,6 +155,9 @@
   if (LastLives_.size() >= MaxRemembered)
     LastLives_.clear();
   LastLives_[Key] = LastLife{Target.Start_, Target.Sequence_};
+  if (Zones_.size() >= MaxRemembered)
+    Zones_.clear();
+  Zones_[Target.Name_] = Target.Zone_;
   TargetEntry &Entry = Targets_[Key];
   Out.AreTargetsNew_ = true;
   Entry = TargetEntry{std::move(Target), std::nullopt};
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -49,6 +49,9 @@
   std::optional<framework::Duration> age(framework::Instant Now) const;
 
   const PublishedConfiguration &configuration() const { return Configuration_; }
+  /// Returns the zone of a target, or null when it is not known.
+  const framework::ZoneName *zoneOf(const framework::TargetName &Target) const;
+
   /// Returns the targets, those in evacuated zones marked as draining.
   std::vector<PublishedTarget> targets() const;
 
@@ -84,6 +87,8 @@
   framework::Instant SettledAt_{};
   PublishedConfiguration Configuration_;
   std::map<std::string, TargetEntry> Targets_;
+  /// Of all targets that were ever known; a name stays in its zone.
+  std::map<framework::TargetName, framework::ZoneName> Zones_;
   std::map<std::string, framework::ZoneName> Evacuated_;
   std::map<std::string, LastLife> LastLives_;
   std::map<std::string, std::string> RejectedValues_;
--- a/src/fleet/internal/seeded/surroundings.h
+++ b/src/fleet/internal/seeded/surroundings.h
@@ -29,6 +29,12 @@
     for (const auto &[Name, Address] : Neighbours_.addresses())
       Output_.push_back(SendMessage{Address, Message});
   }
+  /// Also to those who tell the zone's other groups.
+  void sendToZone(const PeerMessage &Message) const {
+    sendToNeighbours(Message);
+    for (const std::string &Address : Neighbours_.delegates())
+      Output_.push_back(SendMessage{Address, Message});
+  }
 };
 
 } // namespace cranberryspool::fleet
