Prefer targets to which a connection is idle

Change: the choice adds 0.15 of an answer's mean time to a target without an idle connection, and compares 64 targets instead of 24, so that those with one are among them. Tests: choice between equals and against a slow target.

--- a/src/calls/connectionpool.h
+++ b/src/calls/connectionpool.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace cranberryspool::calls {
@@ -54,6 +55,9 @@
   /// `Spare` are left over, within the limit.
   std::uint32_t missing(framework::TargetId Target, std::uint32_t Spare) const;
 
+  /// Returns the number of idle connections by the value of the target's id.
+  std::span<const std::uint32_t> idleCounts() const { return IdleCounts_; }
+
   const std::map<framework::ConnectionId, Connection> &connections() const {
     return Connections_;
   }
@@ -76,6 +80,7 @@
 
   std::map<framework::ConnectionId, Connection> Connections_;
   std::vector<PerTarget> Targets_;
+  std::vector<std::uint32_t> IdleCounts_;
   std::uint64_t LastId_ = 0;
 };
 
--- a/src/calls/internal/connectionpool.cpp
+++ b/src/calls/internal/connectionpool.cpp
@@ -61,6 +61,7 @@
   Conn.Carries_.reset();
   Conn.LastAlive_ = Now;
   at(Conn.Target_).Idle_.push_back(Id);
+  ++IdleCounts_[Conn.Target_.value()];
 }
 
 void ConnectionPool::noteAlive(framework::ConnectionId Id,
@@ -138,6 +139,7 @@
 ConnectionPool::PerTarget &ConnectionPool::at(framework::TargetId Target) {
   if (Target.value() >= Targets_.size())
     Targets_.resize(Target.value() + 1);
+  IdleCounts_.resize(Targets_.size(), 0);
   return Targets_[Target.value()];
 }
 
@@ -152,8 +154,10 @@
   PerTarget &Own = at(Conn.Target_);
   if (Conn.State_ == ConnectionState::Opening)
     --Own.Opening_;
-  if (Conn.State_ == ConnectionState::Idle)
-    std::erase(Own.Idle_, Conn.Connection_);
+  if (Conn.State_ != ConnectionState::Idle)
+    return;
+  std::erase(Own.Idle_, Conn.Connection_);
+  --IdleCounts_[Conn.Target_.value()];
 }
 
 } // namespace cranberryspool::calls
--- a/src/decision/internal/dispatcher.cpp
+++ b/src/decision/internal/dispatcher.cpp
@@ -27,7 +27,9 @@
 Dispatcher::choose(const Step &At, const calls::Call &Owner) {
   routing::ChoiceRequest Request{.Service_ = Owner.Request_.Service_,
                                  .Urgency_ = Owner.Request_.Urgency_,
-                                 .Excluded_ = Owner.Tried_};
+                                 .Excluded_ = Owner.Tried_,
+                                 .IdleConnections_ =
+                                     Parts_.Connections_.idleCounts()};
   const auto Fresh = Parts_.Targets_.choose(Request, At.now());
   if (Fresh || Request.Excluded_.empty())
     return Fresh;
@@ -65,7 +67,9 @@
     const auto Target = Parts_.Targets_.choose(
         routing::ChoiceRequest{.Service_ = Owner->Request_.Service_,
                                .Urgency_ = Owner->Request_.Urgency_,
-                               .Excluded_ = Owner->Tried_},
+                               .Excluded_ = Owner->Tried_,
+                               .IdleConnections_ =
+                                   Parts_.Connections_.idleCounts()},
         At.now());
     if (!Target)
       continue;
--- a/src/routing/candidates.h
+++ b/src/routing/candidates.h
@@ -40,6 +40,13 @@
            Excluded.end();
   }
 
+  /// True when an attempt there needs no new connection.
+  bool hasIdleConnection(std::size_t Position) const {
+    const auto &Idle = Request_.IdleConnections_;
+    const std::size_t Target = Open_[Position].value();
+    return Target < Idle.size() && Idle[Target] > 0;
+  }
+
   const ChoiceRequest &request() const { return Request_; }
 
   /// Moving average of the time of an answer over the whole service.
--- a/src/routing/internal/reportedloadpolicy.cpp
+++ b/src/routing/internal/reportedloadpolicy.cpp
@@ -55,7 +55,9 @@
       static_cast<double>(Settings_.Affinity_.ZoneDelay_.count());
   const double Zone =
       State.IsInOwnZone_ ? 0 : ZoneDelay + Settings_.Affinity_.ZoneCost_ * Work;
-  return Work * Slowdown * Busy * (1 + Waiting) + Zone;
+  const double Connection =
+      From.hasIdleConnection(Position) ? 0 : Settings_.ConnectionCost_ * Work;
+  return Work * Slowdown * Busy * (1 + Waiting) + Zone + Connection;
 }
 
 } // namespace cranberryspool::routing
--- a/src/routing/policies/affinitypolicy.h
+++ b/src/routing/policies/affinitypolicy.h
@@ -9,7 +9,7 @@
 /// What the affinity policy weighs.
 struct AffinitySettings {
   /// Candidates that are compared for one choice; all when there are no more.
-  std::size_t Samples_ = 24;
+  std::size_t Samples_ = 64;
   /// Added to the expected time at a target of another availability zone: the
   /// way there and back, and a part of the mean time of an answer.
   framework::Duration ZoneDelay_ = std::chrono::milliseconds(2);
--- a/src/routing/policies/reportedloadpolicy.h
+++ b/src/routing/policies/reportedloadpolicy.h
@@ -21,6 +21,10 @@
   /// Above this share of its slots a target works slower, by this factor.
   double BusyShare_ = 0.8;
   double BusySlowness_ = 1.3;
+  /// Added to the expected time at a target to which a new connection is
+  /// needed, as a part of the mean time of an answer: opening one costs the
+  /// target work and may hold one of its slots.
+  double ConnectionCost_ = 0.15;
   /// Costs are spread at random by this part, so that instances with the same
   /// reports do not all choose the same target.
   double Spread_ = 0.1;
--- a/src/routing/tests/reportedloadpolicy_test.cpp
+++ b/src/routing/tests/reportedloadpolicy_test.cpp
@@ -17,12 +17,12 @@
   TargetTable<ReportedLoadPolicy> Table_{ZoneId(0), ReportedLoadPolicy(),
                                          Random(7)};
 
-  /// The second target is in another availability zone.
-  Fixture() {
+  /// By default the second target is in another availability zone.
+  explicit Fixture(const std::vector<ZoneId> &Zones = {ZoneId(0), ZoneId(1)}) {
     std::vector<TargetDescription> Targets(2);
     for (std::uint32_t Index = 0; Index < 2; ++Index) {
       Targets[Index].Target_ = TargetId(Index);
-      Targets[Index].Zone_ = ZoneId(Index);
+      Targets[Index].Zone_ = Zones[Index];
       Targets[Index].Slots_ = 3;
       Targets[Index].WarmupLeft_ = Duration{};
     }
@@ -46,8 +46,10 @@
     Table_.noteReport(TargetId(Target), Report, at(When));
   }
 
-  TargetId choose(Duration When) {
-    return *Table_.choose({ServiceId(0)}, at(When));
+  TargetId choose(Duration When, std::span<const std::uint32_t> Idle = {}) {
+    ChoiceRequest Request{ServiceId(0)};
+    Request.IdleConnections_ = Idle;
+    return *Table_.choose(Request, at(When));
   }
 };
 
@@ -60,6 +62,25 @@
   CHECK(World.choose(milliseconds(210)) == TargetId(0));
 }
 
+TEST_CASE("a target with an idle connection is preferred between equals",
+          "[routing]") {
+  Fixture World({ZoneId(0), ZoneId(0)});
+  World.report(0, 0, 100, milliseconds(200));
+  World.report(1, 0, 100, milliseconds(200));
+  const std::vector<std::uint32_t> Idle = {0, 1};
+  for (int Round = 0; Round < 20; ++Round)
+    CHECK(World.choose(milliseconds(210), Idle) == TargetId(1));
+}
+
+TEST_CASE("a slow target is left although a connection to it is idle",
+          "[routing]") {
+  Fixture World({ZoneId(0), ZoneId(0)});
+  World.report(0, 0, 100, milliseconds(200));
+  World.report(1, 0, 150, milliseconds(200));
+  const std::vector<std::uint32_t> Idle = {0, 1};
+  CHECK(World.choose(milliseconds(210), Idle) == TargetId(0));
+}
+
 TEST_CASE("a slow target is left for one of another zone", "[routing]") {
   Fixture World;
   World.report(0, 0, 700, milliseconds(200));
--- a/src/routing/types/choicerequest.h
+++ b/src/routing/types/choicerequest.h
@@ -4,6 +4,8 @@
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 
+#include <cstdint>
+#include <span>
 #include <vector>
 
 namespace cranberryspool::routing {
@@ -14,6 +16,9 @@
   document::Urgency Urgency_ = document::Urgency::Ordinary;
   /// Targets that earlier attempts of the call have used.
   std::vector<framework::TargetId> Excluded_ = {};
+  /// This instance's idle connections, by the value of the target's id. Targets
+  /// beyond its end have none.
+  std::span<const std::uint32_t> IdleConnections_ = {};
 };
 
 } // namespace cranberryspool::routing
