Try a target that joined once while it is cold

Change: the few instances that may send to it while it is cold choose it first, once each. Test: 'a target that joined is tried once by those who share its rate'.

--- a/src/routing/internal/reportedloadpolicy.cpp
+++ b/src/routing/internal/reportedloadpolicy.cpp
@@ -12,6 +12,12 @@
 /// Steps of the random spread of costs.
 constexpr std::size_t SpreadSteps = 1000;
 
+/// A new target is tried by the few instances that may send to it while it is
+/// cold, so that it does not stay idle beside others that are known to be fast.
+bool isToBeTried(const TargetState &State) {
+  return State.IsUntried_ && State.Bounds_.ColdPerSecond_.value_or(0) > 0;
+}
+
 } // namespace
 
 std::optional<std::size_t>
@@ -19,6 +25,8 @@
                            framework::Random &Rng) const {
   return leastCost(
       From, Settings_.Affinity_.Samples_, Rng, [&](std::size_t Position) {
+        if (isToBeTried(From.state(Position)))
+          return 0.0;
         const double Expected = expectedMicros(From, Position);
         if (!From.state(Position).Report_.SlowdownPercent_)
           return Expected;
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -103,6 +103,7 @@
     Entry.Temperature_ =
         IsFirstPicture ? Temperature::Unknown : Temperature::Cold;
     Entry.ColdSince_ = Now;
+    States_[Index].IsUntried_ = !IsFirstPicture;
     if (!IsFirstPicture && !Description.WarmupLeft_)
       Changes_.push_back({Description.Target_, TargetChangeKind::TurnedCold});
   }
@@ -173,6 +174,7 @@
   TargetState &State = States_[Target.value()];
   ++State.InFlight_;
   ++State.SentSincePeers_;
+  State.IsUntried_ = false;
   State.noteSent(Now);
   if (isCold(Target))
     takeColdToken(Target, Now);
--- a/src/routing/tests/reportedloadpolicy_test.cpp
+++ b/src/routing/tests/reportedloadpolicy_test.cpp
@@ -17,16 +17,17 @@
   TargetTable<ReportedLoadPolicy> Table_{ZoneId(0), ReportedLoadPolicy(),
                                          Random(7)};
 
+  std::vector<TargetDescription> Targets_ = std::vector<TargetDescription>(2);
+
   /// By default the second target is in another availability zone.
   explicit Fixture(const std::vector<ZoneId> &Zones = {ZoneId(0), ZoneId(1)}) {
-    std::vector<TargetDescription> Targets(2);
     for (std::uint32_t Index = 0; Index < 2; ++Index) {
-      Targets[Index].Target_ = TargetId(Index);
-      Targets[Index].Zone_ = Zones[Index];
-      Targets[Index].Slots_ = 3;
-      Targets[Index].WarmupLeft_ = Duration{};
+      Targets_[Index].Target_ = TargetId(Index);
+      Targets_[Index].Zone_ = Zones[Index];
+      Targets_[Index].Slots_ = 3;
+      Targets_[Index].WarmupLeft_ = Duration{};
     }
-    Table_.setTargets(Targets, at({}));
+    Table_.setTargets(Targets_, at({}));
     TargetBounds Bounds;
     Bounds.MaxConnections_ = 50;
     for (std::uint32_t Index = 0; Index < 2; ++Index) {
@@ -37,6 +38,19 @@
     }
   }
 
+  /// A target that is warm after three seconds joins.
+  void join(TargetId Target, double Rate) {
+    Targets_.push_back(Targets_.back());
+    Targets_.back().Target_ = Target;
+    Targets_.back().Start_ = Incarnation(9);
+    Targets_.back().WarmupLeft_ = seconds(3);
+    Table_.setTargets(Targets_, at(milliseconds(200)));
+    TargetBounds Bounds;
+    Bounds.MaxConnections_ = 50;
+    Bounds.ColdPerSecond_ = Rate;
+    Table_.setBounds(Target, Bounds);
+  }
+
   void report(std::uint32_t Target, std::uint32_t Running, std::uint32_t Slow,
               Duration When) {
     LoadReport Report;
@@ -81,6 +95,20 @@
   CHECK(World.choose(milliseconds(210), Idle) == TargetId(0));
 }
 
+TEST_CASE("a target that joined is tried once by those who share its rate",
+          "[routing]") {
+  const double Rate = GENERATE(0.0, 2.0);
+  Fixture World({ZoneId(0), ZoneId(0)});
+  World.join(TargetId(2), Rate);
+  World.report(0, 0, 100, milliseconds(4'000));
+  World.report(1, 0, 100, milliseconds(4'000));
+  World.report(2, 0, 200, milliseconds(4'000));
+  const bool IsTried = World.choose(milliseconds(4'010)) == TargetId(2);
+  CHECK(IsTried == (Rate > 0));
+  World.Table_.noteSent(TargetId(2), at(milliseconds(4'010)));
+  CHECK(World.choose(milliseconds(4'020)) != TargetId(2));
+}
+
 TEST_CASE("a slow target is left for one of another zone", "[routing]") {
   Fixture World;
   World.report(0, 0, 700, milliseconds(200));
--- a/src/routing/types/targetstate.h
+++ b/src/routing/types/targetstate.h
@@ -18,6 +18,8 @@
   TargetDescription Description_;
   TargetBounds Bounds_;
   bool IsInOwnZone_ = false;
+  /// It joined later than this instance, which has not sent it anything yet.
+  bool IsUntried_ = false;
 
   /// Attempts of this instance that have not ended.
   std::uint32_t InFlight_ = 0;
