Keep members of a large fleet known to each other

A greeting names 18 members, and word of one comes about once a second at 143 members, so that six seconds without word are ordinary. Each loss forms the zone's groups anew, which moves probes to other instances and opens their connections, and changes who may send to cold targets.

Change: notices of neighbours count as signs of life, samples are random without order, and the time after which a member is lost grows with the fleet (150 ms a member, 6 to 30 s).

Test: 'members of a large fleet stay known to each other', now also with 143 instances in four zones, failed first, passes now.

--- a/src/fleet/internal/seeded/members.cpp
+++ b/src/fleet/internal/seeded/members.cpp
@@ -1,6 +1,7 @@
 #include "fleet/internal/seeded/members.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberryspool::fleet {
 
@@ -38,7 +39,7 @@
     if (Position == Records_.end())
       continue;
     Record &Known = Position->second;
-    if (Known.IsLost_ && Now - Known.HeardAt_ < LostAfter) {
+    if (Known.IsLost_ && Now - Known.HeardAt_ < lostAfter()) {
       Known.IsLost_ = false;
       ++Changes_;
     }
@@ -54,10 +55,20 @@
   return IsSenderNew;
 }
 
+void Members::noteAlive(const framework::InstanceName &Name,
+                        framework::Incarnation Incarnation,
+                        framework::Instant Now) {
+  const auto Known = Records_.find(Name);
+  if (Known == Records_.end() || Known->second.IsLost_ ||
+      Known->second.Known_.Incarnation_ != Incarnation)
+    return;
+  Known->second.HeardAt_ = std::max(Known->second.HeardAt_, Now);
+}
+
 std::vector<framework::InstanceName> Members::expire(framework::Instant Now) {
   std::vector<framework::InstanceName> Lost;
   for (auto &[Name, Known] : Records_) {
-    if (Known.IsLost_ || Now - Known.HeardAt_ < LostAfter)
+    if (Known.IsLost_ || Now - Known.HeardAt_ < lostAfter())
       continue;
     Known.IsLost_ = true;
     Lost.push_back(Name);
@@ -69,6 +80,12 @@
   return Lost;
 }
 
+framework::Duration Members::lostAfter() const {
+  return std::clamp(LostAfterOfMember *
+                        static_cast<framework::Duration::rep>(peak()),
+                    MinLostAfter, MaxLostAfter);
+}
+
 std::size_t Members::count() const {
   const auto Running =
       std::count_if(Records_.begin(), Records_.end(), [](const auto &Each) {
@@ -82,21 +99,16 @@
 std::vector<KnownMember> Members::sample(std::size_t Most,
                                          framework::Instant Now,
                                          framework::Random &Rng) const {
+  std::vector<const Record *> Heard;
+  for (const auto &[Name, Known] : Records_)
+    if (!Known.IsLost_)
+      Heard.push_back(&Known);
   std::vector<KnownMember> Chosen{Self_};
-  if (Records_.empty())
-    return Chosen;
-  const std::size_t Start = Rng.index(Records_.size());
-  auto Position =
-      std::next(Records_.begin(), static_cast<std::ptrdiff_t>(Start));
-  for (std::size_t Seen = 0; Seen < Records_.size() && Chosen.size() <= Most;
-       ++Seen, ++Position) {
-    if (Position == Records_.end())
-      Position = Records_.begin();
-    const Record &Known = Position->second;
-    if (Known.IsLost_)
-      continue;
-    Chosen.push_back(Known.Known_);
-    Chosen.back().Age_ = Now - Known.HeardAt_;
+  const std::size_t Count = std::min(Most, Heard.size());
+  for (std::size_t At = 0; At < Count; ++At) {
+    std::swap(Heard[At], Heard[At + Rng.index(Heard.size() - At)]);
+    Chosen.push_back(Heard[At]->Known_);
+    Chosen.back().Age_ = Now - Heard[At]->HeardAt_;
   }
   return Chosen;
 }
--- a/src/fleet/internal/seeded/members.h
+++ b/src/fleet/internal/seeded/members.h
@@ -30,6 +30,10 @@
   /// or counted as lost.
   bool note(const Greeting &Message, framework::Instant Now);
 
+  /// Takes another message of a known member as its sign of life.
+  void noteAlive(const framework::InstanceName &Name,
+                 framework::Incarnation Incarnation, framework::Instant Now);
+
   /// Marks those that have not been heard of for long as lost and forgets them
   /// later. Returns the names of those that were lost just now.
   std::vector<framework::InstanceName> expire(framework::Instant Now);
@@ -53,9 +57,15 @@
                                   framework::Random &Rng) const;
 
 private:
-  static constexpr framework::Duration LostAfter = std::chrono::seconds(6);
+  /// Word of a member comes the more seldom the more members there are, since
+  /// a greeting names only some of them.
+  static constexpr framework::Duration LostAfterOfMember =
+      std::chrono::milliseconds(150);
+  static constexpr framework::Duration MinLostAfter = std::chrono::seconds(6);
+  static constexpr framework::Duration MaxLostAfter = std::chrono::seconds(30);
   static constexpr framework::Duration PeakMemory = std::chrono::seconds(40);
 
+  framework::Duration lostAfter() const;
   bool take(const KnownMember &Told, framework::Instant HeardAt);
 
   KnownMember Self_;
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -297,6 +297,7 @@
 void SeededFleet::handle(const LoadNotice &Message, framework::Moment Now,
                          OutputList &Output) {
   const Instant At = Now.Monotonic_;
+  Members_.noteAlive(Message.From_, Message.Incarnation_, At);
   Neighbours_.noteHeard(Message.From_, At);
   for (const SharedLoad &Each : Message.Loads_) {
     Loads_.noteShared(Each, At);
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -201,13 +201,16 @@
 }
 
 TEST_CASE("members of a large fleet stay known to each other", "[seeds]") {
-  World Fleet(40);
+  const auto [Instances, Zones] = GENERATE(
+      std::pair<int, std::vector<std::string>>{40, {"a"}},
+      std::pair<int, std::vector<std::string>>{143, {"a", "b", "c", "d"}});
+  World Fleet(Instances, Zones);
   Fleet.pass(seconds(6));
   std::size_t Lost = 0;
   for (int Second = 0; Second < 20; ++Second) {
     Fleet.pass(seconds(1));
     for (const SeededFleet &Each : Fleet.Fleets_)
-      Lost += 40 - Each.runningMembers();
+      Lost += static_cast<std::size_t>(Instances) - Each.runningMembers();
   }
   CHECK(Lost == 0);
 }
--- a/src/fleet/tests/seededworld.h
+++ b/src/fleet/tests/seededworld.h
@@ -77,6 +77,9 @@
           {"t" + std::to_string(At),
            "target " + Zones[static_cast<std::size_t>(At) % Zones.size()],
            framework::Revision(8), false});
+    for (int Number = 1; Number <= Count; ++Number)
+      Places_[settingsOf(Number).Address_] =
+          static_cast<std::size_t>(Number) - 1;
     for (int Number = 1; Number <= Count; ++Number)
       Fleets_.emplace_back(
           settingsOf(Number,
@@ -117,20 +120,20 @@
   void deliver(std::size_t From, const SendMessage &Message) {
     LargestMessage_ =
         std::max(LargestMessage_, encodePeerMessage(Message.Message_).size());
-    for (std::size_t To = 0; To < Fleets_.size(); ++To) {
-      if (settingsOf(static_cast<int>(To) + 1).Address_ !=
-              Message.PeerAddress_ ||
-          Deaf_.contains(To) || Deaf_.contains(From))
-        continue;
-      OutputList Output;
-      std::visit(
-          [&](const auto &Kind) {
-            if constexpr (requires { Fleets_[To].handle(Kind, Now_, Output); })
-              Fleets_[To].handle(Kind, Now_, Output);
-          },
-          Message.Message_);
-      carryOut(To, Output);
-    }
+    const auto Found = Places_.find(Message.PeerAddress_);
+    if (Found == Places_.end())
+      return;
+    const std::size_t To = Found->second;
+    if (Deaf_.contains(To) || Deaf_.contains(From))
+      return;
+    OutputList Output;
+    std::visit(
+        [&](const auto &Kind) {
+          if constexpr (requires { Fleets_[To].handle(Kind, Now_, Output); })
+            Fleets_[To].handle(Kind, Now_, Output);
+        },
+        Message.Message_);
+    carryOut(To, Output);
   }
 
   void answer(std::size_t From, const ReadRecords &Order) {
@@ -203,6 +206,8 @@
     }
   }
 
+  /// Instances by their addresses.
+  std::map<std::string, std::size_t> Places_;
   std::map<std::size_t, framework::Instant> Waiting_;
   /// Loads that instances were told of.
   std::vector<std::pair<std::size_t, LoadShared>> Heard_;
