Probe the targets of a zone at the pace that its own groups allow

Cause: the pace followed from the groups of the whole fleet (444 ms at 143 instances), although only the groups of a target's zone still probe it.

Change: the pace follows from the zone's groups (111 ms at four).

--- a/src/fleet/internal/seeded/neighbours.cpp
+++ b/src/fleet/internal/seeded/neighbours.cpp
@@ -38,6 +38,7 @@
   const auto Rank = static_cast<std::size_t>(
       std::distance(Near.begin(), Near.find(Self.Name_)));
   const std::size_t OwnGroup = Rank * Groups / Zone.size();
+  Groups_ = Groups;
   appoint(Zone, Groups, OwnGroup);
   appointAbroad(From);
   std::map<framework::InstanceName, std::string> Group;
--- a/src/fleet/internal/seeded/neighbours.h
+++ b/src/fleet/internal/seeded/neighbours.h
@@ -40,6 +40,8 @@
   /// targets of this zone, and tell their zones.
   const std::vector<std::string> &otherZones() const { return OtherZones_; }
 
+  /// The groups of neighbours in this zone.
+  std::size_t groups() const { return Groups_; }
   bool isNeighbour(const framework::InstanceName &Name) const {
     return Addresses_.contains(Name);
   }
@@ -82,6 +84,7 @@
 
   std::uint64_t FormedFor_ = ~std::uint64_t{};
   std::map<framework::InstanceName, std::string> Addresses_;
+  std::size_t Groups_ = 1;
   std::vector<std::string> Delegates_;
   std::vector<std::string> OtherZones_;
   std::set<framework::InstanceName> Zone_;
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -37,8 +37,9 @@
 /// Requests a second to a cold target by an instance that knows nobody.
 constexpr double LonelyColdRate = 1;
 /// A target is probed at this pace by the instance of a group of neighbours
-/// that is responsible for it, or slower where there are many groups: the
-/// platform allows each target so many probes a second.
+/// that is responsible for it, or slower where its zone has many groups: the
+/// platform allows each target 60 probes a second, some of which are left to
+/// those who step in.
 constexpr Duration ProbeInterval = milliseconds(90);
 constexpr std::int64_t ProbesPerSecond = 36;
 /// Others probe when nobody told them of the target for so long, and for so
@@ -239,13 +240,9 @@
   return Surroundings{Now, Members_, Neighbours_, Output};
 }
 
-std::size_t SeededFleet::groups() const {
-  return (Members_.peak() + Neighbours::MaxSize - 1) / Neighbours::MaxSize;
-}
-
 Duration SeededFleet::probeInterval() const {
   const Duration ByBound = Duration(seconds(1)) *
-                           static_cast<std::int64_t>(groups()) /
+                           static_cast<std::int64_t>(Neighbours_.groups()) /
                            ProbesPerSecond;
   return std::max(ProbeInterval, ByBound);
 }
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -93,8 +93,6 @@
   void passOn(const LoadNotice &Message, framework::Instant Now,
               OutputList &Output);
   bool isNear(const framework::TargetName &Target) const;
-  /// The groups of neighbours in the fleet, about.
-  std::size_t groups() const;
   framework::Duration probeInterval() const;
   void greetRound(framework::Instant Now, OutputList &Output);
   void greet(const std::string &Address, bool IsAnswerWanted,
