--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -29,9 +29,6 @@
 constexpr double SlowdownWeight = 0.05;
 /// Targets change their speed many times a second.
 constexpr Duration FreshReport = std::chrono::milliseconds(300);
-/// Requests that may follow each other at once at a cold target with a bound on
-/// its rate.
-constexpr double ColdBurst = 1;
 /// A cold start shows as so many answers in a row, each so many times slower
 /// than the service's average, while the target reports no queue.
 constexpr std::uint32_t SlowAnswersOfColdStart = 6;
@@ -176,8 +173,9 @@
   ++State.SentSincePeers_;
   State.IsUntried_ = false;
   State.noteSent(Now);
-  if (isCold(Target))
-    takeColdToken(Target, Now);
+  if (isCold(Target) && State.Bounds_.ColdPerSecond_)
+    Records_[Target.value()].Allowance_.take(*State.Bounds_.ColdPerSecond_,
+                                             Now);
   State.SentTimeSum_ += micros(Now);
   refresh(Target, Now);
 }
@@ -342,11 +340,9 @@
   }
   Entry.ColdUntil_ = Now + Left;
   wakeAt(Entry.ColdUntil_, Target);
-  if (Entry.Temperature_ == Temperature::Cold &&
-      Entry.ColdFilledAt_ != Instant{})
+  if (Entry.Temperature_ == Temperature::Cold && Entry.Allowance_.isStarted())
     return;
-  Entry.ColdTokens_ = 0;
-  Entry.ColdFilledAt_ = Now;
+  Entry.Allowance_.start(Now);
   turnCold(Target, Now);
 }
 
@@ -354,23 +350,6 @@
   return States_[Target.value()].Description_.WarmupLeft_.has_value();
 }
 
-double TargetRegistry::coldTokens(const Record &Entry, double PerSecond,
-                                  Instant Now) const {
-  const double Seconds =
-      std::chrono::duration<double>(Now - Entry.ColdFilledAt_).count();
-  return std::min(ColdBurst, Entry.ColdTokens_ + PerSecond * Seconds);
-}
-
-void TargetRegistry::takeColdToken(TargetId Target, Instant Now) {
-  const std::optional<double> &Rate =
-      States_[Target.value()].Bounds_.ColdPerSecond_;
-  if (!Rate)
-    return;
-  Record &Entry = Records_[Target.value()];
-  Entry.ColdTokens_ = coldTokens(Entry, *Rate, Now) - 1;
-  Entry.ColdFilledAt_ = Now;
-}
-
 void TargetRegistry::turnCold(TargetId Target, Instant Now) {
   Record &Entry = Records_[Target.value()];
   if (Entry.Temperature_ != Temperature::Cold)
@@ -435,21 +414,6 @@
   return Timers_.empty() ? Instant::max() : Timers_.top().At_;
 }
 
-void TargetRegistry::wakeForColdToken(TargetId Target, double Rate,
-                                      Instant Now) {
-  Record &Entry = Records_[Target.value()];
-  const double Missing = 1 - coldTokens(Entry, Rate, Now);
-  if (Missing <= 0 || !Entry.IsListed_)
-    return;
-  const auto Wait = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Missing / Rate));
-  const Instant At = Now + Wait + Duration(1);
-  if (Entry.ColdWakeAt_ > Now && Entry.ColdWakeAt_ <= At)
-    return;
-  Entry.ColdWakeAt_ = At;
-  wakeAt(At, Target);
-}
-
 void TargetRegistry::wakeAt(Instant At, TargetId Target) {
   Timers_.push({At, Target});
 }
@@ -460,8 +424,10 @@
   const bool IsOpen = Entry.OpenPosition_ != NotOpen;
   const bool ShallBeOpen = mayTakeOne(Target, Now);
   const auto &ColdRate = States_[Target.value()].Bounds_.ColdPerSecond_;
-  if (!ShallBeOpen && isCold(Entry) && ColdRate && *ColdRate > 0)
-    wakeForColdToken(Target, *ColdRate, Now);
+  if (!ShallBeOpen && Entry.IsListed_ && isCold(Entry) && ColdRate &&
+      *ColdRate > 0)
+    if (const auto At = Entry.Allowance_.wakeUp(*ColdRate, Now))
+      wakeAt(*At, Target);
   if (IsOpen == ShallBeOpen)
     return;
   if (ShallBeOpen) {
@@ -490,7 +456,7 @@
     return State.InFlight_ < Limit;
   if (const auto &Rate = State.Bounds_.ColdPerSecond_)
     return *Rate > 0 && State.InFlight_ < Limit &&
-           coldTokens(Entry, *Rate, Now) >= 1;
+           Entry.Allowance_.mayTake(*Rate, Now);
   Limit = std::min(Limit, State.Bounds_.ColdInFlight_);
   return State.InFlight_ + Entry.Cut_ < Limit;
 }
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_ROUTING_INTERNAL_TARGETREGISTRY_H
 
 #include "routing/candidates.h"
+#include "routing/internal/coldallowance.h"
 #include "routing/internal/targethealth.h"
 #include "routing/types/targetchange.h"
 #include "routing/types/targetstate.h"
@@ -81,11 +82,7 @@
     std::uint32_t FailedProbes_ = 0;
     /// The end of a cold start that the target has told.
     framework::Instant ColdUntil_{};
-    /// Requests that a rate bound lets through now, at `ColdFilledAt_`.
-    double ColdTokens_ = 0;
-    framework::Instant ColdFilledAt_{};
-    /// When the next request is let through, as far as a timer is set for it.
-    framework::Instant ColdWakeAt_{};
+    ColdAllowance Allowance_;
     /// Attempts at a cold target that ended unanswered and may still run there,
     /// all forgotten at `CutUntil_`.
     std::uint32_t Cut_ = 0;
@@ -127,11 +124,6 @@
                   framework::Instant Now);
   /// True when the target tells of its cold starts, so that none is inferred.
   bool tellsWarmup(framework::TargetId Target) const;
-  double coldTokens(const Record &Entry, double PerSecond,
-                    framework::Instant Now) const;
-  void takeColdToken(framework::TargetId Target, framework::Instant Now);
-  void wakeForColdToken(framework::TargetId Target, double Rate,
-                        framework::Instant Now);
   void judgeHealth(framework::TargetId Target, framework::Instant Now);
   void noteLatency(framework::TargetId Target, framework::Duration Elapsed,
                    framework::Instant Now);
