--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -51,7 +51,7 @@
 constexpr Duration PatienceAbroad = milliseconds(800);
 constexpr Duration NoticeIntervalAbroad = milliseconds(150);
 /// The other groups of the zone are told of probes at this pace.
-constexpr Duration NoticeIntervalToZone = milliseconds(100);
+constexpr Duration NoticeIntervalToZone = milliseconds(200);
 /// Neighbours are told something at least so often, as a sign of life.
 constexpr Duration NoticeInterval = milliseconds(200);
 KnownMember selfOf(const FleetSettings &Settings) {
