--- a/src/apps/cranberryctl/main.cpp
+++ b/src/apps/cranberryctl/main.cpp
@@ -5,6 +5,7 @@
 #include "operations/burncommand.h"
 #include "operations/checkcommand.h"
 #include "operations/diffcommand.h"
+#include "operations/explaincommand.h"
 #include "operations/statuscommand.h"
 #include "operations/types/console.h"
 #include "trial/trycommand.h"
@@ -96,6 +97,12 @@
       return refuseUsage("diff needs two documents");
     return operations::diffCommand(Rest[0], Rest[1], Streams);
   }
+  if (Command == "explain") {
+    if (Rest.size() < 2)
+      return refuseUsage("explain needs the id of a request and log files");
+    return operations::explainCommand(Rest[0], {Rest.begin() + 1, Rest.end()},
+                                      Streams);
+  }
   if (Command == "try")
     return runTry(Rest, Streams);
   if (Command == "status" || Command == "burn")
--- a/src/apps/cranberryctl/usage.h
+++ b/src/apps/cranberryctl/usage.h
@@ -11,6 +11,8 @@
   try DOC         runs a document on a small fleet in this process, calls every kind
                   of request and says whether the document may be promoted
   status ADDR...  shows instances, asked at their operator ports (IP:port)
+  explain ID FILE...
+                  says from the logs of instances how a request ended and why
   burn ADDR...    reports service-level burn from the counters of these instances
 
 Flags:
