--- /dev/null
+++ b/src/decision/internal/changenames.cpp
@@ -0,0 +1,47 @@
+#include "decision/changenames.h"
+
+namespace cranberryspool::decision {
+
+std::string_view nameOf(ChangeKind Kind) {
+  switch (Kind) {
+  case ChangeKind::DocumentInForce:
+    return "document-in-force";
+  case ChangeKind::DocumentRejected:
+    return "document-rejected";
+  case ChangeKind::DocumentOlderIgnored:
+    return "document-older-ignored";
+  case ChangeKind::RecordRejected:
+    return "record-rejected";
+  case ChangeKind::TargetEjected:
+    return "target-ejected";
+  case ChangeKind::TargetRestored:
+    return "target-restored";
+  case ChangeKind::TargetCold:
+    return "target-cold";
+  case ChangeKind::TargetWarm:
+    return "target-warm";
+  case ChangeKind::TargetLeaving:
+    return "target-leaving";
+  case ChangeKind::ZoneOut:
+    return "zone-out";
+  case ChangeKind::ZoneIn:
+    return "zone-in";
+  case ChangeKind::PeerJoined:
+    return "peer-joined";
+  case ChangeKind::PeerLost:
+    return "peer-lost";
+  case ChangeKind::ViewLost:
+    return "view-lost";
+  case ChangeKind::ViewRestored:
+    return "view-restored";
+  case ChangeKind::PauseDetected:
+    return "pause-detected";
+  case ChangeKind::StopStarted:
+    return "stop-started";
+  case ChangeKind::StopFinished:
+    return "stop-finished";
+  }
+  return "other";
+}
+
+} // namespace cranberryspool::decision
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -1,6 +1,7 @@
 #include "entry/internal/decisionlog.h"
 
 #include "calls/endingnames.h"
+#include "decision/changenames.h"
 #include "framework/log/logline.h"
 #include "framework/log/logwriter.h"
 
@@ -14,48 +15,6 @@
 
 namespace {
 
-std::string_view nameOf(ChangeKind Kind) {
-  switch (Kind) {
-  case ChangeKind::DocumentInForce:
-    return "document-in-force";
-  case ChangeKind::DocumentRejected:
-    return "document-rejected";
-  case ChangeKind::DocumentOlderIgnored:
-    return "document-older-ignored";
-  case ChangeKind::RecordRejected:
-    return "record-rejected";
-  case ChangeKind::TargetEjected:
-    return "target-ejected";
-  case ChangeKind::TargetRestored:
-    return "target-restored";
-  case ChangeKind::TargetCold:
-    return "target-cold";
-  case ChangeKind::TargetWarm:
-    return "target-warm";
-  case ChangeKind::TargetLeaving:
-    return "target-leaving";
-  case ChangeKind::ZoneOut:
-    return "zone-out";
-  case ChangeKind::ZoneIn:
-    return "zone-in";
-  case ChangeKind::PeerJoined:
-    return "peer-joined";
-  case ChangeKind::PeerLost:
-    return "peer-lost";
-  case ChangeKind::ViewLost:
-    return "view-lost";
-  case ChangeKind::ViewRestored:
-    return "view-restored";
-  case ChangeKind::PauseDetected:
-    return "pause-detected";
-  case ChangeKind::StopStarted:
-    return "stop-started";
-  case ChangeKind::StopFinished:
-    return "stop-finished";
-  }
-  return "other";
-}
-
 std::string_view nameOf(calls::AttemptKind Kind) {
   switch (Kind) {
   case calls::AttemptKind::First:
@@ -104,7 +63,7 @@
                        const decision::Core &View) const {
   if (!Writer_)
     return;
-  LogLine Line(nameOf(Kind), LogImportance::Telling);
+  LogLine Line(decision::nameOf(Kind), LogImportance::Telling);
   Line.text("subject", Subject);
   addView(Line, View);
   Writer_->write(Line);
--- a/src/session/internal/actionlines.cpp
+++ b/src/session/internal/actionlines.cpp
@@ -84,7 +84,7 @@
 
 json::object write(const ReportChange &Asked) {
   return {{"action", "report-change"},
-          {"change", nameOf(Asked.Kind_)},
+          {"change", decision::nameOf(Asked.Kind_)},
           {"subject", Asked.Subject_}};
 }
 
--- a/src/session/internal/names.cpp
+++ b/src/session/internal/names.cpp
@@ -15,14 +15,6 @@
 
 constexpr std::array<std::string_view, 2> WriteStates{"nothing", "maybe"};
 
-constexpr std::array<std::string_view, 18> Changes{
-    "document-in-force", "document-rejected", "document-older-ignored",
-    "record-rejected",   "target-ejected",    "target-restored",
-    "target-cold",       "target-warm",       "target-leaving",
-    "zone-out",          "zone-in",           "peer-joined",
-    "peer-lost",         "view-lost",         "view-restored",
-    "pause-detected",    "stop-started",      "stop-finished"};
-
 constexpr std::array<std::string_view, 9> Modes{"answer", "fail",   "shed",
                                                 "drain",  "cross",  "truncate",
                                                 "reset",  "silent", "refuse"};
@@ -46,10 +38,6 @@
   return WriteStates.at(static_cast<std::size_t>(Value));
 }
 
-std::string_view nameOf(decision::ChangeKind Value) {
-  return Changes.at(static_cast<std::size_t>(Value));
-}
-
 std::uint64_t shortNumber(framework::AttemptId Attempt) {
   constexpr std::uint64_t Mask =
       (1ULL << calls::AttemptNumbers::CounterBits) - 1;
--- a/src/session/internal/names.h
+++ b/src/session/internal/names.h
@@ -4,7 +4,7 @@
 #include "calls/endingnames.h"
 #include "calls/types/attemptfailure.h"
 #include "calls/types/writestate.h"
-#include "decision/types/changekind.h"
+#include "decision/changenames.h"
 #include "framework/ids.h"
 #include "session/types/targetmode.h"
 
@@ -17,7 +17,6 @@
 /// The names of enumerators in sessions.
 std::string_view nameOf(calls::AttemptFailure Value);
 std::string_view nameOf(calls::WriteState Value);
-std::string_view nameOf(decision::ChangeKind Value);
 
 /// The number of an attempt among those of its instance, for print.
 std::uint64_t shortNumber(framework::AttemptId Attempt);
