--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -16,9 +16,10 @@
 constexpr Duration TickInterval = milliseconds(50);
 /// Greetings to a few members, and how many.
 constexpr Duration RoundInterval = milliseconds(500);
-/// In its first second an instance greets more often, so that it knows the
-/// group of neighbours that it belongs to before it probes targets.
+/// At first an instance greets more often, so that it knows the group of
+/// neighbours that it belongs to before it probes targets.
 constexpr Duration FirstRoundInterval = milliseconds(100);
+constexpr Duration FirstRoundsTime = seconds(2);
 constexpr std::size_t MembersPerRound = 4;
 /// Instances of a zone that greet another zone in a round, on average.
 constexpr std::size_t GreetersOfOtherZones = 18;
@@ -120,7 +121,8 @@
 }
 
 void SeededFleet::greetRound(Instant Now, OutputList &Output) {
-  NextRoundAt_ = Now + (isSettled(Now) ? RoundInterval : FirstRoundInterval);
+  const bool IsFirst = Now < StartedAt_ + FirstRoundsTime;
+  NextRoundAt_ = Now + (IsFirst ? FirstRoundInterval : RoundInterval);
   std::vector<const Members::Record *> Near;
   std::vector<const Members::Record *> Far;
   for (const auto &[Name, Known] : Members_.records()) {
@@ -129,8 +131,9 @@
   }
   // Mostly inside the zone, as traffic between zones is dear: in a large zone
   // not each instance greets another zone in each round.
-  const bool IsFarDue =
-      Rng_.index(Near.size() + 1) < GreetersOfOtherZones || Near.empty();
+  const bool IsFarDue = !isSettled(Now) ||
+                        Rng_.index(Near.size() + 1) < GreetersOfOtherZones ||
+                        Near.empty();
   for (std::size_t Sent = 0; Sent < MembersPerRound; ++Sent) {
     const bool IsFar = Sent == 0 && IsFarDue;
     auto &From = (IsFar || Near.empty()) && !Far.empty() ? Far : Near;
