Count the way of a word into its age, and let two pass it on

Ruled out: the first list that may be old (the instances had run for 20 s), dropped history (all other groups had version 12 at 7.6 s).

Change: a word carries the time of day of the store's answer; its age is at least the time since then. Clocks that differ make it look older, never younger.

--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -170,6 +170,7 @@
   Visit(Item.After_);
   Visit(Item.AsOf_);
   Visit(Item.Age_);
+  Visit(Item.AnsweredAt_);
   Visit(Item.Records_);
 }
 
@@ -179,6 +180,7 @@
   Visit(Item.After_);
   Visit(Item.AsOf_);
   Visit(Item.Age_);
+  Visit(Item.AnsweredAt_);
   Visit(Item.Key_);
   Visit(Item.Number_);
   Visit(Item.Count_);
--- a/src/fleet/internal/seeded/pieceassembly.cpp
+++ b/src/fleet/internal/seeded/pieceassembly.cpp
@@ -56,6 +56,7 @@
   Notice.After_ = Piece.After_;
   Notice.AsOf_ = Piece.AsOf_;
   Notice.Age_ = Piece.Age_;
+  Notice.AnsweredAt_ = Piece.AnsweredAt_;
   SharedRecord &Whole =
       Notice.Records_.emplace_back(SharedRecord{Piece.Key_, {}, AsOf_, false});
   for (const auto &Part : Parts_)
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -88,8 +88,8 @@
   if (Neighbours_.form(Members_, At))
     GroupFormedAt_ = At;
   tellShares(At, Output);
-  Store_.tick(around(At, Output));
-  shareLoads(At, Output);
+  Store_.tick(around(Now, Output));
+  shareLoads(around(Now, Output));
   if (At >= NextRoundAt_)
     greetRound(At, Output);
   if (At >= NextSeedsAt_)
@@ -173,23 +173,23 @@
 void SeededFleet::noteAllRecords(const std::vector<StoredRecord> &Records,
                                  framework::Revision AsOf,
                                  framework::Moment Now, OutputList &Output) {
-  Store_.noteAllRecords(Records, AsOf, around(Now.Monotonic_, Output));
+  Store_.noteAllRecords(Records, AsOf, around(Now, Output));
 }
 
 void SeededFleet::noteChangedRecords(const std::vector<StoredRecord> &Records,
                                      framework::Revision AsOf,
                                      framework::Moment Now,
                                      OutputList &Output) {
-  Store_.noteChangedRecords(Records, AsOf, around(Now.Monotonic_, Output));
+  Store_.noteChangedRecords(Records, AsOf, around(Now, Output));
 }
 
 void SeededFleet::noteHistoryLost(framework::Moment Now, OutputList &Output) {
-  Store_.noteHistoryLost(around(Now.Monotonic_, Output));
+  Store_.noteHistoryLost(around(Now, Output));
 }
 
 void SeededFleet::noteRecordsUnavailable(framework::Moment Now,
                                          OutputList &Output) {
-  Store_.noteUnavailable(around(Now.Monotonic_, Output));
+  Store_.noteUnavailable(around(Now, Output));
 }
 
 void SeededFleet::noteStopRequested(framework::Moment Now, OutputList &Output) {
@@ -247,8 +247,9 @@
   return FleetRate / static_cast<double>(Senders);
 }
 
-Surroundings SeededFleet::around(Instant Now, OutputList &Output) const {
-  return Surroundings{Now, Members_, Neighbours_, Output};
+Surroundings SeededFleet::around(framework::Moment Now,
+                                 OutputList &Output) const {
+  return Surroundings{Now.Monotonic_, Now.Wall_, Members_, Neighbours_, Output};
 }
 
 bool SeededFleet::mayProbe(const framework::TargetName &Target,
@@ -283,8 +284,8 @@
   Loads_.noteProbed(Target, Now);
 }
 
-void SeededFleet::shareLoads(Instant Now, OutputList &Output) {
-  const Surroundings Around = around(Now, Output);
+void SeededFleet::shareLoads(const Surroundings &Around) {
+  const Instant Now = Around.Now_;
   if (Loads_.hasNews(LoadAudience::Group) || Now >= NextLoadNoticeAt_) {
     NextLoadNoticeAt_ = Now + NoticeInterval;
     // An empty notice tells that this instance runs.
@@ -336,7 +337,7 @@
     Loads_.noteShared(Each, At);
     Output.push_back(LoadShared{Each.Target_, Each.Report_, At - Each.Age_});
   }
-  passOn(Message, around(At, Output));
+  passOn(Message, around(Now, Output));
 }
 
 void SeededFleet::passOn(const LoadNotice &Message,
@@ -375,13 +376,13 @@
 void SeededFleet::handle(const RecordNotice &Message, framework::Moment Now,
                          OutputList &Output) {
   Neighbours_.noteHeard(Message.From_, Now.Monotonic_);
-  Store_.handle(Message, around(Now.Monotonic_, Output));
+  Store_.handle(Message, around(Now, Output));
 }
 
 void SeededFleet::handle(const RecordPiece &Message, framework::Moment Now,
                          OutputList &Output) {
   Neighbours_.noteHeard(Message.From_, Now.Monotonic_);
-  Store_.handle(Message, around(Now.Monotonic_, Output));
+  Store_.handle(Message, around(Now, Output));
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -85,8 +85,8 @@
   /// Asks for new shares when what they follow from has changed, at most once
   /// a tick however many members are heard of.
   void tellShares(framework::Instant Now, OutputList &Output);
-  Surroundings around(framework::Instant Now, OutputList &Output) const;
-  void shareLoads(framework::Instant Now, OutputList &Output);
+  Surroundings around(framework::Moment Now, OutputList &Output) const;
+  void shareLoads(const Surroundings &Around);
   LoadNotice makeLoadNotice() const;
   std::vector<LoadNotice> takeLoads(LoadAudience For, framework::Instant Now);
   /// Keeps what came from outside the group of neighbours, or from inside the
--- a/src/fleet/internal/seeded/storefollower.cpp
+++ b/src/fleet/internal/seeded/storefollower.cpp
@@ -117,6 +117,8 @@
   IsListNeeded_ = false;
   Failures_ = 0;
   Log_.clear();
+  if (!IsListOld_)
+    noteAnswered(Around);
   tell(IsListOld_ ? View_.takeOld(Records, AsOf, Around.Now_)
                   : View_.replaceAll(Records, AsOf, Around.Now_),
        Around.Output_);
@@ -133,6 +135,7 @@
   // Others may have told of some of it meanwhile.
   const Revision Before = View_.revision();
   const std::vector<StoredRecord> New = newerThan(Before, Records);
+  noteAnswered(Around);
   Log_.note(Before, AsOf, New, Around.Now_);
   tell(View_.apply(New, AsOf, Around.Now_), Around.Output_);
   if (!Records.empty())
@@ -188,6 +191,7 @@
   Notice.Incarnation_ = Around.self().Incarnation_;
   Notice.AsOf_ = View_.revision();
   Notice.Age_ = *Age;
+  Notice.AnsweredAt_ = AnsweredWall_;
   Log_.fill(Notice, Around.Now_);
   send(Notice, Around);
 }
@@ -198,6 +202,7 @@
     Part.From_ = Around.self().Name_;
     Part.Incarnation_ = Around.self().Incarnation_;
     Part.Age_ = Age;
+    Part.AnsweredAt_ = AnsweredWall_;
     if (RecordLog::fitsInMessage(Part)) {
       send(Part, Around);
       continue;
@@ -205,6 +210,7 @@
     for (RecordPiece &Piece : splitRecord(Part)) {
       Piece.From_ = Part.From_;
       Piece.Age_ = Age;
+      Piece.AnsweredAt_ = AnsweredWall_;
       send(Piece, Around);
     }
   }
@@ -240,15 +246,23 @@
                          Each.Revision_,
                          Each.IsDeleted_});
   Log_.note(Before, Message.AsOf_, Records, Around.Now_);
-  tell(View_.apply(Records, Message.AsOf_, Around.Now_ - Message.Age_),
-       Around.Output_);
+  // Clocks that differ may make a word look older, never younger.
+  const Duration Age =
+      std::max(Message.Age_, Around.Wall_ - Message.AnsweredAt_);
+  tell(View_.apply(Records, Message.AsOf_, Around.Now_ - Age), Around.Output_);
+  if (View_.age(Around.Now_) == Age)
+    AnsweredWall_ = Message.AnsweredAt_;
   if (ToldOf_ && *ToldOf_ <= View_.revision())
     ToldOf_.reset();
-  // A teller passes on what the zone's reader tells.
-  if (Around.isTeller())
+  // What comes from outside the group is passed on by each that hears it, since
+  // one of them may be slow.
+  const bool IsFromOutside = !Around.Neighbours_.isNeighbour(Message.From_);
+  if (IsFromOutside || Around.isTeller())
     shareNew(Around);
   else
     Log_.takeNew();
+  if (IsFromOutside && Around.Now_ >= NextNoticeAt_)
+    share(Around);
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/storefollower.h
+++ b/src/fleet/internal/seeded/storefollower.h
@@ -53,6 +53,10 @@
   void noteGap(framework::Revision Told, framework::Instant Now);
   bool isBehind(framework::Instant Now) const;
   void tell(const StoreView::Changes &Changed, OutputList &Output) const;
+  /// Takes that the store has answered as of now.
+  void noteAnswered(const Surroundings &Around) {
+    AnsweredWall_ = Around.Wall_;
+  }
   /// Tells how the view stands, with the changes of the last moments.
   void share(const Surroundings &Around);
   /// Tells changes that have just been learnt, in as many messages as it takes.
@@ -77,6 +81,9 @@
   std::uint32_t Failures_ = 0;
   framework::Instant NextReadAt_{};
   framework::Instant NextNoticeAt_{};
+  /// When the instance that asked the store last got the answer that this view
+  /// rests on.
+  framework::WallTime AnsweredWall_{};
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/surroundings.h
+++ b/src/fleet/internal/seeded/surroundings.h
@@ -12,6 +12,7 @@
 /// during that step.
 struct Surroundings {
   framework::Instant Now_;
+  framework::WallTime Wall_;
   const Members &Members_;
   const Neighbours &Neighbours_;
   OutputList &Output_;
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -82,6 +82,7 @@
           framework::Revision(7),
           framework::Revision(9),
           std::chrono::milliseconds(3),
+          framework::WallTime(std::chrono::seconds(5)),
           {SharedRecord{
                "servers/t1", {0, 0xff, 'x'}, framework::Revision(8), false},
            SharedRecord{"servers/t2", {}, framework::Revision(9), true}}},
@@ -89,6 +90,7 @@
                   framework::Revision(7),
                   framework::Revision(9),
                   std::chrono::milliseconds(3),
+                  framework::WallTime(std::chrono::seconds(5)),
                   "configuration",
                   1,
                   4,
--- a/src/fleet/tests/recordlog_test.cpp
+++ b/src/fleet/tests/recordlog_test.cpp
@@ -93,8 +93,8 @@
 
 TEST_CASE("parts of an older record do not mix with a newer one", "[records]") {
   PieceAssembly Assembly;
-  RecordPiece Old{{}, Revision(1), Revision(2), {}, "a", 0, 2, {'x'}};
-  RecordPiece New{{}, Revision(2), Revision(3), {}, "a", 1, 2, {'y'}};
+  RecordPiece Old{{}, Revision(1), Revision(2), {}, {}, "a", 0, 2, {'x'}};
+  RecordPiece New{{}, Revision(2), Revision(3), {}, {}, "a", 1, 2, {'y'}};
   CHECK_FALSE(Assembly.take(Old));
   CHECK_FALSE(Assembly.take(New));
   Old.Number_ = 1;
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -86,6 +86,24 @@
   }
 }
 
+TEST_CASE("a slow instance does not make old words look young", "[seeds]") {
+  constexpr std::size_t Instances = 20;
+  for (std::size_t Slow = 0; Slow < Instances; ++Slow) {
+    World Fleet(Instances);
+    Fleet.pass(seconds(3));
+    Fleet.Slow_ = {Slow};
+    for (int Round = 0; Round < 3; ++Round) {
+      Fleet.change("c", "first");
+      Fleet.pass(milliseconds(150));
+      Fleet.change("c", "second");
+      Fleet.pass(ChangeInForce);
+      for (std::size_t At = 0; At < Instances; ++At)
+        if (At != Slow)
+          CHECK(Fleet.Fleets_[At].view().revision() == Fleet.Stored_);
+    }
+  }
+}
+
 TEST_CASE("instances that start together ask the store once each, and those "
           "that read for others",
           "[seeds]") {
--- a/src/fleet/tests/seededworld.h
+++ b/src/fleet/tests/seededworld.h
@@ -68,6 +68,12 @@
   std::size_t LargestMessage_ = 0;
   /// Instances that neither hear nor are heard.
   std::set<std::size_t> Deaf_;
+  /// Instances that take each message so late, as if it had just come.
+  std::set<std::size_t> Slow_;
+  static constexpr framework::Duration SlowLag = milliseconds(2'500);
+  std::vector<
+      std::pair<framework::Instant, std::pair<std::size_t, SendMessage>>>
+      Delayed_;
 
   /// Instances take the zones in turn, and so do the targets, `t0` and on.
   explicit World(int Count, const std::vector<std::string> &Zones = {"a"},
@@ -126,6 +132,14 @@
     const std::size_t To = Found->second;
     if (Deaf_.contains(To) || Deaf_.contains(From))
       return;
+    if (Slow_.contains(To)) {
+      Delayed_.emplace_back(Now_.Monotonic_ + SlowLag, std::pair(To, Message));
+      return;
+    }
+    handOver(To, Message);
+  }
+
+  void handOver(std::size_t To, const SendMessage &Message) {
     OutputList Output;
     std::visit(
         [&](const auto &Kind) {
@@ -136,6 +150,18 @@
     carryOut(To, Output);
   }
 
+  void handOverDelayed() {
+    std::vector<std::pair<std::size_t, SendMessage>> DueNow;
+    std::erase_if(Delayed_, [&](const auto &Each) {
+      const bool IsDue = Each.first <= Now_.Monotonic_;
+      if (IsDue)
+        DueNow.push_back(Each.second);
+      return IsDue;
+    });
+    for (const auto &[To, Message] : DueNow)
+      handOver(To, Message);
+  }
+
   void answer(std::size_t From, const ReadRecords &Order) {
     ++Reads_;
     OutputList Output;
@@ -189,6 +215,8 @@
     const framework::Instant End = Now_.Monotonic_ + Time;
     while (Now_.Monotonic_ < End) {
       Now_.Monotonic_ += milliseconds(10);
+      Now_.Wall_ += milliseconds(10);
+      handOverDelayed();
       for (std::size_t At = 0; At < Fleets_.size(); ++At) {
         OutputList Output;
         const auto Watch = Waiting_.find(At);
--- a/src/fleet/types/recordnotice.h
+++ b/src/fleet/types/recordnotice.h
@@ -19,6 +19,10 @@
   framework::Revision AsOf_;
   /// Since the store said so.
   framework::Duration Age_{};
+  /// The time of day when the store said so to the instance that asked it.
+  /// Shows how long the word was under way at slow instances, as far as clocks
+  /// agree.
+  framework::WallTime AnsweredAt_{};
   std::vector<SharedRecord> Records_;
 
   friend bool operator==(const RecordNotice &, const RecordNotice &) = default;
--- a/src/fleet/types/recordpiece.h
+++ b/src/fleet/types/recordpiece.h
@@ -19,6 +19,10 @@
   framework::Revision AsOf_;
   /// Since the store told of the change.
   framework::Duration Age_{};
+  /// The time of day when the store said so to the instance that asked it.
+  /// Shows how long the word was under way at slow instances, as far as clocks
+  /// agree.
+  framework::WallTime AnsweredAt_{};
   std::string Key_;
   /// Of `Count_` parts, counted from zero.
   std::uint32_t Number_ = 0;
