--- a/src/fleet/tests/zonesharing_test.cpp
+++ b/src/fleet/tests/zonesharing_test.cpp
@@ -40,7 +40,7 @@
     SeenAt_[{From, Name.value()}] = Now_.Monotonic_;
     OwnProbeAt_[{From, Name.value()}] = Now_.Monotonic_;
     ++Probes_;
-    const std::string Zone = Zones[(From + 1) % Zones.size()];
+    const std::string &Zone = Zones[(From + 1) % Zones.size()];
     ProbesAbroad_ += Zone != zoneOfTarget(Target) ? 1U : 0U;
   }
 
