Block signals before the log's thread of cranberryd starts

The log's thread starts before SIGTERM is blocked, and the kernel may hand the signal to it. cranberryspool had the same and was mended before; this is its twin.

The proxy resets its links quietly when it ends.

--- a/experiments/proxy.py
+++ b/experiments/proxy.py
@@ -91,6 +91,8 @@
         try:
             await asyncio.gather(self._forward(link, reader, target, False),
                                  self._forward(link, target_reader, writer, True))
+        except asyncio.CancelledError:
+            link.reset()
         finally:
             self._links.discard(link)
             link.caller.close()
--- a/src/apps/cranberryd/main.cpp
+++ b/src/apps/cranberryd/main.cpp
@@ -61,9 +61,11 @@
 
 int run(entry::EntrySettings Settings) {
   std::signal(SIGPIPE, SIG_IGN);
+  // Before any thread starts: one that does not block SIGTERM would end the
+  // process on it at once.
+  const sigset_t Signals = blockStopSignals();
   framework::LogWriter Log(STDOUT_FILENO, Settings.Name_.value());
   Settings.Log_ = &Log;
-  const sigset_t Signals = blockStopSignals();
   entry::EntryInstance Instance(std::move(Settings));
   if (const auto Started = Instance.start(); !Started) {
     const entry::StartFailure &Failure = Started.error();
