Log whether an attempt waits for a connection or was sent

What was missing: `attempt-sent` was written when a target was chosen.

`attempt-waiting` now tells that a target was chosen and a connection is awaited, `attempt-sent` that the request was passed on, each with the attempts sent so far and the limit; `waited_ms` tells the wait. Attempts that find an idle connection write one line as before.

--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -25,27 +25,32 @@
                            .Connection_ = {},
                            .Kind_ = Kind,
                            .StartedAt_ = Context.now()});
-  reportStart(Context, Started);
   Core_.Targets_.recordSent(Target, Context.now());
   if (!Request.IsIdempotent_)
     ConnectionManager_.recordNonIdempotentRequest(Context, Target);
   connect(Context, Started);
 }
 
-void AttemptManager::reportStart(const EventContext &Context,
-                                 const calls::Attempt &Started) const {
+void AttemptManager::report(const EventContext &Context,
+                            const calls::Call &Call,
+                            const calls::Attempt &Reported) const {
   if (!Core_.Settings_.ReportsAttempts_)
     return;
-  const routing::TargetState &Target = Core_.Targets_.state(Started.Target_);
+  const routing::TargetState &Target = Core_.Targets_.state(Reported.Target_);
   ReportAttempt Report;
-  Report.Call_ = Started.Call_;
-  Report.Attempt_ = Started.Attempt_;
-  Report.Target_ = Core_.Environment_.targetName(Started.Target_);
+  Report.Call_ = Reported.Call_;
+  Report.Attempt_ = Reported.Attempt_;
+  Report.Target_ = Core_.Environment_.targetName(Reported.Target_);
   Report.Zone_ = Core_.Environment_.zoneName(Target.Description_.Zone_);
-  Report.Kind_ = Started.Kind_;
+  Report.Kind_ = Reported.Kind_;
+  Report.IsSent_ = Reported.State_ == calls::AttemptState::Sent;
+  Report.Waited_ = Context.now() - Reported.StartedAt_;
+  Report.SentAttempts_ = Call.SentAttempts_;
+  Report.MaxAttempts_ = Call.Request_.MaxAttempts_;
   Report.LastReport_ = Target.Report_;
-  Report.IsCold_ = Core_.Targets_.isCold(Started.Target_);
-  Report.InFlight_ = Target.InFlight_;
+  Report.IsCold_ = Core_.Targets_.isCold(Reported.Target_);
+  // The attempt itself is not counted.
+  Report.InFlight_ = Target.InFlight_ - 1;
   if (Target.ReportedAt_)
     Report.ReportAge_ = Context.now() - *Target.ReportedAt_;
   Context.Output_.push_back(std::move(Report));
@@ -63,6 +68,7 @@
     send(Context, *Core_.Calls_.findAttempt(Attempt.Attempt_), *Idle);
     return;
   }
+  report(Context, *Core_.Calls_.find(Attempt.Call_), Attempt);
   Core_.Connections_.addWaiter(Attempt.Target_, Attempt.Attempt_);
   if (Attempt.IsIdempotent_)
     ConnectionManager_.openForWaiters(Context, Attempt.Target_);
@@ -104,6 +110,7 @@
     ++Core_.Counters_.RetriesSent_;
   if (Attempt.Kind_ == calls::AttemptKind::Hedge)
     ++Core_.Counters_.HedgesSent_;
+  report(Context, Call, Attempt);
   scheduleHedge(Context, Call);
 }
 
--- a/src/decision/internal/attemptmanager.h
+++ b/src/decision/internal/attemptmanager.h
@@ -36,8 +36,8 @@
   void expireAbandoned(const EventContext &Context);
 
 private:
-  void reportStart(const EventContext &Context,
-                   const calls::Attempt &Started) const;
+  void report(const EventContext &Context, const calls::Call &Call,
+              const calls::Attempt &Reported) const;
   void connect(const EventContext &Context, const calls::Attempt &Attempt);
   void send(const EventContext &Context, calls::Attempt &Attempt,
             framework::ConnectionId Id);
--- a/src/decision/types/actions/reportattempt.h
+++ b/src/decision/types/actions/reportattempt.h
@@ -11,14 +11,22 @@
 
 namespace cranberryspool::decision {
 
-/// Log the start of an attempt together with the state of the target on which
-/// the choice was based.
+/// Log that an attempt was sent, or that it waits for a connection, together
+/// with the state of its target at that time.
 struct ReportAttempt {
   framework::CallId Call_;
   framework::AttemptId Attempt_;
   framework::TargetName Target_;
   framework::ZoneName Zone_;
   calls::AttemptKind Kind_ = calls::AttemptKind::First;
+  /// False while the attempt waits for a connection.
+  bool IsSent_ = false;
+  /// The time since the target was chosen.
+  framework::Duration Waited_{};
+  /// The attempts of the call that were sent, including this one if it was.
+  std::uint32_t SentAttempts_ = 0;
+  /// The maximum number of attempts of the call.
+  std::uint32_t MaxAttempts_ = 0;
   /// The last load report of the target.
   routing::LoadReport LastReport_;
   std::optional<framework::Duration> ReportAge_;
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -69,25 +69,32 @@
   Writer_->write(Line);
 }
 
-void DecisionLog::log(const decision::ReportAttempt &Sent,
+void DecisionLog::log(const decision::ReportAttempt &Report,
                       std::string_view RequestId) const {
   if (!Writer_ || !IsRequestLogEnabled_)
     return;
-  const bool IsFirst = Sent.Kind_ == calls::AttemptKind::First;
-  LogLine Line("attempt-sent",
-               IsFirst ? LogImportance::Routine : LogImportance::Significant);
+  const bool IsFirst = Report.Kind_ == calls::AttemptKind::First;
+  const auto Importance =
+      IsFirst ? LogImportance::Routine : LogImportance::Significant;
+  LogLine Line = Report.IsSent_ ? LogLine("attempt-sent", Importance)
+                                : LogLine("attempt-waiting", Importance);
   Line.text("request", RequestId);
-  Line.number("attempt", static_cast<std::int64_t>(Sent.Attempt_.value()));
-  Line.text("kind", nameOf(Sent.Kind_));
-  Line.text("target", Sent.Target_.value());
-  Line.text("zone", Sent.Zone_.value());
-  Line.number("in_flight", Sent.InFlight_);
-  Line.flag("cold", Sent.IsCold_);
-  if (Sent.ReportAge_) {
-    Line.millis("report_age_ms", *Sent.ReportAge_);
-    Line.number("running", Sent.LastReport_.InFlight_);
-    Line.number("queued", Sent.LastReport_.Queued_);
-    Line.number("slow_percent", Sent.LastReport_.SlowdownPercent_.value_or(0));
+  Line.number("attempt", static_cast<std::int64_t>(Report.Attempt_.value()));
+  Line.text("kind", nameOf(Report.Kind_));
+  Line.number("sent", Report.SentAttempts_);
+  Line.number("max_attempts", Report.MaxAttempts_);
+  if (Report.Waited_ > framework::Duration::zero())
+    Line.millis("waited_ms", Report.Waited_);
+  Line.text("target", Report.Target_.value());
+  Line.text("zone", Report.Zone_.value());
+  Line.number("in_flight", Report.InFlight_);
+  Line.flag("cold", Report.IsCold_);
+  if (Report.ReportAge_) {
+    Line.millis("report_age_ms", *Report.ReportAge_);
+    Line.number("running", Report.LastReport_.InFlight_);
+    Line.number("queued", Report.LastReport_.Queued_);
+    Line.number("slow_percent",
+                Report.LastReport_.SlowdownPercent_.value_or(0));
   }
   Writer_->write(Line);
 }
--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -28,7 +28,7 @@
   /// Logs a change of the view, whose version and age are read from `View`.
   void log(decision::ChangeKind Kind, const std::string &Subject,
            const decision::Core &View) const;
-  void log(const decision::ReportAttempt &Sent,
+  void log(const decision::ReportAttempt &Report,
            std::string_view RequestId) const;
   void log(const decision::ReportAttemptEnd &Ended,
            std::string_view RequestId) const;
