Reproduce attempts beyond the route's limit in tests that fail

The first test follows the record: an attempt is lost just before the hedge timer of its call, the retry waits 20 ms for a connection, the timer expires meanwhile. Today two more attempts are sent where one is left.

--- a/src/decision/tests/attemptlimit_test.cpp
+++ b/src/decision/tests/attemptlimit_test.cpp
@@ -1,13 +1,22 @@
 #include "decision/tests/storefixture.h"
 
+#include "framework/random.h"
+
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+#include <set>
+
 using namespace cranberryspool;
 using namespace cranberryspool::decision;
 using std::chrono::milliseconds;
 
 namespace {
 
+/// The attempts that the fixture's routes allow.
+constexpr std::size_t MaxAttempts = 2;
+
 /// Returns a fixture whose targets are warm and whose next connections open
 /// slowly.
 StoreFixture makeWarmFixture(framework::Duration ConnectTime,
@@ -20,6 +29,49 @@
   return Fixture;
 }
 
+/// Plays calls whose attempts are answered, fail or stay unanswered at random.
+/// Returns the number of calls with more than `MaxAttempts` attempts, not
+/// counting attempts of which nothing was written.
+std::size_t countCallsBeyondLimit(std::uint64_t Seed, std::uint64_t Calls) {
+  framework::Random Rng(Seed);
+  StoreFixture Fixture = makeWarmFixture(milliseconds(1 + Rng.index(60)));
+  std::map<framework::CallId, std::set<framework::AttemptId>> Reached;
+  std::vector<SendAttempt> Open;
+  const auto Collect = [&](const ActionList &Actions) {
+    for (const auto &Sent : StoreFixture::actionsOf<SendAttempt>(Actions)) {
+      Reached[Sent.Call_].insert(Sent.Attempt_);
+      Open.push_back(Sent);
+    }
+  };
+  for (std::uint64_t Id = 1; Id <= Calls; ++Id) {
+    Collect(Fixture.sendCall(Id, "/a/x"));
+    for (int Step = 0; Step < 6; ++Step) {
+      Collect(Fixture.pass(milliseconds(Rng.index(40))));
+      if (Open.empty() || Rng.fraction() < 0.4)
+        continue;
+      const std::size_t Position = Rng.index(Open.size());
+      const SendAttempt Sent = Open[Position];
+      Open.erase(Open.begin() + static_cast<std::ptrdiff_t>(Position));
+      if (Rng.fraction() < 0.5) {
+        const bool IsFailure = Rng.fraction() < 0.5;
+        Collect(Fixture.deliver(
+            StoreFixture::makeAnswer(Sent, IsFailure ? 500 : 200)));
+        continue;
+      }
+      AttemptFailed Failed = StoreFixture::makeReset(Sent);
+      if (Rng.fraction() < 0.3) {
+        Failed.Written_ = calls::WriteState::NothingWritten;
+        Reached[Sent.Call_].erase(Sent.Attempt_);
+      }
+      Collect(Fixture.deliver(Failed));
+    }
+  }
+  return static_cast<std::size_t>(
+      std::count_if(Reached.begin(), Reached.end(), [](const auto &Entry) {
+        return Entry.second.size() > MaxAttempts;
+      }));
+}
+
 } // namespace
 
 TEST_CASE("an attempt that waits for a connection is reported as waiting, and "
@@ -42,3 +94,32 @@
   CHECK(Reports[0].SentAttempts_ == 1);
   CHECK(Reports[0].Waited_ >= milliseconds(20));
 }
+
+TEST_CASE("a hedge is not sent beyond the route's attempts while a retry waits "
+          "for its connection",
+          "[attempts][!shouldfail]") {
+  StoreFixture Fixture = makeWarmFixture(milliseconds(20));
+  const auto First =
+      StoreFixture::actionsOf<SendAttempt>(Fixture.sendCall(1, "/a/x"));
+  const auto Delayed =
+      StoreFixture::actionsOf<SendAttempt>(Fixture.pass(milliseconds(20)));
+  REQUIRE(First.empty());
+  REQUIRE(Delayed.size() == 1);
+  // The hedge timer expires 90 ms after the first attempt was sent.
+  Fixture.pass(milliseconds(75));
+  Fixture.deliver(StoreFixture::makeReset(Delayed[0]));
+  const auto Later =
+      StoreFixture::actionsOf<SendAttempt>(Fixture.pass(milliseconds(100)));
+  CHECK(Later.size() == 1);
+}
+
+TEST_CASE("no order of failures, answers and slow connections sends a call to "
+          "more targets than its route allows",
+          "[attempts][!shouldfail]") {
+  constexpr std::uint64_t Seeds = 200;
+  constexpr std::uint64_t CallsPerSeed = 40;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    INFO("seed " << Seed);
+    CHECK(countCallsBeyondLimit(Seed, CallsPerSeed) == 0);
+  }
+}
