--- a/src/decision/tests/attemptlimit_test.cpp
+++ b/src/decision/tests/attemptlimit_test.cpp
@@ -17,14 +17,21 @@
 /// The attempts that the fixture's routes allow.
 constexpr std::size_t MaxAttempts = 2;
 
-/// Returns a fixture whose targets are warm and whose next connections open
-/// slowly.
+/// Returns a fixture with warm targets, a retry budget and no idle connections.
 StoreFixture makeWarmFixture(framework::Duration ConnectTime,
                              CoreSettings Settings = StoreFixture::settings()) {
   StoreFixture Fixture(std::move(Settings));
   // In its first second an instance probes each target only once.
   Fixture.pass(milliseconds(1'100));
   Fixture.answerProbes(framework::TargetId(99), 100);
+  // Calls enlarge the retry budget. Their connections are not kept.
+  for (std::uint64_t Id = 1001; Id <= 1010; ++Id)
+    for (const auto &Sent :
+         StoreFixture::actionsOf<SendAttempt>(Fixture.sendCall(Id, "/a/x"))) {
+      AttemptAnswered Answer = StoreFixture::makeAnswer(Sent);
+      Answer.IsReusable_ = false;
+      Fixture.deliver(Answer);
+    }
   Fixture.ConnectTime_ = ConnectTime;
   return Fixture;
 }
