Read the request limits that targets name, and log them

The limit is read from responses to requests and to probes, travels with the load reports that instances share, and is logged when it begins, changes or ends (`target-limited`, `target-limit-lifted`); attempts at a limited target tell it in `attempt-sent`. A response to a request that was run and names no limit ends it; one to a probe leaves it open. Numbers that are negative, not finite or garbled are ignored. Nothing else uses the limit yet: no decision changes.

Load reports between instances have one field more; an instance of the build before does not understand those of this one, and the other way round, while both run. Membership and records are not affected.

--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -22,6 +22,10 @@
     return "target-warm";
   case ChangeKind::TargetLeaving:
     return "target-leaving";
+  case ChangeKind::TargetLimited:
+    return "target-limited";
+  case ChangeKind::TargetLimitLifted:
+    return "target-limit-lifted";
   case ChangeKind::ZoneOut:
     return "zone-out";
   case ChangeKind::ZoneIn:
--- a/src/decision/internal/targetobserver.cpp
+++ b/src/decision/internal/targetobserver.cpp
@@ -14,6 +14,10 @@
     return ChangeKind::TargetCold;
   case routing::TargetChangeKind::TurnedWarm:
     return ChangeKind::TargetWarm;
+  case routing::TargetChangeKind::Limited:
+    return ChangeKind::TargetLimited;
+  case routing::TargetChangeKind::LimitLifted:
+    return ChangeKind::TargetLimitLifted;
   case routing::TargetChangeKind::Draining:
     break;
   }
@@ -48,8 +52,10 @@
       Core_.EjectedTargets_.insert(Change.Target_);
     if (Change.Kind_ == routing::TargetChangeKind::Restored)
       Core_.EjectedTargets_.erase(Change.Target_);
-    Context.Output_.push_back(
-        ReportChange{changeKindOf(Change.Kind_), Name.value()});
+    ReportChange Report{changeKindOf(Change.Kind_), Name.value()};
+    if (Change.Kind_ == routing::TargetChangeKind::Limited)
+      Report.RequestLimit_ = Core_.Targets_.state(Change.Target_).RequestLimit_;
+    Context.Output_.push_back(std::move(Report));
   }
 }
 
--- a/src/decision/internal/transporteventhandler.cpp
+++ b/src/decision/internal/transporteventhandler.cpp
@@ -153,6 +153,9 @@
   Core_.SilenceDetector_.recordAnswered(Attempt, Elapsed);
   Observer_.recordObservation(Context, Attempt.Target_, Input.StartId_,
                               Input.Report_);
+  if (Input.RequestLimit_)
+    Core_.Targets_.recordRequestLimit(Attempt.Target_, *Input.RequestLimit_,
+                                      Context.now());
   if (resultOf(Input) == routing::AttemptResult::Answered)
     Core_.ServiceStats_.latency(Attempt.RequestKind_).record(Elapsed);
 }
--- a/src/decision/types/actions/reportchange.h
+++ b/src/decision/types/actions/reportchange.h
@@ -3,6 +3,9 @@
 
 #include "decision/types/changekind.h"
 
+#include "routing/types/requestrate.h"
+
+#include <optional>
 #include <string>
 
 namespace cranberryspool::decision {
@@ -13,6 +16,8 @@
   /// The name of the affected target, zone, service or instance, or the
   /// revision.
   std::string Subject_;
+  /// The new limit of a target that limits its requests.
+  std::optional<routing::RequestRate> RequestLimit_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -14,6 +14,8 @@
   TargetCold,
   TargetWarm,
   TargetLeaving,
+  TargetLimited,
+  TargetLimitLifted,
   ZoneOut,
   ZoneIn,
   PeerJoined,
--- a/src/decision/types/events/attemptanswered.h
+++ b/src/decision/types/events/attemptanswered.h
@@ -24,6 +24,9 @@
   std::optional<framework::Incarnation> StartId_;
   /// False if the connection cannot carry another request.
   bool IsReusable_ = true;
+  /// The rate that the target accepts from all instances together, unlimited
+  /// when it names none. Absent when the answer leaves that open.
+  std::optional<routing::RequestRate> RequestLimit_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -9,7 +9,6 @@
 
 namespace cranberryspool::entry {
 
-using decision::ChangeKind;
 using framework::LogImportance;
 using framework::LogLine;
 
@@ -59,12 +58,14 @@
 
 } // namespace
 
-void DecisionLog::log(ChangeKind Kind, const std::string &Subject,
+void DecisionLog::log(const decision::ReportChange &Change,
                       const decision::Core &View) const {
   if (!Writer_)
     return;
-  LogLine Line(decision::nameOf(Kind), LogImportance::Significant);
-  Line.text("subject", Subject);
+  LogLine Line(decision::nameOf(Change.Kind_), LogImportance::Significant);
+  Line.text("subject", Change.Subject_);
+  if (Change.RequestLimit_)
+    Line.number("limit_millihertz", Change.RequestLimit_->Millihertz_);
   addView(Line, View);
   Writer_->write(Line);
 }
@@ -89,6 +90,8 @@
   Line.text("zone", Report.Zone_.value());
   Line.number("in_flight", Report.InFlight_);
   Line.flag("cold", Report.IsCold_);
+  if (!Report.RequestLimit_.isUnlimited())
+    Line.number("limit_millihertz", Report.RequestLimit_.Millihertz_);
   if (Report.ReportAge_) {
     Line.millis("report_age_ms", *Report.ReportAge_);
     Line.number("running", Report.LastReport_.InFlight_);
--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -26,7 +26,7 @@
       : Writer_(Writer), IsRequestLogEnabled_(IsRequestLogEnabled) {}
 
   /// Logs a change of the view, whose version and age are read from `View`.
-  void log(decision::ChangeKind Kind, const std::string &Subject,
+  void log(const decision::ReportChange &Change,
            const decision::Core &View) const;
   void log(const decision::ReportAttempt &Report,
            std::string_view RequestId) const;
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -232,7 +232,7 @@
 }
 
 void Dispatcher::execute(const decision::ReportChange &Action) {
-  Log_.log(Action.Kind_, Action.Subject_, Core_);
+  Log_.log(Action, Core_);
   if (Action.Kind_ != decision::ChangeKind::DocumentInForce)
     return;
   const document::EnvironmentDocument *Document = Core_.document();
--- a/src/entry/internal/fieldtext.cpp
+++ b/src/entry/internal/fieldtext.cpp
@@ -1,6 +1,8 @@
 #include "entry/internal/fieldtext.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace cranberryspool::entry {
 
@@ -36,6 +38,19 @@
   return Count;
 }
 
+std::optional<routing::RequestRate> parseRequestRate(std::string_view Text) {
+  double PerSecond = 0;
+  const char *Last = Text.data() + Text.size();
+  const auto [End, Code] = std::from_chars(Text.data(), Last, PerSecond);
+  if (Code != std::errc() || End != Last || !std::isfinite(PerSecond) ||
+      std::signbit(PerSecond))
+    return std::nullopt;
+  constexpr double MaxMillihertz =
+      routing::RequestRate::unlimited().Millihertz_ - 1;
+  return routing::RequestRate{static_cast<std::uint32_t>(
+      std::min(std::floor(PerSecond * 1000), MaxMillihertz))};
+}
+
 std::vector<std::string_view> splitList(std::string_view Text) {
   std::vector<std::string_view> Items;
   while (true) {
--- a/src/entry/internal/fieldtext.h
+++ b/src/entry/internal/fieldtext.h
@@ -1,6 +1,8 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_FIELDTEXT_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_FIELDTEXT_H
 
+#include "routing/types/requestrate.h"
+
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -19,6 +21,11 @@
 /// text.
 std::optional<std::uint64_t> parseUnsigned(std::string_view Text);
 
+/// Parses a decimal number of requests per second; returns nothing for negative
+/// or non-finite numbers and for other text. Rates are rounded down, and very
+/// large ones are cut to the maximum of `RequestRate`.
+std::optional<routing::RequestRate> parseRequestRate(std::string_view Text);
+
 /// Splits a comma-separated list into trimmed items.
 std::vector<std::string_view> splitList(std::string_view Text);
 
--- a/src/entry/internal/probeconnection.cpp
+++ b/src/entry/internal/probeconnection.cpp
@@ -73,6 +73,7 @@
   decision::ProbeAnswered Event;
   Event.Probe_ = Command_->Probe_;
   Event.Report_ = *Report;
+  Event.Report_.RequestLimit_ = Metadata.RequestLimit_;
   if (!Profile.WarmupField_.empty())
     Event.Report_.WarmupLeft_ =
         std::chrono::milliseconds(Metadata.WarmupMs_.value_or(0));
--- a/src/entry/internal/responsefields.cpp
+++ b/src/entry/internal/responsefields.cpp
@@ -73,6 +73,8 @@
       Metadata.IsEncoded_ = true;
     else if (IsNamed(Profile.WarmupField_))
       Metadata.WarmupMs_ = parseUnsigned(Value);
+    else if (IsNamed(Profile.RequestLimitField_))
+      Metadata.RequestLimit_ = parseRequestRate(Value);
   }
   return Metadata;
 }
--- a/src/entry/tests/callfields_test.cpp
+++ b/src/entry/tests/callfields_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/defaulthttpprofile.h"
 #include "entry/internal/callfields.h"
+#include "entry/internal/fieldtext.h"
 
 #include <catch2/catch.hpp>
 
@@ -81,3 +82,18 @@
   CHECK(ForwardedResponseFields ==
         std::vector<HeaderField>{{"Content-Type", "text/plain"}});
 }
+
+TEST_CASE("a request limit is a decimal number of requests per second",
+          "[entry]") {
+  CHECK(parseRequestRate("2.2") == routing::RequestRate{2'200});
+  CHECK(parseRequestRate("0") == routing::RequestRate{0});
+  CHECK(parseRequestRate("0.0259") == routing::RequestRate{25});
+  CHECK_FALSE(parseRequestRate("1e300")->isUnlimited());
+}
+
+TEST_CASE("an invalid request limit is ignored", "[entry]") {
+  const char *Value =
+      GENERATE("", "-1", "-0", "nan", "inf", "2.2/s", "2,2", "many", " ");
+  CAPTURE(Value);
+  CHECK_FALSE(parseRequestRate(Value));
+}
--- a/src/entry/types/httpprofile.h
+++ b/src/entry/types/httpprofile.h
@@ -51,6 +51,9 @@
       ReadLoadReport_;
   /// From targets to probes: the warm-up time left, in milliseconds.
   std::string WarmupField_;
+  /// From targets: the requests per second that the target accepts from all
+  /// instances together, as a decimal number.
+  std::string RequestLimitField_;
   /// The path of probes when the document names none.
   std::string ProbePath_;
   /// True when a probe's response carries the load report in a header field
--- a/src/entry/types/responsemetadata.h
+++ b/src/entry/types/responsemetadata.h
@@ -20,6 +20,8 @@
   std::optional<framework::Incarnation> StartId_;
   std::optional<routing::LoadReport> Report_;
   std::optional<std::uint64_t> WarmupMs_;
+  /// The rate that the target accepts from all instances together.
+  std::optional<routing::RequestRate> RequestLimit_;
   /// True when the signature field is present, which only a target sets.
   bool HasSignature_ = false;
   /// True when the body has a content coding, which no request asks for.
--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -130,6 +130,11 @@
   Visit(Item.IsStopping_);
 }
 
+template <typename Visitor>
+void visitFields(routing::RequestRate &Item, Visitor &&Visit) {
+  Visit(Item.Millihertz_);
+}
+
 template <typename Visitor>
 void visitFields(routing::LoadReport &Item, Visitor &&Visit) {
   Visit(Item.InFlight_);
@@ -139,6 +144,7 @@
   Visit(Item.IsDraining_);
   Visit(Item.SlowdownPercent_);
   Visit(Item.WarmupLeft_);
+  Visit(Item.RequestLimit_);
 }
 
 template <typename Visitor>
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -279,6 +279,8 @@
   }
   if (Report.WarmupLeft_)
     setWarmupLeft(Target, *Report.WarmupLeft_, Now);
+  if (Report.RequestLimit_)
+    recordRequestLimit(Target, *Report.RequestLimit_, Now);
   if (Report.IsDraining_ && !Entry.IsDraining_)
     Changes_.push_back({Target, TargetChangeKind::Draining});
   Entry.IsDraining_ = Report.IsDraining_;
@@ -291,6 +293,17 @@
   updateEligibility(Target, Now);
 }
 
+void TargetRegistry::recordRequestLimit(TargetId Target, RequestRate Limit,
+                                        Instant) {
+  if (Target.value() >= States_.size() ||
+      States_[Target.value()].RequestLimit_ == Limit)
+    return;
+  States_[Target.value()].RequestLimit_ = Limit;
+  Changes_.push_back({Target, Limit.isUnlimited()
+                                  ? TargetChangeKind::LimitLifted
+                                  : TargetChangeKind::Limited});
+}
+
 bool TargetRegistry::recordStartId(TargetId Target, Incarnation Start,
                                    Instant Now) {
   if (Target.value() >= Records_.size())
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -33,6 +33,8 @@
                    framework::Duration Elapsed, framework::Instant Now);
   void recordReport(framework::TargetId Target, const LoadReport &Report,
                     framework::Instant Now);
+  void recordRequestLimit(framework::TargetId Target, RequestRate Limit,
+                          framework::Instant Now);
   /// Records a probe without a response.
   void recordProbeFailure(framework::TargetId Target, framework::Instant Now);
   /// Records the start id of a response or a probe. Returns true when it shows
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -64,6 +64,13 @@
     Registry_.recordReport(Target, Report, Now);
   }
 
+  /// Records the rate that the target accepts from all instances together,
+  /// unlimited when it names none.
+  void recordRequestLimit(framework::TargetId Target, RequestRate Limit,
+                          framework::Instant Now) {
+    Registry_.recordRequestLimit(Target, Limit, Now);
+  }
+
   /// Records a probe without a response. After two in a row, or after an
   /// attempt for which no connection could be opened, the target is not
   /// selected until it reports again or a time has passed.
--- a/src/routing/types/loadreport.h
+++ b/src/routing/types/loadreport.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_ROUTING_TYPES_LOADREPORT_H
 
 #include "framework/time.h"
+#include "routing/types/requestrate.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,6 +22,10 @@
   std::optional<std::uint32_t> SlowdownPercent_ = std::nullopt;
   /// How long the target stays cold. Absent when the target does not report it.
   std::optional<framework::Duration> WarmupLeft_ = std::nullopt;
+  /// The rate that the target accepts from all instances together, unlimited
+  /// when it names none. Absent when the response leaves that open, as those of
+  /// probes may.
+  std::optional<RequestRate> RequestLimit_ = std::nullopt;
 
   friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/src/routing/types/targetchange.h
+++ b/src/routing/types/targetchange.h
@@ -15,6 +15,9 @@
   TurnedWarm,
   /// The target reported that it is draining.
   Draining,
+  /// The target started to limit its requests, or changed the limit.
+  Limited,
+  LimitLifted,
 };
 
 /// A change of a target's state, for the log and for other instances.
