Reproduce a target's limit that is exceeded in a test that fails

The test runs 13 whole cores, 14 targets and random callers in virtual time; one target starts to name its limit.

--- /dev/null
+++ b/src/decision/tests/limitedfleet.cpp
@@ -0,0 +1,246 @@
+#include "decision/tests/limitedfleet.h"
+
+#include "document/types/environmentdocument.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace cranberryspool::decision {
+
+namespace {
+
+using framework::Duration;
+using framework::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration OneWay = milliseconds(1);
+constexpr Duration TimeToTell = milliseconds(500);
+constexpr std::uint32_t Slots = 3;
+
+std::string addressOf(std::size_t Instance) {
+  return "127.0.0.1:" + std::to_string(7'000 + Instance);
+}
+
+std::string targetKey(std::size_t Target) {
+  return "t-" + std::to_string(Target);
+}
+
+std::size_t targetOf(const std::string &Name) {
+  return std::stoul(Name.substr(2));
+}
+
+fleet::PublishedItem decode(const std::string &Key, const std::string &) {
+  if (Key == "c") {
+    auto Document = std::make_shared<document::EnvironmentDocument>();
+    document::Service Service;
+    Service.Name_ = framework::ServiceName("s");
+    Service.ConnectionsPerTarget_ = 1'000;
+    Document->Services_.push_back(Service);
+    document::Route Route;
+    Route.Host_ = "h.example";
+    Route.Timeout_ = milliseconds(1'500);
+    Route.LatencyObjective_ = milliseconds(300);
+    Route.MaxAttempts_ = 2;
+    Route.Name_ = framework::KindName("look-up");
+    Route.PathPrefix_ = "/a/";
+    Route.IsIdempotent_ = true;
+    Route.WeightedServices_ = {{framework::ServiceName("s"), 1}};
+    Document->Routes_.push_back(Route);
+    return fleet::PublishedConfiguration{1, std::move(Document)};
+  }
+  fleet::PublishedTarget Target;
+  Target.Name_ = framework::TargetName(Key);
+  Target.Service_ = framework::ServiceName("s");
+  Target.Zone_ = framework::ZoneName("a");
+  Target.Address_ = "127.0.0.2:" + std::to_string(8'000 + targetOf(Key));
+  Target.Slots_ = Slots;
+  Target.WarmupLeft_ = Duration{};
+  return Target;
+}
+
+} // namespace
+
+LimitedFleet::LimitedFleet(LimitedFleetSettings Settings)
+    : Settings_(Settings), Rng_(Settings.Seed_),
+      Starts_(Settings.Instances_, 0),
+      NextTicks_(Settings.Instances_, Now_.Monotonic_),
+      NextCallAt_(Now_.Monotonic_ + seconds(3)),
+      ActiveInstances_(Settings.Instances_) {
+  for (std::size_t Index = 0; Index < Settings.Instances_; ++Index)
+    Cores_.push_back(makeCore(Index));
+  for (std::size_t Index = 0; Index < Settings.Instances_; ++Index)
+    deliver(Index, Tick{});
+}
+
+Core LimitedFleet::makeCore(std::size_t Instance) {
+  CoreSettings Core;
+  Core.Self_ = framework::InstanceName("entry-" + std::to_string(Instance));
+  Core.Incarnation_ = framework::Incarnation(1 + Starts_[Instance]);
+  Core.Zone_ = framework::ZoneName("a");
+  Core.PeerAddress_ = addressOf(Instance);
+  Core.Seeds_ = fleet::SeedSettings{.Addresses_ = {addressOf(0), addressOf(1)},
+                                    .Decode_ = decode,
+                                    .Bounds_ = {}};
+  Core.Seeds_->Bounds_.RetryRatio_ = 0.2;
+  Core.Seeds_->Bounds_.RetrySlack_ = 56;
+  return decision::Core(std::move(Core), framework::Random(Rng_.bits()));
+}
+
+void LimitedFleet::restart(std::size_t Instance) {
+  ++Starts_[Instance];
+  Cores_[Instance] = makeCore(Instance);
+  std::erase_if(ToldAt_,
+                [&](const auto &Each) { return Each.first.first == Instance; });
+  deliver(Instance, Tick{});
+}
+
+void LimitedFleet::deliver(std::size_t Instance, const Event &Input) {
+  ActionList Output;
+  Cores_[Instance].handle(Now_, Input, Output);
+  NextTicks_[Instance] = Cores_[Instance].nextWakeUp();
+  for (const Action &Each : Output)
+    std::visit([&](const auto &Kind) { handle(Instance, Kind); }, Each);
+}
+
+void LimitedFleet::schedule(std::size_t Instance, Duration Delay, Event Input,
+                            std::optional<std::size_t> Teller) {
+  Pending_.push(Pending{Now_.Monotonic_ + Delay, ++LastOrder_, Instance,
+                        Starts_[Instance], std::move(Input), Teller});
+}
+
+void LimitedFleet::run(Duration Time) {
+  const Instant End = Now_.Monotonic_ + Time;
+  while (Now_.Monotonic_ < End) {
+    Now_.Monotonic_ += milliseconds(1);
+    Now_.Wall_ += milliseconds(1);
+    startCalls();
+    while (!Pending_.empty() && Pending_.top().At_ <= Now_.Monotonic_) {
+      const Pending Due = Pending_.top();
+      Pending_.pop();
+      if (Due.Start_ != Starts_[Due.Instance_])
+        continue;
+      if (Due.Teller_)
+        ToldAt_.try_emplace({Due.Instance_, *Due.Teller_}, Now_.Monotonic_);
+      deliver(Due.Instance_, Due.Event_);
+    }
+    for (std::size_t Index = 0; Index < Cores_.size(); ++Index)
+      if (NextTicks_[Index] <= Now_.Monotonic_)
+        deliver(Index, Tick{});
+  }
+}
+
+void LimitedFleet::startCalls() {
+  while (NextCallAt_ <= Now_.Monotonic_) {
+    CallArrived Arrived;
+    Arrived.Call_ = framework::CallId(++LastCall_);
+    Arrived.Method_ = "GET";
+    Arrived.Host_ = "h.example";
+    Arrived.Path_ = "/a/x";
+    Arrived.Timeout_ = milliseconds(1'500);
+    NextCallAt_ += Duration(static_cast<std::int64_t>(
+        Rng_.exponential(1e6 / Settings_.CallsPerSecond_)));
+    deliver(Rng_.index(ActiveInstances_), Arrived);
+  }
+}
+
+routing::LoadReport LimitedFleet::makeReport(std::size_t Target) const {
+  routing::LoadReport Report;
+  Report.Slots_ = Slots;
+  Report.SlowdownPercent_ = 100;
+  if (isLimited(Target))
+    Report.RequestLimit_ = routing::RequestRate{
+        static_cast<std::uint32_t>(Settings_.LimitPerSecond_ * 1'000)};
+  return Report;
+}
+
+void LimitedFleet::handle(std::size_t Instance, const ReadRecords &Request) {
+  if (Request.After_) {
+    schedule(Instance, std::max<Duration>(Request.Wait_, OneWay),
+             RecordsChanged{{}, framework::Revision(5)});
+    return;
+  }
+  RecordsRead Read;
+  Read.AsOf_ = framework::Revision(5);
+  Read.Records_.push_back({"c", "", framework::Revision(5), false});
+  for (std::size_t Target = 0; Target < Settings_.Targets_; ++Target)
+    Read.Records_.push_back(
+        {targetKey(Target), "", framework::Revision(5), false});
+  schedule(Instance, OneWay, Read);
+}
+
+void LimitedFleet::handle(std::size_t Instance, const OpenConnection &Request) {
+  ConnectionOpened Opened;
+  Opened.Connection_ = Request.Connection_;
+  schedule(Instance, 2 * OneWay, Opened);
+}
+
+void LimitedFleet::handle(std::size_t Instance, const SendAttempt &Request) {
+  const std::size_t Target = targetOf(Request.TargetName_.value());
+  const auto Told = ToldAt_.find({Instance, Target});
+  const bool IsTold =
+      Told != ToldAt_.end() && Told->second + TimeToTell <= Now_.Monotonic_;
+  Arrivals_.push_back({Now_.Monotonic_ + OneWay, Target, IsTold});
+  AttemptAnswered Answer;
+  Answer.Attempt_ = Request.Attempt_;
+  Answer.Connection_ = Request.Connection_;
+  Answer.EchoedAttempt_ = Request.Attempt_;
+  Answer.Status_ = 200;
+  Answer.Report_ = makeReport(Target);
+  if (!Answer.Report_->RequestLimit_)
+    Answer.Report_->RequestLimit_ = routing::RequestRate::unlimited();
+  Answer.RequestLimit_ = Answer.Report_->RequestLimit_;
+  schedule(Instance, Settings_.WorkTime_ + 2 * OneWay, Answer,
+           isLimited(Target) ? std::optional(Target) : std::nullopt);
+}
+
+void LimitedFleet::handle(std::size_t Instance, const ProbeTarget &Request) {
+  const std::size_t Target = targetOf(Request.TargetName_.value());
+  ProbeAnswered Answer;
+  Answer.Probe_ = Request.Probe_;
+  Answer.Report_ = makeReport(Target);
+  Answer.Report_.WarmupLeft_ = Duration{};
+  if (!Settings_.IsNamedToProbes_)
+    Answer.Report_.RequestLimit_.reset();
+  schedule(Instance, 2 * OneWay, Answer);
+}
+
+void LimitedFleet::handle(std::size_t, const SendPeerMessage &Message) {
+  for (std::size_t Index = 0; Index < Cores_.size(); ++Index)
+    if (addressOf(Index) == Message.PeerAddress_)
+      schedule(Index, OneWay, PeerMessageReceived{Message.Message_});
+}
+
+void LimitedFleet::handle(std::size_t, const RefuseCall &) { ++Refused_; }
+
+void LimitedFleet::handle(std::size_t, const AnswerCall &) { ++Answered_; }
+
+std::size_t LimitedFleet::mostRequests(Duration Window, Instant From) const {
+  std::size_t Most = 0;
+  for (std::size_t Target = 0; Target < Settings_.LimitedTargets_; ++Target) {
+    std::vector<Instant> Told;
+    for (const Arrival &Each : Arrivals_)
+      if (Each.Target_ == Target && Each.IsTold_ && Each.At_ >= From)
+        Told.push_back(Each.At_);
+    std::sort(Told.begin(), Told.end());
+    std::size_t First = 0;
+    for (std::size_t Last = 0; Last < Told.size(); ++Last) {
+      while (Told[Last] - Told[First] > Window)
+        ++First;
+      Most = std::max(Most, Last - First + 1);
+    }
+  }
+  return Most;
+}
+
+double LimitedFleet::meanRate(Duration Last) const {
+  const auto Count =
+      std::count_if(Arrivals_.begin(), Arrivals_.end(), [&](const auto &Each) {
+        return Each.Target_ < Settings_.LimitedTargets_ &&
+               Each.At_ > Now_.Monotonic_ - Last;
+      });
+  return static_cast<double>(Count) /
+         std::chrono::duration<double>(Last).count();
+}
+
+} // namespace cranberryspool::decision
--- /dev/null
+++ b/src/decision/tests/limitedfleet.h
@@ -0,0 +1,123 @@
+#ifndef CRANBERRYSPOOL_DECISION_TESTS_LIMITEDFLEET_H
+#define CRANBERRYSPOOL_DECISION_TESTS_LIMITEDFLEET_H
+
+#include "decision/core.h"
+#include "framework/random.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberryspool::decision {
+
+/// The parameters of a `LimitedFleet`.
+struct LimitedFleetSettings {
+  std::size_t Instances_ = 13;
+  std::size_t Targets_ = 14;
+  /// The calls per second to all instances together.
+  double CallsPerSecond_ = 58;
+  /// The number of targets that name a limit, and the limit.
+  std::size_t LimitedTargets_ = 1;
+  double LimitPerSecond_ = 2.2;
+  framework::Duration WorkTime_ = std::chrono::milliseconds(120);
+  /// True when targets name their limit in responses to probes as well.
+  bool IsNamedToProbes_ = true;
+  std::uint64_t Seed_ = 1;
+};
+
+/// Several cores with a metadata store, targets and callers in virtual time.
+/// Peer messages, connections and answers take a millisecond each way. Some
+/// targets start to name a request limit at a given time.
+class LimitedFleet {
+public:
+  explicit LimitedFleet(LimitedFleetSettings Settings);
+
+  /// Advances the virtual time, with calls arriving at random instances.
+  void run(framework::Duration Time);
+  /// Lets the limited targets name their limit from now on.
+  void startLimit() { LimitedSince_ = Now_.Monotonic_; }
+  /// Lets them name none from now on.
+  void endLimit() { LimitedSince_.reset(); }
+  /// Replaces an instance by one that has just started and knows nothing.
+  void restart(std::size_t Instance);
+  /// Directs the calls to the given number of instances.
+  void setActiveInstances(std::size_t Count) { ActiveInstances_ = Count; }
+
+  /// Returns the requests at the limited target that got most of them in any
+  /// `Window` since `From`, out of those from instances that its limit had
+  /// reached half a second before.
+  std::size_t mostRequests(framework::Duration Window,
+                           framework::Instant From) const;
+  /// Returns the requests per second at the limited targets, on average, in the
+  /// given time until now.
+  double meanRate(framework::Duration Last) const;
+  std::size_t answeredCalls() const { return Answered_; }
+  std::size_t refusedCalls() const { return Refused_; }
+  framework::Instant now() const { return Now_.Monotonic_; }
+
+private:
+  struct Arrival {
+    framework::Instant At_;
+    std::size_t Target_;
+    bool IsTold_;
+  };
+  struct Pending {
+    framework::Instant At_;
+    std::uint64_t Order_;
+    std::size_t Instance_;
+    std::uint32_t Start_;
+    Event Event_;
+    /// The limited target that names its limit with this event.
+    std::optional<std::size_t> Teller_;
+
+    bool operator<(const Pending &Other) const {
+      return At_ != Other.At_ ? At_ > Other.At_ : Order_ > Other.Order_;
+    }
+  };
+
+  Core makeCore(std::size_t Instance);
+  void deliver(std::size_t Instance, const Event &Input);
+  void schedule(std::size_t Instance, framework::Duration Delay, Event Input,
+                std::optional<std::size_t> Teller = std::nullopt);
+  void handle(std::size_t Instance, const ReadRecords &Request);
+  void handle(std::size_t Instance, const OpenConnection &Request);
+  void handle(std::size_t Instance, const SendAttempt &Request);
+  void handle(std::size_t Instance, const ProbeTarget &Request);
+  void handle(std::size_t Instance, const SendPeerMessage &Message);
+  void handle(std::size_t Instance, const RefuseCall &Ended);
+  void handle(std::size_t Instance, const AnswerCall &Ended);
+  template <typename Other> void handle(std::size_t, const Other &) {}
+  void startCalls();
+  bool isLimited(std::size_t Target) const {
+    return LimitedSince_ && Target < Settings_.LimitedTargets_;
+  }
+  routing::LoadReport makeReport(std::size_t Target) const;
+
+  LimitedFleetSettings Settings_;
+  framework::Random Rng_;
+  framework::Moment Now_{framework::Instant(std::chrono::seconds(100)),
+                         framework::WallTime(std::chrono::seconds(1'000'000))};
+  std::vector<Core> Cores_;
+  /// The number of times that each instance has been started.
+  std::vector<std::uint32_t> Starts_;
+  std::vector<framework::Instant> NextTicks_;
+  std::priority_queue<Pending> Pending_;
+  std::uint64_t LastOrder_ = 0;
+  std::uint64_t LastCall_ = 0;
+  framework::Instant NextCallAt_{};
+  std::size_t ActiveInstances_;
+  std::optional<framework::Instant> LimitedSince_;
+  /// When the limit of a target first reached an instance.
+  std::map<std::pair<std::size_t, std::size_t>, framework::Instant> ToldAt_;
+  std::vector<Arrival> Arrivals_;
+  std::size_t Answered_ = 0;
+  std::size_t Refused_ = 0;
+};
+
+} // namespace cranberryspool::decision
+
+#endif // CRANBERRYSPOOL_DECISION_TESTS_LIMITEDFLEET_H
