Make the limiter of cold targets a token bucket with a settable burst

A target's own request limit needs the same bucket as its cold rate, with a burst that depends on the share.

--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -179,8 +179,8 @@
   State.IsUntried_ = false;
   State.recordSent(Now);
   if (isCold(Target) && State.Limits_.ColdRequestsPerSecond_)
-    Records_[Target.value()].ColdRateLimiter_.acquire(
-        *State.Limits_.ColdRequestsPerSecond_, Now);
+    Records_[Target.value()].ColdBucket_.acquire(
+        {*State.Limits_.ColdRequestsPerSecond_}, Now);
   State.SentTimeSum_ += microsSinceEpoch(Now);
   updateEligibility(Target, Now);
 }
@@ -366,10 +366,9 @@
   }
   Entry.ColdUntil_ = Now + Left;
   scheduleTimer(Entry.ColdUntil_, Target);
-  if (Entry.WarmupState_ == WarmupState::Cold &&
-      Entry.ColdRateLimiter_.hasStarted())
+  if (Entry.WarmupState_ == WarmupState::Cold && Entry.ColdBucket_.hasStarted())
     return;
-  Entry.ColdRateLimiter_.start(Now);
+  Entry.ColdBucket_.start(Now);
   setCold(Target, Now);
 }
 
@@ -454,7 +453,7 @@
   const auto &ColdRate = States_[Target.value()].Limits_.ColdRequestsPerSecond_;
   if (!IsEligible && Entry.IsListed_ && isCold(Entry) && ColdRate &&
       *ColdRate > 0)
-    if (const auto At = Entry.ColdRateLimiter_.nextAvailability(*ColdRate, Now))
+    if (const auto At = Entry.ColdBucket_.nextAvailability({*ColdRate}, Now))
       scheduleTimer(*At, Target);
   if (WasEligible == IsEligible)
     return;
@@ -485,7 +484,7 @@
     return State.InFlight_ < Limit;
   if (const auto &Rate = State.Limits_.ColdRequestsPerSecond_)
     return *Rate > 0 && State.InFlight_ < Limit &&
-           Entry.ColdRateLimiter_.canAcquire(*Rate, Now);
+           Entry.ColdBucket_.canAcquire({*Rate}, Now);
   Limit = std::min(Limit, State.Limits_.MaxColdInFlight_);
   return State.InFlight_ + Entry.PossiblyRunning_ < Limit;
 }
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -2,8 +2,8 @@
 #define CRANBERRYSPOOL_ROUTING_INTERNAL_TARGETREGISTRY_H
 
 #include "routing/candidates.h"
-#include "routing/internal/coldratelimiter.h"
 #include "routing/internal/targethealth.h"
+#include "routing/internal/tokenbucket.h"
 #include "routing/types/targetchange.h"
 #include "routing/types/targetstate.h"
 
@@ -88,7 +88,7 @@
     std::uint32_t ConsecutiveProbeFailures_ = 0;
     /// The end of a cold start whose length the target has reported.
     framework::Instant ColdUntil_{};
-    ColdRateLimiter ColdRateLimiter_;
+    TokenBucket ColdBucket_;
     /// The number of attempts at a cold target that ended without a response
     /// and may still run there. It is reset at `PossiblyRunningUntil_`.
     std::uint32_t PossiblyRunning_ = 0;
