Reproduce retries that exceed their window because they wait

Found when the cause of attempts beyond the route's limit was looked for elsewhere: the fleet-wide limit on repeats is charged when a repeat is granted, but the platform counts it when it arrives. A repeat that waits for a connection or for a target leaves the instance's window before it is sent, and its place is granted again: 12 retries are sent within a second where 11 are allowed.

--- a/src/decision/tests/attemptlimit_test.cpp
+++ b/src/decision/tests/attemptlimit_test.cpp
@@ -10,7 +10,9 @@
 
 using namespace cranberryspool;
 using namespace cranberryspool::decision;
+using framework::Duration;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -18,7 +20,7 @@
 constexpr std::size_t MaxAttempts = 2;
 
 /// Returns a fixture with warm targets, a retry budget and no idle connections.
-StoreFixture makeWarmFixture(framework::Duration ConnectTime,
+StoreFixture makeWarmFixture(Duration ConnectTime,
                              CoreSettings Settings = StoreFixture::settings()) {
   StoreFixture Fixture(std::move(Settings));
   // In its first second an instance probes each target only once.
@@ -130,3 +132,36 @@
     CHECK(countCallsBeyondLimit(Seed, CallsPerSeed) == 0);
   }
 }
+
+TEST_CASE(
+    "retries that were granted earlier and sent later count in the window "
+    "in which they are sent",
+    "[attempts][!shouldfail]") {
+  constexpr std::uint64_t CallsPerWindow = 10;
+  CoreSettings Settings = StoreFixture::settings();
+  Settings.Seeds_->Bounds_.RetryRatio_ = 1;
+  Settings.Seeds_->Bounds_.RetrySlack_ = 1;
+  Settings.Seeds_->Bounds_.RetryWindow_ = seconds(1);
+  StoreFixture Fixture = makeWarmFixture(milliseconds(1), std::move(Settings));
+  Fixture.pass(seconds(2));
+  std::uint64_t LastCall = 0;
+  // Starts a window's calls and loses all their first attempts. Returns the
+  // number of retries that are sent in the given time.
+  const auto CountRetries = [&](Duration ConnectTime, Duration Time) {
+    std::vector<SendAttempt> First;
+    Fixture.ConnectTime_ = milliseconds(1);
+    for (std::uint64_t Index = 0; Index < CallsPerWindow; ++Index)
+      for (const auto &Sent : StoreFixture::actionsOf<SendAttempt>(
+               Fixture.sendCall(++LastCall, "/a/x")))
+        First.push_back(Sent);
+    Fixture.ConnectTime_ = ConnectTime;
+    for (const SendAttempt &Sent : First)
+      Fixture.deliver(StoreFixture::makeReset(Sent));
+    return StoreFixture::actionsOf<SendAttempt>(Fixture.pass(Time)).size();
+  };
+  // The first retries are sent less than a second before the last ones.
+  const auto Early = CountRetries(milliseconds(290), milliseconds(1'000));
+  const auto Late = CountRetries(milliseconds(1), milliseconds(100));
+  CHECK(Early > 0);
+  CHECK(Early + Late <= CallsPerWindow + 1);
+}
