Split the selection of targets out of the file of the registry

Timers, eligibility and queries move to targetselection.cpp; the class and its behaviour are the same.

--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -17,10 +17,6 @@
 /// time.
 constexpr double MaxEjectedFraction = 0.34;
 constexpr double LatencyWeight = 0.2;
-/// A target that has just reported this many queued requests per slot is not
-/// selected: further ones would be late, or dropped when its queue is full.
-constexpr double MaxQueuedPerSlot = 1.5;
-constexpr Duration QueueReportLifetime = std::chrono::milliseconds(200);
 /// How long a target that cannot be connected to is not selected unless it
 /// reports. Probes usually detect sooner that it can be reached again.
 constexpr Duration UnreachablePeriod = seconds(1);
@@ -28,13 +24,10 @@
 constexpr std::uint32_t ProbeFailuresToUnreachable = 2;
 constexpr double ServiceLatencyWeight = 0.02;
 constexpr double SlowdownWeight = 0.05;
-/// Short, because targets change their speed many times a second.
-constexpr Duration SlowdownReportLifetime = std::chrono::milliseconds(300);
 /// A cold start is inferred from this many responses in a row, each slower than
 /// the service's average by this ratio, while the target reports no queue.
 constexpr std::uint32_t SlowAnswersToInferColdStart = 6;
 constexpr double ColdStartLatencyRatio = 6;
-constexpr Duration MinReportAgeToProbe = seconds(1);
 /// How long a cold target may continue a request after its connection is
 /// closed.
 constexpr Duration MaxRunAfterDisconnect = seconds(2);
@@ -435,171 +428,4 @@
   State.SentSincePeerUpdate_ = 0;
 }
 
-void TargetRegistry::advance(Instant Now) {
-  LatestTime_ = std::max(LatestTime_, Now);
-  while (!Timers_.empty() && Timers_.top().At_ <= Now) {
-    const TargetId Target = Timers_.top().Target_;
-    Timers_.pop();
-    handleTimer(Target, Now);
-  }
-}
-
-void TargetRegistry::handleTimer(TargetId Target, Instant Now) {
-  Record &Entry = Records_[Target.value()];
-  const TargetState &State = States_[Target.value()];
-  if (Entry.Health_.isEjected() && !Entry.Health_.isBlocked(Now)) {
-    Entry.Health_.restore(Now);
-    --serviceOf(Target).EjectedCount_;
-    Changes_.push_back({Target, TargetChangeKind::Restored});
-  }
-  if (Now >= Entry.PossiblyRunningUntil_)
-    Entry.PossiblyRunning_ = 0;
-  if (RequestLimits_.expire(Target, Now))
-    Changes_.push_back({Target, TargetChangeKind::LimitLifted});
-  const bool MayReceiveAttempts =
-      Entry.IsListed_ && !State.Description_.IsLeaving_;
-  if (reportsWarmup(Target)) {
-    if (isCold(Entry) && Now >= Entry.ColdUntil_)
-      setWarm(Target);
-  } else if (isCold(Entry) && MayReceiveAttempts &&
-             Now >= Entry.ColdSince_ + State.Limits_.WarmupDuration_) {
-    if (State.Report_.IsCold_ && State.ReportedAt_ >= Entry.ColdSince_)
-      setCold(Target, Now);
-    else
-      setWarm(Target);
-  }
-  updateEligibility(Target, Now);
-}
-
-Instant TargetRegistry::nextWakeUp() const {
-  return Timers_.empty() ? Instant::max() : Timers_.top().At_;
-}
-
-void TargetRegistry::scheduleTimer(Instant At, TargetId Target) {
-  Timers_.push({At, Target});
-}
-
-void TargetRegistry::updateEligibility(TargetId Target, Instant Now) {
-  Record &Entry = Records_[Target.value()];
-  auto &Eligible = serviceOf(Target).Eligible_;
-  const bool WasEligible = Entry.EligibleIndex_ != NotEligible;
-  const bool IsEligible = isEligible(Target, Now);
-  const auto &ColdRate = States_[Target.value()].Limits_.ColdRequestsPerSecond_;
-  if (!IsEligible && Entry.IsListed_ && isCold(Entry) && ColdRate &&
-      *ColdRate > 0)
-    if (const auto At = Entry.ColdBucket_.nextAvailability({*ColdRate}, Now))
-      scheduleTimer(*At, Target);
-  if (!IsEligible && Entry.IsListed_)
-    if (const auto At = RequestLimits_.of(Target).nextWakeUp(Now))
-      scheduleTimer(*At, Target);
-  if (WasEligible == IsEligible)
-    return;
-  if (IsEligible) {
-    Entry.EligibleIndex_ = static_cast<std::uint32_t>(Eligible.size());
-    Eligible.push_back(Target);
-    return;
-  }
-  Records_[Eligible.back().value()].EligibleIndex_ = Entry.EligibleIndex_;
-  Eligible[Entry.EligibleIndex_] = Eligible.back();
-  Eligible.pop_back();
-  Entry.EligibleIndex_ = NotEligible;
-}
-
-bool TargetRegistry::isEligible(TargetId Target, Instant Now) const {
-  const Record &Entry = Records_[Target.value()];
-  const TargetState &State = States_[Target.value()];
-  if (!Entry.IsListed_ || State.Description_.IsLeaving_ || Entry.IsDraining_)
-    return false;
-  if (Entry.Health_.isEjected() || Entry.Health_.isBlocked(Now))
-    return false;
-  if (Now < Entry.UnreachableUntil_ || isQueueFull(State, Now))
-    return false;
-  if (!RequestLimits_.of(Target).canSend(Now))
-    return false;
-  std::uint32_t Limit =
-      std::min(Entry.Health_.inFlightLimit(State.Description_.Slots_),
-               State.Limits_.MaxConnections_);
-  if (!isCold(Entry))
-    return State.InFlight_ < Limit;
-  if (const auto &Rate = State.Limits_.ColdRequestsPerSecond_)
-    return *Rate > 0 && State.InFlight_ < Limit &&
-           Entry.ColdBucket_.canAcquire({*Rate}, Now);
-  Limit = std::min(Limit, State.Limits_.MaxColdInFlight_);
-  return State.InFlight_ + Entry.PossiblyRunning_ < Limit;
-}
-
-bool TargetRegistry::isQueueFull(const TargetState &State, Instant Now) {
-  if (!State.ReportedAt_ || Now - *State.ReportedAt_ >= QueueReportLifetime)
-    return false;
-  // Only targets that report their slowdown are known to report in time.
-  return State.Report_.SlowdownPercent_ &&
-         State.Report_.Queued_ >= MaxQueuedPerSlot * State.Description_.Slots_;
-}
-
-bool TargetRegistry::isKnown(TargetId Target) const {
-  return Target.value() < Records_.size() && Records_[Target.value()].IsListed_;
-}
-
-bool TargetRegistry::isCold(TargetId Target) const {
-  return Target.value() < Records_.size() && isCold(Records_[Target.value()]);
-}
-
-double TargetRegistry::slowdown(TargetId Target, Instant Now) const {
-  if (Target.value() >= States_.size())
-    return 1;
-  const TargetState &State = States_[Target.value()];
-  const bool IsFresh =
-      State.ReportedAt_ && Now - *State.ReportedAt_ < SlowdownReportLifetime;
-  if (!IsFresh || !State.Report_.SlowdownPercent_)
-    return 1;
-  return *State.Report_.SlowdownPercent_ / 100.0;
-}
-
-std::uint32_t TargetRegistry::inFlight(TargetId Target) const {
-  return Target.value() < States_.size() ? States_[Target.value()].InFlight_
-                                         : 0;
-}
-
-const TargetState &TargetRegistry::state(TargetId Target) const {
-  return States_.at(Target.value());
-}
-
-Candidates TargetRegistry::candidates(const SelectionRequest &Request,
-                                      Instant Now) const {
-  static const std::vector<TargetId> None;
-  const auto Service = Request.Service_.value();
-  if (Service >= Services_.size())
-    return {States_, None, Request, 0, 1, Now};
-  const ServiceState &Group = Services_[Service];
-  return {States_,         Group.Eligible_,
-          Request,         Group.LatencyMicros_,
-          Group.Slowdown_, Now};
-}
-
-void TargetRegistry::probeCandidates(std::size_t Max, Instant Now,
-                                     std::vector<TargetId> &Output) const {
-  std::vector<std::pair<Instant, TargetId>> Stale;
-  for (std::uint32_t Index = 0; Index < Records_.size(); ++Index) {
-    const TargetState &State = States_[Index];
-    const Instant ReportedAt = State.ReportedAt_.value_or(Instant{});
-    const bool IsFresh =
-        State.ReportedAt_ && Now - ReportedAt < MinReportAgeToProbe;
-    if (!Records_[Index].IsListed_ || State.Description_.IsLeaving_ || IsFresh)
-      continue;
-    Stale.emplace_back(ReportedAt, TargetId(Index));
-  }
-  const auto Count = std::min(Max, Stale.size());
-  std::partial_sort(Stale.begin(), Stale.begin() + Count, Stale.end());
-  for (std::size_t Index = 0; Index < Count; ++Index)
-    Output.push_back(Stale[Index].second);
-}
-
-std::vector<TargetChange> TargetRegistry::takeChanges() {
-  return std::exchange(Changes_, {});
-}
-
-TargetRegistry::ServiceState &TargetRegistry::serviceOf(TargetId Target) {
-  return Services_[States_[Target.value()].Description_.Service_.value()];
-}
-
 } // namespace cranberryspool::routing
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -80,6 +80,9 @@
 
 private:
   static constexpr std::uint32_t NotEligible = ~0U;
+  /// How long a report of a full queue counts.
+  static constexpr framework::Duration QueueReportLifetime =
+      std::chrono::milliseconds(200);
 
   enum class WarmupState { Unknown, Cold, Warm };
 
