--- a/src/fleet/internal/fleetstate.cpp
+++ b/src/fleet/internal/fleetstate.cpp
@@ -4,7 +4,6 @@
 #include "fleet/internal/timing.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace cranberryspool::fleet {
@@ -421,14 +420,16 @@
 routing::SenderRank
 FleetState::senderRank(const framework::TargetName &Target) const {
   const auto &Members = Instances_.members();
-  const auto IsRunning = [](const document::PublishedInstance &Each) {
-    return !Each.IsLeaving_;
-  };
-  const std::uint32_t Rank = rendezvousRank(
-      Target.value(), Settings_.Self_.value(),
-      Members | std::views::filter(IsRunning) |
-          std::views::transform(&document::PublishedInstance::Name_));
-  return {Rank, std::max(1U, static_cast<std::uint32_t>(Members.size()))};
+  const std::uint64_t Own =
+      rendezvousWeight(Target.value(), Settings_.Self_.value());
+  const auto HigherRanked = std::count_if(
+      Members.begin(), Members.end(),
+      [&](const document::PublishedInstance &Each) {
+        return !Each.IsLeaving_ &&
+               rendezvousWeight(Target.value(), Each.Name_.value()) > Own;
+      });
+  return {static_cast<std::uint32_t>(HigherRanked),
+          std::max(1U, static_cast<std::uint32_t>(Members.size()))};
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/rendezvous.h
+++ b/src/fleet/internal/rendezvous.h
@@ -4,7 +4,6 @@
 #include "document/types/publishedinstance.h"
 
 #include <cstdint>
-#include <ranges>
 #include <string_view>
 #include <vector>
 
@@ -16,18 +15,6 @@
 std::uint64_t rendezvousWeight(std::string_view Subject,
                                std::string_view Member);
 
-/// Returns the number of members whose weight for the subject is above that of
-/// `Self`.
-template <std::ranges::input_range Names>
-std::uint32_t rendezvousRank(std::string_view Subject, std::string_view Self,
-                             Names &&Members) {
-  const std::uint64_t Own = rendezvousWeight(Subject, Self);
-  std::uint32_t Rank = 0;
-  for (const framework::InstanceName &Name : Members)
-    Rank += rendezvousWeight(Subject, Name.value()) > Own ? 1U : 0U;
-  return Rank;
-}
-
 /// Returns the owner of a subject among the members that are not leaving, or
 /// null if there is none.
 const document::PublishedInstance *
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -3,7 +3,6 @@
 #include "fleet/internal/rendezvous.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace cranberryspool::fleet {
 
@@ -256,14 +255,17 @@
                         Instant Now) const {
   if (!isDiscoveryComplete(Now))
     return std::nullopt;
-  const auto IsRunning = [](const auto &Each) {
-    return !Each.second.IsLost_ && !Each.second.IsStopping_;
-  };
-  const std::uint32_t Rank = rendezvousRank(
-      Target.value(), Membership_.self().Name_.value(),
-      Membership_.members() | std::views::filter(IsRunning) | std::views::keys);
+  const std::uint64_t Own =
+      rendezvousWeight(Target.value(), Membership_.self().Name_.value());
+  const auto HigherRanked = std::count_if(
+      Membership_.members().begin(), Membership_.members().end(),
+      [&](const auto &Each) {
+        return !Each.second.IsLost_ && !Each.second.IsStopping_ &&
+               rendezvousWeight(Target.value(), Each.first.value()) > Own;
+      });
   return routing::SenderRank{
-      Rank, static_cast<std::uint32_t>(Membership_.knownCount())};
+      static_cast<std::uint32_t>(HigherRanked),
+      static_cast<std::uint32_t>(Membership_.knownCount())};
 }
 
 EventContext SeededFleet::makeContext(framework::Moment Now,
