Keep a target's limit when a response states one that cannot be read

Found on reading the change of request limits: a negative or garbled value was taken for no limit at all, so that it lifted the one that held. Now it leaves open what holds.

--- a/src/entry/internal/responsefields.cpp
+++ b/src/entry/internal/responsefields.cpp
@@ -73,10 +73,21 @@
       Metadata.IsEncoded_ = true;
     else if (IsNamed(Profile.WarmupField_))
       Metadata.WarmupMs_ = parseUnsigned(Value);
-    else if (IsNamed(Profile.RequestLimitField_))
+    else if (IsNamed(Profile.RequestLimitField_)) {
       Metadata.RequestLimit_ = parseRequestRate(Value);
+      Metadata.IsRequestLimitInvalid_ = !Metadata.RequestLimit_;
+    }
   }
   return Metadata;
 }
 
+std::optional<routing::RequestRate>
+statedRequestLimit(const ResponseMetadata &Metadata,
+                   const HttpProfile &Profile) {
+  if (Metadata.RequestLimit_ || Metadata.IsRequestLimitInvalid_ ||
+      Profile.RequestLimitField_.empty())
+    return Metadata.RequestLimit_;
+  return routing::RequestRate::unlimited();
+}
+
 } // namespace cranberryspool::entry
--- a/src/entry/internal/responsefields.h
+++ b/src/entry/internal/responsefields.h
@@ -23,6 +23,12 @@
 ResponseMetadata readResponseFields(const std::vector<HeaderField> &Fields,
                                     const HttpProfile &Profile);
 
+/// Returns the request limit that a response to an executed request states:
+/// unlimited when it names none, nothing when that cannot be told.
+std::optional<routing::RequestRate>
+statedRequestLimit(const ResponseMetadata &Metadata,
+                   const HttpProfile &Profile);
+
 } // namespace cranberryspool::entry
 
 #endif // CRANBERRYSPOOL_ENTRY_INTERNAL_RESPONSEFIELDS_H
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -278,7 +278,8 @@
     Event.EchoedAttempt_ = echoedAttempt(*Metadata.AttemptId_);
   Event.IsNotRun_ = Metadata.IsNotRun_ || isMisdirected(Response->Status_);
   Event.StartId_ = Metadata.StartId_;
-  Event.RequestLimit_ = statedRequestLimit(Metadata, Event.IsNotRun_);
+  if (!Event.IsNotRun_ || Metadata.RequestLimit_)
+    Event.RequestLimit_ = statedRequestLimit(Metadata, Profile);
   Event.Report_ = Metadata.Report_;
   if (Event.Report_)
     Event.Report_->RequestLimit_ = Event.RequestLimit_;
@@ -308,18 +309,6 @@
   return !Metadata.HasSignature_ || Metadata.IsEncoded_;
 }
 
-/// Returns the limit that a response names. A response to a request that was
-/// run tells by naming none that there is none.
-std::optional<routing::RequestRate>
-TargetConnection::statedRequestLimit(const ResponseMetadata &Metadata,
-                                     bool IsNotRun) const {
-  const bool IsFieldUsed =
-      !Pool_.state().HttpProfile_.RequestLimitField_.empty();
-  if (Metadata.RequestLimit_ || IsNotRun || !IsFieldUsed)
-    return Metadata.RequestLimit_;
-  return routing::RequestRate::unlimited();
-}
-
 bool TargetConnection::isMisdirected(unsigned Status) const {
   const unsigned MisdirectedStatus =
       Pool_.state().HttpProfile_.MisdirectedStatus_;
--- a/src/entry/internal/targetconnection.h
+++ b/src/entry/internal/targetconnection.h
@@ -58,8 +58,6 @@
   std::string attemptIdText() const;
   framework::AttemptId echoedAttempt(const std::string &EchoedId) const;
   bool isUnverified(const ResponseMetadata &Metadata, unsigned Status) const;
-  std::optional<routing::RequestRate>
-  statedRequestLimit(const ResponseMetadata &Metadata, bool IsNotRun) const;
   bool isMisdirected(unsigned Status) const;
   void writeRequest();
   void onWritten(const boost::system::error_code &Error, std::size_t Bytes);
--- a/src/entry/types/responsemetadata.h
+++ b/src/entry/types/responsemetadata.h
@@ -22,6 +22,8 @@
   std::optional<std::uint64_t> WarmupMs_;
   /// The rate that the target accepts from all instances together.
   std::optional<routing::RequestRate> RequestLimit_;
+  /// True when the field of the limit is present but cannot be read.
+  bool IsRequestLimitInvalid_ = false;
   /// True when the signature field is present, which only a target sets.
   bool HasSignature_ = false;
   /// True when the body has a content coding, which no request asks for.
