--- a/src/decision/corestatus.h
+++ b/src/decision/corestatus.h
@@ -32,6 +32,8 @@
   /// calls.
   std::size_t Attempts_ = 0;
   std::vector<TargetStatus> Targets_;
+  /// The number of targets that limit their requests.
+  std::size_t LimitedTargets_ = 0;
   std::vector<QueueStatus> Queues_;
   std::vector<PeerStatus> Peers_;
 };
--- a/src/decision/internal/statuscollector.cpp
+++ b/src/decision/internal/statuscollector.cpp
@@ -13,6 +13,7 @@
   Status.Calls_ = Core_.Calls_.calls().size();
   Status.Attempts_ = Core_.Calls_.attempts().size();
   Status.Targets_ = targets();
+  Status.LimitedTargets_ = Core_.Targets_.limitedTargetCount();
   Status.Queues_ = queues();
   Status.Peers_ = peers();
   return Status;
--- a/src/decision/tests/limitedfleet.cpp
+++ b/src/decision/tests/limitedfleet.cpp
@@ -15,7 +15,8 @@
 using std::chrono::seconds;
 
 constexpr Duration OneWay = milliseconds(1);
-constexpr Duration TimeToTell = milliseconds(500);
+/// An instance is bound by a limit this long after it has learned of it.
+constexpr Duration GracePeriod = milliseconds(500);
 constexpr std::uint32_t Slots = 3;
 
 std::string addressOf(std::size_t Instance) {
@@ -90,7 +91,7 @@
 void LimitedFleet::restart(std::size_t Instance) {
   ++Starts_[Instance];
   Cores_[Instance] = makeCore(Instance);
-  std::erase_if(ToldAt_,
+  std::erase_if(LearnedAt_,
                 [&](const auto &Each) { return Each.first.first == Instance; });
   LimitedAt_[Instance].clear();
   deliver(Instance, Tick{});
@@ -105,9 +106,9 @@
 }
 
 void LimitedFleet::schedule(std::size_t Instance, Duration Delay, Event Input,
-                            std::optional<std::size_t> Teller) {
+                            std::optional<std::size_t> StatingTarget) {
   Pending_.push(Pending{Now_.Monotonic_ + Delay, ++LastOrder_, Instance,
-                        Starts_[Instance], std::move(Input), Teller});
+                        Starts_[Instance], std::move(Input), StatingTarget});
 }
 
 void LimitedFleet::run(Duration Time) {
@@ -121,8 +122,9 @@
       Pending_.pop();
       if (Due.Start_ != Starts_[Due.Instance_])
         continue;
-      if (Due.Teller_)
-        ToldAt_.try_emplace({Due.Instance_, *Due.Teller_}, Now_.Monotonic_);
+      if (Due.StatingTarget_)
+        LearnedAt_.try_emplace({Due.Instance_, *Due.StatingTarget_},
+                               Now_.Monotonic_);
       deliver(Due.Instance_, Due.Event_);
     }
     for (std::size_t Index = 0; Index < Cores_.size(); ++Index)
@@ -178,10 +180,10 @@
 
 void LimitedFleet::handle(std::size_t Instance, const SendAttempt &Request) {
   const std::size_t Target = targetOf(Request.TargetName_.value());
-  const auto Told = ToldAt_.find({Instance, Target});
-  const bool IsTold =
-      Told != ToldAt_.end() && Told->second + TimeToTell <= Now_.Monotonic_;
-  Arrivals_.push_back({Now_.Monotonic_ + OneWay, Target, IsTold});
+  const auto Learned = LearnedAt_.find({Instance, Target});
+  const bool KnowsLimit = Learned != LearnedAt_.end() &&
+                          Learned->second + GracePeriod <= Now_.Monotonic_;
+  Arrivals_.push_back({Now_.Monotonic_ + OneWay, Target, KnowsLimit});
   AttemptAnswered Answer;
   Answer.Attempt_ = Request.Attempt_;
   Answer.Connection_ = Request.Connection_;
@@ -232,14 +234,14 @@
 std::size_t LimitedFleet::mostRequests(Duration Window, Instant From) const {
   std::size_t Most = 0;
   for (std::size_t Target = 0; Target < Settings_.LimitedTargets_; ++Target) {
-    std::vector<Instant> Told;
+    std::vector<Instant> Counted;
     for (const Arrival &Each : Arrivals_)
-      if (Each.Target_ == Target && Each.IsTold_ && Each.At_ >= From)
-        Told.push_back(Each.At_);
-    std::sort(Told.begin(), Told.end());
+      if (Each.Target_ == Target && Each.KnowsLimit_ && Each.At_ >= From)
+        Counted.push_back(Each.At_);
+    std::sort(Counted.begin(), Counted.end());
     std::size_t First = 0;
-    for (std::size_t Last = 0; Last < Told.size(); ++Last) {
-      while (Told[Last] - Told[First] > Window)
+    for (std::size_t Last = 0; Last < Counted.size(); ++Last) {
+      while (Counted[Last] - Counted[First] > Window)
         ++First;
       Most = std::max(Most, Last - First + 1);
     }
--- a/src/decision/tests/limitedfleet.h
+++ b/src/decision/tests/limitedfleet.h
@@ -47,9 +47,9 @@
   /// Directs the calls to the given number of instances.
   void setActiveInstances(std::size_t Count) { ActiveInstances_ = Count; }
 
-  /// Returns the requests at the limited target that got most of them in any
-  /// `Window` since `From`, out of those from instances that its limit had
-  /// reached half a second before.
+  /// Returns the largest number of requests that a limited target got in any
+  /// `Window` since `From`. Only requests of instances that had learned of the
+  /// limit half a second before count.
   std::size_t mostRequests(framework::Duration Window,
                            framework::Instant From) const;
   /// Returns the requests per second at the limited targets, on average, in the
@@ -65,7 +65,7 @@
   struct Arrival {
     framework::Instant At_;
     std::size_t Target_;
-    bool IsTold_;
+    bool KnowsLimit_;
   };
   struct Pending {
     framework::Instant At_;
@@ -73,8 +73,8 @@
     std::size_t Instance_;
     std::uint32_t Start_;
     Event Event_;
-    /// The limited target that names its limit with this event.
-    std::optional<std::size_t> Teller_;
+    /// The target whose limit the instance learns with this event.
+    std::optional<std::size_t> StatingTarget_;
 
     bool operator<(const Pending &Other) const {
       return At_ != Other.At_ ? At_ > Other.At_ : Order_ > Other.Order_;
@@ -84,7 +84,7 @@
   Core makeCore(std::size_t Instance);
   void deliver(std::size_t Instance, const Event &Input);
   void schedule(std::size_t Instance, framework::Duration Delay, Event Input,
-                std::optional<std::size_t> Teller = std::nullopt);
+                std::optional<std::size_t> StatingTarget = std::nullopt);
   void handle(std::size_t Instance, const ReadRecords &Request);
   void handle(std::size_t Instance, const OpenConnection &Request);
   void handle(std::size_t Instance, const SendAttempt &Request);
@@ -115,7 +115,7 @@
   std::size_t ActiveInstances_;
   std::optional<framework::Instant> LimitedSince_;
   /// When the limit of a target first reached an instance.
-  std::map<std::pair<std::size_t, std::size_t>, framework::Instant> ToldAt_;
+  std::map<std::pair<std::size_t, std::size_t>, framework::Instant> LearnedAt_;
   /// The targets that each instance holds to a limit.
   std::vector<std::set<std::string>> LimitedAt_;
   std::vector<Arrival> Arrivals_;
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -154,6 +154,9 @@
            static_cast<double>(Status.FleetSize_));
   AddGauge("cranberryspool_log_lines_dropped", "Log lines dropped so far",
            static_cast<double>(Usage.LogLinesDropped_));
+  AddGauge("cranberryspool_targets_limited",
+           "Targets that limit the requests of all instances",
+           static_cast<double>(Status.LimitedTargets_));
   AddGauge("cranberryspool_peers_heard", "Peers heard lately",
            static_cast<double>(ReachablePeers));
   AddGauge("cranberryspool_calls_open", "Calls that have not ended",
--- a/src/fleet/tests/zonesharing_test.cpp
+++ b/src/fleet/tests/zonesharing_test.cpp
@@ -137,7 +137,7 @@
   const auto Answerer = GENERATE(std::size_t{0}, std::size_t{7});
   SeededSimulation Fleet(30, Zones, Targets);
   Fleet.pass(seconds(3));
-  const auto CountTold = [&](routing::RequestRate Limit) {
+  const auto CountInformed = [&](routing::RequestRate Limit) {
     Fleet.ReceivedLoads_.clear();
     // The answers of a second; reports of answers carry no warm-up time.
     for (int Answer = 0; Answer < 5; ++Answer) {
@@ -147,12 +147,12 @@
                                             Fleet.Now_.Monotonic_);
       Fleet.pass(milliseconds(200));
     }
-    std::set<std::size_t> Told;
+    std::set<std::size_t> Informed;
     for (const auto &[Instance, Load] : Fleet.ReceivedLoads_)
       if (Load.Report_.RequestLimit_ == Limit)
-        Told.insert(Instance);
-    return Told.size();
+        Informed.insert(Instance);
+    return Informed.size();
   };
-  CHECK(CountTold(routing::RequestRate{2'200}) == 29);
-  CHECK(CountTold(routing::RequestRate::unlimited()) == 29);
+  CHECK(CountInformed(routing::RequestRate{2'200}) == 29);
+  CHECK(CountInformed(routing::RequestRate::unlimited()) == 29);
 }
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -58,6 +58,9 @@
   bool isKnown(framework::TargetId Target) const;
   bool isCold(framework::TargetId Target) const;
   RequestRate requestLimit(framework::TargetId Target) const;
+  std::size_t limitedTargetCount() const {
+    return RequestLimits_.limited().size();
+  }
   /// Returns an eligible target of the service whose request limit is to be
   /// confirmed by sending a request to it.
   std::optional<framework::TargetId>
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -80,6 +80,11 @@
     Registry_.setSenderRank(Target, Rank);
   }
 
+  /// Returns the number of targets that limit their requests.
+  std::size_t limitedTargetCount() const {
+    return Registry_.limitedTargetCount();
+  }
+
   /// Returns the rate that the target accepts from all instances together.
   RequestRate requestLimit(framework::TargetId Target) const {
     return Registry_.requestLimit(Target);
--- a/src/routing/tests/requestlimiter_test.cpp
+++ b/src/routing/tests/requestlimiter_test.cpp
@@ -1,4 +1,6 @@
 #include "routing/internal/requestlimiter.h"
+#include "routing/policies/randompolicy.h"
+#include "routing/targettable.h"
 
 #include <catch2/catch.hpp>
 
@@ -102,3 +104,22 @@
                              return Right - Left < milliseconds(900);
                            }) == LiftedAt.end());
 }
+
+TEST_CASE("a target that has started again is not held to its earlier limit",
+          "[limit]") {
+  TargetTable<RandomPolicy> Table(ZoneId(0), RandomPolicy(), Random(7));
+  TargetDescription Target;
+  Target.Slots_ = 6;
+  Target.Start_ = Incarnation(1);
+  Target.WarmupLeft_ = Duration{};
+  Table.setTargets({Target}, at({}));
+  TargetLimits Limits;
+  Limits.MaxConnections_ = 50;
+  Table.setLimits(TargetId(0), Limits);
+  REQUIRE(Table.choose({ServiceId(0)}, at(seconds(1))));
+  Table.recordRequestLimit(TargetId(0), perSecond(0), at(seconds(1)));
+  CHECK_FALSE(Table.choose({ServiceId(0)}, at(seconds(2))));
+  Target.Start_ = Incarnation(2);
+  Table.setTargets({Target}, at(seconds(3)));
+  CHECK(Table.choose({ServiceId(0)}, at(seconds(3))));
+}
