Split the random calls of the attempt limit test into short functions

The simulation was one function of forty lines. "Stray" instances are called misranked in the test of request limits.

--- a/src/decision/tests/attemptlimit_test.cpp
+++ b/src/decision/tests/attemptlimit_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <vector>
 
 using namespace cranberryspool;
 using namespace cranberryspool::decision;
@@ -43,47 +44,68 @@
 }
 
 /// Plays calls whose attempts are answered, fail or stay unanswered at random.
-/// Returns the number of calls with more than `MaxAttempts` attempts, not
-/// counting attempts of which nothing was written.
-std::size_t countCallsBeyondLimit(std::uint64_t Seed, std::uint64_t Calls) {
-  framework::Random Rng(Seed);
-  StoreFixture Fixture = makeWarmFixture(milliseconds(1 + Rng.index(60)));
-  std::map<framework::CallId, std::set<framework::AttemptId>> Reached;
-  std::vector<SendAttempt> Open;
-  const auto Collect = [&](const ActionList &Actions) {
-    for (const auto &Sent : StoreFixture::actionsOf<SendAttempt>(Actions)) {
-      Reached[Sent.Call_].insert(Sent.Attempt_);
-      Open.push_back(Sent);
-    }
-  };
-  for (std::uint64_t Id = 1; Id <= Calls; ++Id) {
-    Collect(Fixture.sendCall(Id, "/a/x"));
-    for (int Step = 0; Step < 6; ++Step) {
-      Collect(Fixture.pass(milliseconds(Rng.index(40))));
-      if (Open.empty() || Rng.fraction() < 0.4)
-        continue;
-      const std::size_t Position = Rng.index(Open.size());
-      const SendAttempt Sent = Open[Position];
-      Open.erase(Open.begin() + static_cast<std::ptrdiff_t>(Position));
-      if (Rng.fraction() < 0.5) {
-        const bool IsFailure = Rng.fraction() < 0.5;
-        Collect(Fixture.deliver(
-            StoreFixture::makeAnswer(Sent, IsFailure ? 500 : 200)));
-        continue;
-      }
-      AttemptFailed Failed = StoreFixture::makeReset(Sent);
-      if (Rng.fraction() < 0.3) {
-        Failed.Written_ = calls::WriteState::NothingWritten;
-        Reached[Sent.Call_].erase(Sent.Attempt_);
+class RandomCalls {
+public:
+  explicit RandomCalls(std::uint64_t Seed)
+      : Rng_(Seed),
+        Fixture_(makeWarmFixture(milliseconds(1 + Rng_.index(60)))) {}
+
+  void play(std::uint64_t Calls) {
+    constexpr int StepsPerCall = 6;
+    for (std::uint64_t Id = 1; Id <= Calls; ++Id) {
+      record(Fixture_.sendCall(Id, "/a/x"));
+      for (int Step = 0; Step < StepsPerCall; ++Step) {
+        record(Fixture_.pass(milliseconds(Rng_.index(40))));
+        if (!Running_.empty() && isDrawn(0.6))
+          endRandomAttempt();
       }
-      Collect(Fixture.deliver(Failed));
     }
   }
-  return static_cast<std::size_t>(
-      std::count_if(Reached.begin(), Reached.end(), [](const auto &Entry) {
-        return Entry.second.size() > MaxAttempts;
-      }));
-}
+
+  /// Returns the number of calls with more than `MaxAttempts` attempts, not
+  /// counting attempts of which nothing was written.
+  std::size_t callsBeyondLimit() const {
+    return static_cast<std::size_t>(
+        std::count_if(Sent_.begin(), Sent_.end(), [](const auto &Entry) {
+          return Entry.second.size() > MaxAttempts;
+        }));
+  }
+
+private:
+  bool isDrawn(double Probability) { return Rng_.fraction() < Probability; }
+
+  void record(const ActionList &Actions) {
+    for (const auto &Each : StoreFixture::actionsOf<SendAttempt>(Actions)) {
+      Sent_[Each.Call_].insert(Each.Attempt_);
+      Running_.push_back(Each);
+    }
+  }
+
+  void endRandomAttempt() {
+    const std::size_t Position = Rng_.index(Running_.size());
+    const SendAttempt Ended = Running_[Position];
+    Running_.erase(Running_.begin() + static_cast<std::ptrdiff_t>(Position));
+    if (isDrawn(0.5))
+      record(Fixture_.deliver(
+          StoreFixture::makeAnswer(Ended, isDrawn(0.5) ? 500 : 200)));
+    else
+      fail(Ended);
+  }
+
+  void fail(const SendAttempt &Ended) {
+    AttemptFailed Failed = StoreFixture::makeReset(Ended);
+    if (isDrawn(0.3)) {
+      Failed.Written_ = calls::WriteState::NothingWritten;
+      Sent_[Ended.Call_].erase(Ended.Attempt_);
+    }
+    record(Fixture_.deliver(Failed));
+  }
+
+  framework::Random Rng_;
+  StoreFixture Fixture_;
+  std::map<framework::CallId, std::set<framework::AttemptId>> Sent_;
+  std::vector<SendAttempt> Running_;
+};
 
 } // namespace
 
@@ -132,8 +154,10 @@
   constexpr std::uint64_t Seeds = 200;
   constexpr std::uint64_t CallsPerSeed = 40;
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    RandomCalls Simulation(Seed);
+    Simulation.play(CallsPerSeed);
     INFO("seed " << Seed);
-    CHECK(countCallsBeyondLimit(Seed, CallsPerSeed) == 0);
+    CHECK(Simulation.callsBeyondLimit() == 0);
   }
 }
 
--- a/src/routing/tests/requestlimiter_test.cpp
+++ b/src/routing/tests/requestlimiter_test.cpp
@@ -24,14 +24,14 @@
   return {static_cast<std::uint32_t>(Rate * 1'000)};
 }
 
-/// Returns the limiters of a fleet at one target. The first `Strays` instances
-/// wrongly believe that they rank first.
+/// Returns the limiters of a fleet at one target. `Misranked` further instances
+/// wrongly take themselves for the first.
 std::vector<RequestLimiter> makeFleet(std::uint32_t Instances, double Limit,
-                                      std::uint32_t Strays = 0) {
-  std::vector<RequestLimiter> Fleet(Instances + Strays);
+                                      std::uint32_t Misranked = 0) {
+  std::vector<RequestLimiter> Fleet(Instances + Misranked);
   for (std::uint32_t Index = 0; Index < Fleet.size(); ++Index) {
     Fleet[Index].setRank(
-        SenderRank{Index < Strays ? 0 : Index - Strays, Instances});
+        SenderRank{Index < Misranked ? 0 : Index - Misranked, Instances});
     Fleet[Index].setLimit(perSecond(Limit), at({}), at({}));
   }
   return Fleet;
@@ -57,9 +57,10 @@
           "[limit]") {
   const std::uint32_t Instances = GENERATE(1, 2, 13, 143, 600);
   const double Limit = GENERATE(0.02, 0.5, 2.2, 10.0, 100.0);
-  const std::uint32_t Strays = GENERATE(0, 1);
-  auto Fleet = makeFleet(Instances, Limit, Strays);
-  INFO(Instances << " instances, limit " << Limit << ", strays " << Strays);
+  const std::uint32_t Misranked = GENERATE(0, 1);
+  auto Fleet = makeFleet(Instances, Limit, Misranked);
+  INFO(Instances << " instances, limit " << Limit << ", misranked "
+                 << Misranked);
   CHECK(static_cast<double>(countWorstWindow(Fleet)) <=
         1.5 * Limit * std::chrono::duration<double>(Window).count() + 5);
 }
