Log what a request contains, and count refused connections

Lines of attempts and calls that did not go well now hold a fingerprint of the request (XXH3, 128 bits, of method, host, path, query and body). A connection that is refused because nothing listens at the target's address is counted apart from others that fail: it tells a target that ended from one that resets connections.

--- a/src/calls/types/attempt.h
+++ b/src/calls/types/attempt.h
@@ -4,6 +4,7 @@
 #include "calls/types/attemptkind.h"
 #include "calls/types/attemptstate.h"
 #include "calls/types/kindid.h"
+#include "calls/types/requestfingerprint.h"
 #include "framework/ids.h"
 #include "framework/time.h"
 
@@ -16,6 +17,7 @@
   framework::ServiceId Service_;
   KindId RequestKind_;
   bool IsIdempotent_ = false;
+  RequestFingerprint Fingerprint_ = {};
   framework::TargetId Target_;
   framework::ConnectionId Connection_;
   AttemptKind Kind_ = AttemptKind::First;
--- a/src/calls/types/callrequest.h
+++ b/src/calls/types/callrequest.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_CALLS_TYPES_CALLREQUEST_H
 
 #include "calls/types/kindid.h"
+#include "calls/types/requestfingerprint.h"
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 #include "framework/time.h"
@@ -31,6 +32,7 @@
   std::uint32_t MaxAttempts_ = 1;
   /// The latency objective of the call; zero when there is none.
   framework::Duration LatencyObjective_{};
+  RequestFingerprint Fingerprint_ = {};
 };
 
 } // namespace cranberryspool::calls
--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -29,6 +29,8 @@
 
   std::uint64_t ConnectionsOpened_ = 0;
   std::uint64_t ConnectionsFailed_ = 0;
+  /// Of the failed ones, those refused since nothing listened at the address.
+  std::uint64_t ConnectionsRefused_ = 0;
   std::uint64_t ConnectionsSilent_ = 0;
 
   std::uint64_t ProbesSent_ = 0;
--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -21,6 +21,7 @@
                            .Service_ = Request.Service_,
                            .RequestKind_ = Request.Kind_,
                            .IsIdempotent_ = Request.IsIdempotent_,
+                           .Fingerprint_ = Request.Fingerprint_,
                            .Target_ = Target,
                            .Connection_ = {},
                            .Kind_ = Kind,
@@ -161,7 +162,7 @@
   if (Core_.Settings_.ReportsAttempts_)
     Context.Output_.push_back(ReportAttemptEnd{
         Copy.Call_, Copy.Attempt_, Core_.Environment_.targetName(Copy.Target_),
-        Result, Context.now() - Copy.StartedAt_});
+        Result, Context.now() - Copy.StartedAt_, Copy.Fingerprint_});
   Core_.SilenceDetector_.stopWatching(Copy);
   Core_.AbandonTimers_.clear(Copy.Attempt_);
   if (calls::Call *Call = Core_.Calls_.find(Copy.Call_))
--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -107,7 +107,8 @@
                 .IsCallerGone_ = Call.IsCallerGone_,
                 .Reason_ = Reason,
                 .Attempts_ = Call.SentAttempts_,
-                .Kind_ = Core_.Environment_.kindName(Request.Kind_)});
+                .Kind_ = Core_.Environment_.kindName(Request.Kind_),
+                .Fingerprint_ = Request.Fingerprint_});
   if (Call.HoldsKey_)
     Core_.Fleet_.handleKeyedCallEnd(Request.Call_, Ending,
                                     Ending == calls::Ending::Answered,
--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -52,7 +52,8 @@
       .Key_ = Input.Key_,
       .MaxAttempts_ = Kind.MaxAttempts_ > 0 ? Kind.MaxAttempts_
                                             : Core_.CallSettings_.MaxAttempts_,
-      .LatencyObjective_ = Kind.LatencyObjective_});
+      .LatencyObjective_ = Kind.LatencyObjective_,
+      .Fingerprint_ = Input.Fingerprint_});
   Core_.ServiceStats_.recordCall(Kind.Service_, Context.now());
   ++Core_.Counters_.CallsAccepted_;
   if (IsStopped_) {
--- a/src/decision/internal/transporteventhandler.cpp
+++ b/src/decision/internal/transporteventhandler.cpp
@@ -62,6 +62,7 @@
     return;
   }
   if (Connection->State_ == calls::ConnectionState::Opening) {
+    Core_.Counters_.ConnectionsRefused_ += Input.IsRefused_ ? 1 : 0;
     handleConnectFailure(Context, Input.Connection_);
     return;
   }
--- a/src/decision/types/actions/reportattemptend.h
+++ b/src/decision/types/actions/reportattemptend.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPTEND_H
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPTEND_H
 
+#include "calls/types/requestfingerprint.h"
 #include "framework/ids.h"
 #include "framework/time.h"
 #include "routing/types/attemptresult.h"
@@ -15,6 +16,7 @@
   routing::AttemptResult Result_ = routing::AttemptResult::TimedOut;
   /// The time since the attempt was started.
   framework::Duration Elapsed_{};
+  calls::RequestFingerprint Fingerprint_ = {};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/endedcall.h
+++ b/src/decision/types/endedcall.h
@@ -3,6 +3,7 @@
 
 #include "calls/types/ending.h"
 #include "calls/types/endingreason.h"
+#include "calls/types/requestfingerprint.h"
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 #include "framework/time.h"
@@ -26,6 +27,7 @@
   /// The number of attempts that were sent on a connection.
   std::uint32_t Attempts_ = 0;
   framework::KindName Kind_;
+  calls::RequestFingerprint Fingerprint_ = {};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/events/callarrived.h
+++ b/src/decision/types/events/callarrived.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_DECISION_TYPES_EVENTS_CALLARRIVED_H
 #define CRANBERRYSPOOL_DECISION_TYPES_EVENTS_CALLARRIVED_H
 
+#include "calls/types/requestfingerprint.h"
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 #include "framework/time.h"
@@ -29,6 +30,7 @@
   /// The number of the attempt at the caller; 1 for its first attempt.
   std::uint32_t Attempt_ = 1;
   std::uint64_t BodyBytes_ = 0;
+  calls::RequestFingerprint Fingerprint_ = {};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/events/connectionclosed.h
+++ b/src/decision/types/events/connectionclosed.h
@@ -9,6 +9,9 @@
 /// carried no attempt.
 struct ConnectionClosed {
   framework::ConnectionId Connection_;
+  /// True when the connection could not be opened because nothing listens at
+  /// the target's address.
+  bool IsRefused_ = false;
 };
 
 } // namespace cranberryspool::decision
--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -4,6 +4,7 @@
 #include "entry/internal/callfields.h"
 #include "entry/internal/copyfields.h"
 #include "entry/internal/endingstatus.h"
+#include "entry/internal/fingerprint.h"
 #include "entry/internal/headvalidation.h"
 #include "entry/internal/instancestate.h"
 #include "entry/internal/retryafter.h"
@@ -256,6 +257,7 @@
   Request_.Reservation_.shrink(Request_.Body_.size());
   Parser_.reset();
   Arrival_.BodyBytes_ = Request_.Body_.size();
+  Arrival_.Fingerprint_ = computeFingerprint(Request_, Arrival_.Host_);
   const auto Call =
       Server_.accept(Number_, std::move(Arrival_), std::move(Request_));
   if (!Call) {
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -2,6 +2,7 @@
 
 #include "calls/endingnames.h"
 #include "decision/changenames.h"
+#include "entry/internal/fingerprint.h"
 #include "framework/log/logline.h"
 #include "framework/log/logwriter.h"
 
@@ -114,6 +115,8 @@
   Line.text("target", Ended.Target_.value());
   Line.text("result", nameOf(Ended.Result_));
   Line.millis("elapsed_ms", Ended.Elapsed_);
+  if (!IsRoutine)
+    Line.text("fingerprint", toText(Ended.Fingerprint_));
   Writer_->write(Line);
 }
 
@@ -135,6 +138,8 @@
   Line.number("attempts", Call.Attempts_);
   Line.flag("caller_gone", Call.IsCallerGone_);
   Line.millis("elapsed_ms", Call.Elapsed_);
+  if (!IsRoutine)
+    Line.text("fingerprint", toText(Call.Fingerprint_));
   addView(Line, View);
   Writer_->write(Line);
 }
--- /dev/null
+++ b/src/entry/internal/fingerprint.cpp
@@ -0,0 +1,37 @@
+#include "entry/internal/fingerprint.h"
+
+#include "entry/types/callerrequest.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+
+namespace cranberryspool::entry {
+
+calls::RequestFingerprint computeFingerprint(const CallerRequest &Request,
+                                             std::string_view Host) {
+  const XXH128_hash_t Body =
+      XXH3_128bits(Request.Body_.data(), Request.Body_.size());
+  std::string Parts;
+  Parts.reserve(Request.Method_.size() + Host.size() + Request.Target_.size() +
+                sizeof(Body) + 3);
+  // The separator occurs in none of the parts of a valid request head.
+  for (const std::string_view Part : {std::string_view(Request.Method_), Host,
+                                      std::string_view(Request.Target_)})
+    Parts.append(Part).push_back('\0');
+  Parts.append(reinterpret_cast<const char *>(&Body), sizeof(Body));
+  const XXH128_hash_t Hash = XXH3_128bits(Parts.data(), Parts.size());
+  return {Hash.high64, Hash.low64};
+}
+
+std::string toText(const calls::RequestFingerprint &Fingerprint) {
+  constexpr std::size_t Digits = 32;
+  std::array<char, Digits + 1> Text{};
+  std::snprintf(Text.data(), Text.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(Fingerprint.High_),
+                static_cast<unsigned long long>(Fingerprint.Low_));
+  return std::string(Text.data(), Digits);
+}
+
+} // namespace cranberryspool::entry
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 16> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 17> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
@@ -47,6 +47,9 @@
      &CoreCounters::AnswersMismatched_},
     {"cranberryspool_connections_opened_total", "Connections to targets opened",
      &CoreCounters::ConnectionsOpened_},
+    {"cranberryspool_connections_refused_total",
+     "Connections refused because nothing listened at the target's address",
+     &CoreCounters::ConnectionsRefused_},
     {"cranberryspool_connections_silent_total", "Connections judged silent",
      &CoreCounters::ConnectionsSilent_},
     {"cranberryspool_probes_total", "Probes sent", &CoreCounters::ProbesSent_},
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -48,7 +48,8 @@
     return;
   if (Error) {
     close();
-    Pool_.postEvent(decision::ConnectionClosed{OpenCommand_.Connection_});
+    Pool_.postEvent(decision::ConnectionClosed{
+        OpenCommand_.Connection_, Error == net::error::connection_refused});
     return;
   }
   error_code Ignored;
