--- a/src/decision/tests/limitedfleet.cpp
+++ b/src/decision/tests/fleetsimulation.cpp
@@ -1,4 +1,4 @@
-#include "decision/tests/limitedfleet.h"
+#include "decision/tests/fleetsimulation.h"
 
 #include "document/types/environmentdocument.h"
 
@@ -18,6 +18,11 @@
 /// An instance is bound by a limit this long after it has learned of it.
 constexpr Duration GracePeriod = milliseconds(500);
 constexpr std::uint32_t Slots = 3;
+/// How long a target runs a crashing request before it crashes, and how long it
+/// is down then.
+constexpr Duration TimeToCrash = milliseconds(90);
+constexpr Duration RestartTime = seconds(3);
+constexpr calls::RequestFingerprint CrashingRequest{1, 1};
 
 std::string addressOf(std::size_t Instance) {
   return "127.0.0.1:" + std::to_string(7'000 + Instance);
@@ -62,19 +67,21 @@
 
 } // namespace
 
-LimitedFleet::LimitedFleet(LimitedFleetSettings Settings)
+FleetSimulation::FleetSimulation(FleetSimulationSettings Settings)
     : Settings_(Settings), Rng_(Settings.Seed_),
       Starts_(Settings.Instances_, 0),
       NextTicks_(Settings.Instances_, Now_.Monotonic_),
       NextCallAt_(Now_.Monotonic_ + seconds(3)),
-      ActiveInstances_(Settings.Instances_), LimitedAt_(Settings.Instances_) {
+      ActiveInstances_(Settings.Instances_), LimitedAt_(Settings.Instances_),
+      UpSince_(Settings.Targets_, Now_.Monotonic_),
+      CrashCounts_(Settings.Targets_, 0) {
   for (std::size_t Index = 0; Index < Settings.Instances_; ++Index)
     Cores_.push_back(makeCore(Index));
   for (std::size_t Index = 0; Index < Settings.Instances_; ++Index)
     deliver(Index, Tick{});
 }
 
-Core LimitedFleet::makeCore(std::size_t Instance) {
+Core FleetSimulation::makeCore(std::size_t Instance) {
   CoreSettings Core;
   Core.Self_ = framework::InstanceName("entry-" + std::to_string(Instance));
   Core.Incarnation_ = framework::Incarnation(1 + Starts_[Instance]);
@@ -88,16 +95,18 @@
   return decision::Core(std::move(Core), framework::Random(Rng_.bits()));
 }
 
-void LimitedFleet::restart(std::size_t Instance) {
+void FleetSimulation::restart(std::size_t Instance) {
   ++Starts_[Instance];
   Cores_[Instance] = makeCore(Instance);
   std::erase_if(LearnedAt_,
                 [&](const auto &Each) { return Each.first.first == Instance; });
+  std::erase_if(Links_,
+                [&](const auto &Each) { return Each.first.first == Instance; });
   LimitedAt_[Instance].clear();
   deliver(Instance, Tick{});
 }
 
-void LimitedFleet::deliver(std::size_t Instance, const Event &Input) {
+void FleetSimulation::deliver(std::size_t Instance, const Event &Input) {
   ActionList Output;
   Cores_[Instance].handle(Now_, Input, Output);
   NextTicks_[Instance] = Cores_[Instance].nextWakeUp();
@@ -105,23 +114,43 @@
     std::visit([&](const auto &Kind) { handle(Instance, Kind); }, Each);
 }
 
-void LimitedFleet::schedule(std::size_t Instance, Duration Delay, Event Input,
-                            std::optional<std::size_t> StatingTarget) {
+void FleetSimulation::schedule(std::size_t Instance, Duration Delay,
+                               Event Input,
+                               std::optional<std::size_t> StatingTarget) {
+  Pending_.push(Pending{Now_.Monotonic_ + Delay, ++LastOrder_, Instance,
+                        Starts_[Instance], std::move(Input), StatingTarget,
+                        std::nullopt});
+}
+
+void FleetSimulation::scheduleFrom(std::size_t Target, std::size_t Instance,
+                                   Duration Delay, Event Input,
+                                   std::optional<std::size_t> StatingTarget) {
   Pending_.push(Pending{Now_.Monotonic_ + Delay, ++LastOrder_, Instance,
-                        Starts_[Instance], std::move(Input), StatingTarget});
+                        Starts_[Instance], std::move(Input), StatingTarget,
+                        std::pair(Target, CrashCounts_[Target])});
 }
 
-void LimitedFleet::run(Duration Time) {
+void FleetSimulation::run(Duration Time) {
   const Instant End = Now_.Monotonic_ + Time;
   while (Now_.Monotonic_ < End) {
     Now_.Monotonic_ += milliseconds(1);
     Now_.Wall_ += milliseconds(1);
     startCalls();
+    crashDueTargets();
     while (!Pending_.empty() && Pending_.top().At_ <= Now_.Monotonic_) {
       const Pending Due = Pending_.top();
       Pending_.pop();
       if (Due.Start_ != Starts_[Due.Instance_])
         continue;
+      if (Due.Sender_ &&
+          (Due.Sender_->second != CrashCounts_[Due.Sender_->first] ||
+           CutOffFromTargets_.contains(Due.Instance_)))
+        continue;
+      if (const auto *Answered = std::get_if<AttemptAnswered>(&Due.Event_))
+        if (const auto Used =
+                Links_.find({Due.Instance_, Answered->Connection_});
+            Used != Links_.end())
+          Used->second.Attempt_.reset();
       if (Due.StatingTarget_)
         LearnedAt_.try_emplace({Due.Instance_, *Due.StatingTarget_},
                                Now_.Monotonic_);
@@ -133,7 +162,7 @@
   }
 }
 
-void LimitedFleet::startCalls() {
+void FleetSimulation::startCalls() {
   while (NextCallAt_ <= Now_.Monotonic_) {
     CallArrived Arrived;
     Arrived.Call_ = framework::CallId(++LastCall_);
@@ -141,13 +170,14 @@
     Arrived.Host_ = "h.example";
     Arrived.Path_ = "/a/x";
     Arrived.Timeout_ = milliseconds(1'500);
+    Arrived.Fingerprint_ = {2, LastCall_};
     NextCallAt_ += Duration(static_cast<std::int64_t>(
         Rng_.exponential(1e6 / Settings_.CallsPerSecond_)));
     deliver(Rng_.index(ActiveInstances_), Arrived);
   }
 }
 
-routing::LoadReport LimitedFleet::makeReport(std::size_t Target) const {
+routing::LoadReport FleetSimulation::makeReport(std::size_t Target) const {
   routing::LoadReport Report;
   Report.Slots_ = Slots;
   Report.SlowdownPercent_ = 100;
@@ -157,7 +187,7 @@
   return Report;
 }
 
-void LimitedFleet::handle(std::size_t Instance, const ReadRecords &Request) {
+void FleetSimulation::handle(std::size_t Instance, const ReadRecords &Request) {
   if (Request.After_) {
     schedule(Instance, std::max<Duration>(Request.Wait_, OneWay),
              RecordsChanged{{}, framework::Revision(5)});
@@ -172,18 +202,54 @@
   schedule(Instance, OneWay, Read);
 }
 
-void LimitedFleet::handle(std::size_t Instance, const OpenConnection &Request) {
+void FleetSimulation::handle(std::size_t Instance,
+                             const OpenConnection &Request) {
+  const std::size_t Target =
+      std::stoul(Request.Address_.substr(Request.Address_.find(':') + 1)) -
+      8'000;
+  if (!isReachable(Instance, Target)) {
+    schedule(Instance, 2 * OneWay, ConnectionClosed{Request.Connection_, true});
+    return;
+  }
+  Links_.emplace(std::pair(Instance, Request.Connection_),
+                 Link{Target, std::nullopt});
   ConnectionOpened Opened;
   Opened.Connection_ = Request.Connection_;
-  schedule(Instance, 2 * OneWay, Opened);
+  scheduleFrom(Target, Instance, 2 * OneWay, Opened);
+}
+
+void FleetSimulation::handle(std::size_t Instance,
+                             const CloseConnection &Request) {
+  Links_.erase({Instance, Request.Connection_});
 }
 
-void LimitedFleet::handle(std::size_t Instance, const SendAttempt &Request) {
+void FleetSimulation::handle(std::size_t Instance, const SendAttempt &Request) {
   const std::size_t Target = targetOf(Request.TargetName_.value());
+  if (isCrashing(Request.Call_))
+    CrashingCallsSentAt_[Request.Call_] = Now_.Monotonic_;
+  const auto Used = Links_.find({Instance, Request.Connection_});
+  if (Used == Links_.end() || !isReachable(Instance, Target)) {
+    AttemptFailed Failed;
+    Failed.Attempt_ = Request.Attempt_;
+    Failed.Connection_ = Request.Connection_;
+    Failed.Failure_ = calls::AttemptFailure::ConnectionReset;
+    schedule(Instance, 2 * OneWay, Failed);
+    return;
+  }
+  Used->second.Attempt_ = Request.Attempt_;
   const auto Learned = LearnedAt_.find({Instance, Target});
   const bool KnowsLimit = Learned != LearnedAt_.end() &&
                           Learned->second + GracePeriod <= Now_.Monotonic_;
   Arrivals_.push_back({Now_.Monotonic_ + OneWay, Target, KnowsLimit});
+  if (isCrashing(Request.Call_))
+    DueCrashes_.emplace(Now_.Monotonic_ + OneWay + TimeToCrash,
+                        std::pair(Target, CrashCounts_[Target]));
+  else
+    answer(Instance, Request);
+}
+
+void FleetSimulation::answer(std::size_t Instance, const SendAttempt &Request) {
+  const std::size_t Target = targetOf(Request.TargetName_.value());
   AttemptAnswered Answer;
   Answer.Attempt_ = Request.Attempt_;
   Answer.Connection_ = Request.Connection_;
@@ -193,45 +259,139 @@
   if (!Answer.Report_->RequestLimit_)
     Answer.Report_->RequestLimit_ = routing::RequestRate::unlimited();
   Answer.RequestLimit_ = Answer.Report_->RequestLimit_;
-  schedule(Instance, Settings_.WorkTime_ + 2 * OneWay, Answer,
-           isLimited(Target) ? std::optional(Target) : std::nullopt);
+  scheduleFrom(Target, Instance, Settings_.WorkTime_ + 2 * OneWay, Answer,
+               isLimited(Target) ? std::optional(Target) : std::nullopt);
 }
 
-void LimitedFleet::handle(std::size_t Instance, const ProbeTarget &Request) {
+void FleetSimulation::handle(std::size_t Instance, const ProbeTarget &Request) {
   const std::size_t Target = targetOf(Request.TargetName_.value());
+  if (!isReachable(Instance, Target)) {
+    schedule(Instance, 2 * OneWay, ProbeFailed{Request.Probe_});
+    return;
+  }
   ProbeAnswered Answer;
   Answer.Probe_ = Request.Probe_;
   Answer.Report_ = makeReport(Target);
   Answer.Report_.WarmupLeft_ = Duration{};
   if (!Settings_.IsNamedToProbes_)
     Answer.Report_.RequestLimit_.reset();
-  schedule(Instance, 2 * OneWay, Answer);
+  scheduleFrom(Target, Instance, 2 * OneWay, Answer);
 }
 
-void LimitedFleet::handle(std::size_t, const SendPeerMessage &Message) {
+void FleetSimulation::handle(std::size_t Instance,
+                             const SendPeerMessage &Message) {
+  if (CutOffFromPeers_.contains(Instance) ||
+      (Settings_.MessageLoss_ > 0 && Rng_.fraction() < Settings_.MessageLoss_))
+    return;
   for (std::size_t Index = 0; Index < Cores_.size(); ++Index)
-    if (addressOf(Index) == Message.PeerAddress_)
+    if (addressOf(Index) == Message.PeerAddress_ &&
+        !CutOffFromPeers_.contains(Index))
       schedule(Index, OneWay, PeerMessageReceived{Message.Message_});
 }
 
-void LimitedFleet::handle(std::size_t Instance, const ReportChange &Change) {
+void FleetSimulation::sendCrashingCall(std::size_t Instance) {
+  CallArrived Arrived;
+  Arrived.Call_ = framework::CallId(++LastCall_);
+  Arrived.Method_ = "GET";
+  Arrived.Host_ = "h.example";
+  Arrived.Path_ = "/a/x";
+  Arrived.Timeout_ = milliseconds(1'500);
+  Arrived.Fingerprint_ = CrashingRequest;
+  CrashingCalls_.insert(Arrived.Call_);
+  deliver(Instance, Arrived);
+}
+
+void FleetSimulation::crashDueTargets() {
+  while (!DueCrashes_.empty() &&
+         DueCrashes_.begin()->first <= Now_.Monotonic_) {
+    const auto [Target, Count] = DueCrashes_.begin()->second;
+    DueCrashes_.erase(DueCrashes_.begin());
+    if (Count != CrashCounts_[Target])
+      continue;
+    Crashes_.push_back(Now_.Monotonic_);
+    crash(Target);
+  }
+}
+
+void FleetSimulation::crash(std::size_t Target) {
+  ++CrashCounts_[Target];
+  UpSince_[Target] = Now_.Monotonic_ + RestartTime;
+  for (const auto &[Key, Lost] : std::map(Links_))
+    if (Lost.Target_ == Target)
+      resetLink(Key.first, Key.second);
+}
+
+void FleetSimulation::setCutOffFromTargets(std::size_t Instance,
+                                           bool IsCutOff) {
+  if (!IsCutOff) {
+    CutOffFromTargets_.erase(Instance);
+    return;
+  }
+  for (const auto &[Key, Lost] : std::map(Links_))
+    if (Key.first == Instance)
+      resetLink(Key.first, Key.second);
+  CutOffFromTargets_.insert(Instance);
+}
+
+void FleetSimulation::resetLink(std::size_t Instance,
+                                framework::ConnectionId Connection) {
+  const auto Lost = Links_.extract({Instance, Connection});
+  if (CutOffFromTargets_.contains(Instance))
+    return;
+  if (!Lost.mapped().Attempt_) {
+    schedule(Instance, OneWay, ConnectionClosed{Connection});
+    return;
+  }
+  AttemptFailed Failed;
+  Failed.Attempt_ = *Lost.mapped().Attempt_;
+  Failed.Connection_ = Connection;
+  Failed.Failure_ = calls::AttemptFailure::ConnectionReset;
+  schedule(Instance, OneWay, Failed);
+}
+
+void FleetSimulation::setCutOffFromPeers(std::size_t Instance, bool IsCutOff) {
+  if (IsCutOff)
+    CutOffFromPeers_.insert(Instance);
+  else
+    CutOffFromPeers_.erase(Instance);
+}
+
+void FleetSimulation::handle(std::size_t Instance, const ReportChange &Change) {
   if (Change.Kind_ == ChangeKind::TargetLimited)
     LimitedAt_[Instance].insert(Change.Subject_);
   if (Change.Kind_ == ChangeKind::TargetLimitLifted)
     LimitedAt_[Instance].erase(Change.Subject_);
 }
 
-std::size_t LimitedFleet::limitingInstances() const {
+std::size_t FleetSimulation::limitingInstances() const {
   return static_cast<std::size_t>(
       std::count_if(LimitedAt_.begin(), LimitedAt_.end(),
                     [](const auto &Targets) { return !Targets.empty(); }));
 }
 
-void LimitedFleet::handle(std::size_t, const RefuseCall &) { ++Refused_; }
+void FleetSimulation::handle(std::size_t, const RefuseCall &Ended) {
+  if (isCrashing(Ended.Call_)) {
+    CrashingCallEndings_.push_back(Ended);
+    return;
+  }
+  ++Refused_;
+  ++EndedCalls_[Ended.Reason_];
+}
+
+std::size_t FleetSimulation::crashingCallsSentAfter(Instant Then) const {
+  return static_cast<std::size_t>(
+      std::count_if(CrashingCallsSentAt_.begin(), CrashingCallsSentAt_.end(),
+                    [Then](const auto &Each) { return Each.second > Then; }));
+}
+
+std::size_t FleetSimulation::endedCalls(calls::EndingReason Reason) const {
+  const auto Found = EndedCalls_.find(Reason);
+  return Found == EndedCalls_.end() ? 0 : Found->second;
+}
 
-void LimitedFleet::handle(std::size_t, const AnswerCall &) { ++Answered_; }
+void FleetSimulation::handle(std::size_t, const AnswerCall &) { ++Answered_; }
 
-std::size_t LimitedFleet::mostRequests(Duration Window, Instant From) const {
+std::size_t FleetSimulation::mostRequests(Duration Window, Instant From) const {
   std::size_t Most = 0;
   for (std::size_t Target = 0; Target < Settings_.LimitedTargets_; ++Target) {
     std::vector<Instant> Counted;
@@ -249,7 +409,7 @@
   return Most;
 }
 
-double LimitedFleet::meanRate(Duration Last) const {
+double FleetSimulation::meanRate(Duration Last) const {
   const auto Count =
       std::count_if(Arrivals_.begin(), Arrivals_.end(), [&](const auto &Each) {
         return Each.Target_ < Settings_.LimitedTargets_ &&
--- a/src/decision/tests/limitedfleet.h
+++ b/src/decision/tests/fleetsimulation.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYSPOOL_DECISION_TESTS_LIMITEDFLEET_H
-#define CRANBERRYSPOOL_DECISION_TESTS_LIMITEDFLEET_H
+#ifndef CRANBERRYSPOOL_DECISION_TESTS_FLEETSIMULATION_H
+#define CRANBERRYSPOOL_DECISION_TESTS_FLEETSIMULATION_H
 
 #include "decision/core.h"
 #include "framework/random.h"
@@ -14,8 +14,8 @@
 
 namespace cranberryspool::decision {
 
-/// The parameters of a `LimitedFleet`.
-struct LimitedFleetSettings {
+/// The parameters of a `FleetSimulation`.
+struct FleetSimulationSettings {
   std::size_t Instances_ = 13;
   std::size_t Targets_ = 14;
   /// The calls per second to all instances together.
@@ -27,14 +27,17 @@
   /// True when targets name their limit in responses to probes as well.
   bool IsNamedToProbes_ = true;
   std::uint64_t Seed_ = 1;
+  /// The part of the messages between instances that is lost.
+  double MessageLoss_ = 0;
 };
 
 /// Several cores with a metadata store, targets and callers in virtual time.
 /// Peer messages, connections and answers take a millisecond each way. Some
-/// targets start to name a request limit at a given time.
-class LimitedFleet {
+/// targets start to name a request limit at a given time. Requests of one
+/// fingerprint crash each target that runs them.
+class FleetSimulation {
 public:
-  explicit LimitedFleet(LimitedFleetSettings Settings);
+  explicit FleetSimulation(FleetSimulationSettings Settings);
 
   /// Advances the virtual time, with calls arriving at random instances.
   void run(framework::Duration Time);
@@ -44,6 +47,14 @@
   void endLimit() { LimitedSince_.reset(); }
   /// Replaces an instance by one that has just started and knows nothing.
   void restart(std::size_t Instance);
+  /// Sends the request that crashes targets to an instance, in a new call.
+  void sendCrashingCall(std::size_t Instance);
+  /// Crashes a target for another reason.
+  void crash(std::size_t Target);
+  /// Cuts an instance off from all targets, or from all other instances.
+  void setCutOffFromTargets(std::size_t Instance, bool IsCutOff);
+  void setCutOffFromPeers(std::size_t Instance, bool IsCutOff);
+
   /// Directs the calls to the given number of instances.
   void setActiveInstances(std::size_t Count) { ActiveInstances_ = Count; }
 
@@ -61,7 +72,24 @@
   std::size_t refusedCalls() const { return Refused_; }
   framework::Instant now() const { return Now_.Monotonic_; }
 
+  /// Returns when the crashing request crashed a target, in order.
+  const std::vector<framework::Instant> &crashes() const { return Crashes_; }
+  /// Returns the number of calls with the crashing request that were sent to
+  /// targets later than the given time.
+  std::size_t crashingCallsSentAfter(framework::Instant Then) const;
+  /// Returns the number of other calls that ended for the given reason.
+  std::size_t endedCalls(calls::EndingReason Reason) const;
+  /// Returns the endings of calls with the crashing request, in order.
+  const std::vector<RefuseCall> &crashingCallEndings() const {
+    return CrashingCallEndings_;
+  }
+
 private:
+  /// A connection of an instance to a target.
+  struct Link {
+    std::size_t Target_;
+    std::optional<framework::AttemptId> Attempt_;
+  };
   struct Arrival {
     framework::Instant At_;
     std::size_t Target_;
@@ -75,6 +103,9 @@
     Event Event_;
     /// The target whose limit the instance learns with this event.
     std::optional<std::size_t> StatingTarget_;
+    /// The target that sends this event, and how often it had crashed then. A
+    /// target that has crashed since sends nothing.
+    std::optional<std::pair<std::size_t, std::size_t>> Sender_;
 
     bool operator<(const Pending &Other) const {
       return At_ != Other.At_ ? At_ > Other.At_ : Order_ > Other.Order_;
@@ -87,6 +118,7 @@
                 std::optional<std::size_t> StatingTarget = std::nullopt);
   void handle(std::size_t Instance, const ReadRecords &Request);
   void handle(std::size_t Instance, const OpenConnection &Request);
+  void handle(std::size_t Instance, const CloseConnection &Request);
   void handle(std::size_t Instance, const SendAttempt &Request);
   void handle(std::size_t Instance, const ProbeTarget &Request);
   void handle(std::size_t Instance, const SendPeerMessage &Message);
@@ -95,12 +127,27 @@
   void handle(std::size_t Instance, const AnswerCall &Ended);
   template <typename Other> void handle(std::size_t, const Other &) {}
   void startCalls();
+  void answer(std::size_t Instance, const SendAttempt &Request);
+  /// Schedules an event that a target sends, unless it crashes before.
+  void scheduleFrom(std::size_t Target, std::size_t Instance,
+                    framework::Duration Delay, Event Input,
+                    std::optional<std::size_t> StatingTarget = std::nullopt);
+  void crashDueTargets();
+  /// Resets a connection; the instance is told unless it is cut off.
+  void resetLink(std::size_t Instance, framework::ConnectionId Connection);
+  bool isReachable(std::size_t Instance, std::size_t Target) const {
+    return UpSince_[Target] <= Now_.Monotonic_ &&
+           !CutOffFromTargets_.contains(Instance);
+  }
+  bool isCrashing(framework::CallId Call) const {
+    return CrashingCalls_.contains(Call);
+  }
   bool isLimited(std::size_t Target) const {
     return LimitedSince_ && Target < Settings_.LimitedTargets_;
   }
   routing::LoadReport makeReport(std::size_t Target) const;
 
-  LimitedFleetSettings Settings_;
+  FleetSimulationSettings Settings_;
   framework::Random Rng_;
   framework::Moment Now_{framework::Instant(std::chrono::seconds(100)),
                          framework::WallTime(std::chrono::seconds(1'000'000))};
@@ -121,8 +168,23 @@
   std::vector<Arrival> Arrivals_;
   std::size_t Answered_ = 0;
   std::size_t Refused_ = 0;
+  std::map<calls::EndingReason, std::size_t> EndedCalls_;
+
+  std::map<std::pair<std::size_t, framework::ConnectionId>, Link> Links_;
+  /// From when on each target runs, and how often it has crashed.
+  std::vector<framework::Instant> UpSince_;
+  std::vector<std::size_t> CrashCounts_;
+  /// When targets that run a crashing request crash.
+  std::multimap<framework::Instant, std::pair<std::size_t, std::size_t>>
+      DueCrashes_;
+  std::vector<framework::Instant> Crashes_;
+  std::set<framework::CallId> CrashingCalls_;
+  std::map<framework::CallId, framework::Instant> CrashingCallsSentAt_;
+  std::vector<RefuseCall> CrashingCallEndings_;
+  std::set<std::size_t> CutOffFromTargets_;
+  std::set<std::size_t> CutOffFromPeers_;
 };
 
 } // namespace cranberryspool::decision
 
-#endif // CRANBERRYSPOOL_DECISION_TESTS_LIMITEDFLEET_H
+#endif // CRANBERRYSPOOL_DECISION_TESTS_FLEETSIMULATION_H
--- a/src/decision/tests/requestlimit_test.cpp
+++ b/src/decision/tests/requestlimit_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/tests/limitedfleet.h"
+#include "decision/tests/fleetsimulation.h"
 
 #include <catch2/catch.hpp>
 
@@ -27,8 +27,8 @@
 
 /// Returns settings with enough calls to exceed the limit by far if it is
 /// ignored.
-LimitedFleetSettings makeSettings(double Limit, std::uint64_t Seed) {
-  LimitedFleetSettings Settings;
+FleetSimulationSettings makeSettings(double Limit, std::uint64_t Seed) {
+  FleetSimulationSettings Settings;
   Settings.LimitPerSecond_ = Limit;
   Settings.CallsPerSecond_ = 58 + 28 * Limit;
   Settings.WorkTime_ = milliseconds(40);
@@ -42,7 +42,7 @@
           "[limit]") {
   const double Limit = GENERATE(0.1, 1.6, 2.8, 10.0);
   for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
-    LimitedFleet Fleet(makeSettings(Limit, Seed));
+    FleetSimulation Fleet(makeSettings(Limit, Seed));
     Fleet.run(seconds(6));
     Fleet.startLimit();
     const auto From = Fleet.now() + TimeToComply;
@@ -54,9 +54,9 @@
 }
 
 TEST_CASE("a request limit is kept when probes do not name it", "[limit]") {
-  LimitedFleetSettings Settings = makeSettings(2.2, 1);
+  FleetSimulationSettings Settings = makeSettings(2.2, 1);
   Settings.IsNamedToProbes_ = false;
-  LimitedFleet Fleet(Settings);
+  FleetSimulation Fleet(Settings);
   Fleet.run(seconds(6));
   Fleet.startLimit();
   const auto From = Fleet.now() + TimeToComply;
@@ -67,7 +67,7 @@
 
 TEST_CASE("a request limit is kept while instances restart and callers move",
           "[limit]") {
-  LimitedFleet Fleet(makeSettings(2.2, 7));
+  FleetSimulation Fleet(makeSettings(2.2, 7));
   Fleet.run(seconds(6));
   Fleet.startLimit();
   const auto From = Fleet.now() + TimeToComply;
@@ -84,11 +84,11 @@
           "limited",
           "[limit]") {
   const double Limit = GENERATE(0.5, 2.2, 10.0, 30.0);
-  LimitedFleetSettings Settings = makeSettings(Limit, 3);
+  FleetSimulationSettings Settings = makeSettings(Limit, 3);
   Settings.LimitedTargets_ = Settings.Targets_;
   const double Sum = Limit * static_cast<double>(Settings.Targets_);
   Settings.CallsPerSecond_ = 2 * Sum;
-  LimitedFleet Fleet(Settings);
+  FleetSimulation Fleet(Settings);
   Fleet.run(seconds(6));
   Fleet.startLimit();
   const auto From = Fleet.now() + TimeToComply;
@@ -102,9 +102,9 @@
 TEST_CASE("the start and the end of a request limit reach all instances",
           "[limit]") {
   const bool IsNamedToProbes = GENERATE(true, false);
-  LimitedFleetSettings Settings = makeSettings(0.5, 2);
+  FleetSimulationSettings Settings = makeSettings(0.5, 2);
   Settings.IsNamedToProbes_ = IsNamedToProbes;
-  LimitedFleet Fleet(Settings);
+  FleetSimulation Fleet(Settings);
   Fleet.run(seconds(6));
   CHECK(Fleet.limitingInstances() == 0);
   Fleet.startLimit();
@@ -119,11 +119,11 @@
 }
 
 TEST_CASE("a large fleet keeps the request limit of a target", "[limit]") {
-  LimitedFleetSettings Settings = makeSettings(2.2, 1);
+  FleetSimulationSettings Settings = makeSettings(2.2, 1);
   Settings.Instances_ = 60;
   Settings.Targets_ = 20;
   Settings.CallsPerSecond_ = 300;
-  LimitedFleet Fleet(Settings);
+  FleetSimulation Fleet(Settings);
   Fleet.run(seconds(6));
   Fleet.startLimit();
   const auto From = Fleet.now() + TimeToComply;
