Quarantine requests that crash targets, in all instances

Cause: a repeat of the caller is a new call at whichever instance it reaches. No instance connected it with the targets that had ended under it, so that each repeat was sent to up to two more. Class of fault: what one call learned about a request is forgotten with the call, and no instance learns what others have seen.

An attempt that is lost with its connection is held until the target has shown whether it still accepts connections; one that refuses the next connection has ended, and the requests that it had are recorded under their fingerprints. Instances tell each other at once, repeat it to four others each 500 ms, and so also teach those that have restarted or missed it. A request that three targets had when they ended is refused (503, not run) for ten minutes after the last, with the time left as Retry-After; its calls in progress end at once. A request that a target completes is cleared. An instance that loses all its targets within 500 ms blames none. Memory: 256 requests with three crashes each.

Messages of instances that cannot be decoded or used are counted and logged.

--- a/src/calls/internal/endingnames.cpp
+++ b/src/calls/internal/endingnames.cpp
@@ -60,6 +60,8 @@
     return "key-answer-gone";
   case EndingReason::RetriesExhausted:
     return "retries-exhausted";
+  case EndingReason::RequestQuarantined:
+    return "request-quarantined";
   case EndingReason::CallerGone:
     return "caller-gone";
   }
--- a/src/calls/types/endingreason.h
+++ b/src/calls/types/endingreason.h
@@ -26,6 +26,7 @@
   KeyHomeUnreachable,
   KeyAnswerGone,
   RetriesExhausted,
+  RequestQuarantined,
   CallerGone,
 };
 
--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -33,6 +33,11 @@
   std::uint64_t ConnectionsRefused_ = 0;
   std::uint64_t ConnectionsSilent_ = 0;
 
+  /// Targets found to have crashed while they had requests of this instance.
+  std::uint64_t TargetCrashes_ = 0;
+  std::uint64_t CallsQuarantined_ = 0;
+  std::uint64_t PeerMessagesRejected_ = 0;
+
   std::uint64_t ProbesSent_ = 0;
   std::uint64_t ProbesFailed_ = 0;
 
--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -16,6 +16,7 @@
 #include "decision/types/events/instancesunchanged.h"
 #include "decision/types/events/keptanswerfetched.h"
 #include "decision/types/events/peermessagereceived.h"
+#include "decision/types/events/peermessageunreadable.h"
 #include "decision/types/events/probeanswered.h"
 #include "decision/types/events/probefailed.h"
 #include "decision/types/events/recordhistorylost.h"
@@ -34,15 +35,14 @@
 namespace cranberryspool::decision {
 
 /// All events that a core handles.
-using Event =
-    std::variant<AnswerBegan, AttemptAnswered, AttemptFailed, CallArrived,
-                 CallerGone, ConnectionClosed, ConnectionOpened,
-                 DocumentPublished, DocumentUnavailable, DocumentUnchanged,
-                 InstancesPublished, InstancesUnchanged, InstancesUnavailable,
-                 KeptAnswerFetched, PeerMessageReceived, ProbeAnswered,
-                 ProbeFailed, RecordHistoryLost, RecordsChanged, RecordsRead,
-                 RecordsUnavailable, SectionsFetched, SectionsRequested,
-                 SectionsUnavailable, SeedsChanged, StopRequested, Tick>;
+using Event = std::variant<
+    AnswerBegan, AttemptAnswered, AttemptFailed, CallArrived, CallerGone,
+    ConnectionClosed, ConnectionOpened, DocumentPublished, DocumentUnavailable,
+    DocumentUnchanged, InstancesPublished, InstancesUnchanged,
+    InstancesUnavailable, KeptAnswerFetched, PeerMessageReceived,
+    PeerMessageUnreadable, ProbeAnswered, ProbeFailed, RecordHistoryLost,
+    RecordsChanged, RecordsRead, RecordsUnavailable, SectionsFetched,
+    SectionsRequested, SectionsUnavailable, SeedsChanged, StopRequested, Tick>;
 
 } // namespace cranberryspool::decision
 
--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -41,7 +41,13 @@
   if (Ending == calls::Ending::DeadlinePassed)
     ++Core_.Counters_.CallsDeadlinePassed_;
   framework::Duration RetryAfter = retryAfter(Reason);
-  if (const auto Share = Core_.CallSettings_.MaxRetryAfterShare_) {
+  const auto Quarantine =
+      Core_.Quarantine_.timeLeft(Call.Request_.Fingerprint_, Context.now());
+  if (Reason == calls::EndingReason::RequestQuarantined) {
+    // Repeating the request sooner is of no use.
+    ++Core_.Counters_.CallsQuarantined_;
+    RetryAfter = Quarantine.value_or(RetryAfter);
+  } else if (const auto Share = Core_.CallSettings_.MaxRetryAfterShare_) {
     const auto TimeLeft = std::chrono::duration_cast<framework::Duration>(
         (Call.Request_.Deadline_ - Context.now()) * *Share);
     RetryAfter =
--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -64,6 +64,10 @@
     Finisher_.fail(Context, Call, calls::EndingReason::ViewTooOld);
     return;
   }
+  if (Core_.Quarantine_.timeLeft(Input.Fingerprint_, Context.now())) {
+    Finisher_.fail(Context, Call, calls::EndingReason::RequestQuarantined);
+    return;
+  }
   if (Timeout <= framework::Duration::zero()) {
     Finisher_.fail(Context, Call, calls::EndingReason::DeadlinePassed);
     return;
--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -26,6 +26,14 @@
     return "target-limited";
   case ChangeKind::TargetLimitLifted:
     return "target-limit-lifted";
+  case ChangeKind::TargetCrashed:
+    return "target-crashed";
+  case ChangeKind::RequestSuspected:
+    return "request-suspected";
+  case ChangeKind::RequestQuarantined:
+    return "request-quarantined";
+  case ChangeKind::RequestCleared:
+    return "request-cleared";
   case ChangeKind::ZoneOut:
     return "zone-out";
   case ChangeKind::ZoneIn:
@@ -34,6 +42,8 @@
     return "peer-joined";
   case ChangeKind::PeerLost:
     return "peer-lost";
+  case ChangeKind::PeerMessageRejected:
+    return "peer-message-rejected";
   case ChangeKind::ViewLost:
     return "view-lost";
   case ChangeKind::ViewRestored:
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -5,6 +5,7 @@
 #include "calls/attemptidgenerator.h"
 #include "calls/calltable.h"
 #include "calls/connectionpool.h"
+#include "calls/requestquarantine.h"
 #include "calls/silencedetector.h"
 #include "calls/timerqueue.h"
 #include "decision/corecounters.h"
@@ -73,6 +74,7 @@
 
   calls::CallTable Calls_;
   calls::ConnectionPool Connections_;
+  calls::RequestQuarantine Quarantine_;
   calls::SilenceDetector SilenceDetector_;
   calls::TimerQueue<framework::CallId> DeadlineTimers_;
   calls::TimerQueue<framework::CallId> HedgeTimers_;
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -21,13 +21,14 @@
     : Core_(std::move(Settings), Rng), Connections_(Core_),
       Attempts_(Core_, Connections_), Finisher_(Core_, Attempts_),
       Admission_(Core_, Finisher_), Observer_(Core_),
+      Crashes_(Core_, Connections_, Finisher_),
       Transport_(Core_, Connections_, Attempts_, Finisher_, Admission_,
-                 Observer_),
+                 Observer_, Crashes_),
       Prober_(Core_, Observer_), EnvironmentUpdater_(Core_, Transport_),
       KeyHandler_(Core_, Finisher_, Admission_), View_(Core_, Finisher_),
       CallReceiver_(Core_, Finisher_, Admission_, KeyHandler_, View_),
       Stop_(Core_, CallReceiver_),
-      FleetAdapter_(Core_, EnvironmentUpdater_, KeyHandler_, Stop_),
+      FleetAdapter_(Core_, EnvironmentUpdater_, KeyHandler_, Stop_, Crashes_),
       Dispatcher_(Core_, Attempts_) {}
 
 void Engine::handle(const EventContext &Context, const Event &Input) {
@@ -54,6 +55,7 @@
   ConsiderDeadline(Core_.Targets_.nextWakeUp());
   ConsiderDeadline(Core_.Queue_.nextWakeUp());
   ConsiderDeadline(Core_.Fleet_.nextWakeUp());
+  ConsiderDeadline(Crashes_.nextWakeUp());
   return Next;
 }
 
@@ -90,6 +92,7 @@
   FleetAdapter_.processOutputs(Context);
   Core_.Targets_.advance(Context.now());
   View_.update(Context);
+  Crashes_.runDue(Context);
   if (Context.now() >= LastMaintenanceAt_ + TickInterval)
     runMaintenance(Context);
   Admission_.failExpired(Context);
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -10,6 +10,7 @@
 #include "decision/internal/callreceiver.h"
 #include "decision/internal/connectionmanager.h"
 #include "decision/internal/corestate.h"
+#include "decision/internal/crashguard.h"
 #include "decision/internal/dispatcher.h"
 #include "decision/internal/environmentupdater.h"
 #include "decision/internal/eventcontext.h"
@@ -81,6 +82,7 @@
   CallFinisher Finisher_;
   AdmissionController Admission_;
   TargetObserver Observer_;
+  CrashGuard Crashes_;
   TransportEventHandler Transport_;
   Prober Prober_;
   EnvironmentUpdater EnvironmentUpdater_;
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -7,6 +7,13 @@
 
 namespace cranberryspool::decision {
 
+namespace {
+
+/// Of rejected messages at most one is logged in this time; all are counted.
+constexpr framework::Duration RejectionLogInterval = std::chrono::seconds(1);
+
+} // namespace
+
 void FleetAdapter::handle(const EventContext &Context,
                           const DocumentPublished &Input) {
   Core_.Fleet_.handleDocument(Input.Revision_, Input.Text_, Context.Now_,
@@ -49,6 +56,12 @@
                                  Core_.FleetOutput_);
 }
 
+void FleetAdapter::handle(const EventContext &Context,
+                          const PeerMessageUnreadable &Input) {
+  reportRejectedMessage(Context, std::string("undecodable datagram: ")
+                                     .append(fleet::nameOf(Input.Failure_)));
+}
+
 void FleetAdapter::handle(const EventContext &Context,
                           const SectionsFetched &Input) {
   Core_.Fleet_.handleSections(Input.PeerAddress_, Input.Reply_, Context.Now_,
@@ -100,6 +113,26 @@
   }
 }
 
+void FleetAdapter::apply(const EventContext &Context,
+                         const fleet::CrashNoticesReceived &Output) {
+  Crashes_.merge(Context, Output);
+}
+
+void FleetAdapter::apply(const EventContext &Context,
+                         const fleet::PeerMessageRejected &Output) {
+  reportRejectedMessage(Context, Output.From_ + ": " + Output.Reason_);
+}
+
+void FleetAdapter::reportRejectedMessage(const EventContext &Context,
+                                         std::string Subject) {
+  ++Core_.Counters_.PeerMessagesRejected_;
+  if (RejectionLoggedAt_ &&
+      Context.now() - *RejectionLoggedAt_ < RejectionLogInterval)
+    return;
+  RejectionLoggedAt_ = Context.now();
+  report(Context, ChangeKind::PeerMessageRejected, std::move(Subject));
+}
+
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::DocumentApplied &Output) {
   EnvironmentUpdater_.setDocument(Context, *Core_.Fleet_.currentDocument());
--- a/src/decision/internal/fleetadapter.h
+++ b/src/decision/internal/fleetadapter.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_INTERNAL_FLEETADAPTER_H
 
 #include "decision/internal/corestate.h"
+#include "decision/internal/crashguard.h"
 #include "decision/internal/environmentupdater.h"
 #include "decision/internal/eventcontext.h"
 #include "decision/internal/keyedcallhandler.h"
@@ -13,6 +14,7 @@
 #include "decision/types/events/instancesunavailable.h"
 #include "decision/types/events/instancesunchanged.h"
 #include "decision/types/events/peermessagereceived.h"
+#include "decision/types/events/peermessageunreadable.h"
 #include "decision/types/events/recordhistorylost.h"
 #include "decision/types/events/recordschanged.h"
 #include "decision/types/events/recordsread.h"
@@ -30,9 +32,10 @@
 class FleetAdapter {
 public:
   FleetAdapter(CoreState &Core, EnvironmentUpdater &Updater,
-               KeyedCallHandler &KeyHandler, StopSequence &Stop)
+               KeyedCallHandler &KeyHandler, StopSequence &Stop,
+               CrashGuard &Crashes)
       : Core_(Core), EnvironmentUpdater_(Updater), KeyHandler_(KeyHandler),
-        Stop_(Stop) {}
+        Stop_(Stop), Crashes_(Crashes) {}
 
   void handle(const EventContext &Context, const DocumentPublished &Input);
   void handle(const EventContext &Context, const DocumentUnchanged &Input);
@@ -41,6 +44,7 @@
   void handle(const EventContext &Context, const InstancesUnchanged &Input);
   void handle(const EventContext &Context, const InstancesUnavailable &Input);
   void handle(const EventContext &Context, const PeerMessageReceived &Input);
+  void handle(const EventContext &Context, const PeerMessageUnreadable &Input);
   void handle(const EventContext &Context, const SectionsFetched &Input);
   void handle(const EventContext &Context, const SectionsUnavailable &Input);
   void handle(const EventContext &Context, const SectionsRequested &Input);
@@ -81,6 +85,11 @@
   void apply(const EventContext &Context, const fleet::TargetsChanged &Output);
   void apply(const EventContext &Context,
              const fleet::ViewFreshnessChanged &Output);
+  void apply(const EventContext &Context,
+             const fleet::CrashNoticesReceived &Output);
+  void apply(const EventContext &Context,
+             const fleet::PeerMessageRejected &Output);
+  void reportRejectedMessage(const EventContext &Context, std::string Subject);
   void report(const EventContext &Context, ChangeKind Kind,
               std::string Subject);
 
@@ -88,6 +97,9 @@
   EnvironmentUpdater &EnvironmentUpdater_;
   KeyedCallHandler &KeyHandler_;
   StopSequence &Stop_;
+  CrashGuard &Crashes_;
+  /// When a rejected message was last logged.
+  std::optional<framework::Instant> RejectionLoggedAt_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/transporteventhandler.cpp
+++ b/src/decision/internal/transporteventhandler.cpp
@@ -46,6 +46,7 @@
       Core_.Connections_.find(Input.Connection_);
   if (!Connection || Connection->State_ != calls::ConnectionState::Opening)
     return;
+  Crashes_.recordOpened(Connection->Target_);
   Core_.Connections_.markIdle(Input.Connection_, Context.now());
   Attempts_.assignToWaiter(Context, Input.Connection_);
 }
@@ -62,7 +63,10 @@
     return;
   }
   if (Connection->State_ == calls::ConnectionState::Opening) {
-    Core_.Counters_.ConnectionsRefused_ += Input.IsRefused_ ? 1 : 0;
+    if (Input.IsRefused_) {
+      ++Core_.Counters_.ConnectionsRefused_;
+      Crashes_.recordRefused(Context, Connection->Target_);
+    }
     handleConnectFailure(Context, Input.Connection_);
     return;
   }
@@ -74,6 +78,7 @@
 void TransportEventHandler::recordClosedByPeer(const EventContext &Context,
                                                framework::TargetId Target,
                                                bool WasIdle) {
+  Crashes_.recordClosed(Context, Target);
   const std::uint32_t Remaining = Core_.Connections_.count(Target);
   if (ResetDetector_.recordClosed(Target, WasIdle, Remaining, Context.now()))
     Core_.Targets_.markCold(Target, Context.now());
@@ -120,6 +125,8 @@
   }
   recordMeasurements(Context, Input, Ended);
   Attempts_.finish(Context, Ended, resultOf(Input));
+  if (resultOf(Input) == routing::AttemptResult::Answered)
+    Crashes_.recordCompleted(Context, Ended);
   calls::Call *Call = Core_.Calls_.find(Ended.Call_);
   if (!Call)
     ++Core_.Counters_.AnswersLate_;
@@ -182,8 +189,11 @@
   const calls::Attempt Ended = *Found;
   Core_.Connections_.remove(Input.Connection_);
   Attempts_.finish(Context, Ended, routing::AttemptResult::ConnectionFailed);
-  if (isConnectionClosed(Input.Failure_))
+  if (isConnectionClosed(Input.Failure_)) {
     recordClosedByPeer(Context, Ended.Target_, false);
+    if (Input.Written_ != calls::WriteState::NothingWritten)
+      Crashes_.recordLost(Context, Ended);
+  }
   ConnectionManager_.openForWaiters(Context, Ended.Target_);
   if (Input.Written_ != calls::WriteState::NothingWritten) {
     handleLostAttempt(Context, Ended, reasonOf(Input.Failure_));
--- a/src/decision/internal/transporteventhandler.h
+++ b/src/decision/internal/transporteventhandler.h
@@ -9,6 +9,7 @@
 #include "decision/internal/callfinisher.h"
 #include "decision/internal/connectionmanager.h"
 #include "decision/internal/corestate.h"
+#include "decision/internal/crashguard.h"
 #include "decision/internal/eventcontext.h"
 #include "decision/internal/targetobserver.h"
 #include "decision/types/events/answerbegan.h"
@@ -28,9 +29,10 @@
   TransportEventHandler(CoreState &Core, ConnectionManager &Manager,
                         AttemptManager &Attempts, CallFinisher &Finisher,
                         AdmissionController &Admission,
-                        TargetObserver &Observer)
+                        TargetObserver &Observer, CrashGuard &Crashes)
       : Core_(Core), ConnectionManager_(Manager), Attempts_(Attempts),
-        Finisher_(Finisher), Admission_(Admission), Observer_(Observer) {}
+        Finisher_(Finisher), Admission_(Admission), Observer_(Observer),
+        Crashes_(Crashes) {}
 
   void handle(const EventContext &Context, const ConnectionOpened &Input);
   void handle(const EventContext &Context, const ConnectionClosed &Input);
@@ -85,6 +87,7 @@
   CallFinisher &Finisher_;
   AdmissionController &Admission_;
   TargetObserver &Observer_;
+  CrashGuard &Crashes_;
   calls::RestartDetector ResetDetector_;
   /// Indexed by target: whether the target has ever returned the identifier of
   /// the attempt that it answers.
--- a/src/decision/tests/fleetsimulation.cpp
+++ b/src/decision/tests/fleetsimulation.cpp
@@ -170,7 +170,7 @@
     Arrived.Host_ = "h.example";
     Arrived.Path_ = "/a/x";
     Arrived.Timeout_ = milliseconds(1'500);
-    Arrived.Fingerprint_ = {2, LastCall_};
+    Arrived.Fingerprint_ = {2, Settings_.AreRequestsAlike_ ? 0 : LastCall_};
     NextCallAt_ += Duration(static_cast<std::int64_t>(
         Rng_.exponential(1e6 / Settings_.CallsPerSecond_)));
     deliver(Rng_.index(ActiveInstances_), Arrived);
--- a/src/decision/tests/fleetsimulation.h
+++ b/src/decision/tests/fleetsimulation.h
@@ -29,6 +29,8 @@
   std::uint64_t Seed_ = 1;
   /// The part of the messages between instances that is lost.
   double MessageLoss_ = 0;
+  /// True when all calls but the crashing ones have the same content.
+  bool AreRequestsAlike_ = false;
 };
 
 /// Several cores with a metadata store, targets and callers in virtual time.
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -1,8 +1,8 @@
 #include "entry/internal/decisionlog.h"
 
 #include "calls/endingnames.h"
+#include "calls/fingerprinttext.h"
 #include "decision/changenames.h"
-#include "entry/internal/fingerprint.h"
 #include "framework/log/logline.h"
 #include "framework/log/logwriter.h"
 
@@ -116,7 +116,7 @@
   Line.text("result", nameOf(Ended.Result_));
   Line.millis("elapsed_ms", Ended.Elapsed_);
   if (!IsRoutine)
-    Line.text("fingerprint", toText(Ended.Fingerprint_));
+    Line.text("fingerprint", calls::toText(Ended.Fingerprint_));
   Writer_->write(Line);
 }
 
@@ -139,7 +139,7 @@
   Line.flag("caller_gone", Call.IsCallerGone_);
   Line.millis("elapsed_ms", Call.Elapsed_);
   if (!IsRoutine)
-    Line.text("fingerprint", toText(Call.Fingerprint_));
+    Line.text("fingerprint", calls::toText(Call.Fingerprint_));
   addView(Line, View);
   Writer_->write(Line);
 }
--- a/src/entry/internal/fingerprint.cpp
+++ b/src/entry/internal/fingerprint.cpp
@@ -4,8 +4,7 @@
 
 #include <xxhash.h>
 
-#include <array>
-#include <cstdio>
+#include <string>
 
 namespace cranberryspool::entry {
 
@@ -25,13 +24,4 @@
   return {Hash.high64, Hash.low64};
 }
 
-std::string toText(const calls::RequestFingerprint &Fingerprint) {
-  constexpr std::size_t Digits = 32;
-  std::array<char, Digits + 1> Text{};
-  std::snprintf(Text.data(), Text.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(Fingerprint.High_),
-                static_cast<unsigned long long>(Fingerprint.Low_));
-  return std::string(Text.data(), Digits);
-}
-
 } // namespace cranberryspool::entry
--- a/src/entry/internal/fingerprint.h
+++ b/src/entry/internal/fingerprint.h
@@ -3,7 +3,6 @@
 
 #include "calls/types/requestfingerprint.h"
 
-#include <string>
 #include <string_view>
 
 namespace cranberryspool::entry {
@@ -14,9 +13,6 @@
 calls::RequestFingerprint computeFingerprint(const CallerRequest &Request,
                                              std::string_view Host);
 
-/// Returns the fingerprint as 32 hexadecimal digits, as in the log.
-std::string toText(const calls::RequestFingerprint &Fingerprint);
-
 } // namespace cranberryspool::entry
 
 #endif // CRANBERRYSPOOL_ENTRY_INTERNAL_FINGERPRINT_H
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 17> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 20> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
@@ -52,6 +52,15 @@
      &CoreCounters::ConnectionsRefused_},
     {"cranberryspool_connections_silent_total", "Connections judged silent",
      &CoreCounters::ConnectionsSilent_},
+    {"cranberryspool_target_crashes_total",
+     "Targets that crashed while they had requests of this instance",
+     &CoreCounters::TargetCrashes_},
+    {"cranberryspool_calls_quarantined_total",
+     "Calls ended because their request has crashed several targets",
+     &CoreCounters::CallsQuarantined_},
+    {"cranberryspool_peer_messages_rejected_total",
+     "Messages of instances that could not be decoded or used",
+     &CoreCounters::PeerMessagesRejected_},
     {"cranberryspool_probes_total", "Probes sent", &CoreCounters::ProbesSent_},
     {"cranberryspool_pauses_total", "Pauses of the process that were noticed",
      &CoreCounters::Pauses_},
--- a/src/entry/internal/peermessenger.cpp
+++ b/src/entry/internal/peermessenger.cpp
@@ -37,10 +37,11 @@
 
 void PeerMessenger::onReceived(std::size_t Bytes) {
   auto Message = fleet::decodePeerMessage({ReceiveBuffer_.data(), Bytes});
-  if (!Message)
-    return;
   DispatchInput Input;
-  Input.Event_ = decision::PeerMessageReceived{std::move(Message.value())};
+  if (Message)
+    Input.Event_ = decision::PeerMessageReceived{std::move(Message.value())};
+  else
+    Input.Event_ = decision::PeerMessageUnreadable{Message.error()};
   // Dropped when the mailbox is full: the protocol tolerates lost messages.
   Mailboxes_.Dispatch_.tryPush(Input);
 }
--- a/src/entry/tests/fingerprint_test.cpp
+++ b/src/entry/tests/fingerprint_test.cpp
@@ -1,3 +1,4 @@
+#include "calls/fingerprinttext.h"
 #include "entry/internal/fingerprint.h"
 #include "entry/types/callerrequest.h"
 
@@ -40,6 +41,6 @@
 }
 
 TEST_CASE("a fingerprint is written as 32 hexadecimal digits", "[entry]") {
-  CHECK(toText({0x1f, 0xabcdef0123456789}) ==
+  CHECK(calls::toText({0x1f, 0xabcdef0123456789}) ==
         "000000000000001fabcdef0123456789");
 }
--- a/src/entry/tests/targetconnectionpool_test.cpp
+++ b/src/entry/tests/targetconnectionpool_test.cpp
@@ -163,11 +163,12 @@
   TargetFixture Fixture;
   Fixture.sendCommand(decision::OpenConnection{
       framework::ConnectionId(1), framework::TargetId(0), "127.0.0.1:1"});
-  Fixture.expect<decision::ConnectionClosed>();
+  CHECK(Fixture.expect<decision::ConnectionClosed>().IsRefused_);
   Fixture.sendCommand(decision::OpenConnection{
       framework::ConnectionId(2), framework::TargetId(0), "nowhere"});
-  CHECK(Fixture.expect<decision::ConnectionClosed>().Connection_ ==
-        framework::ConnectionId(2));
+  const auto Unreadable = Fixture.expect<decision::ConnectionClosed>();
+  CHECK(Unreadable.Connection_ == framework::ConnectionId(2));
+  CHECK_FALSE(Unreadable.IsRefused_);
 }
 
 TEST_CASE("a response waits until the byte budget has room", "[entry]") {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -7,6 +7,8 @@
 #include "fleet/fleetsettings.h"
 #include "fleet/output.h"
 #include "fleet/peermessage.h"
+#include "fleet/types/crashnotice.h"
+#include "fleet/types/crashnoticerecipients.h"
 #include "fleet/types/publishedtarget.h"
 #include "fleet/types/sectionreply.h"
 #include "fleet/types/sectionrequest.h"
@@ -101,6 +103,16 @@
   void recordLoad(const framework::TargetName &Target,
                   const routing::LoadReport &Report, framework::Instant Now);
 
+  /// Sends crash notices to other instances.
+  void sendCrashNotices(std::vector<CrashNotice> Notices,
+                        CrashNoticeRecipients Recipients, framework::Moment Now,
+                        OutputList &Output);
+  /// Passes on what another instance has reported, to the instances that its
+  /// sender does not reach itself.
+  void forwardCrashNotices(std::vector<CrashNotice> Notices,
+                           const framework::InstanceName &From,
+                           framework::Moment Now, OutputList &Output);
+
   /// Records whether this instance knows the target to be warm.
   void setWarm(const framework::TargetName &Target, bool IsWarm);
 
--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -180,6 +180,32 @@
   Visit(Item.Records_);
 }
 
+template <typename Visitor>
+void visitFields(calls::RequestFingerprint &Item, Visitor &&Visit) {
+  Visit(Item.High_);
+  Visit(Item.Low_);
+}
+
+template <typename Visitor>
+void visitFields(CrashedTarget &Item, Visitor &&Visit) {
+  Visit(Item.Target_);
+  Visit(Item.Age_);
+}
+
+template <typename Visitor>
+void visitFields(CrashNotice &Item, Visitor &&Visit) {
+  Visit(Item.Request_);
+  Visit(Item.Crashes_);
+  Visit(Item.CompletedAge_);
+}
+
+template <typename Visitor>
+void visitFields(CrashUpdate &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Notices_);
+}
+
 template <typename Visitor>
 void visitFields(RecordFragment &Item, Visitor &&Visit) {
   Visit(Item.From_);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -100,10 +100,15 @@
   std::visit(
       [&](const auto &Item) {
         using MessageType = std::decay_t<decltype(Item)>;
-        if constexpr (std::is_same_v<MessageType, GossipMessage> ||
-                      std::is_same_v<MessageType, LoadUpdate> ||
-                      std::is_same_v<MessageType, RecordUpdate> ||
-                      std::is_same_v<MessageType, RecordFragment>) {
+        if constexpr (std::is_same_v<MessageType, CrashUpdate>) {
+          if (Seeded_)
+            Seeded_->handle(Item, Now, Output);
+          else
+            State_->handle(Item, Now, Output);
+        } else if constexpr (std::is_same_v<MessageType, GossipMessage> ||
+                             std::is_same_v<MessageType, LoadUpdate> ||
+                             std::is_same_v<MessageType, RecordUpdate> ||
+                             std::is_same_v<MessageType, RecordFragment>) {
           if (Seeded_)
             Seeded_->handle(Item, Now, Output);
         } else {
@@ -171,6 +176,23 @@
     Seeded_->recordLoad(Target, Report, Now);
 }
 
+void Fleet::sendCrashNotices(std::vector<CrashNotice> Notices,
+                             CrashNoticeRecipients Recipients,
+                             framework::Moment Now, OutputList &Output) {
+  if (Seeded_)
+    Seeded_->sendCrashNotices(std::move(Notices), Recipients, Now, Output);
+  else
+    State_->sendCrashNotices(std::move(Notices), Recipients, Output);
+}
+
+void Fleet::forwardCrashNotices(std::vector<CrashNotice> Notices,
+                                const framework::InstanceName &From,
+                                framework::Moment Now, OutputList &Output) {
+  // Members of a published list send to all others themselves.
+  if (Seeded_)
+    Seeded_->forwardCrashNotices(std::move(Notices), From, Now, Output);
+}
+
 void Fleet::setWarm(const framework::TargetName &Target, bool IsWarm) {
   if (State_)
     State_->setWarm(Target, IsWarm);
--- a/src/fleet/internal/fleetstate.h
+++ b/src/fleet/internal/fleetstate.h
@@ -14,6 +14,7 @@
 #include "fleet/internal/sectionfetcher.h"
 #include "fleet/internal/targetshares.h"
 #include "fleet/output.h"
+#include "fleet/types/crashnoticerecipients.h"
 #include "framework/moment.h"
 #include "framework/random.h"
 #include "routing/types/senderrank.h"
@@ -66,6 +67,11 @@
   void handle(const KeyHandoverAck &Message, framework::Moment Now,
               OutputList &Output);
 
+  void handle(const CrashUpdate &Message, framework::Moment Now,
+              OutputList &Output);
+  void sendCrashNotices(std::vector<CrashNotice> Notices,
+                        CrashNoticeRecipients Recipients, OutputList &Output);
+
   void requestKey(framework::CallId Call, const framework::IdempotencyKey &Key,
                   framework::Moment Now, OutputList &Output);
   void handleKeyedCallEnd(framework::CallId Call, calls::Ending Ending,
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -9,6 +9,7 @@
 #include "fleet/internal/seeded/peergroup.h"
 #include "fleet/internal/seeded/storereplicator.h"
 #include "fleet/output.h"
+#include "fleet/types/crashnoticerecipients.h"
 #include "framework/moment.h"
 #include "framework/random.h"
 #include "routing/types/senderrank.h"
@@ -41,6 +42,16 @@
               OutputList &Output);
   void handle(const RecordFragment &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const CrashUpdate &Message, framework::Moment Now,
+              OutputList &Output);
+  void sendCrashNotices(std::vector<CrashNotice> Notices,
+                        CrashNoticeRecipients Recipients, framework::Moment Now,
+                        OutputList &Output);
+  /// Sends notices from another zone to the own zone, and those from another
+  /// group to the own group.
+  void forwardCrashNotices(std::vector<CrashNotice> Notices,
+                           const framework::InstanceName &From,
+                           framework::Moment Now, OutputList &Output);
   void recordLoad(const framework::TargetName &Target,
                   const routing::LoadReport &Report, framework::Instant Now);
   void handleAllRecords(const std::vector<StoredRecord> &Records,
@@ -96,6 +107,10 @@
   void notifySharesChanged(framework::Instant Now, OutputList &Output);
   EventContext makeContext(framework::Moment Now, OutputList &Output) const;
   void sendLoads(const EventContext &Context);
+  /// Returns the addresses of randomly chosen members that are not lost.
+  std::vector<std::string> chooseMembers(std::size_t Count);
+  std::vector<CrashUpdate>
+  makeOwnCrashUpdates(std::vector<CrashNotice> Notices) const;
   LoadUpdate makeLoadUpdate() const;
   std::vector<LoadUpdate> takeLoadUpdates(LoadRecipients Recipients,
                                           framework::Instant Now);
--- a/src/fleet/output.h
+++ b/src/fleet/output.h
@@ -1,12 +1,14 @@
 #ifndef CRANBERRYSPOOL_FLEET_OUTPUT_H
 #define CRANBERRYSPOOL_FLEET_OUTPUT_H
 
+#include "fleet/types/outputs/crashnoticesreceived.h"
 #include "fleet/types/outputs/documentapplied.h"
 #include "fleet/types/outputs/documentrejected.h"
 #include "fleet/types/outputs/fetchsections.h"
 #include "fleet/types/outputs/instanceschanged.h"
 #include "fleet/types/outputs/keydecided.h"
 #include "fleet/types/outputs/loadreceived.h"
+#include "fleet/types/outputs/peermessagerejected.h"
 #include "fleet/types/outputs/peerreachabilitychanged.h"
 #include "fleet/types/outputs/readpublished.h"
 #include "fleet/types/outputs/readrecords.h"
@@ -28,12 +30,13 @@
 
 /// An action that `Fleet` requests or an event that it reports.
 using Output =
-    std::variant<DocumentApplied, DocumentRejected, FetchSections,
-                 InstancesChanged, StoredResponseExpired, KeyDecided,
-                 LoadReceived, StaleValueIgnored, PeerReachabilityChanged,
-                 ReadPublished, ReadRecords, RecordRejected, SendMessage,
-                 Superseded, SharesChanged, TargetReportedCold,
-                 TargetReportedWarm, TargetsChanged, ViewFreshnessChanged>;
+    std::variant<CrashNoticesReceived, PeerMessageRejected, DocumentApplied,
+                 DocumentRejected, FetchSections, InstancesChanged,
+                 StoredResponseExpired, KeyDecided, LoadReceived,
+                 StaleValueIgnored, PeerReachabilityChanged, ReadPublished,
+                 ReadRecords, RecordRejected, SendMessage, Superseded,
+                 SharesChanged, TargetReportedCold, TargetReportedWarm,
+                 TargetsChanged, ViewFreshnessChanged>;
 
 /// Outputs in the order in which they must be processed.
 using OutputList = std::vector<Output>;
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_FLEET_PEERMESSAGE_H
 #define CRANBERRYSPOOL_FLEET_PEERMESSAGE_H
 
+#include "fleet/types/crashupdate.h"
 #include "fleet/types/gossipmessage.h"
 #include "fleet/types/heartbeat.h"
 #include "fleet/types/heartbeatack.h"
@@ -23,7 +24,7 @@
 using PeerMessage =
     std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
                  KeyEndedAck, KeyHandover, KeyHandoverAck, GossipMessage,
-                 LoadUpdate, RecordUpdate, RecordFragment>;
+                 LoadUpdate, RecordUpdate, RecordFragment, CrashUpdate>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -99,6 +99,14 @@
                      1,
                      4,
                      {0, 0xff, 'x'}},
+      CrashUpdate{Name,
+                  Incarnation,
+                  {CrashNotice{{~std::uint64_t{0}, 7},
+                               {{framework::TargetName("t1"),
+                                 std::chrono::milliseconds(20)},
+                                {framework::TargetName("t2"), {}}},
+                               std::chrono::seconds(9)},
+                   CrashNotice{}}},
   };
 }
 
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -294,3 +294,46 @@
   }
   CHECK(Probes == 1);
 }
+
+TEST_CASE("crash notices are taken from known instances only, and not too many "
+          "at once",
+          "[crash]") {
+  SeededSimulation Simulation(3);
+  Simulation.pass(seconds(2));
+  const CrashNotice Notice{
+      {1, 1}, {{framework::TargetName("t1"), Duration{}}}, std::nullopt};
+  const auto Receive = [&](CrashUpdate Message) {
+    OutputList Output;
+    Simulation.Instances_[0].handle(Message, Simulation.Now_, Output);
+    return Output;
+  };
+  const framework::InstanceName Known("entry-2");
+  const framework::Incarnation Current(1000);
+  CHECK(outputsOf<CrashNoticesReceived>(Receive({Known, Current, {Notice}}))
+            .size() == 1);
+  CrashNotice Oversized = Notice;
+  Oversized.Crashes_.resize(4, Notice.Crashes_.front());
+  for (const CrashUpdate &Each :
+       {CrashUpdate{framework::InstanceName("stranger"), Current, {Notice}},
+        CrashUpdate{Known, framework::Incarnation(999), {Notice}},
+        CrashUpdate{Known, Current, std::vector(11, Notice)},
+        CrashUpdate{Known, Current, {Oversized}}}) {
+    const OutputList Output = Receive(Each);
+    CHECK(outputsOf<CrashNoticesReceived>(Output).empty());
+    CHECK(outputsOf<PeerMessageRejected>(Output).size() == 1);
+  }
+}
+
+TEST_CASE("a full crash update fits in a datagram", "[crash]") {
+  CrashNotice Largest;
+  Largest.Request_ = {~std::uint64_t{0}, ~std::uint64_t{0}};
+  Largest.CompletedAge_ = std::chrono::hours(1);
+  Largest.Crashes_.assign(
+      3, {framework::TargetName(std::string(20, 't')), std::chrono::hours(1)});
+  const auto Updates = makeCrashUpdates(
+      framework::InstanceName(std::string(32, 'i')),
+      framework::Incarnation(~std::uint64_t{0}), std::vector(25, Largest));
+  REQUIRE(Updates.size() == 3);
+  for (const CrashUpdate &Each : Updates)
+    CHECK(encodePeerMessage(Each).size() <= MaxDatagramBytes);
+}
--- a/src/fleet/types/decodefailure.h
+++ b/src/fleet/types/decodefailure.h
@@ -1,6 +1,8 @@
 #ifndef CRANBERRYSPOOL_FLEET_TYPES_DECODEFAILURE_H
 #define CRANBERRYSPOOL_FLEET_TYPES_DECODEFAILURE_H
 
+#include <string_view>
+
 namespace cranberryspool::fleet {
 
 /// The reason why a datagram could not be decoded as a peer message.
@@ -15,6 +17,8 @@
   ValueOutOfRange,
 };
 
+std::string_view nameOf(DecodeFailure Failure);
+
 } // namespace cranberryspool::fleet
 
 #endif // CRANBERRYSPOOL_FLEET_TYPES_DECODEFAILURE_H
--- a/src/session/internal/eventjson.cpp
+++ b/src/session/internal/eventjson.cpp
@@ -97,6 +97,10 @@
   return {{"event", "instances-unchanged"}};
 }
 
+json::object toJson(const PeerMessageUnreadable &) {
+  return {{"event", "peer-message-unreadable"}};
+}
+
 json::object toJson(const PeerMessageReceived &) {
   return {{"event", "peer-message-received"}};
 }
