--- a/src/decision/tests/fleetsimulation.cpp
+++ b/src/decision/tests/fleetsimulation.cpp
@@ -173,7 +173,11 @@
     Arrived.Fingerprint_ = {2, Settings_.AreRequestsAlike_ ? 0 : LastCall_};
     NextCallAt_ += Duration(static_cast<std::int64_t>(
         Rng_.exponential(1e6 / Settings_.CallsPerSecond_)));
-    deliver(Rng_.index(ActiveInstances_), Arrived);
+    const std::size_t Instance = Rng_.index(ActiveInstances_);
+    Calls_.emplace(
+        Arrived.Call_,
+        SentCall{Now_.Monotonic_, CutOffFromTargets_.contains(Instance)});
+    deliver(Instance, Arrived);
   }
 }
 
@@ -389,7 +393,24 @@
   return Found == EndedCalls_.end() ? 0 : Found->second;
 }
 
-void FleetSimulation::handle(std::size_t, const AnswerCall &) { ++Answered_; }
+void FleetSimulation::handle(std::size_t, const AnswerCall &Ended) {
+  ++Answered_;
+  if (const auto Found = Calls_.find(Ended.Call_); Found != Calls_.end())
+    Found->second.IsAnswered_ = true;
+}
+
+double FleetSimulation::answeredShare(bool IsCutOff, Instant Since) const {
+  std::size_t All = 0;
+  std::size_t Answered = 0;
+  for (const auto &[Id, Call] : Calls_) {
+    if (Call.At_ < Since || Call.IsAtCutOffInstance_ != IsCutOff)
+      continue;
+    ++All;
+    Answered += Call.IsAnswered_ ? 1 : 0;
+  }
+  return All == 0 ? 0
+                  : static_cast<double>(Answered) / static_cast<double>(All);
+}
 
 std::size_t FleetSimulation::mostRequests(Duration Window, Instant From) const {
   std::size_t Most = 0;
--- a/src/decision/tests/fleetsimulation.h
+++ b/src/decision/tests/fleetsimulation.h
@@ -74,6 +74,11 @@
   std::size_t refusedCalls() const { return Refused_; }
   framework::Instant now() const { return Now_.Monotonic_; }
 
+  /// Returns the share of the calls that arrived at instances that were cut off
+  /// from all targets (or at the others), no earlier than the given time, and
+  /// that were answered.
+  double answeredShare(bool IsCutOff, framework::Instant Since) const;
+
   /// Returns when the crashing request crashed a target, in order.
   const std::vector<framework::Instant> &crashes() const { return Crashes_; }
   /// Returns the number of calls with the crashing request that were sent to
@@ -92,6 +97,12 @@
     std::size_t Target_;
     std::optional<framework::AttemptId> Attempt_;
   };
+  /// A call that a caller has sent.
+  struct SentCall {
+    framework::Instant At_;
+    bool IsAtCutOffInstance_;
+    bool IsAnswered_ = false;
+  };
   struct Arrival {
     framework::Instant At_;
     std::size_t Target_;
@@ -172,6 +183,8 @@
   std::size_t Refused_ = 0;
   std::map<calls::EndingReason, std::size_t> EndedCalls_;
 
+  std::map<framework::CallId, SentCall> Calls_;
+
   std::map<std::pair<std::size_t, framework::ConnectionId>, Link> Links_;
   /// From when on each target runs, and how often it has crashed.
   std::vector<framework::Instant> UpSince_;
