--- a/src/calls/internal/endingnames.cpp
+++ b/src/calls/internal/endingnames.cpp
@@ -62,6 +62,10 @@
     return "retries-exhausted";
   case EndingReason::RequestQuarantined:
     return "request-quarantined";
+  case EndingReason::TargetsUnreachable:
+    return "targets-unreachable";
+  case EndingReason::ForwarderUnknown:
+    return "forwarder-unknown";
   case EndingReason::CallerGone:
     return "caller-gone";
   }
--- a/src/calls/types/attemptkind.h
+++ b/src/calls/types/attemptkind.h
@@ -10,6 +10,9 @@
   Retry,
   /// An earlier attempt of the call was still running.
   Hedge,
+  /// The call is forwarded to another instance, which takes the place of the
+  /// target.
+  Forward,
 };
 
 } // namespace cranberryspool::calls
--- a/src/calls/types/call.h
+++ b/src/calls/types/call.h
@@ -39,6 +39,9 @@
   bool WasShed_ = false;
   bool WasHedged_ = false;
   bool IsCallerGone_ = false;
+  /// True once the call is forwarded to another instance. Its attempts are no
+  /// longer counted by the admission queue.
+  bool IsForwarded_ = false;
   /// True when the owner of the call's idempotency key has permitted it to run.
   bool HoldsKey_ = false;
   /// An attempt with a complete response that reports a failure of the target.
--- a/src/calls/types/callrequest.h
+++ b/src/calls/types/callrequest.h
@@ -33,6 +33,8 @@
   /// The latency objective of the call; zero when there is none.
   framework::Duration LatencyObjective_{};
   RequestFingerprint Fingerprint_ = {};
+  /// True when another instance has forwarded the call.
+  bool IsFromPeer_ = false;
 };
 
 } // namespace cranberryspool::calls
--- a/src/calls/types/endingreason.h
+++ b/src/calls/types/endingreason.h
@@ -27,6 +27,8 @@
   KeyAnswerGone,
   RetriesExhausted,
   RequestQuarantined,
+  TargetsUnreachable,
+  ForwarderUnknown,
   CallerGone,
 };
 
--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -38,6 +38,11 @@
   std::uint64_t CallsQuarantined_ = 0;
   std::uint64_t PeerMessagesRejected_ = 0;
 
+  /// Calls forwarded to other instances, counted for each that was tried.
+  std::uint64_t CallsForwarded_ = 0;
+  std::uint64_t CallsFromPeers_ = 0;
+  std::uint64_t CallsFromPeersRefused_ = 0;
+
   std::uint64_t ProbesSent_ = 0;
   std::uint64_t ProbesFailed_ = 0;
 
--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -18,6 +18,9 @@
   framework::ZoneName Zone_;
   /// The `IP:port` address of this instance for peer messages.
   std::string PeerAddress_{};
+  /// The port at which all instances accept calls that others forward; 0 when
+  /// calls are not forwarded.
+  std::uint16_t ForwardPort_ = 0;
   /// Set if instances discover each other through seeds and read the platform's
   /// metadata store. Otherwise they read the platform's document and instance
   /// list.
--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -5,6 +5,13 @@
 
 namespace cranberryspool::decision {
 
+namespace {
+
+/// The time that the response of another instance needs to come back.
+constexpr framework::Duration ForwardMargin = std::chrono::milliseconds(10);
+
+} // namespace
+
 void AttemptManager::start(const EventContext &Context, calls::Call &Call,
                            framework::TargetId Target,
                            calls::AttemptKind Kind) {
@@ -26,9 +33,11 @@
                            .Connection_ = {},
                            .Kind_ = Kind,
                            .StartedAt_ = Context.now()});
-  Core_.Targets_.recordSent(Target, Context.now());
-  if (!Request.IsIdempotent_)
-    ConnectionManager_.recordNonIdempotentRequest(Context, Target);
+  if (Kind != calls::AttemptKind::Forward) {
+    Core_.Targets_.recordSent(Target, Context.now());
+    if (!Request.IsIdempotent_)
+      ConnectionManager_.recordNonIdempotentRequest(Context, Target);
+  }
   connect(Context, Started);
 }
 
@@ -37,25 +46,32 @@
                             const calls::Attempt &Reported) const {
   if (!Core_.Settings_.ReportsAttempts_)
     return;
-  const routing::TargetState &Target = Core_.Targets_.state(Reported.Target_);
   ReportAttempt Report;
   Report.Call_ = Reported.Call_;
   Report.Attempt_ = Reported.Attempt_;
   Report.Target_ = Core_.Environment_.targetName(Reported.Target_);
-  Report.Zone_ = Core_.Environment_.zoneName(Target.Description_.Zone_);
   Report.Kind_ = Reported.Kind_;
   Report.IsSent_ = Reported.State_ == calls::AttemptState::Sent;
   Report.Waited_ = Context.now() - Reported.StartedAt_;
   Report.SentAttempts_ = Call.SentAttempts_;
   Report.MaxAttempts_ = Call.Request_.MaxAttempts_;
+  if (Reported.Kind_ != calls::AttemptKind::Forward)
+    addTargetState(Context, Reported.Target_, Report);
+  Context.Output_.push_back(std::move(Report));
+}
+
+void AttemptManager::addTargetState(const EventContext &Context,
+                                    framework::TargetId Id,
+                                    ReportAttempt &Report) const {
+  const routing::TargetState &Target = Core_.Targets_.state(Id);
+  Report.Zone_ = Core_.Environment_.zoneName(Target.Description_.Zone_);
   Report.LastReport_ = Target.Report_;
-  Report.IsCold_ = Core_.Targets_.isCold(Reported.Target_);
-  Report.RequestLimit_ = Core_.Targets_.requestLimit(Reported.Target_);
+  Report.IsCold_ = Core_.Targets_.isCold(Id);
+  Report.RequestLimit_ = Core_.Targets_.requestLimit(Id);
   // The attempt itself is not counted.
   Report.InFlight_ = Target.InFlight_ - 1;
   if (Target.ReportedAt_)
     Report.ReportAge_ = Context.now() - *Target.ReportedAt_;
-  Context.Output_.push_back(std::move(Report));
 }
 
 void AttemptManager::connect(const EventContext &Context,
@@ -106,6 +122,8 @@
       .Depth_ = Request.Depth_ + 1,
       .AttemptMark_ = Request.AttemptNumber_ + Call.SentAttempts_,
       .TargetName_ = Core_.Environment_.targetName(Attempt.Target_)});
+  if (Attempt.Kind_ == calls::AttemptKind::Forward)
+    addressToPeer(std::get<SendAttempt>(Context.Output_.back()));
   ++Call.SentAttempts_;
   Core_.ServiceStats_.recordSent(Call, Context.now());
   ++Core_.Counters_.AttemptsSent_;
@@ -117,12 +135,21 @@
   scheduleHedge(Context, Call);
 }
 
+void AttemptManager::addressToPeer(SendAttempt &Sent) const {
+  Sent.TargetName_ = framework::TargetName();
+  Sent.Timeout_ = std::max(Sent.Timeout_ - ForwardMargin,
+                           framework::Duration(std::chrono::milliseconds(1)));
+  Sent.Forwarder_ =
+      Forwarder{Core_.Settings_.Self_, Core_.Settings_.Incarnation_, {}};
+}
+
 void AttemptManager::scheduleHedge(const EventContext &Context,
                                    const calls::Call &Call) {
   const calls::CallRequest &Request = Call.Request_;
   if (!Request.IsHedgingAllowed_ || !Request.IsIdempotent_)
     return;
-  if (Call.WasHedged_ || Request.AttemptNumber_ > 1 || Call.SentAttempts_ > 1)
+  if (Call.WasHedged_ || Call.IsForwarded_ || Request.AttemptNumber_ > 1 ||
+      Call.SentAttempts_ > 1)
     return;
   if (Request.LatencyObjective_ > framework::Duration::zero()) {
     Core_.HedgeTimers_.set(Request.Call_,
@@ -168,8 +195,9 @@
   if (calls::Call *Call = Core_.Calls_.find(Copy.Call_))
     Call->LastResult_ = Result;
   Core_.Calls_.removeAttempt(Copy.Attempt_);
-  Core_.Targets_.recordEnded(Copy.Target_, Result,
-                             Context.now() - Copy.StartedAt_, Context.now());
+  if (Copy.Kind_ != calls::AttemptKind::Forward)
+    Core_.Targets_.recordEnded(Copy.Target_, Result,
+                               Context.now() - Copy.StartedAt_, Context.now());
 }
 
 void AttemptManager::abandon(const EventContext &Context,
--- a/src/decision/internal/attemptmanager.h
+++ b/src/decision/internal/attemptmanager.h
@@ -36,11 +36,16 @@
   void expireAbandoned(const EventContext &Context);
 
 private:
+  /// Adds the state of the target on which its choice was based.
+  void addTargetState(const EventContext &Context, framework::TargetId Id,
+                      ReportAttempt &Report) const;
   void report(const EventContext &Context, const calls::Call &Call,
               const calls::Attempt &Reported) const;
   void connect(const EventContext &Context, const calls::Attempt &Attempt);
   void send(const EventContext &Context, calls::Attempt &Attempt,
             framework::ConnectionId Id);
+  /// Makes the request one that another instance accepts.
+  void addressToPeer(SendAttempt &Sent) const;
   void scheduleHedge(const EventContext &Context, const calls::Call &Call);
 
   CoreState &Core_;
--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -124,7 +124,7 @@
 calls::EndingToken CallFinisher::releaseResources(const EventContext &Context,
                                                   calls::Call &Call) {
   const framework::CallId Id = Call.Request_.Call_;
-  if (Call.State_ == calls::CallState::Running)
+  if (Call.State_ == calls::CallState::Running && !Call.IsForwarded_)
     Core_.Queue_.recordEnded(Call.Request_.Service_, Call.Request_.Urgency_,
                              Call.LastResult_, Context.now() - Call.StartedAt_,
                              Context.now());
--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -53,26 +53,20 @@
       .MaxAttempts_ = Kind.MaxAttempts_ > 0 ? Kind.MaxAttempts_
                                             : Core_.CallSettings_.MaxAttempts_,
       .LatencyObjective_ = Kind.LatencyObjective_,
-      .Fingerprint_ = Input.Fingerprint_});
-  Core_.ServiceStats_.recordCall(Kind.Service_, Context.now());
+      .Fingerprint_ = Input.Fingerprint_,
+      .IsFromPeer_ = Input.Forwarder_.has_value()});
   ++Core_.Counters_.CallsAccepted_;
-  if (IsStopped_) {
-    Finisher_.fail(Context, Call, calls::EndingReason::InstanceStopping);
-    return;
-  }
-  if (!View_.mayAccept(Context.now())) {
-    Finisher_.fail(Context, Call, calls::EndingReason::ViewTooOld);
-    return;
-  }
-  if (Core_.Quarantine_.timeLeft(Input.Fingerprint_, Context.now())) {
-    Finisher_.fail(Context, Call, calls::EndingReason::RequestQuarantined);
-    return;
-  }
-  if (Timeout <= framework::Duration::zero()) {
-    Finisher_.fail(Context, Call, calls::EndingReason::DeadlinePassed);
+  Core_.Counters_.CallsFromPeers_ += Input.Forwarder_ ? 1 : 0;
+  if (const auto Reason = findRefusalReason(Context, Input, Timeout)) {
+    Core_.Counters_.CallsFromPeersRefused_ += Input.Forwarder_ ? 1 : 0;
+    Finisher_.fail(Context, Call, *Reason);
     return;
   }
   Core_.DeadlineTimers_.set(Input.Call_, Call.Request_.Deadline_);
+  // The retry budget of the instance that takes the call counts it.
+  if (Forwarder_.tryForward(Context, Call))
+    return;
+  Core_.ServiceStats_.recordCall(Kind.Service_, Context.now());
   // Repeating an idempotent request is harmless, so its key is ignored.
   if (Input.Key_ && !Kind.IsIdempotent_)
     KeyHandler_.requestDecision(Context, Call);
@@ -80,6 +74,24 @@
     Admission_.enqueue(Context, Call);
 }
 
+std::optional<calls::EndingReason>
+CallReceiver::findRefusalReason(const EventContext &Context,
+                                const CallArrived &Input,
+                                framework::Duration Timeout) const {
+  if (IsStopped_)
+    return calls::EndingReason::InstanceStopping;
+  if (!View_.mayAccept(Context.now()))
+    return calls::EndingReason::ViewTooOld;
+  if (Input.Forwarder_)
+    if (const auto Fault = Forwarder_.findFault(*Input.Forwarder_))
+      return Fault;
+  if (Core_.Quarantine_.timeLeft(Input.Fingerprint_, Context.now()))
+    return calls::EndingReason::RequestQuarantined;
+  if (Timeout <= framework::Duration::zero())
+    return calls::EndingReason::DeadlinePassed;
+  return std::nullopt;
+}
+
 void CallReceiver::handle(const EventContext &Context,
                           const CallerGone &Input) {
   calls::Call *Call = Core_.Calls_.find(Input.Call_);
--- a/src/decision/internal/callreceiver.h
+++ b/src/decision/internal/callreceiver.h
@@ -4,6 +4,7 @@
 #include "calls/types/callrequest.h"
 #include "decision/internal/admissioncontroller.h"
 #include "decision/internal/callfinisher.h"
+#include "decision/internal/callforwarder.h"
 #include "decision/internal/corestate.h"
 #include "decision/internal/eventcontext.h"
 #include "decision/internal/keyedcallhandler.h"
@@ -20,9 +21,9 @@
 public:
   CallReceiver(CoreState &Core, CallFinisher &Finisher,
                AdmissionController &Admission, KeyedCallHandler &KeyHandler,
-               ViewGuard &View)
+               ViewGuard &View, CallForwarder &Forwarder)
       : Core_(Core), Finisher_(Finisher), Admission_(Admission),
-        KeyHandler_(KeyHandler), View_(View) {}
+        KeyHandler_(KeyHandler), View_(View), Forwarder_(Forwarder) {}
 
   void handle(const EventContext &Context, const CallArrived &Input);
   void handle(const EventContext &Context, const CallerGone &Input);
@@ -35,12 +36,17 @@
 private:
   void accept(const EventContext &Context, const CallArrived &Input,
               const MatchedKind &Kind);
+  /// Returns why a call is refused before it is queued.
+  std::optional<calls::EndingReason>
+  findRefusalReason(const EventContext &Context, const CallArrived &Input,
+                    framework::Duration Timeout) const;
 
   CoreState &Core_;
   CallFinisher &Finisher_;
   AdmissionController &Admission_;
   KeyedCallHandler &KeyHandler_;
   ViewGuard &View_;
+  CallForwarder &Forwarder_;
   bool IsStopped_ = false;
 };
 
--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -44,6 +44,10 @@
     return "peer-lost";
   case ChangeKind::PeerMessageRejected:
     return "peer-message-rejected";
+  case ChangeKind::TargetsUnreachable:
+    return "targets-unreachable";
+  case ChangeKind::TargetsReachable:
+    return "targets-reachable";
   case ChangeKind::ViewLost:
     return "view-lost";
   case ChangeKind::ViewRestored:
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -22,11 +22,13 @@
       Attempts_(Core_, Connections_), Finisher_(Core_, Attempts_),
       Admission_(Core_, Finisher_), Observer_(Core_),
       Crashes_(Core_, Connections_, Finisher_),
+      Forwarder_(Core_, Connections_, Attempts_, Finisher_),
       Transport_(Core_, Connections_, Attempts_, Finisher_, Admission_,
-                 Observer_, Crashes_),
+                 Observer_, Crashes_, Forwarder_),
       Prober_(Core_, Observer_), EnvironmentUpdater_(Core_, Transport_),
       KeyHandler_(Core_, Finisher_, Admission_), View_(Core_, Finisher_),
-      CallReceiver_(Core_, Finisher_, Admission_, KeyHandler_, View_),
+      CallReceiver_(Core_, Finisher_, Admission_, KeyHandler_, View_,
+                    Forwarder_),
       Stop_(Core_, CallReceiver_),
       FleetAdapter_(Core_, EnvironmentUpdater_, KeyHandler_, Stop_, Crashes_),
       Dispatcher_(Core_, Attempts_) {}
@@ -93,6 +95,8 @@
   Core_.Targets_.advance(Context.now());
   View_.update(Context);
   Crashes_.runDue(Context);
+  if (View_.isFresh(Context.now()) && !Stop_.isFinished())
+    Forwarder_.runDue(Context);
   if (Context.now() >= LastMaintenanceAt_ + TickInterval)
     runMaintenance(Context);
   Admission_.failExpired(Context);
@@ -156,6 +160,7 @@
 }
 
 void Engine::dispatch(const EventContext &Context, const ProbeAnswered &Input) {
+  Forwarder_.recordHeard(Context);
   Prober_.handle(Context, Input);
 }
 
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -7,6 +7,7 @@
 #include "decision/internal/admissioncontroller.h"
 #include "decision/internal/attemptmanager.h"
 #include "decision/internal/callfinisher.h"
+#include "decision/internal/callforwarder.h"
 #include "decision/internal/callreceiver.h"
 #include "decision/internal/connectionmanager.h"
 #include "decision/internal/corestate.h"
@@ -83,6 +84,7 @@
   AdmissionController Admission_;
   TargetObserver Observer_;
   CrashGuard Crashes_;
+  CallForwarder Forwarder_;
   TransportEventHandler Transport_;
   Prober Prober_;
   EnvironmentUpdater EnvironmentUpdater_;
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -170,6 +170,24 @@
   return Zones_.intern(Name);
 }
 
+framework::TargetId Environment::internPeer(const framework::InstanceName &Name,
+                                            const std::string &Address) {
+  // Targets have no names with a slash.
+  const framework::TargetId Peer =
+      TargetNames_.intern(framework::TargetName("instance/" + Name.value()));
+  setAddress(Peer, Address);
+  Peers_.insert(Peer);
+  return Peer;
+}
+
+void Environment::setAddress(framework::TargetId Target,
+                             const std::string &Address) {
+  const std::size_t Index = Target.value();
+  if (Index >= Addresses_.size())
+    Addresses_.resize(Index + 1);
+  Addresses_[Index] = Address;
+}
+
 std::map<framework::GroupName, Environment::GroupInfo>
 Environment::collectGroups() {
   std::map<framework::ZoneName, document::ZoneState> States;
@@ -236,10 +254,7 @@
                             const std::string &Address,
                             routing::TargetDescription Description) {
   Description.Target_ = TargetNames_.intern(Name);
-  const std::size_t Index = Description.Target_.value();
-  if (Index >= Addresses_.size())
-    Addresses_.resize(Index + 1);
-  Addresses_[Index] = Address;
+  setAddress(Description.Target_, Address);
   Targets_.push_back(Description);
 }
 
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,14 @@
   findService(const framework::ServiceName &Name) const;
   const framework::ZoneName &zoneName(framework::ZoneId Zone) const;
   framework::ZoneId internZone(const framework::ZoneName &Name);
+  /// Returns the identifier under which calls are forwarded to another
+  /// instance, and sets the address for it. It belongs to no service, so that
+  /// it is never chosen as a target.
+  framework::TargetId internPeer(const framework::InstanceName &Name,
+                                 const std::string &Address);
+  bool isPeer(framework::TargetId Target) const {
+    return Peers_.contains(Target);
+  }
 
 private:
   struct GroupInfo {
@@ -94,6 +103,7 @@
   void addStoredTargets();
   void addTarget(const framework::TargetName &Name, const std::string &Address,
                  routing::TargetDescription Description);
+  void setAddress(framework::TargetId Target, const std::string &Address);
   std::map<framework::GroupName, GroupInfo> collectGroups();
 
   std::optional<document::EnvironmentDocument> Document_;
@@ -114,6 +124,7 @@
   std::vector<std::vector<calls::KindId>> KindIdsByService_;
   std::map<framework::ServiceId, const document::Service *> ServicesById_;
   std::vector<std::string> Addresses_;
+  std::set<framework::TargetId> Peers_;
   std::vector<routing::TargetDescription> Targets_;
 };
 
--- a/src/decision/internal/transporteventhandler.cpp
+++ b/src/decision/internal/transporteventhandler.cpp
@@ -47,6 +47,7 @@
   if (!Connection || Connection->State_ != calls::ConnectionState::Opening)
     return;
   Crashes_.recordOpened(Connection->Target_);
+  Forwarder_.recordOpened(Context, Connection->Target_);
   Core_.Connections_.markIdle(Input.Connection_, Context.now());
   Attempts_.assignToWaiter(Context, Input.Connection_);
 }
@@ -78,6 +79,8 @@
 void TransportEventHandler::recordClosedByPeer(const EventContext &Context,
                                                framework::TargetId Target,
                                                bool WasIdle) {
+  if (Core_.Environment_.isPeer(Target))
+    return;
   Crashes_.recordClosed(Context, Target);
   const std::uint32_t Remaining = Core_.Connections_.count(Target);
   if (ResetDetector_.recordClosed(Target, WasIdle, Remaining, Context.now()))
@@ -89,6 +92,7 @@
   const framework::TargetId Target = Core_.Connections_.find(Id)->Target_;
   Core_.Connections_.remove(Id);
   ++Core_.Counters_.ConnectionsFailed_;
+  Forwarder_.recordOpenFailed(Context, Target);
   const auto Waiter = Core_.Connections_.takeWaiter(Target);
   if (!Waiter)
     return;
@@ -103,6 +107,8 @@
   if (!Running || Running->Connection_ != Input.Connection_)
     return;
   Running->HasAnswerBegun_ = true;
+  if (Running->Kind_ != calls::AttemptKind::Forward)
+    Forwarder_.recordHeard(Context);
   Core_.Connections_.recordActivity(Input.Connection_, Context.now());
   Core_.SilenceDetector_.stopWatching(*Running);
 }
@@ -123,6 +129,12 @@
     handleLostAttempt(Context, Ended, calls::EndingReason::AnswerMismatched);
     return;
   }
+  if (Ended.Kind_ == calls::AttemptKind::Forward) {
+    Attempts_.finish(Context, Ended, resultOf(Input));
+    handleForwardAnswer(Context, Ended, Input, Match);
+    returnConnection(Context, Input, Ended);
+    return;
+  }
   recordMeasurements(Context, Input, Ended);
   Attempts_.finish(Context, Ended, resultOf(Input));
   if (resultOf(Input) == routing::AttemptResult::Answered)
@@ -204,6 +216,26 @@
   handleUnsentAttempt(Context, Ended);
 }
 
+void TransportEventHandler::handleForwardAnswer(const EventContext &Context,
+                                                const calls::Attempt &Ended,
+                                                const AttemptAnswered &Input,
+                                                Correlation Match) {
+  calls::Call *Call = Core_.Calls_.find(Ended.Call_);
+  if (!Call) {
+    ++Core_.Counters_.AnswersLate_;
+    return;
+  }
+  if (Input.IsNotRun_ && Match == Correlation::Confirmed) {
+    --Call->SentAttempts_;
+    Forwarder_.handleNotRun(Context, Ended);
+    return;
+  }
+  // The other instance has made all attempts that the call is allowed.
+  Call->AnswerStatus_ = Input.Status_;
+  Call->MayHaveRun_ = true;
+  Finisher_.answer(Context, *Call, Ended.Attempt_);
+}
+
 void TransportEventHandler::handleAnswer(const EventContext &Context,
                                          calls::Call &Call,
                                          const calls::Attempt &Ended,
@@ -248,6 +280,12 @@
   calls::Call *Call = Core_.Calls_.find(Unsent.Call_);
   if (!Call || !Call->LiveAttempts_.empty())
     return;
+  if (Unsent.Kind_ == calls::AttemptKind::Forward) {
+    Forwarder_.handleNotRun(Context, Unsent);
+    return;
+  }
+  if (Forwarder_.tryForward(Context, *Call))
+    return;
   if (Call->IsCallerGone_)
     Finisher_.fail(Context, *Call, calls::EndingReason::CallerGone);
   else if (Call->StartedAttempts_ < MaxStartedAttempts)
@@ -276,7 +314,8 @@
 
 bool TransportEventHandler::mayRetry(const EventContext &Context,
                                      calls::Call &Call) {
-  if (Call.IsCallerGone_ || Call.Request_.AttemptNumber_ > 1)
+  if (Call.IsCallerGone_ || Call.IsForwarded_ ||
+      Call.Request_.AttemptNumber_ > 1)
     return false;
   if (!Core_.Calls_.mayStartAttempt(Call))
     return false;
@@ -309,6 +348,7 @@
   std::vector<calls::Attempt> Unsent;
   for (const auto &[Id, Live] : Core_.Calls_.attempts())
     if (Live.State_ == calls::AttemptState::WaitingForConnection &&
+        Live.Kind_ != calls::AttemptKind::Forward &&
         !Core_.Environment_.acceptsWork(Live.Target_))
       Unsent.push_back(Live);
   for (const calls::Attempt &Attempt : Unsent) {
--- a/src/decision/internal/transporteventhandler.h
+++ b/src/decision/internal/transporteventhandler.h
@@ -7,6 +7,7 @@
 #include "decision/internal/admissioncontroller.h"
 #include "decision/internal/attemptmanager.h"
 #include "decision/internal/callfinisher.h"
+#include "decision/internal/callforwarder.h"
 #include "decision/internal/connectionmanager.h"
 #include "decision/internal/corestate.h"
 #include "decision/internal/crashguard.h"
@@ -29,10 +30,11 @@
   TransportEventHandler(CoreState &Core, ConnectionManager &Manager,
                         AttemptManager &Attempts, CallFinisher &Finisher,
                         AdmissionController &Admission,
-                        TargetObserver &Observer, CrashGuard &Crashes)
+                        TargetObserver &Observer, CrashGuard &Crashes,
+                        CallForwarder &Forwarder)
       : Core_(Core), ConnectionManager_(Manager), Attempts_(Attempts),
         Finisher_(Finisher), Admission_(Admission), Observer_(Observer),
-        Crashes_(Crashes) {}
+        Crashes_(Crashes), Forwarder_(Forwarder) {}
 
   void handle(const EventContext &Context, const ConnectionOpened &Input);
   void handle(const EventContext &Context, const ConnectionClosed &Input);
@@ -72,6 +74,10 @@
   void handleNotRun(const EventContext &Context, calls::Call &Call);
   void handleAnswer(const EventContext &Context, calls::Call &Call,
                     const calls::Attempt &Ended, std::uint32_t Status);
+  /// Handles the response of the instance to which a call was forwarded.
+  void handleForwardAnswer(const EventContext &Context,
+                           const calls::Attempt &Ended,
+                           const AttemptAnswered &Input, Correlation Match);
   bool mayRetry(const EventContext &Context, calls::Call &Call);
   /// Records that a target closed a connection. If it seems to have closed all
   /// its connections at once, it is taken to have restarted and is marked as
@@ -88,6 +94,7 @@
   AdmissionController &Admission_;
   TargetObserver &Observer_;
   CrashGuard &Crashes_;
+  CallForwarder &Forwarder_;
   calls::RestartDetector ResetDetector_;
   /// Indexed by target: whether the target has ever returned the identifier of
   /// the attempt that it answers.
--- a/src/decision/tests/cutoffinstance_test.cpp
+++ b/src/decision/tests/cutoffinstance_test.cpp
@@ -5,6 +5,7 @@
 using namespace cranberryspool;
 using namespace cranberryspool::decision;
 using framework::Duration;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -14,12 +15,12 @@
 /// The share of calls that must be answered at instances that are cut off, of
 /// that at the others.
 constexpr double MinRelativeShare = 2.0 / 3.0;
+/// The number of instances to which a call may be offered.
+constexpr std::size_t MaxForwardTries = 6;
 
 } // namespace
 
-TEST_CASE("callers of instances that reach no target are served",
-          "[cutoff]"
-          "[!shouldfail]") {
+TEST_CASE("callers of instances that reach no target are served", "[cutoff]") {
   const std::size_t CutOff = GENERATE(1, 8);
   FleetSimulation Fleet{FleetSimulationSettings()};
   Fleet.run(seconds(6));
@@ -31,3 +32,65 @@
   CHECK(Fleet.answeredShare(true, Since) >=
         MinRelativeShare * Fleet.answeredShare(false, Since));
 }
+
+TEST_CASE("callers are refused at once when no instance reaches a target",
+          "[cutoff]") {
+  FleetSimulation Fleet{FleetSimulationSettings()};
+  Fleet.run(seconds(6));
+  for (std::size_t Instance = 0; Instance < 13; ++Instance)
+    Fleet.setCutOffFromTargets(Instance, true);
+  Fleet.run(TimeToRecover);
+  const std::size_t RefusedBefore = Fleet.refusedCalls();
+  const std::size_t ForwardedBefore = Fleet.forwardedCalls();
+  Fleet.run(seconds(10));
+  const std::size_t Refused = Fleet.refusedCalls() - RefusedBefore;
+  CHECK(Refused > 0);
+  // Each call is offered to a bounded number of instances, which forward it no
+  // further.
+  CHECK(Fleet.forwardedCalls() - ForwardedBefore <= MaxForwardTries * Refused);
+  CHECK(Fleet.endedCalls(calls::EndingReason::DeadlinePassed) == 0);
+}
+
+TEST_CASE("calls are not forwarded any more once targets are reached again",
+          "[cutoff]") {
+  FleetSimulation Fleet{FleetSimulationSettings()};
+  Fleet.run(seconds(6));
+  Fleet.setCutOffFromTargets(4, true);
+  Fleet.run(seconds(5));
+  CHECK(Fleet.forwardedCalls() > 0);
+  Fleet.setCutOffFromTargets(4, false);
+  Fleet.run(seconds(1));
+  const std::size_t Forwarded = Fleet.forwardedCalls();
+  const std::size_t Refused = Fleet.refusedCalls();
+  Fleet.run(seconds(10));
+  CHECK(Fleet.forwardedCalls() == Forwarded);
+  CHECK(Fleet.refusedCalls() == Refused);
+}
+
+TEST_CASE("calls are not forwarded when single targets crash", "[cutoff]") {
+  FleetSimulationSettings Settings;
+  Settings.Seed_ = GENERATE(1, 2, 3);
+  FleetSimulation Fleet(Settings);
+  framework::Random Rng(Settings.Seed_);
+  Fleet.run(seconds(6));
+  for (int Round = 0; Round < 20; ++Round) {
+    Fleet.crash(Rng.index(Settings.Targets_));
+    Fleet.run(milliseconds(1'500));
+  }
+  CHECK(Fleet.forwardedCalls() == 0);
+}
+
+TEST_CASE("a forwarded crashing request is not sent beyond its quarantine",
+          "[cutoff][crash]") {
+  FleetSimulation Fleet{FleetSimulationSettings()};
+  Fleet.run(seconds(6));
+  for (std::size_t Instance = 0; Instance < 8; ++Instance)
+    Fleet.setCutOffFromTargets(Instance, true);
+  Fleet.run(seconds(2));
+  for (int Round = 0; Round < 30; ++Round) {
+    Fleet.sendCrashingCall(Round % 13U);
+    Fleet.run(milliseconds(400));
+  }
+  REQUIRE(Fleet.crashes().size() >= 3);
+  CHECK(Fleet.crashingCallsSentAfter(Fleet.crashes()[2] + TimeToRecover) <= 3);
+}
--- a/src/decision/tests/fleetsimulation.cpp
+++ b/src/decision/tests/fleetsimulation.cpp
@@ -24,10 +24,18 @@
 constexpr Duration RestartTime = seconds(3);
 constexpr calls::RequestFingerprint CrashingRequest{1, 1};
 
-std::string addressOf(std::size_t Instance) {
-  return "127.0.0.1:" + std::to_string(7'000 + Instance);
+constexpr std::uint16_t ForwardPort = 7'100;
+
+std::string ipOf(std::size_t Instance) {
+  return "127.0.1." + std::to_string(1 + Instance);
+}
+
+std::string forwardAddressOf(std::size_t Instance) {
+  return ipOf(Instance) + ":" + std::to_string(ForwardPort);
 }
 
+std::string addressOf(std::size_t Instance) { return ipOf(Instance) + ":7000"; }
+
 std::string targetKey(std::size_t Target) {
   return "t-" + std::to_string(Target);
 }
@@ -87,6 +95,7 @@
   Core.Incarnation_ = framework::Incarnation(1 + Starts_[Instance]);
   Core.Zone_ = framework::ZoneName("a");
   Core.PeerAddress_ = addressOf(Instance);
+  Core.ForwardPort_ = Settings_.IsForwardingAllowed_ ? ForwardPort : 0;
   Core.Seeds_ = fleet::SeedSettings{.Addresses_ = {addressOf(0), addressOf(1)},
                                     .Decode_ = decode,
                                     .Bounds_ = {}};
@@ -174,6 +183,7 @@
     NextCallAt_ += Duration(static_cast<std::int64_t>(
         Rng_.exponential(1e6 / Settings_.CallsPerSecond_)));
     const std::size_t Instance = Rng_.index(ActiveInstances_);
+    Requests_.emplace(Arrived.Call_, Arrived);
     Calls_.emplace(
         Arrived.Call_,
         SentCall{Now_.Monotonic_, CutOffFromTargets_.contains(Instance)});
@@ -208,6 +218,15 @@
 
 void FleetSimulation::handle(std::size_t Instance,
                              const OpenConnection &Request) {
+  for (std::size_t Peer = 0; Peer < Cores_.size(); ++Peer) {
+    if (Request.Address_ != forwardAddressOf(Peer))
+      continue;
+    PeerLinks_[{Instance, Request.Connection_}] = Peer;
+    ConnectionOpened Opened;
+    Opened.Connection_ = Request.Connection_;
+    schedule(Instance, 2 * OneWay, Opened);
+    return;
+  }
   const std::size_t Target =
       std::stoul(Request.Address_.substr(Request.Address_.find(':') + 1)) -
       8'000;
@@ -227,7 +246,42 @@
   Links_.erase({Instance, Request.Connection_});
 }
 
+void FleetSimulation::forward(std::size_t Instance,
+                              const SendAttempt &Request) {
+  CallArrived Arrived = Requests_.at(Request.Call_);
+  Arrived.Call_ = framework::CallId(++LastCall_);
+  Arrived.Timeout_ = Request.Timeout_;
+  Arrived.Forwarder_ = Request.Forwarder_;
+  Arrived.Forwarder_->Address_ = ipOf(Instance);
+  Requests_.emplace(Arrived.Call_, Arrived);
+  if (isCrashing(Request.Call_))
+    CrashingCalls_.insert(Arrived.Call_);
+  Forwarded_.emplace(Arrived.Call_, ForwardedCall{Instance, Request});
+  ++ForwardedCalls_;
+  schedule(PeerLinks_.at({Instance, Request.Connection_}), OneWay, Arrived);
+}
+
+bool FleetSimulation::returnOutcome(framework::CallId Call,
+                                    std::uint32_t Status, bool IsNotRun) {
+  const auto Found = Forwarded_.extract(Call);
+  if (Found.empty())
+    return false;
+  const auto &[Instance, Sent] = Found.mapped();
+  AttemptAnswered Answer;
+  Answer.Attempt_ = Sent.Attempt_;
+  Answer.Connection_ = Sent.Connection_;
+  Answer.EchoedAttempt_ = Sent.Attempt_;
+  Answer.Status_ = Status;
+  Answer.IsNotRun_ = IsNotRun;
+  schedule(Instance, OneWay, Answer);
+  return true;
+}
+
 void FleetSimulation::handle(std::size_t Instance, const SendAttempt &Request) {
+  if (Request.Forwarder_) {
+    forward(Instance, Request);
+    return;
+  }
   const std::size_t Target = targetOf(Request.TargetName_.value());
   if (isCrashing(Request.Call_))
     CrashingCallsSentAt_[Request.Call_] = Now_.Monotonic_;
@@ -302,6 +356,7 @@
   Arrived.Timeout_ = milliseconds(1'500);
   Arrived.Fingerprint_ = CrashingRequest;
   CrashingCalls_.insert(Arrived.Call_);
+  Requests_.emplace(Arrived.Call_, Arrived);
   deliver(Instance, Arrived);
 }
 
@@ -374,6 +429,12 @@
 }
 
 void FleetSimulation::handle(std::size_t, const RefuseCall &Ended) {
+  constexpr std::uint32_t ServiceUnavailable = 503;
+  constexpr std::uint32_t BadGateway = 502;
+  const bool IsNotRun = Ended.Ending_ == calls::Ending::NotRun;
+  if (returnOutcome(Ended.Call_, IsNotRun ? ServiceUnavailable : BadGateway,
+                    IsNotRun))
+    return;
   if (isCrashing(Ended.Call_)) {
     CrashingCallEndings_.push_back(Ended);
     return;
@@ -394,6 +455,9 @@
 }
 
 void FleetSimulation::handle(std::size_t, const AnswerCall &Ended) {
+  constexpr std::uint32_t Ok = 200;
+  if (returnOutcome(Ended.Call_, Ok, false))
+    return;
   ++Answered_;
   if (const auto Found = Calls_.find(Ended.Call_); Found != Calls_.end())
     Found->second.IsAnswered_ = true;
--- a/src/decision/tests/fleetsimulation.h
+++ b/src/decision/tests/fleetsimulation.h
@@ -31,6 +31,7 @@
   double MessageLoss_ = 0;
   /// True when all calls but the crashing ones have the same content.
   bool AreRequestsAlike_ = false;
+  bool IsForwardingAllowed_ = true;
 };
 
 /// Several cores with a metadata store, targets and callers in virtual time.
@@ -72,6 +73,7 @@
   std::size_t limitingInstances() const;
   std::size_t answeredCalls() const { return Answered_; }
   std::size_t refusedCalls() const { return Refused_; }
+  std::size_t forwardedCalls() const { return ForwardedCalls_; }
   framework::Instant now() const { return Now_.Monotonic_; }
 
   /// Returns the share of the calls that arrived at instances that were cut off
@@ -97,6 +99,11 @@
     std::size_t Target_;
     std::optional<framework::AttemptId> Attempt_;
   };
+  /// A call that an instance has forwarded to another one.
+  struct ForwardedCall {
+    std::size_t Instance_;
+    SendAttempt Attempt_;
+  };
   /// A call that a caller has sent.
   struct SentCall {
     framework::Instant At_;
@@ -140,6 +147,11 @@
   void handle(std::size_t Instance, const AnswerCall &Ended);
   template <typename Other> void handle(std::size_t, const Other &) {}
   void startCalls();
+  void forward(std::size_t Instance, const SendAttempt &Request);
+  /// Returns the outcome of a call to the instance that has forwarded it.
+  /// Returns false when the call was not forwarded.
+  bool returnOutcome(framework::CallId Call, std::uint32_t Status,
+                     bool IsNotRun);
   void answer(std::size_t Instance, const SendAttempt &Request);
   /// Schedules an event that a target sends, unless it crashes before.
   void scheduleFrom(std::size_t Target, std::size_t Instance,
@@ -181,9 +193,15 @@
   std::vector<Arrival> Arrivals_;
   std::size_t Answered_ = 0;
   std::size_t Refused_ = 0;
+  std::size_t ForwardedCalls_ = 0;
   std::map<calls::EndingReason, std::size_t> EndedCalls_;
 
   std::map<framework::CallId, SentCall> Calls_;
+  /// The requests of all calls, also of those that were forwarded.
+  std::map<framework::CallId, CallArrived> Requests_;
+  std::map<framework::CallId, ForwardedCall> Forwarded_;
+  std::map<std::pair<std::size_t, framework::ConnectionId>, std::size_t>
+      PeerLinks_;
 
   std::map<std::pair<std::size_t, framework::ConnectionId>, Link> Links_;
   /// From when on each target runs, and how often it has crashed.
--- a/src/decision/types/actions/sendattempt.h
+++ b/src/decision/types/actions/sendattempt.h
@@ -1,10 +1,12 @@
 #ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDATTEMPT_H
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDATTEMPT_H
 
+#include "decision/types/forwarder.h"
 #include "framework/ids.h"
 #include "framework/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cranberryspool::decision {
 
@@ -21,6 +23,9 @@
   /// The attempt number sent to the target; 1 for the first attempt.
   std::uint32_t AttemptMark_ = 1;
   framework::TargetName TargetName_ = {};
+  /// This instance, when the call is forwarded to another one instead of a
+  /// target.
+  std::optional<Forwarder> Forwarder_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -25,6 +25,8 @@
   PeerJoined,
   PeerLost,
   PeerMessageRejected,
+  TargetsUnreachable,
+  TargetsReachable,
   ViewLost,
   ViewRestored,
   PauseDetected,
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -26,6 +26,10 @@
   /// The endpoint for peers: UDP for messages and TCP for JSON-RPC, on the same
   /// port.
   Endpoint PeerListen_;
+  /// The endpoint at which other instances forward calls that they cannot send
+  /// to any target; all instances use the same port. Unset where calls are not
+  /// forwarded.
+  std::optional<Endpoint> ForwardListen_ = std::nullopt;
   Endpoint OperatorListen_;
   Endpoint DocumentService_;
   Endpoint InstanceList_;
--- a/src/entry/internal/callerserver.cpp
+++ b/src/entry/internal/callerserver.cpp
@@ -19,17 +19,21 @@
 } // namespace
 
 CallerServer::CallerServer(net::io_context &Io, tcp::acceptor Acceptor,
+                           std::optional<tcp::acceptor> PeerAcceptor,
                            const EntryLimits &Limits,
                            framework::CallId FirstCall,
                            WorkerMailboxes &Mailboxes, InstanceState &State,
                            std::function<void()> OnAllClosed)
-    : Io_(Io), Acceptor_(std::move(Acceptor)), Limits_(Limits),
+    : Io_(Io), Acceptor_(std::move(Acceptor)),
+      PeerAcceptor_(std::move(PeerAcceptor)), Limits_(Limits),
       Mailboxes_(Mailboxes), State_(State),
       OnAllClosed_(std::move(OnAllClosed)), Dispatch_(Io, Mailboxes.Dispatch_),
       SweepTimer_(Io), NextCall_(FirstCall.value()) {
   Mailboxes_.Callers_.attach(
       Io, [this](CallerCommand &Command) { onCommand(Command); });
-  acceptNext();
+  acceptNext(Acceptor_, CallerKind::Caller);
+  if (PeerAcceptor_)
+    acceptNext(*PeerAcceptor_, CallerKind::Peer);
   scheduleSweep();
 }
 
@@ -66,21 +70,24 @@
   reportClosedIfDone();
 }
 
-void CallerServer::acceptNext() {
-  Acceptor_.async_accept(Io_,
-                         [this](const error_code &Error, tcp::socket Socket) {
-                           onAccepted(Error, std::move(Socket));
-                         });
+void CallerServer::acceptNext(tcp::acceptor &Acceptor, CallerKind Kind) {
+  Acceptor.async_accept(Io_, [this, &Acceptor, Kind](const error_code &Error,
+                                                     tcp::socket Socket) {
+    onAccepted(Acceptor, Kind, Error, std::move(Socket));
+  });
 }
 
-void CallerServer::onAccepted(const error_code &Error, tcp::socket Socket) {
+void CallerServer::onAccepted(tcp::acceptor &Acceptor, CallerKind Kind,
+                              const error_code &Error, tcp::socket Socket) {
   if (IsClosing_ || Error == net::error::operation_aborted)
     return;
   if (Error) {
     // Most likely the process is out of file descriptors: wait until some are
     // closed.
     auto Timer = std::make_shared<net::steady_timer>(Io_, AcceptRetryDelay);
-    Timer->async_wait([this, Timer](const error_code &) { acceptNext(); });
+    Timer->async_wait([this, &Acceptor, Kind, Timer](const error_code &) {
+      acceptNext(Acceptor, Kind);
+    });
     return;
   }
   if (Sessions_.size() < Limits_.CallerConnections_) {
@@ -88,11 +95,11 @@
     Socket.set_option(tcp::no_delay(true), Ignored);
     const std::uint64_t Number = ++LastSession_;
     auto Session =
-        std::make_shared<CallerSession>(std::move(Socket), Number, *this);
+        std::make_shared<CallerSession>(std::move(Socket), Number, *this, Kind);
     Sessions_.emplace(Number, Session);
     Session->start();
   }
-  acceptNext();
+  acceptNext(Acceptor, Kind);
 }
 
 void CallerServer::scheduleSweep() {
@@ -135,6 +142,8 @@
   IsClosing_ = true;
   error_code Ignored;
   Acceptor_.cancel(Ignored);
+  if (PeerAcceptor_)
+    PeerAcceptor_->cancel(Ignored);
   std::vector<std::shared_ptr<CallerSession>> OpenSessions;
   for (const auto &[Number, Session] : Sessions_)
     OpenSessions.push_back(Session);
--- a/src/entry/internal/callerserver.h
+++ b/src/entry/internal/callerserver.h
@@ -23,6 +23,7 @@
   /// after a restart of the instance, since peers fetch stored responses by it.
   CallerServer(boost::asio::io_context &Io,
                boost::asio::ip::tcp::acceptor Acceptor,
+               std::optional<boost::asio::ip::tcp::acceptor> PeerAcceptor,
                const EntryLimits &Limits, framework::CallId FirstCall,
                WorkerMailboxes &Mailboxes, InstanceState &State,
                std::function<void()> OnAllClosed);
@@ -47,8 +48,9 @@
   framework::Instant now() const;
 
 private:
-  void acceptNext();
-  void onAccepted(const boost::system::error_code &Error,
+  void acceptNext(boost::asio::ip::tcp::acceptor &Acceptor, CallerKind Kind);
+  void onAccepted(boost::asio::ip::tcp::acceptor &Acceptor, CallerKind Kind,
+                  const boost::system::error_code &Error,
                   boost::asio::ip::tcp::socket Socket);
   void scheduleSweep();
   void sweep();
@@ -62,6 +64,8 @@
 
   boost::asio::io_context &Io_;
   boost::asio::ip::tcp::acceptor Acceptor_;
+  /// Accepts the connections of other instances that forward calls.
+  std::optional<boost::asio::ip::tcp::acceptor> PeerAcceptor_;
   const EntryLimits Limits_;
   WorkerMailboxes &Mailboxes_;
   InstanceState &State_;
--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -5,6 +5,7 @@
 #include "entry/internal/copyfields.h"
 #include "entry/internal/endingstatus.h"
 #include "entry/internal/fingerprint.h"
+#include "entry/internal/forwarderfield.h"
 #include "entry/internal/headvalidation.h"
 #include "entry/internal/instancestate.h"
 #include "entry/internal/retryafter.h"
@@ -38,6 +39,9 @@
 /// The number of bytes of pipelined requests that are held unparsed while
 /// responses are pending.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+/// Longer than an instance keeps an idle connection, so that it is not closed
+/// while a call is on its way.
+constexpr framework::Duration PeerIdleTimeout = std::chrono::seconds(60);
 constexpr framework::Duration LingerTimeout = std::chrono::seconds(1);
 constexpr std::string_view HeadTerminator = "\r\n\r\n";
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -53,8 +57,14 @@
 } // namespace
 
 CallerSession::CallerSession(net::ip::tcp::socket Socket, std::uint64_t Number,
-                             CallerServer &Server)
-    : Socket_(std::move(Socket)), Number_(Number), Server_(Server) {}
+                             CallerServer &Server, CallerKind Kind)
+    : Socket_(std::move(Socket)), Number_(Number), Server_(Server),
+      Kind_(Kind) {}
+
+framework::Duration CallerSession::idleTimeout() const {
+  return Kind_ == CallerKind::Peer ? PeerIdleTimeout
+                                   : Server_.callerLimits().idleTimeout();
+}
 
 void CallerSession::start() { awaitNextRequest(); }
 
@@ -77,7 +87,7 @@
   }
   Phase_ = Phase::Idle;
   if (Exchanges_.empty())
-    setDeadline(Server_.callerLimits().idleTimeout());
+    setDeadline(idleTimeout());
   else
     Deadline_ = framework::Instant::max();
   continueWithInput();
@@ -198,6 +208,16 @@
   Arrival_.Key_ = Metadata.value().Key_;
   Arrival_.Depth_ = Metadata.value().Depth_;
   Arrival_.Attempt_ = Metadata.value().Attempt_;
+  if (Kind_ == CallerKind::Peer) {
+    Arrival_.Forwarder_ = takeForwarder(Request_.Fields_);
+    if (!Arrival_.Forwarder_) {
+      refuseRequest(400, "bad-forwarder");
+      return;
+    }
+    error_code Ignored;
+    Arrival_.Forwarder_->Address_ =
+        Socket_.remote_endpoint(Ignored).address().to_string();
+  }
   const bool IsContinueExpected =
       beast::iequals(Message[http::field::expect], "100-continue");
   Input_.consume(ConsumedBytes);
@@ -258,6 +278,7 @@
   Parser_.reset();
   Arrival_.BodyBytes_ = Request_.Body_.size();
   Arrival_.Fingerprint_ = computeFingerprint(Request_, Arrival_.Host_);
+  const std::string AttemptId = Request_.AttemptId_;
   const auto Call =
       Server_.accept(Number_, std::move(Arrival_), std::move(Request_));
   if (!Call) {
@@ -266,6 +287,7 @@
   }
   HasReadLastRequest_ = !IsKeptAlive_;
   Exchanges_.push_back(Exchange{.Call_ = Call,
+                                .AttemptId_ = AttemptId,
                                 .IsHeadRequest_ = IsHeadRequest_,
                                 .IsKeptAlive_ = IsKeptAlive_,
                                 .Response_ = std::nullopt,
@@ -321,6 +343,8 @@
   if (IsUnavailable || Refusal.RetryAfter_ > framework::Duration::zero())
     Message.set(http::field::retry_after,
                 retryAfterText(Refusal.RetryAfter_, Profile));
+  if (Refusal.Ending_ == calls::Ending::NotRun)
+    markNotRun(Message, Entry->AttemptId_);
   Message.content_length(0);
   Entry->Response_ = std::move(Message);
   writeNext();
@@ -341,9 +365,11 @@
   IsKeptAlive_ = IsKeptAlive_ && CanKeepAlive;
   HasReadLastRequest_ = !IsKeptAlive_;
   Parser_.reset();
+  const std::string AttemptId = Request_.AttemptId_;
   Request_ = CallerRequest();
   const HttpProfile &Profile = Server_.state().HttpProfile_;
   Response Message = startResponse(Status);
+  markNotRun(Message, AttemptId);
   if (!Profile.EndingField_.empty()) {
     Message.set(Profile.EndingField_, nameOf(calls::Ending::NotRun));
     Message.set(Profile.EndingReasonField_, Reason);
@@ -353,6 +379,7 @@
                 retryAfterText(std::chrono::milliseconds(100), Profile));
   Message.content_length(0);
   Exchanges_.push_back(Exchange{.Call_ = std::nullopt,
+                                .AttemptId_ = {},
                                 .IsHeadRequest_ = IsHeadRequest_,
                                 .IsKeptAlive_ = IsKeptAlive_,
                                 .Response_ = std::move(Message),
@@ -363,6 +390,18 @@
   writeNext();
 }
 
+void CallerSession::markNotRun(Response &Message,
+                               const std::string &AttemptId) const {
+  if (Kind_ != CallerKind::Peer)
+    return;
+  const HttpProfile &Profile = Server_.state().HttpProfile_;
+  if (!Profile.NotRunField_.empty())
+    Message.set(Profile.NotRunField_,
+                Profile.NotRunValue_.empty() ? "1" : Profile.NotRunValue_);
+  if (!Profile.AttemptIdField_.empty() && !AttemptId.empty())
+    Message.set(Profile.AttemptIdField_, AttemptId);
+}
+
 CallerSession::Response CallerSession::startResponse(unsigned Status) const {
   Response Message;
   Message.version(11);
@@ -413,7 +452,7 @@
   if (Phase_ == Phase::Paused)
     awaitNextRequest();
   else if (Phase_ == Phase::Idle && Exchanges_.empty())
-    setDeadline(Server_.callerLimits().idleTimeout());
+    setDeadline(idleTimeout());
 }
 
 /// Shuts down the sending side and discards input until the caller closes.
--- a/src/entry/internal/callersession.h
+++ b/src/entry/internal/callersession.h
@@ -4,6 +4,7 @@
 #include "decision/types/actions/refusecall.h"
 #include "decision/types/events/callarrived.h"
 #include "entry/internal/exchange.h"
+#include "entry/types/callerkind.h"
 #include "entry/types/callerrequest.h"
 #include "entry/types/requestheaderror.h"
 #include "entry/types/targetresponse.h"
@@ -28,12 +29,14 @@
 class CallerServer;
 
 /// One caller connection. Reads complete requests of bounded size, pipelined up
-/// to a limit, and writes the responses in the order of the requests. The
-/// server's table and each pending operation hold a reference to the session.
+/// to a limit, and writes the responses in the order of the requests. Another
+/// instance that forwards calls is a caller as well: it must name itself in
+/// each request, and refusals tell it whether the call was run. The server's
+/// table and each pending operation hold a reference to the session.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
   CallerSession(boost::asio::ip::tcp::socket Socket, std::uint64_t Number,
-                CallerServer &Server);
+                CallerServer &Server, CallerKind Kind);
 
   void start();
 
@@ -83,6 +86,10 @@
                      bool CanKeepAlive);
   Exchange *findExchange(framework::CallId Call);
   Response startResponse(unsigned Status) const;
+  /// Adds the fields by which another instance recognises a call that was not
+  /// run.
+  void markNotRun(Response &Message, const std::string &AttemptId) const;
+  framework::Duration idleTimeout() const;
   void writeNext();
   void onWritten(const boost::system::error_code &Error);
   void linger();
@@ -92,6 +99,7 @@
   boost::asio::ip::tcp::socket Socket_;
   const std::uint64_t Number_;
   CallerServer &Server_;
+  const CallerKind Kind_;
   Phase Phase_ = Phase::Idle;
   bool IsReading_ = false;
   /// True when another request may follow the one being read or read next.
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -23,6 +23,8 @@
     return "retry";
   case calls::AttemptKind::Hedge:
     return "hedge";
+  case calls::AttemptKind::Forward:
+    return "forward";
   }
   return "other";
 }
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -91,6 +91,7 @@
   Result<void, StartFailure> bind(tcp::acceptor &Listener,
                                   const Endpoint &Address);
   void startCallPathWorkers();
+  std::optional<tcp::acceptor> duplicateForwardListener(net::io_context &Io);
   void startControlWorkers();
   void startOperatorPages(std::string Worker, tcp::acceptor &Listener);
   /// Binds the metrics endpoint; an instance that cannot do so serves without
@@ -114,6 +115,7 @@
   tcp::acceptor OperatorListener_;
   tcp::acceptor MetricsListener_;
   tcp::acceptor PeerListener_;
+  tcp::acceptor ForwardListener_;
   net::ip::udp::socket PeerSocket_;
   std::mutex ExitCodeMutex_;
   std::condition_variable ExitCodeSet_;
@@ -128,7 +130,7 @@
       Log_(Settings_.Log_, Settings_.IsRequestLogEnabled_),
       CallerListener_(ListenIo_), OperatorListener_(ListenIo_),
       MetricsListener_(ListenIo_), PeerListener_(ListenIo_),
-      PeerSocket_(ListenIo_),
+      ForwardListener_(ListenIo_), PeerSocket_(ListenIo_),
       Control_(
           ControlRestartLimit,
           [this](const std::string &Worker, const char *Reason) {
@@ -176,6 +178,9 @@
   if (!Socket)
     return StartFailure{Settings_.PeerListen_, Socket.error()};
   PeerSocket_ = std::move(Socket.value());
+  if (Settings_.ForwardListen_) {
+    BOOST_OUTCOME_TRY(bind(ForwardListener_, *Settings_.ForwardListen_));
+  }
   bindMetrics();
   startControlWorkers();
   startCallPathWorkers();
@@ -193,12 +198,20 @@
   });
   startWorker(CallPath_, "callers", [this](net::io_context &Io) {
     return std::make_unique<CallerServer>(
-        Io, duplicateListener(Io, CallerListener_), Settings_.Limits_,
+        Io, duplicateListener(Io, CallerListener_),
+        duplicateForwardListener(Io), Settings_.Limits_,
         framework::CallId(Incarnation_.value()), Mailboxes_, State_,
         [this] { setExitCode(ExitCode::Stopped); });
   });
 }
 
+std::optional<tcp::acceptor>
+EntryInstance::Impl::duplicateForwardListener(net::io_context &Io) {
+  if (!ForwardListener_.is_open())
+    return std::nullopt;
+  return duplicateListener(Io, ForwardListener_);
+}
+
 void EntryInstance::Impl::startOperatorPages(std::string Worker,
                                              tcp::acceptor &Listener) {
   startWorker(
@@ -276,6 +289,8 @@
   Settings.StopLinger_ = Settings_.StopLinger_;
   Settings.PeerAddress_ = textOf(endpointOf(PeerListener_));
   Settings.Incarnation_ = Incarnation_;
+  if (ForwardListener_.is_open())
+    Settings.ForwardPort_ = ForwardListener_.local_endpoint().port();
   Settings.Seeds_ = Settings_.Seeds_;
   Settings.ReportsAttempts_ = Settings_.IsRequestLogEnabled_;
   return decision::Core(std::move(Settings), framework::Random(randomSeed()));
--- a/src/entry/internal/exchange.h
+++ b/src/entry/internal/exchange.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace cranberryspool::entry {
 
@@ -21,6 +22,8 @@
   /// The id of the call; empty once the response is known, and for requests
   /// that were refused while being read.
   std::optional<framework::CallId> Call_;
+  /// The attempt id that the caller sent; empty when it sent none.
+  std::string AttemptId_;
   bool IsHeadRequest_ = false;
   /// False when the connection closes after this response.
   bool IsKeptAlive_ = true;
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 20> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 23> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
@@ -61,6 +61,14 @@
     {"cranberryspool_peer_messages_rejected_total",
      "Messages of instances that could not be decoded or used",
      &CoreCounters::PeerMessagesRejected_},
+    {"cranberryspool_calls_forwarded_total",
+     "Calls offered to other instances because no target could be reached",
+     &CoreCounters::CallsForwarded_},
+    {"cranberryspool_calls_from_peers_total",
+     "Calls that other instances forwarded", &CoreCounters::CallsFromPeers_},
+    {"cranberryspool_calls_from_peers_refused_total",
+     "Calls that other instances forwarded and that were not taken",
+     &CoreCounters::CallsFromPeersRefused_},
     {"cranberryspool_probes_total", "Probes sent", &CoreCounters::ProbesSent_},
     {"cranberryspool_pauses_total", "Pauses of the process that were noticed",
      &CoreCounters::Pauses_},
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -3,9 +3,11 @@
 #include "entry/internal/callfields.h"
 #include "entry/internal/copyfields.h"
 #include "entry/internal/fieldtext.h"
+#include "entry/internal/forwarderfield.h"
 #include "entry/internal/instancestate.h"
 #include "entry/internal/responsefields.h"
 #include "entry/internal/targetconnectionpool.h"
+#include "protocol/headers.h"
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -141,7 +143,7 @@
   const HttpProfile &Profile = Pool_.state().HttpProfile_;
   const auto SetField = [this](const std::string &Name,
                                const std::string &Value) {
-    if (!Name.empty())
+    if (!Name.empty() && !Value.empty())
       Output_->set(Name, Value);
   };
   SetField(Profile.TimeoutField_, std::to_string(RemainingMs.count()));
@@ -149,6 +151,9 @@
   SetField(Profile.AttemptNumberField_, std::to_string(Attempt.AttemptMark_));
   SetField(Profile.AttemptIdField_, attemptIdText());
   SetField(Profile.ExpectedTargetField_, Attempt.TargetName_.value());
+  if (Attempt.Forwarder_)
+    Output_->set(std::string(protocol::ForwardedByHeader),
+                 toText(*Attempt.Forwarder_));
   Output_->body() = {Source.Body_.data(), Source.Body_.size()};
   const bool HasBody = !Source.Body_.empty() ||
                        (Source.Method_ != "GET" && Source.Method_ != "HEAD");
--- a/src/entry/tests/callerfixture.cpp
+++ b/src/entry/tests/callerfixture.cpp
@@ -38,11 +38,14 @@
   auto Listener = listen(ServerIo_, {"127.0.0.1", 0});
   const auto Address = Listener.value().local_endpoint();
   Endpoint_ = {Address.address().to_string(), Address.port()};
+  auto PeerListener = listen(ServerIo_, {"127.0.0.1", 0});
+  const auto PeerAddress = PeerListener.value().local_endpoint();
+  PeerEndpoint_ = {PeerAddress.address().to_string(), PeerAddress.port()};
   Mailboxes_.Dispatch_.attach(DispatchIo_,
                               [this](DispatchInput &Input) { onInput(Input); });
   Server_ = std::make_unique<CallerServer>(
-      ServerIo_, std::move(Listener.value()), Limits, framework::CallId(1000),
-      Mailboxes_, State_, [this] {
+      ServerIo_, std::move(Listener.value()), std::move(PeerListener.value()),
+      Limits, framework::CallId(1000), Mailboxes_, State_, [this] {
         const std::lock_guard Lock(Mutex_);
         IsClosed_ = true;
         StateChanged_.notify_all();
@@ -76,6 +79,11 @@
   return CallCount_;
 }
 
+std::optional<decision::Forwarder> CallerFixture::lastForwarder() {
+  const std::lock_guard Lock(Mutex_);
+  return LastForwarder_;
+}
+
 framework::CallId CallerFixture::lastCall() {
   const std::lock_guard Lock(Mutex_);
   return LastCall_;
@@ -109,6 +117,7 @@
     const std::lock_guard Lock(Mutex_);
     ++CallCount_;
     LastCall_ = Arrived.Call_;
+    LastForwarder_ = Arrived.Forwarder_;
     LastRequest_ = Request;
     StateChanged_.notify_all();
   }
--- a/src/entry/tests/callerfixture.h
+++ b/src/entry/tests/callerfixture.h
@@ -19,12 +19,15 @@
   ~CallerFixture();
 
   RawClient connect() const { return RawClient(Endpoint_); }
+  /// Connects like another instance that forwards calls.
+  RawClient connectAsPeer() const { return RawClient(PeerEndpoint_); }
   void sendCommand(CallerCommand Command);
 
   /// Waits until `Count` calls have arrived and returns the last request.
   std::shared_ptr<const CallerRequest> awaitCalls(std::size_t Count);
   std::size_t callCount();
   framework::CallId lastCall();
+  std::optional<decision::Forwarder> lastForwarder();
   void awaitCallerGone(framework::CallId Call);
   void awaitClosed();
   std::size_t requestBytesInUse() const { return State_.RequestBytes_.used(); }
@@ -37,10 +40,12 @@
   WorkerMailboxes Mailboxes_;
   InstanceState State_;
   Endpoint Endpoint_;
+  Endpoint PeerEndpoint_;
   std::mutex Mutex_;
   std::condition_variable StateChanged_;
   std::size_t CallCount_ = 0;
   framework::CallId LastCall_;
+  std::optional<decision::Forwarder> LastForwarder_;
   framework::CallId AbandonedCall_;
   bool IsClosed_ = false;
   std::shared_ptr<const CallerRequest> LastRequest_;
--- a/src/entry/tests/callerserver_test.cpp
+++ b/src/entry/tests/callerserver_test.cpp
@@ -256,3 +256,59 @@
   LateClient.send(SimpleRequest);
   CHECK_THAT(LateClient.receiveResponse(), StartsWith("HTTP/1.1 200 "));
 }
+
+TEST_CASE("a call that another instance forwards names that instance",
+          "[entry][cutoff]") {
+  CallerFixture Fixture;
+  RawClient Peer = Fixture.connectAsPeer();
+  Peer.send("GET /a HTTP/1.1\r\nHost: x\r\nForwarded-By: entry-7;42\r\n\r\n");
+  CHECK_THAT(Peer.receiveResponse(), StartsWith("HTTP/1.1 200 OK\r\n"));
+  const auto Forwarder = Fixture.lastForwarder();
+  REQUIRE(Forwarder);
+  CHECK(Forwarder->Name_ == framework::InstanceName("entry-7"));
+  CHECK(Forwarder->Incarnation_ == framework::Incarnation(42));
+  CHECK(Forwarder->Address_ == "127.0.0.1");
+  for (const HeaderField &Field : Fixture.awaitCalls(1)->Fields_)
+    CHECK(Field.Name_ != "Forwarded-By");
+}
+
+TEST_CASE("a refusal tells another instance that the call was not run",
+          "[entry][cutoff]") {
+  CallerFixture Fixture;
+  RawClient Peer = Fixture.connectAsPeer();
+  const auto Receive = [&](const std::string &Path) {
+    Peer.send("GET " + Path +
+              " HTTP/1.1\r\nHost: x\r\nAttempt-Id: 9\r\n"
+              "Forwarded-By: entry-7;42\r\n\r\n");
+    return Peer.receiveResponse();
+  };
+  const std::string NotRun = Receive("/refuse/not-run");
+  CHECK_THAT(NotRun, StartsWith("HTTP/1.1 503 "));
+  CHECK_THAT(NotRun, Contains("Not-Run: true\r\n"));
+  CHECK_THAT(NotRun, Contains("Attempt-Id: 9\r\n"));
+  CHECK_THAT(Receive("/refuse/unknown"), !Contains("Not-Run"));
+}
+
+TEST_CASE("callers are not told the fields meant for instances, and cannot "
+          "pose as one",
+          "[entry][cutoff]") {
+  CallerFixture Fixture;
+  RawClient Client = Fixture.connect();
+  Client.send("GET /refuse/not-run HTTP/1.1\r\nHost: x\r\n"
+              "Forwarded-By: entry-7;42\r\n\r\n");
+  CHECK_THAT(Client.receiveResponse(), !Contains("Not-Run"));
+  CHECK_FALSE(Fixture.lastForwarder());
+}
+
+TEST_CASE("a forwarded call without a valid sender is refused",
+          "[entry][cutoff]") {
+  const char *Field =
+      GENERATE("", "Forwarded-By: entry-7\r\n", "Forwarded-By: ;42\r\n",
+               "Forwarded-By: entry-7;x\r\n",
+               "Forwarded-By: entry-7;42\r\nForwarded-By: entry-8;1\r\n");
+  CallerFixture Fixture;
+  RawClient Peer = Fixture.connectAsPeer();
+  Peer.send("GET /a HTTP/1.1\r\nHost: x\r\n" + std::string(Field) + "\r\n");
+  CHECK_THAT(Peer.receiveResponse(), StartsWith("HTTP/1.1 400 "));
+  CHECK(Fixture.callCount() == 0);
+}
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -126,6 +126,15 @@
   /// Returns the published instances of the load balancer, sorted by name.
   std::vector<document::PublishedInstance> publishedPeers() const;
 
+  /// Returns the other instances that are neither lost nor stopping; none where
+  /// the platform publishes a list of instances.
+  std::vector<document::PublishedInstance> runningPeers() const;
+  /// Returns true when the running instance of this name has the given
+  /// incarnation and IP address.
+  bool isRunningPeer(const framework::InstanceName &Name,
+                     framework::Incarnation Incarnation,
+                     const std::string &Address) const;
+
   /// Returns the targets in the platform's metadata store; targets in evacuated
   /// zones are marked as draining. Empty where the platform publishes a list of
   /// instances instead.
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -224,6 +224,17 @@
   return Seeded_ ? Seeded_->peers() : State_->instances().members();
 }
 
+std::vector<document::PublishedInstance> Fleet::runningPeers() const {
+  return Seeded_ ? Seeded_->runningPeers()
+                 : std::vector<document::PublishedInstance>();
+}
+
+bool Fleet::isRunningPeer(const framework::InstanceName &Name,
+                          framework::Incarnation Incarnation,
+                          const std::string &Address) const {
+  return Seeded_ && Seeded_->isRunningPeer(Name, Incarnation, Address);
+}
+
 std::vector<PublishedTarget> Fleet::storedTargets() const {
   return Seeded_ ? Seeded_->view().targets() : std::vector<PublishedTarget>();
 }
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -236,6 +236,25 @@
   return Found;
 }
 
+std::vector<document::PublishedInstance> SeededFleet::runningPeers() const {
+  std::vector<document::PublishedInstance> Running = peers();
+  std::erase_if(Running, [this](const document::PublishedInstance &Each) {
+    return Each.IsLeaving_ || Membership_.members().at(Each.Name_).IsLost_;
+  });
+  return Running;
+}
+
+bool SeededFleet::isRunningPeer(const framework::InstanceName &Name,
+                                framework::Incarnation Incarnation,
+                                const std::string &Address) const {
+  const auto Found = Membership_.members().find(Name);
+  if (Found == Membership_.members().end() || Found->second.IsLost_)
+    return false;
+  const MemberInfo &Member = Found->second.Info_;
+  return Member.Incarnation_ == Incarnation &&
+         Member.Address_.substr(0, Member.Address_.rfind(':')) == Address;
+}
+
 std::size_t SeededFleet::fleetSize() const { return Membership_.knownCount(); }
 
 double SeededFleet::coldRate(const framework::TargetName &Target,
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -72,6 +72,10 @@
   const StoreView &view() const { return Replicator_.view(); }
   bool isViewFresh(framework::Instant Now) const;
   std::vector<document::PublishedInstance> peers() const;
+  std::vector<document::PublishedInstance> runningPeers() const;
+  bool isRunningPeer(const framework::InstanceName &Name,
+                     framework::Incarnation Incarnation,
+                     const std::string &Address) const;
   std::size_t fleetSize() const;
   /// Returns the number of instances that are neither lost nor stopping, this
   /// one included.
--- a/src/protocol/headers.h
+++ b/src/protocol/headers.h
@@ -48,6 +48,10 @@
 /// To callers: the machine-readable reason of an outcome other than `answered`.
 inline constexpr std::string_view EndingReasonHeader = "Call-Ending-Reason";
 
+/// Between instances: the name and the incarnation, joined by a semicolon, of
+/// the instance that forwards a call to another one.
+inline constexpr std::string_view ForwardedByHeader = "Forwarded-By";
+
 } // namespace cranberryspool::protocol
 
 #endif // CRANBERRYSPOOL_PROTOCOL_HEADERS_H
