Test forwarded calls against lost outcomes, silent cuts and limits

Cuts that reset connections, leave them silent or refuse only new ones; a call that must run at most once and whose outcome is lost between instances; the attempts that a route allows; the request limit of a target.

--- a/src/decision/internal/callforwarder.cpp
+++ b/src/decision/internal/callforwarder.cpp
@@ -15,7 +15,7 @@
 constexpr framework::Duration PeerAvoidTime = std::chrono::seconds(3);
 constexpr std::uint32_t MaxConnectionsPerPeer = 32;
 /// The calls in progress that an instance takes from others.
-constexpr std::ptrdiff_t MaxForeignCalls = 64;
+constexpr std::ptrdiff_t MaxCallsFromPeers = 64;
 
 std::string replacePort(const std::string &Address, std::uint16_t Port) {
   return Address.substr(0, Address.rfind(':') + 1) + std::to_string(Port);
@@ -96,10 +96,10 @@
     return calls::EndingReason::ForwarderUnknown;
   if (isCutOff())
     return calls::EndingReason::TargetsUnreachable;
-  const auto ForeignCalls = std::count_if(
+  const auto CallsFromPeers = std::count_if(
       Core_.Calls_.calls().begin(), Core_.Calls_.calls().end(),
       [](const auto &Each) { return Each.second.Request_.IsFromPeer_; });
-  if (ForeignCalls >= MaxForeignCalls)
+  if (CallsFromPeers >= MaxCallsFromPeers)
     return calls::EndingReason::Overloaded;
   return std::nullopt;
 }
--- a/src/decision/tests/cutoffinstance_test.cpp
+++ b/src/decision/tests/cutoffinstance_test.cpp
@@ -22,13 +22,17 @@
 
 TEST_CASE("callers of instances that reach no target are served", "[cutoff]") {
   const std::size_t CutOff = GENERATE(1, 8);
-  FleetSimulation Fleet{FleetSimulationSettings()};
+  FleetSimulationSettings Settings;
+  Settings.Cut_ =
+      GENERATE(CutBehavior::Reset, CutBehavior::Silent, CutBehavior::RefuseNew);
+  FleetSimulation Fleet(Settings);
   Fleet.run(seconds(6));
   for (std::size_t Instance = 0; Instance < CutOff; ++Instance)
     Fleet.setCutOffFromTargets(Instance, true);
   const auto Since = Fleet.now() + TimeToRecover;
   Fleet.run(seconds(15));
-  INFO("instances cut off " << CutOff);
+  INFO("instances cut off " << CutOff << ", behavior "
+                            << static_cast<int>(Settings.Cut_));
   CHECK(Fleet.answeredShare(true, Since) >=
         MinRelativeShare * Fleet.answeredShare(false, Since));
 }
@@ -94,3 +98,60 @@
   REQUIRE(Fleet.crashes().size() >= 3);
   CHECK(Fleet.crashingCallsSentAfter(Fleet.crashes()[2] + TimeToRecover) <= 3);
 }
+
+TEST_CASE("a call that must run at most once is not forwarded again when its "
+          "outcome is lost",
+          "[cutoff]") {
+  FleetSimulationSettings Settings;
+  Settings.Seed_ = GENERATE(1, 2, 3, 4, 5);
+  Settings.AreCallsIdempotent_ = false;
+  Settings.ForwardLoss_ = 0.3;
+  FleetSimulation Fleet(Settings);
+  Fleet.run(seconds(6));
+  for (std::size_t Instance = 0; Instance < 8; ++Instance)
+    Fleet.setCutOffFromTargets(Instance, true);
+  Fleet.run(seconds(10));
+  INFO("seed " << Settings.Seed_);
+  CHECK(Fleet.forwardedCalls() > 100);
+  CHECK(Fleet.mostRuns() == 1);
+}
+
+TEST_CASE("a forwarded call is sent to no more targets than its route allows",
+          "[cutoff]") {
+  FleetSimulationSettings Settings;
+  Settings.Seed_ = GENERATE(1, 2, 3);
+  Settings.ForwardLoss_ = 0.3;
+  FleetSimulation Fleet(Settings);
+  framework::Random Rng(Settings.Seed_);
+  Fleet.run(seconds(6));
+  for (std::size_t Instance = 0; Instance < 8; ++Instance)
+    Fleet.setCutOffFromTargets(Instance, true);
+  for (int Round = 0; Round < 30; ++Round) {
+    Fleet.crash(Rng.index(Settings.Targets_));
+    Fleet.run(milliseconds(400));
+  }
+  INFO("seed " << Settings.Seed_);
+  CHECK(Fleet.mostRuns() <= 2);
+}
+
+TEST_CASE("the request limit of a target is kept while calls are forwarded",
+          "[cutoff][limit]") {
+  constexpr Duration Window = seconds(4);
+  FleetSimulationSettings Settings;
+  Settings.Seed_ = GENERATE(1, 2, 3);
+  Settings.CallsPerSecond_ = 120;
+  FleetSimulation Fleet(Settings);
+  Fleet.run(seconds(6));
+  for (std::size_t Instance = 0; Instance < 8; ++Instance)
+    Fleet.setCutOffFromTargets(Instance, true);
+  Fleet.startLimit();
+  const auto Since = Fleet.now() + TimeToRecover;
+  Fleet.run(seconds(15));
+  INFO("seed " << Settings.Seed_);
+  CHECK(Fleet.forwardedCalls() > 100);
+  // One and a half times the limit and 5 requests are allowed in any window.
+  CHECK(static_cast<double>(Fleet.mostRequests(Window, Since)) <=
+        1.5 * Settings.LimitPerSecond_ *
+                std::chrono::duration<double>(Window).count() +
+            5);
+}
--- a/src/decision/tests/fleetsimulation.cpp
+++ b/src/decision/tests/fleetsimulation.cpp
@@ -61,6 +61,10 @@
     Route.IsIdempotent_ = true;
     Route.WeightedServices_ = {{framework::ServiceName("s"), 1}};
     Document->Routes_.push_back(Route);
+    Route.Name_ = framework::KindName("order");
+    Route.PathPrefix_ = "/b/";
+    Route.IsIdempotent_ = false;
+    Document->Routes_.push_back(Route);
     return fleet::PublishedConfiguration{1, std::move(Document)};
   }
   fleet::PublishedTarget Target;
@@ -153,7 +157,7 @@
         continue;
       if (Due.Sender_ &&
           (Due.Sender_->second != CrashCounts_[Due.Sender_->first] ||
-           CutOffFromTargets_.contains(Due.Instance_)))
+           isSilentlyCutOff(Due.Instance_)))
         continue;
       if (const auto *Answered = std::get_if<AttemptAnswered>(&Due.Event_))
         if (const auto Used =
@@ -177,7 +181,7 @@
     Arrived.Call_ = framework::CallId(++LastCall_);
     Arrived.Method_ = "GET";
     Arrived.Host_ = "h.example";
-    Arrived.Path_ = "/a/x";
+    Arrived.Path_ = Settings_.AreCallsIdempotent_ ? "/a/x" : "/b/x";
     Arrived.Timeout_ = milliseconds(1'500);
     Arrived.Fingerprint_ = {2, Settings_.AreRequestsAlike_ ? 0 : LastCall_};
     NextCallAt_ += Duration(static_cast<std::int64_t>(
@@ -230,6 +234,8 @@
   const std::size_t Target =
       std::stoul(Request.Address_.substr(Request.Address_.find(':') + 1)) -
       8'000;
+  if (isSilentlyCutOff(Instance))
+    return;
   if (!isReachable(Instance, Target)) {
     schedule(Instance, 2 * OneWay, ConnectionClosed{Request.Connection_, true});
     return;
@@ -256,11 +262,32 @@
   Requests_.emplace(Arrived.Call_, Arrived);
   if (isCrashing(Request.Call_))
     CrashingCalls_.insert(Arrived.Call_);
-  Forwarded_.emplace(Arrived.Call_, ForwardedCall{Instance, Request});
   ++ForwardedCalls_;
+  OriginalCalls_[Arrived.Call_] = originalOf(Request.Call_);
+  if (Rng_.fraction() < Settings_.ForwardLoss_) {
+    AttemptFailed Failed;
+    Failed.Attempt_ = Request.Attempt_;
+    Failed.Connection_ = Request.Connection_;
+    Failed.Failure_ = calls::AttemptFailure::ConnectionReset;
+    schedule(Instance, 4 * OneWay, Failed);
+  } else {
+    Forwarded_.emplace(Arrived.Call_, ForwardedCall{Instance, Request});
+  }
   schedule(PeerLinks_.at({Instance, Request.Connection_}), OneWay, Arrived);
 }
 
+framework::CallId FleetSimulation::originalOf(framework::CallId Call) const {
+  const auto Found = OriginalCalls_.find(Call);
+  return Found == OriginalCalls_.end() ? Call : Found->second;
+}
+
+std::size_t FleetSimulation::mostRuns() const {
+  std::size_t Most = 0;
+  for (const auto &[Call, Count] : Runs_)
+    Most = std::max(Most, Count);
+  return Most;
+}
+
 bool FleetSimulation::returnOutcome(framework::CallId Call,
                                     std::uint32_t Status, bool IsNotRun) {
   const auto Found = Forwarded_.extract(Call);
@@ -286,7 +313,9 @@
   if (isCrashing(Request.Call_))
     CrashingCallsSentAt_[Request.Call_] = Now_.Monotonic_;
   const auto Used = Links_.find({Instance, Request.Connection_});
-  if (Used == Links_.end() || !isReachable(Instance, Target)) {
+  if (isSilentlyCutOff(Instance))
+    return;
+  if (Used == Links_.end() || UpSince_[Target] > Now_.Monotonic_) {
     AttemptFailed Failed;
     Failed.Attempt_ = Request.Attempt_;
     Failed.Connection_ = Request.Connection_;
@@ -295,6 +324,7 @@
     return;
   }
   Used->second.Attempt_ = Request.Attempt_;
+  ++Runs_[originalOf(Request.Call_)];
   const auto Learned = LearnedAt_.find({Instance, Target});
   const bool KnowsLimit = Learned != LearnedAt_.end() &&
                           Learned->second + GracePeriod <= Now_.Monotonic_;
@@ -323,6 +353,8 @@
 
 void FleetSimulation::handle(std::size_t Instance, const ProbeTarget &Request) {
   const std::size_t Target = targetOf(Request.TargetName_.value());
+  if (isSilentlyCutOff(Instance))
+    return;
   if (!isReachable(Instance, Target)) {
     schedule(Instance, 2 * OneWay, ProbeFailed{Request.Probe_});
     return;
@@ -386,9 +418,10 @@
     CutOffFromTargets_.erase(Instance);
     return;
   }
-  for (const auto &[Key, Lost] : std::map(Links_))
-    if (Key.first == Instance)
-      resetLink(Key.first, Key.second);
+  if (Settings_.Cut_ == CutBehavior::Reset)
+    for (const auto &[Key, Lost] : std::map(Links_))
+      if (Key.first == Instance)
+        resetLink(Key.first, Key.second);
   CutOffFromTargets_.insert(Instance);
 }
 
--- a/src/decision/tests/fleetsimulation.h
+++ b/src/decision/tests/fleetsimulation.h
@@ -14,6 +14,10 @@
 
 namespace cranberryspool::decision {
 
+/// What a cut does to connections: it resets them and refuses new ones, leaves
+/// both without any sign, or refuses new ones only.
+enum class CutBehavior { Reset, Silent, RefuseNew };
+
 /// The parameters of a `FleetSimulation`.
 struct FleetSimulationSettings {
   std::size_t Instances_ = 13;
@@ -32,6 +36,14 @@
   /// True when all calls but the crashing ones have the same content.
   bool AreRequestsAlike_ = false;
   bool IsForwardingAllowed_ = true;
+  /// The part of the forwarded calls whose connection between instances is lost
+  /// while the other instance has them.
+  double ForwardLoss_ = 0;
+  /// True when calls must run at most once.
+  bool AreCallsIdempotent_ = true;
+  /// What happens to connections between a target and an instance that is cut
+  /// off from it.
+  CutBehavior Cut_ = CutBehavior::Reset;
 };
 
 /// Several cores with a metadata store, targets and callers in virtual time.
@@ -74,6 +86,8 @@
   std::size_t answeredCalls() const { return Answered_; }
   std::size_t refusedCalls() const { return Refused_; }
   std::size_t forwardedCalls() const { return ForwardedCalls_; }
+  /// Returns the largest number of times that a call was sent to targets.
+  std::size_t mostRuns() const;
   framework::Instant now() const { return Now_.Monotonic_; }
 
   /// Returns the share of the calls that arrived at instances that were cut off
@@ -147,6 +161,8 @@
   void handle(std::size_t Instance, const AnswerCall &Ended);
   template <typename Other> void handle(std::size_t, const Other &) {}
   void startCalls();
+  /// Returns the call of a caller that led to the given one.
+  framework::CallId originalOf(framework::CallId Call) const;
   void forward(std::size_t Instance, const SendAttempt &Request);
   /// Returns the outcome of a call to the instance that has forwarded it.
   /// Returns false when the call was not forwarded.
@@ -164,6 +180,10 @@
     return UpSince_[Target] <= Now_.Monotonic_ &&
            !CutOffFromTargets_.contains(Instance);
   }
+  bool isSilentlyCutOff(std::size_t Instance) const {
+    return Settings_.Cut_ == CutBehavior::Silent &&
+           CutOffFromTargets_.contains(Instance);
+  }
   bool isCrashing(framework::CallId Call) const {
     return CrashingCalls_.contains(Call);
   }
@@ -200,6 +220,8 @@
   /// The requests of all calls, also of those that were forwarded.
   std::map<framework::CallId, CallArrived> Requests_;
   std::map<framework::CallId, ForwardedCall> Forwarded_;
+  std::map<framework::CallId, framework::CallId> OriginalCalls_;
+  std::map<framework::CallId, std::size_t> Runs_;
   std::map<std::pair<std::size_t, framework::ConnectionId>, std::size_t>
       PeerLinks_;
 
