Repeat crash notices only while they matter, to two instances

A record of a crash is kept for an hour, and all records were repeated every 500 ms to four instances, up to 1.2 KB each time: after any crash of a target, 9.6 KB a second an instance by calculation, more than all of its control may take (8 KB). Now quarantined requests and crashes of the last 10 s are repeated, to two instances: for one quarantined request about 0.6 KB a second. An instance that has just started hears it within 3 s unless all of about twelve messages (13 instances) are lost.

--- a/src/decision/internal/crashguard.cpp
+++ b/src/decision/internal/crashguard.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
-/// The interval at which known crashes are repeated to a few instances.
+/// The interval at which quarantined requests and recent crashes are repeated
+/// to a few instances.
 constexpr framework::Duration RepeatInterval = std::chrono::milliseconds(500);
+/// A crash that quarantines no request is repeated for this long.
+constexpr framework::Duration SuspectRepeatPeriod = std::chrono::seconds(10);
 
 } // namespace
 
@@ -145,9 +148,13 @@
   NextRepeatAt_ = Context.now() + RepeatInterval;
   Core_.Quarantine_.expire(Context.now());
   std::vector<fleet::CrashNotice> Notices;
-  for (const auto &[Request, Record] : Core_.Quarantine_.records())
-    if (!Record.Crashes_.empty())
+  for (const auto &[Request, Record] : Core_.Quarantine_.records()) {
+    const bool IsRecent =
+        !Record.Crashes_.empty() &&
+        Context.now() - Record.Crashes_.back().At_ < SuspectRepeatPeriod;
+    if (IsRecent || isQuarantined(Context, Request))
       Notices.push_back(fleet::makeCrashNotice(Record, Context.now()));
+  }
   // Requests with most crashes first, so that these fit in the limit.
   std::stable_sort(Notices.begin(), Notices.end(),
                    [](const auto &Left, const auto &Right) {
--- a/src/fleet/internal/seeded/crashnotices.cpp
+++ b/src/fleet/internal/seeded/crashnotices.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// The number of instances to which known crashes are repeated in each round.
-constexpr std::size_t RandomRecipients = 4;
+constexpr std::size_t RandomRecipients = 2;
 
 } // namespace
 
