Count only targets as connected when a crash is judged

A connection to another instance, kept from an earlier cut, made an instance that lost all its targets blame the requests that it lost. Repeated crash notices are drawn at random among requests with equally many crashes, so that more than ten quarantined requests all reach an instance that has just started. The retry delay of accepted calls has a function of its own.

--- a/src/calls/connectionpool.h
+++ b/src/calls/connectionpool.h
@@ -69,8 +69,6 @@
   std::uint32_t count(framework::TargetId Target) const;
   /// Returns the number of connections to the target that have opened.
   std::uint32_t openCount(framework::TargetId Target) const;
-  /// Returns the number of targets to which a connection is open.
-  std::size_t connectedTargets() const;
 
 private:
   struct TargetConnections {
--- a/src/calls/internal/connectionpool.cpp
+++ b/src/calls/internal/connectionpool.cpp
@@ -141,13 +141,6 @@
   return Entry ? Entry->Total_ - Entry->Opening_ : 0;
 }
 
-std::size_t ConnectionPool::connectedTargets() const {
-  return static_cast<std::size_t>(std::count_if(
-      Targets_.begin(), Targets_.end(), [](const TargetConnections &Each) {
-        return Each.Total_ > Each.Opening_;
-      }));
-}
-
 ConnectionPool::TargetConnections &
 ConnectionPool::entry(framework::TargetId Target) {
   if (Target.value() >= Targets_.size())
--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -40,19 +40,9 @@
     ++Core_.Counters_.CallsNotRun_;
   if (Ending == calls::Ending::DeadlinePassed)
     ++Core_.Counters_.CallsDeadlinePassed_;
-  framework::Duration RetryAfter = retryAfter(Reason);
-  const auto Quarantine =
-      Core_.Quarantine_.timeLeft(Call.Request_.Fingerprint_, Context.now());
-  if (Reason == calls::EndingReason::RequestQuarantined) {
-    // Repeating the request sooner is of no use.
+  if (Reason == calls::EndingReason::RequestQuarantined)
     ++Core_.Counters_.CallsQuarantined_;
-    RetryAfter = Quarantine.value_or(RetryAfter);
-  } else if (const auto Share = Core_.CallSettings_.MaxRetryAfterShare_) {
-    const auto TimeLeft = std::chrono::duration_cast<framework::Duration>(
-        (Call.Request_.Deadline_ - Context.now()) * *Share);
-    RetryAfter =
-        std::max(std::min(RetryAfter, TimeLeft), framework::Duration{});
-  }
+  const framework::Duration RetryAfter = retryAfter(Context, Call, Reason);
   recordEnd(Context, Call, Ending, Reason);
   emitResult(
       Context,
@@ -99,6 +89,22 @@
   return Base + std::chrono::milliseconds(Extra);
 }
 
+framework::Duration CallFinisher::retryAfter(const EventContext &Context,
+                                             const calls::Call &Call,
+                                             calls::EndingReason Reason) {
+  const framework::Duration Usual = retryAfter(Reason);
+  // Repeating a quarantined request sooner is of no use.
+  if (Reason == calls::EndingReason::RequestQuarantined)
+    return Core_.Quarantine_.timeLeft(Call.Request_.Fingerprint_, Context.now())
+        .value_or(Usual);
+  const auto Share = Core_.CallSettings_.MaxRetryAfterShare_;
+  if (!Share)
+    return Usual;
+  const auto Longest = std::chrono::duration_cast<framework::Duration>(
+      (Call.Request_.Deadline_ - Context.now()) * *Share);
+  return std::max(std::min(Usual, Longest), framework::Duration{});
+}
+
 void CallFinisher::recordEnd(const EventContext &Context,
                              const calls::Call &Call, calls::Ending Ending,
                              calls::EndingReason Reason) {
--- a/src/decision/internal/callfinisher.h
+++ b/src/decision/internal/callfinisher.h
@@ -43,6 +43,11 @@
                  calls::Ending Ending,
                  calls::EndingReason Reason = calls::EndingReason::None);
   framework::Duration retryAfter(calls::EndingReason Reason);
+  /// Returns the retry delay of a call that was accepted, which is limited by
+  /// its deadline unless the request is quarantined.
+  framework::Duration retryAfter(const EventContext &Context,
+                                 const calls::Call &Call,
+                                 calls::EndingReason Reason);
   calls::EndingToken releaseResources(const EventContext &Context,
                                       calls::Call &Call);
   void emitResult(const EventContext &Context, const calls::CallEnding &Result);
--- a/src/decision/internal/callforwarder.cpp
+++ b/src/decision/internal/callforwarder.cpp
@@ -23,12 +23,16 @@
 
 } // namespace
 
+bool CallForwarder::mayForward(const calls::Call &Call) const {
+  const bool HasReachedNoTarget = !Call.MayHaveRun_ &&
+                                  Call.SentAttempts_ == 0 &&
+                                  Call.LiveAttempts_.empty();
+  return isCutOff() && HasReachedNoTarget && !Call.Request_.IsFromPeer_ &&
+         !Call.HoldsKey_ && !Call.IsCallerGone_;
+}
+
 bool CallForwarder::tryForward(const EventContext &Context, calls::Call &Call) {
-  const bool IsAllowed = isCutOff() && !Call.Request_.IsFromPeer_ &&
-                         !Call.HoldsKey_ && !Call.MayHaveRun_ &&
-                         Call.SentAttempts_ == 0 &&
-                         Call.LiveAttempts_.empty() && !Call.IsCallerGone_;
-  if (!IsAllowed)
+  if (!mayForward(Call))
     return false;
   const auto Peer = choosePeer(Context, Call);
   if (!Peer)
@@ -60,13 +64,10 @@
   for (const document::PublishedInstance &Each : Core_.Fleet_.runningPeers()) {
     const framework::TargetId Peer = Core_.Environment_.internPeer(
         Each.Name_, replacePort(Each.Address_, Core_.Settings_.ForwardPort_));
-    const auto Avoided = AvoidedUntil_.find(Peer);
-    const bool IsAvoided =
-        Avoided != AvoidedUntil_.end() && Context.now() < Avoided->second;
     const bool IsUsed =
         std::find(Call.UsedTargets_.begin(), Call.UsedTargets_.end(), Peer) !=
         Call.UsedTargets_.end();
-    if (IsAvoided || IsUsed)
+    if (IsUsed || isAvoided(Peer, Context.now()))
       continue;
     const bool IsInOwnZone = Each.Zone_ == Core_.Settings_.Zone_;
     (IsInOwnZone ? OwnZone : OtherZones).push_back(Peer);
@@ -80,6 +81,12 @@
   return Chosen;
 }
 
+bool CallForwarder::isAvoided(framework::TargetId Peer,
+                              framework::Instant Now) const {
+  const auto Found = AvoidedUntil_.find(Peer);
+  return Found != AvoidedUntil_.end() && Now < Found->second;
+}
+
 void CallForwarder::handleNotRun(const EventContext &Context,
                                  const calls::Attempt &Ended) {
   AvoidedUntil_[Ended.Target_] = Context.now() + PeerAvoidTime;
--- a/src/decision/internal/callforwarder.h
+++ b/src/decision/internal/callforwarder.h
@@ -51,6 +51,8 @@
 
 private:
   bool isEnabled() const { return Core_.Settings_.ForwardPort_ != 0; }
+  bool mayForward(const calls::Call &Call) const;
+  bool isAvoided(framework::TargetId Peer, framework::Instant Now) const;
   std::optional<framework::TargetId> choosePeer(const EventContext &Context,
                                                 const calls::Call &Call);
   void reportCutOff(const EventContext &Context, bool WasCutOff) const;
--- a/src/decision/internal/crashguard.cpp
+++ b/src/decision/internal/crashguard.cpp
@@ -36,8 +36,10 @@
 
 void CrashGuard::recordRefused(const EventContext &Context,
                                framework::TargetId Target) {
-  const auto Requests = Detector_.recordRefused(
-      Target, Core_.Connections_.connectedTargets(), Context.now());
+  if (Core_.Environment_.isPeer(Target))
+    return;
+  const auto Requests =
+      Detector_.recordRefused(Target, countConnectedTargets(), Context.now());
   if (Requests.empty())
     return;
   ++Core_.Counters_.TargetCrashes_;
@@ -60,6 +62,15 @@
                                 Core_.FleetOutput_);
 }
 
+std::size_t CrashGuard::countConnectedTargets() const {
+  const auto &Targets = Core_.Environment_.targets();
+  return static_cast<std::size_t>(
+      std::count_if(Targets.begin(), Targets.end(),
+                    [this](const routing::TargetDescription &Each) {
+                      return Core_.Connections_.openCount(Each.Target_) > 0;
+                    }));
+}
+
 void CrashGuard::recordCompleted(const EventContext &Context,
                                  const calls::Attempt &Completed) {
   if (!Core_.Quarantine_.recordCompleted(Completed.Fingerprint_, Context.now()))
@@ -144,6 +155,17 @@
       Finisher_.fail(Context, *Call, calls::EndingReason::RequestQuarantined);
 }
 
+void CrashGuard::selectNotices(std::vector<fleet::CrashNotice> &Notices) {
+  // Requests with most crashes come first; those with equally many take turns.
+  for (std::size_t Left = Notices.size(); Left > 1; --Left)
+    std::swap(Notices[Left - 1], Notices[Core_.Rng_.index(Left)]);
+  std::stable_sort(Notices.begin(), Notices.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.Crashes_.size() > Right.Crashes_.size();
+                   });
+  Notices.resize(fleet::CrashUpdate::MaxNotices);
+}
+
 void CrashGuard::repeatNotices(const EventContext &Context) {
   NextRepeatAt_ = Context.now() + RepeatInterval;
   Core_.Quarantine_.expire(Context.now());
@@ -155,13 +177,8 @@
     if (IsRecent || isQuarantined(Context, Request))
       Notices.push_back(fleet::makeCrashNotice(Record, Context.now()));
   }
-  // Requests with most crashes first, so that these fit in the limit.
-  std::stable_sort(Notices.begin(), Notices.end(),
-                   [](const auto &Left, const auto &Right) {
-                     return Left.Crashes_.size() > Right.Crashes_.size();
-                   });
   if (Notices.size() > fleet::CrashUpdate::MaxNotices)
-    Notices.resize(fleet::CrashUpdate::MaxNotices);
+    selectNotices(Notices);
   if (!Notices.empty())
     Core_.Fleet_.sendCrashNotices(std::move(Notices),
                                   fleet::CrashNoticeRecipients::RandomFew,
--- a/src/decision/internal/crashguard.h
+++ b/src/decision/internal/crashguard.h
@@ -44,6 +44,8 @@
   }
 
 private:
+  /// Returns the number of targets to which a connection is open.
+  std::size_t countConnectedTargets() const;
   void checkTarget(const EventContext &Context, framework::TargetId Target);
   void report(const EventContext &Context, ChangeKind Kind,
               std::string Subject) const;
@@ -55,6 +57,8 @@
   bool isQuarantined(const EventContext &Context,
                      const calls::RequestFingerprint &Request) const;
   void failQuarantinedCalls(const EventContext &Context);
+  /// Reduces the notices to as many as one message holds.
+  void selectNotices(std::vector<fleet::CrashNotice> &Notices);
   void repeatNotices(const EventContext &Context);
 
   CoreState &Core_;
