Test a forwarded call over sockets between two shells

The connection of one instance, the port for forwarded calls of another: the call arrives with its sender, the refusal comes back as not run with the attempt's id, and the connection stays usable.

--- a/src/entry/tests/callerfixture.cpp
+++ b/src/entry/tests/callerfixture.cpp
@@ -1,5 +1,6 @@
 #include "entry/tests/callerfixture.h"
 
+#include "entry/endpointtext.h"
 #include "entry/internal/listen.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -79,6 +80,8 @@
   return CallCount_;
 }
 
+std::string CallerFixture::peerAddress() const { return textOf(PeerEndpoint_); }
+
 std::optional<decision::Forwarder> CallerFixture::lastForwarder() {
   const std::lock_guard Lock(Mutex_);
   return LastForwarder_;
--- a/src/entry/tests/callerfixture.h
+++ b/src/entry/tests/callerfixture.h
@@ -21,6 +21,8 @@
   RawClient connect() const { return RawClient(Endpoint_); }
   /// Connects like another instance that forwards calls.
   RawClient connectAsPeer() const { return RawClient(PeerEndpoint_); }
+  /// Returns the endpoint for instances that forward calls, as `IP:port`.
+  std::string peerAddress() const;
   void sendCommand(CallerCommand Command);
 
   /// Waits until `Count` calls have arrived and returns the last request.
--- a/src/entry/tests/targetconnectionpool_test.cpp
+++ b/src/entry/tests/targetconnectionpool_test.cpp
@@ -1,3 +1,4 @@
+#include "entry/tests/callerfixture.h"
 #include "entry/tests/targetfixture.h"
 
 #include <catch2/catch.hpp>
@@ -53,6 +54,32 @@
                  HeaderField{"Content-Type", "text/plain"}));
 }
 
+TEST_CASE("a forwarded call reaches another instance, and its refusal there is "
+          "known as not run",
+          "[entry][cutoff]") {
+  CallerFixture Peer;
+  TargetFixture Fixture;
+  Fixture.sendCommand(decision::OpenConnection{
+      framework::ConnectionId(1), framework::TargetId(0), Peer.peerAddress()});
+  Fixture.expect<decision::ConnectionOpened>();
+  const decision::Forwarder Self{
+      framework::InstanceName("entry-3"), framework::Incarnation(11), {}};
+  Fixture.send(1, 7, "POST", Self);
+  Fixture.expect<decision::AnswerBegan>();
+  const auto Answered = Fixture.expect<AttemptAnswered>();
+  CHECK(Answered.Status_ == 200);
+  CHECK_FALSE(Answered.IsNotRun_);
+  REQUIRE(Peer.lastForwarder());
+  CHECK(Peer.lastForwarder()->Name_ == Self.Name_);
+  CHECK(Peer.lastForwarder()->Incarnation_ == Self.Incarnation_);
+  Fixture.send(1, 8, "POST", Self, "/refuse/not-run");
+  Fixture.expect<decision::AnswerBegan>();
+  const auto Refused = Fixture.expect<AttemptAnswered>();
+  CHECK(Refused.IsNotRun_);
+  CHECK(Refused.EchoedAttempt_ == framework::AttemptId(8));
+  CHECK(Refused.IsReusable_);
+}
+
 TEST_CASE("a connection is reused and a mismatched attempt id is reported",
           "[entry]") {
   TargetFixture Fixture;
--- a/src/entry/tests/targetfixture.cpp
+++ b/src/entry/tests/targetfixture.cpp
@@ -57,10 +57,12 @@
 }
 
 void TargetFixture::send(std::uint64_t Connection, std::uint64_t Attempt,
-                         const std::string &Method) {
+                         const std::string &Method,
+                         const std::optional<decision::Forwarder> &Forwarder,
+                         const std::string &Target) {
   auto Request = std::make_shared<CallerRequest>();
   Request->Method_ = Method;
-  Request->Target_ = "/a?b";
+  Request->Target_ = Target;
   Request->Fields_ = {{"Host", "x"}};
   Request->Body_ = Method == "POST" ? "body" : "";
   decision::SendAttempt Command;
@@ -69,6 +71,7 @@
   Command.Timeout_ = std::chrono::milliseconds(250);
   Command.Depth_ = 2;
   Command.AttemptMark_ = 3;
+  Command.Forwarder_ = Forwarder;
   sendCommand(SendRequest{Command, std::move(Request)});
 }
 
--- a/src/entry/tests/targetfixture.h
+++ b/src/entry/tests/targetfixture.h
@@ -23,7 +23,9 @@
   boost::asio::ip::tcp::socket open(std::uint64_t Connection);
   /// Sends a request with the given method on a connection.
   void send(std::uint64_t Connection, std::uint64_t Attempt,
-            const std::string &Method = "GET");
+            const std::string &Method = "GET",
+            const std::optional<decision::Forwarder> &Forwarder = std::nullopt,
+            const std::string &Target = "/a?b");
 
   /// Waits for the next event with its response.
   DispatchInput next();
