Name the sender of a forwarded call apart from the class that forwards

Forwarder_ stood for a CallForwarder in some classes and for the instance that sent a call in others. The latter is now a ForwardingInstance in a member ForwardedBy_; texts on the wire, in logs and metrics stay. No behaviour changes; all tests pass.

--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -139,8 +139,8 @@
   Sent.TargetName_ = framework::TargetName();
   Sent.Timeout_ = std::max(Sent.Timeout_ - ForwardMargin,
                            framework::Duration(std::chrono::milliseconds(1)));
-  Sent.Forwarder_ =
-      Forwarder{Core_.Settings_.Self_, Core_.Settings_.Incarnation_, {}};
+  Sent.ForwardedBy_ = ForwardingInstance{
+      Core_.Settings_.Self_, Core_.Settings_.Incarnation_, {}};
 }
 
 void AttemptManager::scheduleHedge(const EventContext &Context,
--- a/src/decision/internal/callforwarder.cpp
+++ b/src/decision/internal/callforwarder.cpp
@@ -98,7 +98,7 @@
 }
 
 std::optional<calls::EndingReason>
-CallForwarder::findFault(const Forwarder &From) const {
+CallForwarder::findFault(const ForwardingInstance &From) const {
   if (!Core_.Fleet_.isRunningPeer(From.Name_, From.Incarnation_, From.Address_))
     return calls::EndingReason::ForwarderUnknown;
   if (isCutOff())
--- a/src/decision/internal/callforwarder.h
+++ b/src/decision/internal/callforwarder.h
@@ -9,7 +9,7 @@
 #include "decision/internal/connectionmanager.h"
 #include "decision/internal/corestate.h"
 #include "decision/internal/eventcontext.h"
-#include "decision/types/forwarder.h"
+#include "decision/types/forwardinginstance.h"
 
 #include <map>
 #include <optional>
@@ -36,7 +36,8 @@
   void handleNotRun(const EventContext &Context, const calls::Attempt &Ended);
 
   /// Returns why a call that another instance has forwarded is not accepted.
-  std::optional<calls::EndingReason> findFault(const Forwarder &From) const;
+  std::optional<calls::EndingReason>
+  findFault(const ForwardingInstance &From) const;
 
   void recordOpened(const EventContext &Context, framework::TargetId Target);
   void recordOpenFailed(const EventContext &Context,
--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -54,11 +54,11 @@
                                             : Core_.CallSettings_.MaxAttempts_,
       .LatencyObjective_ = Kind.LatencyObjective_,
       .Fingerprint_ = Input.Fingerprint_,
-      .IsFromPeer_ = Input.Forwarder_.has_value()});
+      .IsFromPeer_ = Input.ForwardedBy_.has_value()});
   ++Core_.Counters_.CallsAccepted_;
-  Core_.Counters_.CallsFromPeers_ += Input.Forwarder_ ? 1 : 0;
+  Core_.Counters_.CallsFromPeers_ += Input.ForwardedBy_ ? 1 : 0;
   if (const auto Reason = findRefusalReason(Context, Input, Timeout)) {
-    Core_.Counters_.CallsFromPeersRefused_ += Input.Forwarder_ ? 1 : 0;
+    Core_.Counters_.CallsFromPeersRefused_ += Input.ForwardedBy_ ? 1 : 0;
     Finisher_.fail(Context, Call, *Reason);
     return;
   }
@@ -82,8 +82,8 @@
     return calls::EndingReason::InstanceStopping;
   if (!View_.mayAccept(Context.now()))
     return calls::EndingReason::ViewTooOld;
-  if (Input.Forwarder_)
-    if (const auto Fault = Forwarder_.findFault(*Input.Forwarder_))
+  if (Input.ForwardedBy_)
+    if (const auto Fault = Forwarder_.findFault(*Input.ForwardedBy_))
       return Fault;
   if (Core_.Quarantine_.timeLeft(Input.Fingerprint_, Context.now()))
     return calls::EndingReason::RequestQuarantined;
--- a/src/decision/tests/fleetsimulation.cpp
+++ b/src/decision/tests/fleetsimulation.cpp
@@ -257,8 +257,8 @@
   CallArrived Arrived = Requests_.at(Request.Call_);
   Arrived.Call_ = framework::CallId(++LastCall_);
   Arrived.Timeout_ = Request.Timeout_;
-  Arrived.Forwarder_ = Request.Forwarder_;
-  Arrived.Forwarder_->Address_ = ipOf(Instance);
+  Arrived.ForwardedBy_ = Request.ForwardedBy_;
+  Arrived.ForwardedBy_->Address_ = ipOf(Instance);
   Requests_.emplace(Arrived.Call_, Arrived);
   if (isCrashing(Request.Call_))
     CrashingCalls_.insert(Arrived.Call_);
@@ -305,7 +305,7 @@
 }
 
 void FleetSimulation::handle(std::size_t Instance, const SendAttempt &Request) {
-  if (Request.Forwarder_) {
+  if (Request.ForwardedBy_) {
     forward(Instance, Request);
     return;
   }
--- a/src/decision/types/actions/sendattempt.h
+++ b/src/decision/types/actions/sendattempt.h
@@ -1,7 +1,7 @@
 #ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDATTEMPT_H
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDATTEMPT_H
 
-#include "decision/types/forwarder.h"
+#include "decision/types/forwardinginstance.h"
 #include "framework/ids.h"
 #include "framework/time.h"
 
@@ -25,7 +25,7 @@
   framework::TargetName TargetName_ = {};
   /// This instance, when the call is forwarded to another one instead of a
   /// target.
-  std::optional<Forwarder> Forwarder_ = std::nullopt;
+  std::optional<ForwardingInstance> ForwardedBy_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/events/callarrived.h
+++ b/src/decision/types/events/callarrived.h
@@ -2,7 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_TYPES_EVENTS_CALLARRIVED_H
 
 #include "calls/types/requestfingerprint.h"
-#include "decision/types/forwarder.h"
+#include "decision/types/forwardinginstance.h"
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 #include "framework/time.h"
@@ -33,7 +33,7 @@
   std::uint64_t BodyBytes_ = 0;
   calls::RequestFingerprint Fingerprint_ = {};
   /// Set when another instance has forwarded the call.
-  std::optional<Forwarder> Forwarder_ = std::nullopt;
+  std::optional<ForwardingInstance> ForwardedBy_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/forwarder.h
+++ b/src/decision/types/forwardinginstance.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYSPOOL_DECISION_TYPES_FORWARDER_H
-#define CRANBERRYSPOOL_DECISION_TYPES_FORWARDER_H
+#ifndef CRANBERRYSPOOL_DECISION_TYPES_FORWARDINGINSTANCE_H
+#define CRANBERRYSPOOL_DECISION_TYPES_FORWARDINGINSTANCE_H
 
 #include "framework/ids.h"
 
@@ -9,7 +9,7 @@
 
 /// The instance that has forwarded a call because it reaches no target, as the
 /// request states it.
-struct Forwarder {
+struct ForwardingInstance {
   framework::InstanceName Name_;
   framework::Incarnation Incarnation_;
   /// The IP address from which the request came.
@@ -18,4 +18,4 @@
 
 } // namespace cranberryspool::decision
 
-#endif // CRANBERRYSPOOL_DECISION_TYPES_FORWARDER_H
+#endif // CRANBERRYSPOOL_DECISION_TYPES_FORWARDINGINSTANCE_H
--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -5,7 +5,7 @@
 #include "entry/internal/copyfields.h"
 #include "entry/internal/endingstatus.h"
 #include "entry/internal/fingerprint.h"
-#include "entry/internal/forwarderfield.h"
+#include "entry/internal/forwardedbyfield.h"
 #include "entry/internal/headvalidation.h"
 #include "entry/internal/instancestate.h"
 #include "entry/internal/retryafter.h"
@@ -209,13 +209,13 @@
   Arrival_.Depth_ = Metadata.value().Depth_;
   Arrival_.Attempt_ = Metadata.value().Attempt_;
   if (Kind_ == CallerKind::Peer) {
-    Arrival_.Forwarder_ = takeForwarder(Request_.Fields_);
-    if (!Arrival_.Forwarder_) {
+    Arrival_.ForwardedBy_ = takeForwardedBy(Request_.Fields_);
+    if (!Arrival_.ForwardedBy_) {
       refuseRequest(400, "bad-forwarder");
       return;
     }
     error_code Ignored;
-    Arrival_.Forwarder_->Address_ =
+    Arrival_.ForwardedBy_->Address_ =
         Socket_.remote_endpoint(Ignored).address().to_string();
   }
   const bool IsContinueExpected =
--- a/src/entry/internal/forwarderfield.cpp
+++ b/src/entry/internal/forwardedbyfield.cpp
@@ -1,4 +1,4 @@
-#include "entry/internal/forwarderfield.h"
+#include "entry/internal/forwardedbyfield.h"
 
 #include "entry/internal/fieldtext.h"
 #include "protocol/headers.h"
@@ -7,31 +7,32 @@
 
 namespace cranberryspool::entry {
 
-std::string toText(const decision::Forwarder &From) {
+std::string toText(const decision::ForwardingInstance &From) {
   return From.Name_.value() + ';' + std::to_string(From.Incarnation_.value());
 }
 
-std::optional<decision::Forwarder> parseForwarder(std::string_view Value) {
+std::optional<decision::ForwardingInstance>
+parseForwardedBy(std::string_view Value) {
   const std::size_t Separator = Value.rfind(';');
   if (Separator == 0 || Separator == std::string_view::npos)
     return std::nullopt;
   const auto Incarnation = parseUnsigned(Value.substr(Separator + 1));
   if (!Incarnation)
     return std::nullopt;
-  return decision::Forwarder{
+  return decision::ForwardingInstance{
       framework::InstanceName(std::string(Value.substr(0, Separator))),
       framework::Incarnation(*Incarnation),
       {}};
 }
 
-std::optional<decision::Forwarder>
-takeForwarder(std::vector<HeaderField> &Fields) {
-  std::optional<decision::Forwarder> Found;
+std::optional<decision::ForwardingInstance>
+takeForwardedBy(std::vector<HeaderField> &Fields) {
+  std::optional<decision::ForwardingInstance> Found;
   const std::size_t Removed =
       std::erase_if(Fields, [&](const HeaderField &Field) {
         if (!equalsIgnoreCase(Field.Name_, protocol::ForwardedByHeader))
           return false;
-        Found = parseForwarder(trimmed(Field.Value_));
+        Found = parseForwardedBy(trimmed(Field.Value_));
         return true;
       });
   return Removed == 1 ? Found : std::nullopt;
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -3,7 +3,7 @@
 #include "entry/internal/callfields.h"
 #include "entry/internal/copyfields.h"
 #include "entry/internal/fieldtext.h"
-#include "entry/internal/forwarderfield.h"
+#include "entry/internal/forwardedbyfield.h"
 #include "entry/internal/instancestate.h"
 #include "entry/internal/responsefields.h"
 #include "entry/internal/targetconnectionpool.h"
@@ -151,9 +151,9 @@
   SetField(Profile.AttemptNumberField_, std::to_string(Attempt.AttemptMark_));
   SetField(Profile.AttemptIdField_, attemptIdText());
   SetField(Profile.ExpectedTargetField_, Attempt.TargetName_.value());
-  if (Attempt.Forwarder_)
+  if (Attempt.ForwardedBy_)
     Output_->set(std::string(protocol::ForwardedByHeader),
-                 toText(*Attempt.Forwarder_));
+                 toText(*Attempt.ForwardedBy_));
   Output_->body() = {Source.Body_.data(), Source.Body_.size()};
   const bool HasBody = !Source.Body_.empty() ||
                        (Source.Method_ != "GET" && Source.Method_ != "HEAD");
--- a/src/entry/tests/callerfixture.cpp
+++ b/src/entry/tests/callerfixture.cpp
@@ -82,7 +82,7 @@
 
 std::string CallerFixture::peerAddress() const { return textOf(PeerEndpoint_); }
 
-std::optional<decision::Forwarder> CallerFixture::lastForwarder() {
+std::optional<decision::ForwardingInstance> CallerFixture::lastForwarder() {
   const std::lock_guard Lock(Mutex_);
   return LastForwarder_;
 }
@@ -120,7 +120,7 @@
     const std::lock_guard Lock(Mutex_);
     ++CallCount_;
     LastCall_ = Arrived.Call_;
-    LastForwarder_ = Arrived.Forwarder_;
+    LastForwarder_ = Arrived.ForwardedBy_;
     LastRequest_ = Request;
     StateChanged_.notify_all();
   }
--- a/src/entry/tests/callerfixture.h
+++ b/src/entry/tests/callerfixture.h
@@ -29,7 +29,7 @@
   std::shared_ptr<const CallerRequest> awaitCalls(std::size_t Count);
   std::size_t callCount();
   framework::CallId lastCall();
-  std::optional<decision::Forwarder> lastForwarder();
+  std::optional<decision::ForwardingInstance> lastForwarder();
   void awaitCallerGone(framework::CallId Call);
   void awaitClosed();
   std::size_t requestBytesInUse() const { return State_.RequestBytes_.used(); }
@@ -47,7 +47,7 @@
   std::condition_variable StateChanged_;
   std::size_t CallCount_ = 0;
   framework::CallId LastCall_;
-  std::optional<decision::Forwarder> LastForwarder_;
+  std::optional<decision::ForwardingInstance> LastForwarder_;
   framework::CallId AbandonedCall_;
   bool IsClosed_ = false;
   std::shared_ptr<const CallerRequest> LastRequest_;
--- a/src/entry/tests/targetconnectionpool_test.cpp
+++ b/src/entry/tests/targetconnectionpool_test.cpp
@@ -62,7 +62,7 @@
   Fixture.sendCommand(decision::OpenConnection{
       framework::ConnectionId(1), framework::TargetId(0), Peer.peerAddress()});
   Fixture.expect<decision::ConnectionOpened>();
-  const decision::Forwarder Self{
+  const decision::ForwardingInstance Self{
       framework::InstanceName("entry-3"), framework::Incarnation(11), {}};
   Fixture.send(1, 7, "POST", Self);
   Fixture.expect<decision::AnswerBegan>();
--- a/src/entry/tests/targetfixture.cpp
+++ b/src/entry/tests/targetfixture.cpp
@@ -56,10 +56,10 @@
   return Accepted;
 }
 
-void TargetFixture::send(std::uint64_t Connection, std::uint64_t Attempt,
-                         const std::string &Method,
-                         const std::optional<decision::Forwarder> &Forwarder,
-                         const std::string &Target) {
+void TargetFixture::send(
+    std::uint64_t Connection, std::uint64_t Attempt, const std::string &Method,
+    const std::optional<decision::ForwardingInstance> &Forwarder,
+    const std::string &Target) {
   auto Request = std::make_shared<CallerRequest>();
   Request->Method_ = Method;
   Request->Target_ = Target;
@@ -71,7 +71,7 @@
   Command.Timeout_ = std::chrono::milliseconds(250);
   Command.Depth_ = 2;
   Command.AttemptMark_ = 3;
-  Command.Forwarder_ = Forwarder;
+  Command.ForwardedBy_ = Forwarder;
   sendCommand(SendRequest{Command, std::move(Request)});
 }
 
--- a/src/entry/tests/targetfixture.h
+++ b/src/entry/tests/targetfixture.h
@@ -24,7 +24,8 @@
   /// Sends a request with the given method on a connection.
   void send(std::uint64_t Connection, std::uint64_t Attempt,
             const std::string &Method = "GET",
-            const std::optional<decision::Forwarder> &Forwarder = std::nullopt,
+            const std::optional<decision::ForwardingInstance> &Forwarder =
+                std::nullopt,
             const std::string &Target = "/a?b");
 
   /// Waits for the next event with its response.
