--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -8,6 +8,7 @@
 #include "entry/internal/forwardedbyfield.h"
 #include "entry/internal/headvalidation.h"
 #include "entry/internal/instancestate.h"
+#include "entry/internal/notrunmark.h"
 #include "entry/internal/retryafter.h"
 
 #include <boost/asio/buffer.hpp>
@@ -343,8 +344,8 @@
   if (IsUnavailable || Refusal.RetryAfter_ > framework::Duration::zero())
     Message.set(http::field::retry_after,
                 retryAfterText(Refusal.RetryAfter_, Profile));
-  if (Refusal.Ending_ == calls::Ending::NotRun)
-    markNotRun(Message, Entry->AttemptId_);
+  if (Kind_ == CallerKind::Peer && Refusal.Ending_ == calls::Ending::NotRun)
+    markNotRun(Message, Entry->AttemptId_, Profile);
   Message.content_length(0);
   Entry->Response_ = std::move(Message);
   writeNext();
@@ -369,7 +370,8 @@
   Request_ = CallerRequest();
   const HttpProfile &Profile = Server_.state().HttpProfile_;
   Response Message = startResponse(Status);
-  markNotRun(Message, AttemptId);
+  if (Kind_ == CallerKind::Peer)
+    markNotRun(Message, AttemptId, Profile);
   if (!Profile.EndingField_.empty()) {
     Message.set(Profile.EndingField_, nameOf(calls::Ending::NotRun));
     Message.set(Profile.EndingReasonField_, Reason);
@@ -390,18 +392,6 @@
   writeNext();
 }
 
-void CallerSession::markNotRun(Response &Message,
-                               const std::string &AttemptId) const {
-  if (Kind_ != CallerKind::Peer)
-    return;
-  const HttpProfile &Profile = Server_.state().HttpProfile_;
-  if (!Profile.NotRunField_.empty())
-    Message.set(Profile.NotRunField_,
-                Profile.NotRunValue_.empty() ? "1" : Profile.NotRunValue_);
-  if (!Profile.AttemptIdField_.empty() && !AttemptId.empty())
-    Message.set(Profile.AttemptIdField_, AttemptId);
-}
-
 CallerSession::Response CallerSession::startResponse(unsigned Status) const {
   Response Message;
   Message.version(11);
--- a/src/entry/internal/callersession.h
+++ b/src/entry/internal/callersession.h
@@ -86,9 +86,6 @@
                      bool CanKeepAlive);
   Exchange *findExchange(framework::CallId Call);
   Response startResponse(unsigned Status) const;
-  /// Adds the fields by which another instance recognises a call that was not
-  /// run.
-  void markNotRun(Response &Message, const std::string &AttemptId) const;
   framework::Duration idleTimeout() const;
   void writeNext();
   void onWritten(const boost::system::error_code &Error);
