--- a/src/calls/internal/endingnames.cpp
+++ b/src/calls/internal/endingnames.cpp
@@ -68,6 +68,12 @@
     return "forwarder-unknown";
   case EndingReason::CallerGone:
     return "caller-gone";
+  case EndingReason::Unauthenticated:
+    return "unauthenticated";
+  case EndingReason::AccessUnconfirmed:
+    return "access-unconfirmed";
+  case EndingReason::OverQuota:
+    return "over-quota";
   }
   return "none";
 }
--- a/src/calls/types/endingreason.h
+++ b/src/calls/types/endingreason.h
@@ -30,6 +30,13 @@
   TargetsUnreachable,
   ForwarderUnknown,
   CallerGone,
+  /// The request carries no key or one that no workspace has.
+  Unauthenticated,
+  /// The configuration is not known, or is too old to tell whether the key is
+  /// valid.
+  AccessUnconfirmed,
+  /// The workspace has used its quota.
+  OverQuota,
 };
 
 } // namespace cranberryspool::calls
--- a/src/decision/types/actions/sendattempt.h
+++ b/src/decision/types/actions/sendattempt.h
@@ -23,6 +23,11 @@
   /// The attempt number sent to the target; 1 for the first attempt.
   std::uint32_t AttemptMark_ = 1;
   framework::TargetName TargetName_ = {};
+  /// The workspace of the call; empty when it has none.
+  framework::WorkspaceName Workspace_ = {};
+  /// Whether the caller's own credential and workspace field are forwarded
+  /// unchanged, because the document has no workspaces.
+  bool IsCredentialForwarded_ = true;
   /// This instance, when the call is forwarded to another one instead of a
   /// target.
   std::optional<ForwardingInstance> ForwardedBy_ = std::nullopt;
--- a/src/decision/types/endedcall.h
+++ b/src/decision/types/endedcall.h
@@ -28,6 +28,8 @@
   std::uint32_t Attempts_ = 0;
   framework::KindName Kind_;
   calls::RequestFingerprint Fingerprint_ = {};
+  /// Empty when the call belongs to no workspace.
+  framework::WorkspaceName Workspace_ = {};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/events/callarrived.h
+++ b/src/decision/types/events/callarrived.h
@@ -6,6 +6,7 @@
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 #include "framework/time.h"
+#include "workspaces/types/credential.h"
 
 #include <cstdint>
 #include <optional>
@@ -30,6 +31,11 @@
   std::uint32_t Depth_ = 0;
   /// The number of the attempt at the caller; 1 for its first attempt.
   std::uint32_t Attempt_ = 1;
+  /// The caller's key; used only where the document has workspaces.
+  workspaces::Credential Credential_ = {};
+  /// The workspace that the forwarding instance has authenticated; empty when
+  /// there is none.
+  framework::WorkspaceName ForwardedWorkspace_ = {};
   std::uint64_t BodyBytes_ = 0;
   calls::RequestFingerprint Fingerprint_ = {};
   /// Set when another instance has forwarded the call.
--- a/src/document/types/environmentdocument.h
+++ b/src/document/types/environmentdocument.h
@@ -4,6 +4,7 @@
 #include "document/types/callerlimits.h"
 #include "document/types/route.h"
 #include "document/types/service.h"
+#include "document/types/workspace.h"
 #include "document/types/zone.h"
 #include "framework/time.h"
 
@@ -22,6 +23,9 @@
   /// If not empty, requests are matched by these routes instead of by the kinds
   /// of the services.
   std::vector<Route> Routes_;
+  /// If not empty, a request must carry the key of a workspace, unless its
+  /// route is open to requests without a key.
+  std::vector<Workspace> Workspaces_;
   /// If absent, each instance uses the limits of its own settings.
   std::optional<CallerLimits> CallerLimits_;
   /// The maximum number of instances that run at the same time. An instance's
--- a/src/document/types/route.h
+++ b/src/document/types/route.h
@@ -30,6 +30,9 @@
   framework::Duration LatencyObjective_{};
   /// The maximum number of targets to which one call may be sent.
   std::uint32_t MaxAttempts_ = 1;
+  /// True when the environment has workspaces and the route is open to requests
+  /// without a key.
+  bool IsAnonymousAllowed_ = false;
   /// The services that share the requests; never empty.
   std::vector<WeightedService> WeightedServices_;
 
--- a/src/entry/internal/endingstatus.cpp
+++ b/src/entry/internal/endingstatus.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned BadRequest = 400;
+constexpr unsigned Unauthorized = 401;
 constexpr unsigned NotFound = 404;
 constexpr unsigned Conflict = 409;
 constexpr unsigned TooManyRequests = 429;
@@ -25,7 +26,10 @@
     return BadRequest;
   case EndingReason::KeyInProgress:
     return Conflict;
+  case EndingReason::Unauthenticated:
+    return Unauthorized;
   case EndingReason::Shed:
+  case EndingReason::OverQuota:
     return TooManyRequests;
   default:
     return ServiceUnavailable;
--- a/src/framework/ids.h
+++ b/src/framework/ids.h
@@ -33,12 +33,16 @@
 /// zone.
 using ZoneId = StrongId<struct ZoneIdTag, std::uint32_t>;
 
+/// A consecutive number that an instance assigns to the name of a workspace.
+using WorkspaceId = StrongId<struct WorkspaceIdTag, std::uint32_t>;
+
 using ServiceName = StrongId<struct ServiceNameTag, std::string>;
 using KindName = StrongId<struct KindNameTag, std::string>;
 using ZoneName = StrongId<struct ZoneNameTag, std::string>;
 using GroupName = StrongId<struct GroupNameTag, std::string>;
 using TargetName = StrongId<struct TargetNameTag, std::string>;
 using InstanceName = StrongId<struct InstanceNameTag, std::string>;
+using WorkspaceName = StrongId<struct WorkspaceNameTag, std::string>;
 
 /// The key that a caller sends with every repetition of the same call, so that
 /// duplicates are detected.
