Decode workspaces, their keys and the bounds on revocation and quotas in the adapter

Cause: the adapter ignored the workspaces of a configuration. Settings carry the bounds on revocation and quotas. Nothing uses them yet.

--- a/src/entry/types/httpprofile.h
+++ b/src/entry/types/httpprofile.h
@@ -49,6 +49,10 @@
   /// Parses a load report; returns nothing when it is invalid.
   std::function<std::optional<routing::LoadReport>(std::string_view)>
       ReadLoadReport_;
+  /// From callers: the key of their workspace, as a Bearer token (RFC 6750).
+  std::string AuthorizationField_;
+  /// To targets: the name of the caller's workspace.
+  std::string WorkspaceField_;
   /// From targets to probes: the warm-up time left, in milliseconds.
   std::string WarmupField_;
   /// From targets: the requests per second that the target accepts from all
--- a/src/fleet/types/fleetbounds.h
+++ b/src/fleet/types/fleetbounds.h
@@ -18,6 +18,15 @@
   double RetryRatio_ = 0.1;
   double RetrySlack_ = 0;
   framework::Duration RetryWindow_ = std::chrono::seconds(10);
+  /// True when a key that was withdrawn must stop working everywhere within
+  /// `RevocationTime_`, whether or not an instance can read the store.
+  bool IsRevocationStrict_ = false;
+  framework::Duration RevocationTime_ = std::chrono::seconds(5);
+  /// In a window of `QuotaWindow_`, a workspace may send its rate plus its
+  /// burst times `1 + QuotaOverage_` plus `QuotaTolerance_` requests.
+  framework::Duration QuotaWindow_ = std::chrono::seconds(5);
+  double QuotaOverage_ = 0.25;
+  double QuotaTolerance_ = 20;
   /// How long after an outage of the metadata store targets are kept whose
   /// records it has lost, so that they can be written again.
   framework::Duration RecoveryGrace_ = std::chrono::milliseconds(2200);
--- a/src/workspaces/digestkey.h
+++ b/src/workspaces/digestkey.h
@@ -4,6 +4,7 @@
 #include "document/types/keydigest.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,9 @@
 /// Returns a digest as 64 lower-case hexadecimal digits.
 std::string digestText(const document::KeyDigest &Digest);
 
+/// Parses the text that `digestText` returns; returns nothing for other text.
+std::optional<document::KeyDigest> parseDigest(std::string_view Text);
+
 } // namespace cranberryspool::workspaces
 
 #endif // CRANBERRYSPOOL_WORKSPACES_DIGESTKEY_H
--- a/src/workspaces/internal/digestkey.cpp
+++ b/src/workspaces/internal/digestkey.cpp
@@ -4,6 +4,18 @@
 
 namespace cranberryspool::workspaces {
 
+namespace {
+
+std::optional<unsigned> hexValue(char Digit) {
+  if (Digit >= '0' && Digit <= '9')
+    return Digit - '0';
+  if (Digit >= 'a' && Digit <= 'f')
+    return Digit - 'a' + 10;
+  return std::nullopt;
+}
+
+} // namespace
+
 document::KeyDigest digestKey(std::string_view Key) {
   document::KeyDigest Digest;
   SHA256(reinterpret_cast<const unsigned char *>(Key.data()), Key.size(),
@@ -22,4 +34,18 @@
   return Text;
 }
 
+std::optional<document::KeyDigest> parseDigest(std::string_view Text) {
+  document::KeyDigest Digest;
+  if (Text.size() != 2 * Digest.Bytes_.size())
+    return std::nullopt;
+  for (std::size_t Index = 0; Index < Digest.Bytes_.size(); ++Index) {
+    const auto High = hexValue(Text[2 * Index]);
+    const auto Low = hexValue(Text[2 * Index + 1]);
+    if (!High || !Low)
+      return std::nullopt;
+    Digest.Bytes_[Index] = static_cast<std::uint8_t>(*High << 4U | *Low);
+  }
+  return Digest;
+}
+
 } // namespace cranberryspool::workspaces
