Check the keys of calls in the decision core

Cause: a call was served whatever key its request carried. Change: a call is authenticated when it arrives and again whenever the document changes or the view gets too old to use keys; calls that were not sent are refused, calls that were sent get no further attempt. The workspace's priority replaces the route's, and its name goes to the target. Without workspaces in the document every call is open, as before.

--- a/src/calls/internal/calltable.cpp
+++ b/src/calls/internal/calltable.cpp
@@ -54,7 +54,8 @@
       [this](framework::AttemptId Id) {
         return Attempts_.at(Id).State_ == AttemptState::WaitingForConnection;
       });
-  return Owner.SentAttempts_ + Waiting < Owner.Request_.MaxAttempts_;
+  return !Owner.IsAccessWithdrawn_ &&
+         Owner.SentAttempts_ + Waiting < Owner.Request_.MaxAttempts_;
 }
 
 } // namespace cranberryspool::calls
--- a/src/calls/types/call.h
+++ b/src/calls/types/call.h
@@ -44,6 +44,8 @@
   bool IsForwarded_ = false;
   /// True when the owner of the call's idempotency key has permitted it to run.
   bool HoldsKey_ = false;
+  /// True once the call's key was withdrawn. No further attempt may be sent.
+  bool IsAccessWithdrawn_ = false;
   /// An attempt with a complete response that reports a failure of the target.
   /// The caller gets this response when there is no better one.
   std::optional<framework::AttemptId> FallbackAnswer_;
--- a/src/calls/types/callrequest.h
+++ b/src/calls/types/callrequest.h
@@ -6,6 +6,7 @@
 #include "document/types/urgency.h"
 #include "framework/ids.h"
 #include "framework/time.h"
+#include "workspaces/types/credential.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,6 +36,12 @@
   /// The latency objective of the call; zero when there is none.
   framework::Duration LatencyObjective_{};
   RequestFingerprint Fingerprint_ = {};
+  /// The workspace that the call belongs to; nothing when it has none.
+  std::optional<framework::WorkspaceId> Workspace_ = std::nullopt;
+  /// The credential of the request and whether its route is open to requests
+  /// without a key, so that access can be checked again.
+  workspaces::Credential Credential_ = {};
+  bool IsAnonymousAllowed_ = false;
   /// True when another instance has forwarded the call.
   bool IsFromPeer_ = false;
 };
--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -4,6 +4,7 @@
 #include "fleet/types/seedsettings.h"
 #include "framework/ids.h"
 #include "framework/time.h"
+#include "workspaces/types/processsecret.h"
 
 #include <chrono>
 #include <optional>
@@ -21,6 +22,8 @@
   /// The port at which all instances accept calls that others forward; 0 when
   /// calls are not forwarded.
   std::uint16_t ForwardPort_ = 0;
+  /// Keys the index of the workspaces' keys; random in production.
+  workspaces::ProcessSecret KeyIndexSecret_ = {};
   /// Set if instances discover each other through seeds and read the platform's
   /// metadata store. Otherwise they read the platform's document and instance
   /// list.
--- a/src/decision/internal/admissioncontroller.cpp
+++ b/src/decision/internal/admissioncontroller.cpp
@@ -54,7 +54,10 @@
       Context.now() - Call.StartedAt_,
       Core_.Targets_.serviceLoad(Call.Request_.Service_, Context.now()),
       Context.now());
-  enqueue(Context, Call);
+  if (Call.IsAccessWithdrawn_)
+    Finisher_.fail(Context, Call, calls::EndingReason::Unauthenticated);
+  else
+    enqueue(Context, Call);
 }
 
 void AdmissionController::failExpired(const EventContext &Context) {
--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -121,7 +121,12 @@
       .Timeout_ = Request.Deadline_ - Context.now(),
       .Depth_ = Request.Depth_ + 1,
       .AttemptMark_ = Request.AttemptNumber_ + Call.SentAttempts_,
-      .TargetName_ = Core_.Environment_.targetName(Attempt.Target_)});
+      .TargetName_ = Core_.Environment_.targetName(Attempt.Target_),
+      .Workspace_ = Request.Workspace_
+                        ? Core_.Environment_.workspaceName(*Request.Workspace_)
+                        : framework::WorkspaceName(),
+      .IsCredentialForwarded_ =
+          !Core_.Access_.isEnabled() && !Request.Workspace_});
   if (Attempt.Kind_ == calls::AttemptKind::Forward)
     addressToPeer(std::get<SendAttempt>(Context.Output_.back()));
   ++Call.SentAttempts_;
--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -79,6 +79,7 @@
   case calls::EndingReason::KeyTooOld:
   case calls::EndingReason::DeadlineTooShort:
   case calls::EndingReason::CallerGone:
+  case calls::EndingReason::Unauthenticated:
     return framework::Duration::zero();
   default:
     break;
@@ -112,18 +113,21 @@
                              const calls::Call &Call, calls::Ending Ending,
                              calls::EndingReason Reason) {
   const calls::CallRequest &Request = Call.Request_;
-  Core_.EndedCalls_.push_back(
-      EndedCall{.Call_ = Request.Call_,
-                .Service_ = Core_.Environment_.serviceName(Request.Service_),
-                .Urgency_ = Request.Urgency_,
-                .Ending_ = Ending,
-                .Status_ = Call.AnswerStatus_,
-                .Elapsed_ = Context.now() - Request.Arrival_,
-                .IsCallerGone_ = Call.IsCallerGone_,
-                .Reason_ = Reason,
-                .Attempts_ = Call.SentAttempts_,
-                .Kind_ = Core_.Environment_.kindName(Request.Kind_),
-                .Fingerprint_ = Request.Fingerprint_});
+  Core_.EndedCalls_.push_back(EndedCall{
+      .Call_ = Request.Call_,
+      .Service_ = Core_.Environment_.serviceName(Request.Service_),
+      .Urgency_ = Request.Urgency_,
+      .Ending_ = Ending,
+      .Status_ = Call.AnswerStatus_,
+      .Elapsed_ = Context.now() - Request.Arrival_,
+      .IsCallerGone_ = Call.IsCallerGone_,
+      .Reason_ = Reason,
+      .Attempts_ = Call.SentAttempts_,
+      .Kind_ = Core_.Environment_.kindName(Request.Kind_),
+      .Fingerprint_ = Request.Fingerprint_,
+      .Workspace_ = Request.Workspace_
+                        ? Core_.Environment_.workspaceName(*Request.Workspace_)
+                        : framework::WorkspaceName()});
   if (Call.HoldsKey_)
     Core_.Fleet_.handleKeyedCallEnd(Request.Call_, Ending,
                                     Ending == calls::Ending::Answered,
--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -27,15 +27,27 @@
   const bool IsViewOld =
       Core_.Fleet_.viewAge(Context.now()) > MaxViewAgeForNoSuchKind;
   if (Kind)
-    accept(Context, Input, *Kind);
+    acceptIfPermitted(Context, Input, *Kind);
   else if (Core_.Environment_.hasDocument() && !IsViewOld)
     Finisher_.reject(Context, Input.Call_, calls::EndingReason::NoSuchKind);
   else
     Finisher_.reject(Context, Input.Call_, calls::EndingReason::ViewTooOld);
 }
 
+void CallReceiver::acceptIfPermitted(const EventContext &Context,
+                                     const CallArrived &Input,
+                                     const MatchedKind &Kind) {
+  const auto Workspace = Access_.authenticate(Context, Input, Kind);
+  if (Workspace)
+    accept(Context, Input, Kind, Workspace.value());
+  else
+    Finisher_.reject(Context, Input.Call_, Workspace.error());
+}
+
 void CallReceiver::accept(const EventContext &Context, const CallArrived &Input,
-                          const MatchedKind &Kind) {
+                          const MatchedKind &Matched,
+                          std::optional<framework::WorkspaceId> Workspace) {
+  const MatchedKind Kind = applyWorkspacePriority(Matched, Workspace);
   const framework::Duration Timeout =
       std::min(Input.Timeout_.value_or(Kind.Deadline_), Kind.LongestWait_);
   calls::Call &Call = Core_.Calls_.accept(calls::CallRequest{
@@ -55,6 +67,9 @@
                                             : Core_.CallSettings_.MaxAttempts_,
       .LatencyObjective_ = Kind.LatencyObjective_,
       .Fingerprint_ = Input.Fingerprint_,
+      .Workspace_ = Workspace,
+      .Credential_ = Input.Credential_,
+      .IsAnonymousAllowed_ = Kind.IsAnonymousAllowed_,
       .IsFromPeer_ = Input.ForwardedBy_.has_value()});
   ++Core_.Counters_.CallsAccepted_;
   Core_.Counters_.CallsFromPeers_ += Input.ForwardedBy_ ? 1 : 0;
@@ -75,6 +90,20 @@
     Admission_.enqueue(Context, Call);
 }
 
+MatchedKind CallReceiver::applyWorkspacePriority(
+    MatchedKind Kind, std::optional<framework::WorkspaceId> Workspace) const {
+  if (!Workspace)
+    return Kind;
+  const document::Workspace *Found = Core_.Environment_.findWorkspace(
+      Core_.Environment_.workspaceName(*Workspace));
+  if (!Found || !Found->Priority_)
+    return Kind;
+  Kind.Priority_ = *Found->Priority_;
+  Kind.Urgency_ = Kind.Priority_ == 0 ? document::Urgency::Urgent
+                                      : document::Urgency::Ordinary;
+  return Kind;
+}
+
 std::optional<calls::EndingReason>
 CallReceiver::findRefusalReason(const EventContext &Context,
                                 const CallArrived &Input,
--- a/src/decision/internal/callreceiver.h
+++ b/src/decision/internal/callreceiver.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_INTERNAL_CALLRECEIVER_H
 
 #include "calls/types/callrequest.h"
+#include "decision/internal/accessguard.h"
 #include "decision/internal/admissioncontroller.h"
 #include "decision/internal/callfinisher.h"
 #include "decision/internal/callforwarder.h"
@@ -21,9 +22,10 @@
 public:
   CallReceiver(CoreState &Core, CallFinisher &Finisher,
                AdmissionController &Admission, KeyedCallHandler &KeyHandler,
-               ViewGuard &View, CallForwarder &Forwarder)
+               ViewGuard &View, CallForwarder &Forwarder, AccessGuard &Access)
       : Core_(Core), Finisher_(Finisher), Admission_(Admission),
-        KeyHandler_(KeyHandler), View_(View), Forwarder_(Forwarder) {}
+        KeyHandler_(KeyHandler), View_(View), Forwarder_(Forwarder),
+        Access_(Access) {}
 
   void handle(const EventContext &Context, const CallArrived &Input);
   void handle(const EventContext &Context, const CallerGone &Input);
@@ -34,8 +36,16 @@
   void stopAccepting() { IsStopped_ = true; }
 
 private:
+  void acceptIfPermitted(const EventContext &Context, const CallArrived &Input,
+                         const MatchedKind &Kind);
   void accept(const EventContext &Context, const CallArrived &Input,
-              const MatchedKind &Kind);
+              const MatchedKind &Matched,
+              std::optional<framework::WorkspaceId> Workspace);
+  /// Replaces the priority of the route by that of the workspace, if it has
+  /// one.
+  MatchedKind
+  applyWorkspacePriority(MatchedKind Kind,
+                         std::optional<framework::WorkspaceId> Workspace) const;
   /// Returns why a call is refused before it is queued.
   std::optional<calls::EndingReason>
   findRefusalReason(const EventContext &Context, const CallArrived &Input,
@@ -47,6 +57,7 @@
   KeyedCallHandler &KeyHandler_;
   ViewGuard &View_;
   CallForwarder &Forwarder_;
+  AccessGuard &Access_;
   bool IsStopped_ = false;
 };
 
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -18,6 +18,7 @@
 #include "framework/random.h"
 #include "routing/defaultpolicy.h"
 #include "routing/targettable.h"
+#include "workspaces/accesspolicy.h"
 
 #include <set>
 #include <utility>
@@ -25,6 +26,15 @@
 
 namespace cranberryspool::decision {
 
+/// Returns the bounds on the withdrawal of keys that the platform sets.
+inline workspaces::RevocationBounds
+revocationBounds(const CoreSettings &Settings) {
+  if (!Settings.Seeds_)
+    return {};
+  const fleet::FleetBounds &Bounds = Settings.Seeds_->Bounds_;
+  return {Bounds.IsRevocationStrict_, Bounds.RevocationTime_};
+}
+
 /// The state of a core, shared by the classes that each handle one stage of a
 /// call.
 struct CoreState {
@@ -34,6 +44,7 @@
                           ? seededCallSettings(Settings_.Seeds_->Bounds_)
                           : CallSettings()),
         Rng_(Rng),
+        Access_(revocationBounds(Settings_), Settings_.KeyIndexSecret_),
         Targets_(Environment_.internZone(Settings_.Zone_),
                  routing::DefaultPolicy(), framework::Random(Rng_.bits())),
         ServiceStats_(CallSettings_),
@@ -65,6 +76,7 @@
   CoreCounters Counters_;
 
   Environment Environment_;
+  workspaces::AccessPolicy Access_;
   routing::TargetTable<routing::DefaultPolicy> Targets_;
   admission::AdmissionQueue Queue_;
   ServiceStatistics ServiceStats_;
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -20,17 +20,18 @@
 Engine::Engine(CoreSettings Settings, framework::Random Rng)
     : Core_(std::move(Settings), Rng), Connections_(Core_),
       Attempts_(Core_, Connections_), Finisher_(Core_, Attempts_),
-      Admission_(Core_, Finisher_), Observer_(Core_),
-      Crashes_(Core_, Connections_, Finisher_),
+      Access_(Core_, Attempts_, Finisher_), Admission_(Core_, Finisher_),
+      Observer_(Core_), Crashes_(Core_, Connections_, Finisher_),
       Forwarder_(Core_, Connections_, Attempts_, Finisher_),
       Transport_(Core_, Connections_, Attempts_, Finisher_, Admission_,
                  Observer_, Crashes_, Forwarder_),
       Prober_(Core_, Observer_), EnvironmentUpdater_(Core_, Transport_),
       KeyHandler_(Core_, Finisher_, Admission_), View_(Core_, Finisher_),
       CallReceiver_(Core_, Finisher_, Admission_, KeyHandler_, View_,
-                    Forwarder_),
+                    Forwarder_, Access_),
       Stop_(Core_, CallReceiver_),
-      FleetAdapter_(Core_, EnvironmentUpdater_, KeyHandler_, Stop_, Crashes_),
+      FleetAdapter_(Core_, EnvironmentUpdater_, KeyHandler_, Stop_, Crashes_,
+                    Access_),
       Dispatcher_(Core_, Attempts_) {}
 
 void Engine::handle(const EventContext &Context, const Event &Input) {
@@ -84,6 +85,7 @@
 
 void Engine::expireOverdue(const EventContext &Context) {
   CallReceiver_.failOverdue(Context);
+  Access_.expireUnconfirmed(Context);
   Attempts_.expireAbandoned(Context);
   Transport_.failSilentConnections(Context);
 }
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -4,6 +4,7 @@
 #include "decision/coresettings.h"
 #include "decision/corestatus.h"
 #include "decision/event.h"
+#include "decision/internal/accessguard.h"
 #include "decision/internal/admissioncontroller.h"
 #include "decision/internal/attemptmanager.h"
 #include "decision/internal/callfinisher.h"
@@ -81,6 +82,7 @@
   ConnectionManager Connections_;
   AttemptManager Attempts_;
   CallFinisher Finisher_;
+  AccessGuard Access_;
   AdmissionController Admission_;
   TargetObserver Observer_;
   CrashGuard Crashes_;
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -12,6 +12,9 @@
   Digest_ = document::documentDigest(Document);
   Kinds_ = document::KindIndex(*Document_);
   Routes_ = document::RouteIndex(*Document_);
+  WorkspacesByName_.clear();
+  for (const document::Workspace &Each : Document_->Workspaces_)
+    WorkspacesByName_[Each.Name_] = &Each;
   RouteKindIds_.clear();
   for (const document::Route &Each : Document_->Routes_)
     RouteKindIds_.push_back(
@@ -95,6 +98,7 @@
                      .Kind_ = RouteKindIds_[*Match],
                      .IsIdempotent_ = Policy.IsIdempotent_,
                      .IsHedgingAllowed_ = Policy.IsIdempotent_,
+                     .IsAnonymousAllowed_ = Policy.IsAnonymousAllowed_,
                      .Urgency_ = Policy.Priority_ == 0
                                      ? document::Urgency::Urgent
                                      : document::Urgency::Ordinary,
@@ -163,6 +167,22 @@
   return Services_.find(Name);
 }
 
+const document::Workspace *
+Environment::findWorkspace(const framework::WorkspaceName &Name) const {
+  const auto Found = WorkspacesByName_.find(Name);
+  return Found == WorkspacesByName_.end() ? nullptr : Found->second;
+}
+
+framework::WorkspaceId
+Environment::internWorkspace(const framework::WorkspaceName &Name) {
+  return Workspaces_.intern(Name);
+}
+
+const framework::WorkspaceName &
+Environment::workspaceName(framework::WorkspaceId Workspace) const {
+  return Workspaces_.name(Workspace);
+}
+
 const framework::ZoneName &Environment::zoneName(framework::ZoneId Zone) const {
   return Zones_.name(Zone);
 }
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -73,6 +73,12 @@
   const framework::ServiceName &serviceName(framework::ServiceId Service) const;
   std::optional<framework::ServiceId>
   findService(const framework::ServiceName &Name) const;
+  /// Returns null when the document in force has no such workspace.
+  const document::Workspace *
+  findWorkspace(const framework::WorkspaceName &Name) const;
+  framework::WorkspaceId internWorkspace(const framework::WorkspaceName &Name);
+  const framework::WorkspaceName &
+  workspaceName(framework::WorkspaceId Workspace) const;
   const framework::ZoneName &zoneName(framework::ZoneId Zone) const;
   framework::ZoneId internZone(const framework::ZoneName &Name);
   /// Returns the identifier under which calls are forwarded to another
@@ -119,6 +125,10 @@
   framework::Interner<framework::ServiceName, framework::ServiceId> Services_;
   framework::Interner<framework::TargetName, framework::TargetId> TargetNames_;
   framework::Interner<framework::ZoneName, framework::ZoneId> Zones_;
+  framework::Interner<framework::WorkspaceName, framework::WorkspaceId>
+      Workspaces_;
+  std::map<framework::WorkspaceName, const document::Workspace *>
+      WorkspacesByName_;
   framework::Interner<KindKey, calls::KindId> KindNames_;
   /// Indexed by the positions of the service and the kind in the document.
   std::vector<std::vector<calls::KindId>> KindIdsByService_;
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -136,6 +136,7 @@
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::DocumentApplied &Output) {
   EnvironmentUpdater_.setDocument(Context, *Core_.Fleet_.currentDocument());
+  Access_.updateWorkspaces(Context);
   report(Context, ChangeKind::DocumentInForce,
          std::to_string(Output.Revision_.value()));
 }
--- a/src/decision/internal/fleetadapter.h
+++ b/src/decision/internal/fleetadapter.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_DECISION_INTERNAL_FLEETADAPTER_H
 #define CRANBERRYSPOOL_DECISION_INTERNAL_FLEETADAPTER_H
 
+#include "decision/internal/accessguard.h"
 #include "decision/internal/corestate.h"
 #include "decision/internal/crashguard.h"
 #include "decision/internal/environmentupdater.h"
@@ -33,9 +34,9 @@
 public:
   FleetAdapter(CoreState &Core, EnvironmentUpdater &Updater,
                KeyedCallHandler &KeyHandler, StopSequence &Stop,
-               CrashGuard &Crashes)
+               CrashGuard &Crashes, AccessGuard &Access)
       : Core_(Core), EnvironmentUpdater_(Updater), KeyHandler_(KeyHandler),
-        Stop_(Stop), Crashes_(Crashes) {}
+        Stop_(Stop), Crashes_(Crashes), Access_(Access) {}
 
   void handle(const EventContext &Context, const DocumentPublished &Input);
   void handle(const EventContext &Context, const DocumentUnchanged &Input);
@@ -98,6 +99,7 @@
   KeyedCallHandler &KeyHandler_;
   StopSequence &Stop_;
   CrashGuard &Crashes_;
+  AccessGuard &Access_;
   /// When a rejected message was last logged.
   std::optional<framework::Instant> RejectionLoggedAt_;
 };
--- a/src/decision/internal/matchedkind.h
+++ b/src/decision/internal/matchedkind.h
@@ -16,6 +16,8 @@
   calls::KindId Kind_;
   bool IsIdempotent_ = false;
   bool IsHedgingAllowed_ = false;
+  /// True when requests without a key are served, where workspaces exist.
+  bool IsAnonymousAllowed_ = false;
   document::Urgency Urgency_ = document::Urgency::Ordinary;
   /// The rank within the urgency class; 0 is served first.
   std::uint32_t Priority_ = 0;
