Keep workspace keys from targets and name the workspace to them

Cause: the key of a workspace was forwarded to targets as any other field, and a caller could set the workspace field itself. Change: a session takes both fields out of the request, reads the credential and drops the key once a document with workspaces is in force; the target's connection writes the name of the authenticated workspace. A forwarded call carries the name on the peers' port. Without workspaces the fields are forwarded as before. Fingerprints of requests with different keys differ, so that a request that crashes targets is not refused to another workspace.

--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -10,6 +10,7 @@
 #include "entry/internal/instancestate.h"
 #include "entry/internal/notrunmark.h"
 #include "entry/internal/retryafter.h"
+#include "entry/internal/workspacefields.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -199,6 +200,7 @@
     return;
   }
   Request_.Fields_ = forwardableRequestFields(Fields, Profile);
+  Request_.CredentialFields_ = takeCredentialFields(Request_.Fields_, Profile);
   Request_.AttemptId_ = Metadata.value().AttemptId_;
   Arrival_ = decision::CallArrived();
   Arrival_.Method_ = Request_.Method_;
@@ -209,12 +211,17 @@
   Arrival_.Key_ = Metadata.value().Key_;
   Arrival_.Depth_ = Metadata.value().Depth_;
   Arrival_.Attempt_ = Metadata.value().Attempt_;
+  Arrival_.Credential_ =
+      readCallerCredential(Request_.CredentialFields_, Profile);
+  if (Server_.state().HasWorkspaces_.load())
+    Request_.CredentialFields_.clear();
   if (Kind_ == CallerKind::Peer) {
     Arrival_.ForwardedBy_ = takeForwardedBy(Request_.Fields_);
     if (!Arrival_.ForwardedBy_) {
       refuseRequest(400, "bad-forwarder");
       return;
     }
+    Arrival_.ForwardedWorkspace_ = takeForwardedWorkspace(Request_.Fields_);
     error_code Ignored;
     Arrival_.ForwardedBy_->Address_ =
         Socket_.remote_endpoint(Ignored).address().to_string();
@@ -278,7 +285,8 @@
   Request_.Reservation_.shrink(Request_.Body_.size());
   Parser_.reset();
   Arrival_.BodyBytes_ = Request_.Body_.size();
-  Arrival_.Fingerprint_ = computeFingerprint(Request_, Arrival_.Host_);
+  Arrival_.Fingerprint_ =
+      computeFingerprint(Request_, Arrival_.Host_, Arrival_.Credential_);
   const std::string AttemptId = Request_.AttemptId_;
   const auto Call =
       Server_.accept(Number_, std::move(Arrival_), std::move(Request_));
@@ -344,6 +352,8 @@
   if (IsUnavailable || Refusal.RetryAfter_ > framework::Duration::zero())
     Message.set(http::field::retry_after,
                 retryAfterText(Refusal.RetryAfter_, Profile));
+  if (Message.result() == http::status::unauthorized)
+    Message.set(http::field::www_authenticate, "Bearer");
   if (Kind_ == CallerKind::Peer && Refusal.Ending_ == calls::Ending::NotRun)
     markNotRun(Message, Entry->AttemptId_, Profile);
   Message.content_length(0);
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -237,6 +237,7 @@
     return;
   const document::EnvironmentDocument *Document = Core_.document();
   Statistics_.setObjectives(Document);
+  State_.HasWorkspaces_.store(Document && !Document->Workspaces_.empty());
   if (Document && Document->CallerLimits_)
     State_.CallerLimits_.set(*Document->CallerLimits_);
 }
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -13,6 +13,7 @@
 #include "entry/internal/targetconnectionpool.h"
 #include "framework/runtime/clocks.h"
 #include "framework/runtime/supervisor.h"
+#include "workspaces/makeprocesssecret.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 
@@ -293,6 +294,7 @@
     Settings.ForwardPort_ = ForwardListener_.local_endpoint().port();
   Settings.Seeds_ = Settings_.Seeds_;
   Settings.ReportsAttempts_ = Settings_.IsRequestLogEnabled_;
+  Settings.KeyIndexSecret_ = workspaces::makeProcessSecret();
   return decision::Core(std::move(Settings), framework::Random(randomSeed()));
 }
 
--- a/src/entry/internal/fingerprint.cpp
+++ b/src/entry/internal/fingerprint.cpp
@@ -8,8 +8,9 @@
 
 namespace cranberryspool::entry {
 
-calls::RequestFingerprint computeFingerprint(const CallerRequest &Request,
-                                             std::string_view Host) {
+calls::RequestFingerprint
+computeFingerprint(const CallerRequest &Request, std::string_view Host,
+                   const workspaces::Credential &Presented) {
   const XXH128_hash_t Body =
       XXH3_128bits(Request.Body_.data(), Request.Body_.size());
   std::string Parts;
@@ -20,6 +21,10 @@
                                       std::string_view(Request.Target_)})
     Parts.append(Part).push_back('\0');
   Parts.append(reinterpret_cast<const char *>(&Body), sizeof(Body));
+  if (Presented.State_ == workspaces::CredentialState::Presented)
+    Parts.append(
+        reinterpret_cast<const char *>(Presented.Digest_.Bytes_.data()),
+        Presented.Digest_.Bytes_.size());
   const XXH128_hash_t Hash = XXH3_128bits(Parts.data(), Parts.size());
   return {Hash.high64, Hash.low64};
 }
--- a/src/entry/internal/instancestate.h
+++ b/src/entry/internal/instancestate.h
@@ -30,6 +30,9 @@
   StoredResponses StoredResponses_;
   PendingSections Sections_;
   std::atomic<bool> IsReady_{false};
+  /// True once a document with workspaces is in force. Keys that are read later
+  /// are not kept.
+  std::atomic<bool> HasWorkspaces_{false};
 };
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -138,6 +138,9 @@
   Output_->target(Source.Target_);
   for (const HeaderField &Field : Source.Fields_)
     Output_->insert(Field.Name_, Field.Value_);
+  if (Attempt.IsCredentialForwarded_)
+    for (const HeaderField &Field : Source.CredentialFields_)
+      Output_->insert(Field.Name_, Field.Value_);
   const auto RemainingMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(Attempt.Timeout_);
   const HttpProfile &Profile = Pool_.state().HttpProfile_;
@@ -151,9 +154,14 @@
   SetField(Profile.AttemptNumberField_, std::to_string(Attempt.AttemptMark_));
   SetField(Profile.AttemptIdField_, attemptIdText());
   SetField(Profile.ExpectedTargetField_, Attempt.TargetName_.value());
-  if (Attempt.ForwardedBy_)
+  if (Attempt.ForwardedBy_) {
     Output_->set(std::string(protocol::ForwardedByHeader),
                  toText(*Attempt.ForwardedBy_));
+    SetField(std::string(protocol::ForwardedWorkspaceHeader),
+             Attempt.Workspace_.value());
+  } else {
+    SetField(Profile.WorkspaceField_, Attempt.Workspace_.value());
+  }
   Output_->body() = {Source.Body_.data(), Source.Body_.size()};
   const bool HasBody = !Source.Body_.empty() ||
                        (Source.Method_ != "GET" && Source.Method_ != "HEAD");
--- a/src/entry/types/callerrequest.h
+++ b/src/entry/types/callerrequest.h
@@ -17,6 +17,9 @@
   std::string Target_;
   /// The end-to-end header fields; hop-by-hop fields are removed.
   std::vector<HeaderField> Fields_;
+  /// The caller's key and workspace fields. They are forwarded only where the
+  /// document has no workspaces.
+  std::vector<HeaderField> CredentialFields_;
   /// The attempt id that the caller sent; empty when it sent none.
   std::string AttemptId_;
   std::string Body_;
--- a/src/protocol/headers.h
+++ b/src/protocol/headers.h
@@ -52,6 +52,11 @@
 /// the instance that forwards a call to another one.
 inline constexpr std::string_view ForwardedByHeader = "Forwarded-By";
 
+/// Between instances: the name of the workspace of a call that is forwarded;
+/// the forwarding instance has checked its key.
+inline constexpr std::string_view ForwardedWorkspaceHeader =
+    "Cranberry-Workspace";
+
 } // namespace cranberryspool::protocol
 
 #endif // CRANBERRYSPOOL_PROTOCOL_HEADERS_H
