Wire the quota coordinator into the decision core

Cause: a workspace's quota was decoded and not kept. Change: a call of a workspace with a quota requests a credit when it arrives, waits for the home instance's grant if none is at hand, and is refused with 429 and the time of the next credit beyond the quota. A call that ends without having run returns its credit. Quotas follow the document, members follow the membership. Without quotas nothing is requested and no message is sent.

--- a/src/calls/types/call.h
+++ b/src/calls/types/call.h
@@ -46,6 +46,10 @@
   bool HoldsKey_ = false;
   /// True once the call's key was withdrawn. No further attempt may be sent.
   bool IsAccessWithdrawn_ = false;
+  /// True when the call uses a credit of its workspace's quota.
+  bool HoldsQuotaCredit_ = false;
+  /// If the call is refused over its quota: the time until the next credit.
+  framework::Duration NextCreditIn_{};
   /// An attempt with a complete response that reports a failure of the target.
   /// The caller gets this response when there is no better one.
   std::optional<framework::AttemptId> FallbackAnswer_;
--- a/src/calls/types/callstate.h
+++ b/src/calls/types/callstate.h
@@ -9,6 +9,8 @@
   AwaitingKey,
   /// The stored response of an earlier call with the same key is being fetched.
   FetchingAnswer,
+  /// The call waits for a credit of its workspace's quota.
+  AwaitingQuota,
   /// The call waits in the admission queue; no attempt is live.
   Queued,
   /// At least one attempt is live.
--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -100,6 +100,9 @@
   if (Reason == calls::EndingReason::RequestQuarantined)
     return Core_.Quarantine_.timeLeft(Call.Request_.Fingerprint_, Context.now())
         .value_or(Usual);
+  // Earlier there is no credit, however long the caller can wait.
+  if (Reason == calls::EndingReason::OverQuota)
+    return Call.NextCreditIn_;
   const auto Share = Core_.CallSettings_.MaxRetryAfterShare_;
   if (!Share)
     return Usual;
@@ -128,6 +131,13 @@
       .Workspace_ = Request.Workspace_
                         ? Core_.Environment_.workspaceName(*Request.Workspace_)
                         : framework::WorkspaceName()});
+  const bool HasNotRun = Ending == calls::Ending::NotRun ||
+                         Ending == calls::Ending::DeadlinePassed;
+  if (Call.HoldsQuotaCredit_ && HasNotRun)
+    Core_.Quotas_.giveBack(Core_.Environment_.workspaceName(*Request.Workspace_),
+                           Context.now());
+  if (Call.State_ == calls::CallState::AwaitingQuota)
+    Core_.Quotas_.cancel(Request.Call_);
   if (Call.HoldsKey_)
     Core_.Fleet_.handleKeyedCallEnd(Request.Call_, Ending,
                                     Ending == calls::Ending::Answered,
--- a/src/decision/internal/callforwarder.cpp
+++ b/src/decision/internal/callforwarder.cpp
@@ -155,6 +155,7 @@
   for (const auto &[Id, Call] : Core_.Calls_.calls())
     if (Call.SentAttempts_ == 0 && !Call.IsForwarded_ &&
         Call.State_ != calls::CallState::AwaitingKey &&
+        Call.State_ != calls::CallState::AwaitingQuota &&
         Call.State_ != calls::CallState::FetchingAnswer)
       Waiting.push_back(Id);
   for (const framework::CallId Id : Waiting) {
--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -79,17 +79,38 @@
     return;
   }
   Core_.DeadlineTimers_.set(Input.Call_, Call.Request_.Deadline_);
+  const quotas::QuotaVerdict Verdict = Quota_.request(Context, Call);
+  if (Verdict == quotas::QuotaVerdict::OverQuota)
+    Finisher_.fail(Context, Call, calls::EndingReason::OverQuota);
+  else if (Verdict == quotas::QuotaVerdict::Admitted)
+    admit(Context, Call);
+}
+
+void CallReceiver::admit(const EventContext &Context, calls::Call &Call) {
+  const calls::CallRequest &Request = Call.Request_;
   // The retry budget of the instance that takes the call counts it.
   if (Forwarder_.tryForward(Context, Call))
     return;
-  Core_.ServiceStats_.recordCall(Kind.Service_, Context.now());
+  Core_.ServiceStats_.recordCall(Request.Service_, Context.now());
   // Repeating an idempotent request is harmless, so its key is ignored.
-  if (Input.Key_ && !Kind.IsIdempotent_)
+  if (Request.Key_ && !Request.IsIdempotent_)
     KeyHandler_.requestDecision(Context, Call);
   else
     Admission_.enqueue(Context, Call);
 }
 
+void CallReceiver::admitDecided(const EventContext &Context) {
+  for (const framework::CallId Id : Quota_.takeDecidedCalls()) {
+    calls::Call *Call = Core_.Calls_.find(Id);
+    if (!Call)
+      continue;
+    if (Call->HoldsQuotaCredit_)
+      admit(Context, *Call);
+    else
+      Finisher_.fail(Context, *Call, calls::EndingReason::OverQuota);
+  }
+}
+
 MatchedKind CallReceiver::applyWorkspacePriority(
     MatchedKind Kind, std::optional<framework::WorkspaceId> Workspace) const {
   if (!Workspace)
--- a/src/decision/internal/callreceiver.h
+++ b/src/decision/internal/callreceiver.h
@@ -10,6 +10,7 @@
 #include "decision/internal/eventcontext.h"
 #include "decision/internal/keyedcallhandler.h"
 #include "decision/internal/matchedkind.h"
+#include "decision/internal/quotaguard.h"
 #include "decision/internal/viewguard.h"
 #include "decision/types/events/callarrived.h"
 #include "decision/types/events/callergone.h"
@@ -22,14 +23,17 @@
 public:
   CallReceiver(CoreState &Core, CallFinisher &Finisher,
                AdmissionController &Admission, KeyedCallHandler &KeyHandler,
-               ViewGuard &View, CallForwarder &Forwarder, AccessGuard &Access)
+               ViewGuard &View, CallForwarder &Forwarder, AccessGuard &Access,
+               QuotaGuard &Quota)
       : Core_(Core), Finisher_(Finisher), Admission_(Admission),
         KeyHandler_(KeyHandler), View_(View), Forwarder_(Forwarder),
-        Access_(Access) {}
+        Access_(Access), Quota_(Quota) {}
 
   void handle(const EventContext &Context, const CallArrived &Input);
   void handle(const EventContext &Context, const CallerGone &Input);
 
+  /// Admits or refuses the calls whose wait for a quota credit has ended.
+  void admitDecided(const EventContext &Context);
   /// Ends the calls whose deadline has passed.
   void failOverdue(const EventContext &Context);
   /// Rejects all calls that arrive from now on.
@@ -41,6 +45,8 @@
   void accept(const EventContext &Context, const CallArrived &Input,
               const MatchedKind &Matched,
               std::optional<framework::WorkspaceId> Workspace);
+  /// Forwards or queues a call that is within its quota.
+  void admit(const EventContext &Context, calls::Call &Call);
   /// Replaces the priority of the route by that of the workspace, if it has
   /// one.
   MatchedKind
@@ -58,6 +64,7 @@
   ViewGuard &View_;
   CallForwarder &Forwarder_;
   AccessGuard &Access_;
+  QuotaGuard &Quota_;
   bool IsStopped_ = false;
 };
 
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -16,6 +16,7 @@
 #include "decision/types/endedcall.h"
 #include "fleet/fleet.h"
 #include "framework/random.h"
+#include "quotas/quotacoordinator.h"
 #include "routing/defaultpolicy.h"
 #include "routing/targettable.h"
 #include "workspaces/accesspolicy.h"
@@ -35,6 +36,21 @@
   return {Bounds.IsRevocationStrict_, Bounds.RevocationTime_};
 }
 
+/// Returns the identity of this instance and the bound on quotas that the
+/// platform sets.
+inline quotas::QuotaSettings quotaSettings(const CoreSettings &Settings) {
+  quotas::QuotaSettings Result;
+  Result.Self_ = Settings.Self_;
+  Result.Incarnation_ = Settings.Incarnation_;
+  if (!Settings.Seeds_)
+    return Result;
+  const fleet::FleetBounds &Bounds = Settings.Seeds_->Bounds_;
+  Result.Window_ = Bounds.QuotaWindow_;
+  Result.Overage_ = Bounds.QuotaOverage_;
+  Result.Tolerance_ = Bounds.QuotaTolerance_;
+  return Result;
+}
+
 /// The state of a core, shared by the classes that each handle one stage of a
 /// call.
 struct CoreState {
@@ -54,6 +70,8 @@
                                     .Address_ = Settings_.PeerAddress_,
                                     .Seeds_ = Settings_.Seeds_},
                framework::Random(Rng_.bits())),
+        Quotas_(quotaSettings(Settings_),
+                framework::Random(Settings_.Incarnation_.value())),
         SilenceDetector_(CallSettings_.SilenceIdempotent_,
                          CallSettings_.SilenceNonIdempotent_),
         AttemptNumbers_(Settings_.Self_, Settings_.Incarnation_) {}
@@ -84,6 +102,8 @@
   /// Outputs of the fleet module that have not been processed yet.
   fleet::OutputList FleetOutput_;
 
+  quotas::QuotaCoordinator Quotas_;
+
   calls::CallTable Calls_;
   calls::ConnectionPool Connections_;
   calls::RequestQuarantine Quarantine_;
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -20,7 +20,7 @@
 Engine::Engine(CoreSettings Settings, framework::Random Rng)
     : Core_(std::move(Settings), Rng), Connections_(Core_),
       Attempts_(Core_, Connections_), Finisher_(Core_, Attempts_),
-      Access_(Core_, Attempts_, Finisher_), Admission_(Core_, Finisher_),
+      Access_(Core_, Attempts_, Finisher_), Quota_(Core_), Admission_(Core_, Finisher_),
       Observer_(Core_), Crashes_(Core_, Connections_, Finisher_),
       Forwarder_(Core_, Connections_, Attempts_, Finisher_),
       Transport_(Core_, Connections_, Attempts_, Finisher_, Admission_,
@@ -28,10 +28,10 @@
       Prober_(Core_, Observer_), EnvironmentUpdater_(Core_, Transport_),
       KeyHandler_(Core_, Finisher_, Admission_), View_(Core_, Finisher_),
       CallReceiver_(Core_, Finisher_, Admission_, KeyHandler_, View_,
-                    Forwarder_, Access_),
+                    Forwarder_, Access_, Quota_),
       Stop_(Core_, CallReceiver_),
       FleetAdapter_(Core_, EnvironmentUpdater_, KeyHandler_, Stop_, Crashes_,
-                    Access_),
+                    Access_, Quota_),
       Dispatcher_(Core_, Attempts_) {}
 
 void Engine::handle(const EventContext &Context, const Event &Input) {
@@ -59,6 +59,7 @@
   ConsiderDeadline(Core_.Queue_.nextWakeUp());
   ConsiderDeadline(Core_.Fleet_.nextWakeUp());
   ConsiderDeadline(Crashes_.nextWakeUp());
+  ConsiderDeadline(Quota_.nextWakeUp());
   return Next;
 }
 
@@ -94,6 +95,8 @@
   if (Context.now() >= Core_.Fleet_.nextWakeUp())
     Core_.Fleet_.tick(Context.Now_, Core_.FleetOutput_);
   FleetAdapter_.processOutputs(Context);
+  Quota_.tick(Context);
+  CallReceiver_.admitDecided(Context);
   Core_.Targets_.advance(Context.now());
   View_.update(Context);
   Crashes_.runDue(Context);
@@ -112,6 +115,7 @@
   // Calls that ended in the meantime may have produced outputs for their
   // idempotency keys.
   FleetAdapter_.processOutputs(Context);
+  Quota_.sendMessages(Context);
 }
 
 void Engine::runMaintenance(const EventContext &Context) {
--- a/src/decision/internal/engine.h
+++ b/src/decision/internal/engine.h
@@ -19,6 +19,7 @@
 #include "decision/internal/fleetadapter.h"
 #include "decision/internal/keyedcallhandler.h"
 #include "decision/internal/prober.h"
+#include "decision/internal/quotaguard.h"
 #include "decision/internal/stopsequence.h"
 #include "decision/internal/targetobserver.h"
 #include "decision/internal/transporteventhandler.h"
@@ -83,6 +84,7 @@
   AttemptManager Attempts_;
   CallFinisher Finisher_;
   AccessGuard Access_;
+  QuotaGuard Quota_;
   AdmissionController Admission_;
   TargetObserver Observer_;
   CrashGuard Crashes_;
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -52,6 +52,8 @@
 
 void FleetAdapter::handle(const EventContext &Context,
                           const PeerMessageReceived &Input) {
+  if (Quota_.tryHandle(Context, Input.Message_))
+    return;
   Core_.Fleet_.handlePeerMessage(Input.Message_, Context.Now_,
                                  Core_.FleetOutput_);
 }
@@ -137,6 +139,7 @@
                          const fleet::DocumentApplied &Output) {
   EnvironmentUpdater_.setDocument(Context, *Core_.Fleet_.currentDocument());
   Access_.updateWorkspaces(Context);
+  Quota_.updateQuotas(Context);
   report(Context, ChangeKind::DocumentInForce,
          std::to_string(Output.Revision_.value()));
 }
@@ -179,6 +182,7 @@
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::SharesChanged &) {
   EnvironmentUpdater_.applyShares(Context);
+  Quota_.updateMembers();
 }
 
 void FleetAdapter::apply(const EventContext &Context,
--- a/src/decision/internal/fleetadapter.h
+++ b/src/decision/internal/fleetadapter.h
@@ -7,6 +7,7 @@
 #include "decision/internal/environmentupdater.h"
 #include "decision/internal/eventcontext.h"
 #include "decision/internal/keyedcallhandler.h"
+#include "decision/internal/quotaguard.h"
 #include "decision/internal/stopsequence.h"
 #include "decision/types/events/documentpublished.h"
 #include "decision/types/events/documentunavailable.h"
@@ -34,9 +35,9 @@
 public:
   FleetAdapter(CoreState &Core, EnvironmentUpdater &Updater,
                KeyedCallHandler &KeyHandler, StopSequence &Stop,
-               CrashGuard &Crashes, AccessGuard &Access)
+               CrashGuard &Crashes, AccessGuard &Access, QuotaGuard &Quota)
       : Core_(Core), EnvironmentUpdater_(Updater), KeyHandler_(KeyHandler),
-        Stop_(Stop), Crashes_(Crashes), Access_(Access) {}
+        Stop_(Stop), Crashes_(Crashes), Access_(Access), Quota_(Quota) {}
 
   void handle(const EventContext &Context, const DocumentPublished &Input);
   void handle(const EventContext &Context, const DocumentUnchanged &Input);
@@ -100,6 +101,7 @@
   StopSequence &Stop_;
   CrashGuard &Crashes_;
   AccessGuard &Access_;
+  QuotaGuard &Quota_;
   /// When a rejected message was last logged.
   std::optional<framework::Instant> RejectionLoggedAt_;
 };
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -9,6 +9,7 @@
 #include "fleet/peermessage.h"
 #include "fleet/types/crashnotice.h"
 #include "fleet/types/crashnoticerecipients.h"
+#include "fleet/types/memberinfo.h"
 #include "fleet/types/publishedtarget.h"
 #include "fleet/types/sectionreply.h"
 #include "fleet/types/sectionrequest.h"
@@ -130,6 +131,8 @@
   /// Returns the other instances that are neither lost nor stopping; none where
   /// the platform publishes a list of instances.
   std::vector<document::PublishedInstance> runningPeers() const;
+  /// Returns the same instances with their incarnations.
+  std::vector<MemberInfo> runningMembers() const;
   /// Returns true when the running instance of this name has the given
   /// incarnation and IP address.
   bool isRunningPeer(const framework::InstanceName &Name,
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -229,6 +229,10 @@
                  : std::vector<document::PublishedInstance>();
 }
 
+std::vector<MemberInfo> Fleet::runningMembers() const {
+  return Seeded_ ? Seeded_->runningMembers() : std::vector<MemberInfo>();
+}
+
 bool Fleet::isRunningPeer(const framework::InstanceName &Name,
                           framework::Incarnation Incarnation,
                           const std::string &Address) const {
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -244,6 +244,14 @@
   return Running;
 }
 
+std::vector<MemberInfo> SeededFleet::runningMembers() const {
+  std::vector<MemberInfo> Running;
+  for (const auto &[Name, State] : Membership_.members())
+    if (!State.IsLost_ && !State.IsStopping_)
+      Running.push_back(State.Info_);
+  return Running;
+}
+
 bool SeededFleet::isRunningPeer(const framework::InstanceName &Name,
                                 framework::Incarnation Incarnation,
                                 const std::string &Address) const {
