Digest keys without an allocation

Cause: SHA256() of OpenSSL 3.0 looks up the algorithm and allocates at each call. Change: the digests use the functions of OpenSSL that keep their state on the stack.

--- a/src/workspaces/internal/digestkey.cpp
+++ b/src/workspaces/internal/digestkey.cpp
@@ -1,6 +1,6 @@
 #include "workspaces/digestkey.h"
 
-#include <openssl/sha.h>
+#include "workspaces/internal/sha256.h"
 
 namespace cranberryspool::workspaces {
 
@@ -17,10 +17,7 @@
 } // namespace
 
 document::KeyDigest digestKey(std::string_view Key) {
-  document::KeyDigest Digest;
-  SHA256(reinterpret_cast<const unsigned char *>(Key.data()), Key.size(),
-         Digest.Bytes_.data());
-  return Digest;
+  return sha256(Key.data(), Key.size());
 }
 
 std::string digestText(const document::KeyDigest &Digest) {
--- a/src/workspaces/internal/keyindex.cpp
+++ b/src/workspaces/internal/keyindex.cpp
@@ -1,9 +1,9 @@
 #include "workspaces/keyindex.h"
 
 #include "document/types/workspace.h"
+#include "workspaces/internal/sha256.h"
 
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
 #include <algorithm>
 #include <cstring>
@@ -41,9 +41,7 @@
   std::memcpy(Text.data(), Secret_.data(), Secret_.size());
   std::memcpy(Text.data() + Secret_.size(), Digest.Bytes_.data(),
               Digest.Bytes_.size());
-  document::KeyDigest Keyed;
-  SHA256(Text.data(), Text.size(), Keyed.Bytes_.data());
-  return Keyed;
+  return sha256(Text.data(), Text.size());
 }
 
 } // namespace cranberryspool::workspaces
