--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -219,6 +219,28 @@
   Visit(Item.Bytes_);
 }
 
+template <typename Visitor>
+void visitFields(quotas::QuotaRequest &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Workspace_);
+  Visit(Item.Sequence_);
+  Visit(Item.IsForShare_);
+  Visit(Item.Wanted_);
+  Visit(Item.Returned_);
+}
+
+template <typename Visitor>
+void visitFields(quotas::QuotaGrant &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.EchoIncarnation_);
+  Visit(Item.EchoSequence_);
+  Visit(Item.Workspace_);
+  Visit(Item.Granted_);
+  Visit(Item.NextCreditIn_);
+}
+
 } // namespace cranberryspool::fleet
 
 #endif // CRANBERRYSPOOL_FLEET_INTERNAL_FIELDLISTS_H
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -105,6 +105,10 @@
             Seeded_->handle(Item, Now, Output);
           else
             State_->handle(Item, Now, Output);
+        } else if constexpr (std::is_same_v<MessageType,
+                                            quotas::QuotaRequest> ||
+                             std::is_same_v<MessageType, quotas::QuotaGrant>) {
+          // For the quota coordinator, which is not part of the fleet module.
         } else if constexpr (std::is_same_v<MessageType, GossipMessage> ||
                              std::is_same_v<MessageType, LoadUpdate> ||
                              std::is_same_v<MessageType, RecordUpdate> ||
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -14,6 +14,8 @@
 #include "fleet/types/loadupdate.h"
 #include "fleet/types/recordfragment.h"
 #include "fleet/types/recordupdate.h"
+#include "quotas/types/quotagrant.h"
+#include "quotas/types/quotarequest.h"
 
 #include <variant>
 
@@ -24,7 +26,8 @@
 using PeerMessage =
     std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
                  KeyEndedAck, KeyHandover, KeyHandoverAck, GossipMessage,
-                 LoadUpdate, RecordUpdate, RecordFragment, CrashUpdate>;
+                 LoadUpdate, RecordUpdate, RecordFragment, CrashUpdate,
+                 quotas::QuotaRequest, quotas::QuotaGrant>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/quotas/types/quotarequest.h
+++ b/src/quotas/types/quotarequest.h
@@ -4,7 +4,6 @@
 #include "framework/ids.h"
 
 #include <cstdint>
-#include <string>
 
 namespace cranberryspool::quotas {
 
@@ -13,16 +12,17 @@
 struct QuotaRequest {
   framework::InstanceName From_;
   framework::Incarnation Incarnation_;
-  /// The address for the answer.
-  std::string Address_;
   framework::WorkspaceName Workspace_;
   /// Increases with each new request of the sender.
   std::uint64_t Sequence_ = 0;
   /// True when the home instance asks a shareholder for its share; false when
   /// an instance asks the home instance.
   bool IsForShare_ = false;
-  /// Millionths of a credit.
+  /// Millionths of a credit. A request for nothing asks whether the receiver
+  /// answers.
   std::uint64_t Wanted_ = 0;
+  /// Unused credits that go back to the home instance, in millionths.
+  std::uint64_t Returned_ = 0;
 
   friend bool operator==(const QuotaRequest &, const QuotaRequest &) = default;
 };
