Declare workspaces in the project's document format

Cause: workspaces could only be declared in the users' platform's configuration. Change: a list "workspaces" (name, key-digests, priority, quota) and a flag "anonymous" of a kind. Faults inside workspaces name the place and hide what was found, because a key may stand where a digest is expected. Quotas have at most three decimal places, since the JSON parser may be off by the last bits and all instances must compute the same digest. Workspaces form a section of their own, so that a rotated key transfers no other part; without workspaces there is no such section.

--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -70,6 +70,7 @@
       .Kind_ = KindIdsByService_[Match->Service_.value()][Match->Kind_.value()],
       .IsIdempotent_ = Policy.IsIdempotent_,
       .IsHedgingAllowed_ = Policy.IsHedgingAllowed_,
+      .IsAnonymousAllowed_ = Policy.IsAnonymousAllowed_,
       .Urgency_ = Policy.Urgency_,
       .Deadline_ = Policy.Deadline_};
 }
--- a/src/document/internal/documentfault.cpp
+++ b/src/document/internal/documentfault.cpp
@@ -51,6 +51,10 @@
     return "overlapping-paths";
   case FaultKind::HedgingNotIdempotent:
     return "hedging-not-idempotent";
+  case FaultKind::InvalidDigest:
+    return "invalid-digest";
+  case FaultKind::DuplicateDigest:
+    return "duplicate-digest";
   }
   return "";
 }
--- a/src/document/internal/documentreader.cpp
+++ b/src/document/internal/documentreader.cpp
@@ -1,6 +1,7 @@
 #include "document/internal/documentreader.h"
 
 #include "document/internal/pathpattern.h"
+#include "document/internal/workspacereader.h"
 
 #include <algorithm>
 #include <array>
@@ -63,6 +64,8 @@
     Document.Zones_.push_back(readZone(Each));
   for (const JsonLocation &Each : Reader.list("services", AllowedServices))
     Document.Services_.push_back(readService(Each));
+  if (Reader.has("workspaces"))
+    Document.Workspaces_ = WorkspaceReader(Tree_, Faults_).read();
   Reader.finish();
   sortByName(Document.Zones_);
   sortByName(Document.Services_);
@@ -162,6 +165,7 @@
   Result.Urgency_ =
       Reader.enumValue("urgency", urgencyEntries(), Urgency::Ordinary);
   Result.Deadline_ = Reader.duration("deadline", AllowedDeadline);
+  Result.IsAnonymousAllowed_ = Reader.flag("anonymous", false);
   Result.IsHedgingAllowed_ = Reader.flag("hedging", false);
   if (Result.IsHedgingAllowed_ && !Result.IsIdempotent_)
     Reader.report("hedging", FaultKind::HedgingNotIdempotent,
--- a/src/document/internal/objectreader.cpp
+++ b/src/document/internal/objectreader.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/string_view.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace cranberryspool::document {
@@ -82,14 +83,14 @@
 } // namespace
 
 ObjectReader::ObjectReader(const JsonTree &Tree, JsonLocation Location,
-                           FaultCollector &Faults)
-    : Tree_(Tree), Location_(std::move(Location)), Faults_(Faults) {
+                           FaultCollector &Faults, FoundValues Shown)
+    : Tree_(Tree), Location_(std::move(Location)), Faults_(Faults),
+      Shown_(Shown) {
   const JsonTree::Node &Node = Tree_.node(Location_.Node_);
   Members_ = std::get_if<JsonTree::Object>(&Node.Content_);
   if (Members_ == nullptr)
-    Faults_.add(Node.Offset_,
-                {FaultKind::WrongType, Location_.Pointer_, 0, 0, "an object",
-                 std::visit(ValueDescriber(), Node.Content_)});
+    Faults_.add(Node.Offset_, {FaultKind::WrongType, Location_.Pointer_, 0, 0,
+                               "an object", foundText(Node.Content_)});
 }
 
 std::string ObjectReader::pointerTo(std::string_view Key) const {
@@ -120,9 +121,22 @@
 void ObjectReader::reportMember(const JsonTree::Member &Member, FaultKind Kind,
                                 std::string Expected) {
   const JsonTree::Node &Node = Tree_.node(Member.Value_);
-  Faults_.add(Node.Offset_,
-              {Kind, pointerTo(Member.Key_), 0, 0, std::move(Expected),
-               std::visit(ValueDescriber(), Node.Content_)});
+  Faults_.add(Node.Offset_, {Kind, pointerTo(Member.Key_), 0, 0,
+                             std::move(Expected), foundText(Node.Content_)});
+}
+
+std::string ObjectReader::foundText(const JsonTree::Content &Content) const {
+  return Shown_ == FoundValues::Shown ? std::visit(ValueDescriber(), Content)
+                                      : "";
+}
+
+std::string ObjectReader::foundKey(const std::string &Key,
+                                   std::string_view Suffix) const {
+  return Shown_ == FoundValues::Shown ? quoted(Key) + std::string(Suffix) : "";
+}
+
+std::string ObjectReader::pointerToUnexpected(const std::string &Key) const {
+  return Shown_ == FoundValues::Shown ? pointerTo(Key) : Location_.Pointer_;
 }
 
 void ObjectReader::report(std::string_view Key, FaultKind Kind,
@@ -155,6 +169,40 @@
   return static_cast<std::uint32_t>(*Value);
 }
 
+double ObjectReader::decimal(std::string_view Key,
+                             Range<std::uint32_t> Allowed) {
+  const JsonTree::Member *Found = require(Key);
+  if (Found == nullptr)
+    return Allowed.Min_;
+  const auto Expected = [Allowed] {
+    return "a number from " + rangeText(Allowed) +
+           " with at most three decimal places";
+  };
+  const JsonTree::Content &Content = Tree_.node(Found->Value_).Content_;
+  double Value = 0;
+  if (const auto *Integer = std::get_if<std::int64_t>(&Content)) {
+    Value = static_cast<double>(*Integer);
+  } else if (const auto *Fraction = std::get_if<double>(&Content)) {
+    Value = *Fraction;
+  } else {
+    reportMember(*Found, FaultKind::WrongType, Expected());
+    return Allowed.Min_;
+  }
+  // The negation also refuses a value that is not a number.
+  if (!(Value >= Allowed.Min_ && Value <= Allowed.Max_)) {
+    reportMember(*Found, FaultKind::OutOfRange, Expected());
+    return Allowed.Min_;
+  }
+  // The JSON parser may be off by the last bits of a fraction; the nearest
+  // thousandth is the same on every instance. The sign of -0 is dropped.
+  constexpr double Scale = 1'000;
+  constexpr double Tolerance = 1e-6;
+  const double Thousandths = std::round(std::abs(Value) * Scale);
+  if (std::abs(std::abs(Value) * Scale - Thousandths) > Tolerance)
+    reportMember(*Found, FaultKind::OutOfRange, Expected());
+  return Thousandths / Scale;
+}
+
 template <typename Description>
 const std::string *ObjectReader::requireString(std::string_view Key,
                                                const Description &Expected) {
@@ -287,13 +335,13 @@
   for (const JsonTree::Member &Each : *Members_) {
     if (!Seen.insert(Each.Key_).second)
       Faults_.add(Each.KeyOffset_,
-                  {FaultKind::DoubledKey, pointerTo(Each.Key_), 0, 0,
-                   "each key once", quoted(Each.Key_) + " again"});
+                  {FaultKind::DoubledKey, pointerToUnexpected(Each.Key_), 0, 0,
+                   "each key once", foundKey(Each.Key_, " again")});
     else if (std::find(RequestedKeys_.begin(), RequestedKeys_.end(),
                        Each.Key_) == RequestedKeys_.end())
       Faults_.add(Each.KeyOffset_,
-                  {FaultKind::UnknownKey, pointerTo(Each.Key_), 0, 0,
-                   requestedKeysText(), quoted(Each.Key_)});
+                  {FaultKind::UnknownKey, pointerToUnexpected(Each.Key_), 0, 0,
+                   requestedKeysText(), foundKey(Each.Key_, "")});
   }
 }
 
--- a/src/document/internal/sections.cpp
+++ b/src/document/internal/sections.cpp
@@ -1,5 +1,6 @@
 #include "document/sections.h"
 
+#include "document/internal/workspacesection.h"
 #include "document/types/environmentdocument.h"
 #include "framework/units.h"
 
@@ -19,6 +20,7 @@
 
 constexpr std::string_view CommonSectionName = "common";
 constexpr std::string_view ServiceSectionPrefix = "service/";
+constexpr std::string_view WorkspacesSectionName = "workspaces";
 
 std::string_view urgencyName(Urgency Value) {
   return Value == Urgency::Urgent ? "urgent" : "ordinary";
@@ -52,14 +54,20 @@
 
 json::array kindsToJson(const Service &Declared) {
   json::array Kinds;
-  for (const RequestKind &Each : Declared.Kinds_)
-    Kinds.push_back({{"name", toJsonString(Each.Name_.value())},
-                     {"method", toJsonString(Each.Method_)},
-                     {"path", toJsonString(Each.PathPattern_)},
-                     {"idempotent", Each.IsIdempotent_},
-                     {"urgency", toJsonString(urgencyName(Each.Urgency_))},
-                     {"deadline", toJsonString(Each.Deadline_)},
-                     {"hedging", Each.IsHedgingAllowed_}});
+  for (const RequestKind &Each : Declared.Kinds_) {
+    json::object Kind{{"name", toJsonString(Each.Name_.value())},
+                      {"method", toJsonString(Each.Method_)},
+                      {"path", toJsonString(Each.PathPattern_)},
+                      {"idempotent", Each.IsIdempotent_},
+                      {"urgency", toJsonString(urgencyName(Each.Urgency_))},
+                      {"deadline", toJsonString(Each.Deadline_)},
+                      {"hedging", Each.IsHedgingAllowed_}};
+    // Written only when set, so that documents that don't use it keep the
+    // digests that instances of earlier builds compute.
+    if (Each.IsAnonymousAllowed_)
+      Kind["anonymous"] = true;
+    Kinds.push_back(std::move(Kind));
+  }
   return Kinds;
 }
 
@@ -86,7 +94,7 @@
           {"objectives", objectivesToJson(Declared)}};
 }
 
-DocumentSection makeSection(std::string Name, const json::object &Content) {
+DocumentSection makeSection(std::string Name, const json::value &Content) {
   std::string Text = json::serialize(Content);
   const framework::Digest Digest = sectionDigest(Text);
   return {std::move(Name), Digest, std::move(Text)};
@@ -105,6 +113,9 @@
     Sections.push_back(
         makeSection(std::string(ServiceSectionPrefix) + Each.Name_.value(),
                     serviceToJson(Each)));
+  if (!Document.Workspaces_.empty())
+    Sections.push_back(makeSection(std::string(WorkspacesSectionName),
+                                   workspacesToJson(Document.Workspaces_)));
   std::sort(Sections.begin(), Sections.end(),
             [](const DocumentSection &Left, const DocumentSection &Right) {
               return Left.Name_ < Right.Name_;
@@ -115,18 +126,23 @@
 std::string joinSections(const std::vector<DocumentSection> &Sections) {
   std::string Common = "{}";
   std::string Services;
+  std::string Workspaces;
   for (const DocumentSection &Each : Sections) {
     if (Each.Name_ == CommonSectionName) {
       Common = Each.Text_;
       continue;
     }
+    if (Each.Name_ == WorkspacesSectionName) {
+      Workspaces = ",\"workspaces\":" + Each.Text_;
+      continue;
+    }
     if (!Services.empty())
       Services += ",";
     Services += Each.Text_;
   }
   if (Common.ends_with('}'))
     Common.pop_back();
-  return Common + ",\"services\":[" + Services + "]}";
+  return Common + Workspaces + ",\"services\":[" + Services + "]}";
 }
 
 framework::Digest
--- a/src/document/objectreader.h
+++ b/src/document/objectreader.h
@@ -3,6 +3,7 @@
 
 #include "document/faultcollector.h"
 #include "document/types/enumentry.h"
+#include "document/types/foundvalues.h"
 #include "document/types/jsonlocation.h"
 #include "document/types/jsontree.h"
 #include "document/types/range.h"
@@ -24,7 +25,7 @@
 class ObjectReader {
 public:
   ObjectReader(const JsonTree &Tree, JsonLocation Location,
-               FaultCollector &Faults);
+               FaultCollector &Faults, FoundValues Shown = FoundValues::Shown);
 
   /// Returns false when the value is not an object. The constructor has then
   /// reported that fault, and no read reports another one for a missing key.
@@ -36,6 +37,9 @@
 
   /// Reads a required integer in the range.
   std::uint32_t number(std::string_view Key, Range<std::uint32_t> Allowed);
+  /// Reads a required number in the range that has at most three decimal
+  /// places.
+  double decimal(std::string_view Key, Range<std::uint32_t> Allowed);
   /// Reads a required duration with its unit, such as `"50ms"`, in the range.
   framework::Duration duration(std::string_view Key,
                                Range<framework::Duration> Allowed);
@@ -76,6 +80,10 @@
   void reportMember(const JsonTree::Member &Member, FaultKind Kind,
                     std::string Expected);
   const std::string *stringValue(const JsonTree::Member &Member) const;
+  /// Describes a value or a key for a fault; empty where they are not shown.
+  std::string foundText(const JsonTree::Content &Content) const;
+  std::string foundKey(const std::string &Key, std::string_view Suffix) const;
+  std::string pointerToUnexpected(const std::string &Key) const;
   /// Reads a required string. `Expected` returns the description for a fault
   /// and is called only when there is one.
   template <typename Description>
@@ -85,6 +93,7 @@
   const JsonTree &Tree_;
   JsonLocation Location_;
   FaultCollector &Faults_;
+  FoundValues Shown_;
   const JsonTree::Object *Members_ = nullptr;
   std::vector<std::string_view> RequestedKeys_;
 };
--- a/src/document/types/documentsection.h
+++ b/src/document/types/documentsection.h
@@ -8,9 +8,10 @@
 namespace cranberryspool::document {
 
 /// A part of a document that instances compare and transfer separately: one
-/// service, or the settings common to all services.
+/// service, the workspaces, or the settings common to all services.
 struct DocumentSection {
-  /// Either `common`, or `service/` followed by the name of the service.
+  /// `common`, `workspaces`, or `service/` followed by the name of the service.
+  /// There is no section `workspaces` in a document without workspaces.
   std::string Name_;
   /// The hash of `Text_`. It is independent of comments, whitespace, the order
   /// of keys and lists, and the notation of values in the original document.
--- a/src/document/types/faultkind.h
+++ b/src/document/types/faultkind.h
@@ -28,7 +28,9 @@
   DuplicateName,
   UnknownZone,
   OverlappingPaths,
-  HedgingNotIdempotent
+  HedgingNotIdempotent,
+  InvalidDigest,
+  DuplicateDigest
 };
 
 /// Returns the name of a kind that tools print, such as `unknown-key`.
--- a/src/document/types/requestkind.h
+++ b/src/document/types/requestkind.h
@@ -25,6 +25,9 @@
   /// True when a second attempt may start before the first one has ended;
   /// allowed for idempotent kinds only.
   bool IsHedgingAllowed_ = false;
+  /// True when requests without a key are served although the environment has
+  /// workspaces.
+  bool IsAnonymousAllowed_ = false;
 
   friend bool operator==(const RequestKind &, const RequestKind &) = default;
 };
--- a/src/workspaces/digestkey.h
+++ b/src/workspaces/digestkey.h
@@ -1,11 +1,10 @@
 #ifndef CRANBERRYSPOOL_WORKSPACES_DIGESTKEY_H
 #define CRANBERRYSPOOL_WORKSPACES_DIGESTKEY_H
 
+#include "document/keydigesttext.h"
 #include "document/types/keydigest.h"
 
 #include <cstddef>
-#include <optional>
-#include <string>
 #include <string_view>
 
 namespace cranberryspool::workspaces {
@@ -16,11 +15,8 @@
 /// Returns the SHA-256 digest of a key.
 document::KeyDigest digestKey(std::string_view Key);
 
-/// Returns a digest as 64 lower-case hexadecimal digits.
-std::string digestText(const document::KeyDigest &Digest);
-
-/// Parses the text that `digestText` returns; returns nothing for other text.
-std::optional<document::KeyDigest> parseDigest(std::string_view Text);
+using document::digestText;
+using document::parseDigest;
 
 } // namespace cranberryspool::workspaces
 
