Report changes of workspaces in cranberryctl diff and check

Cause: diff reported no change between documents whose workspaces differ. Change: diff reports workspaces added and removed, keys added and removed by their number, priority, quota and kinds that are open without a key, and says when the first or the last workspace changes whether a key is required. A key that moves between workspaces is not reported as refused. check lists workspaces. Neither shows a digest.

--- a/src/operations/internal/changenames.cpp
+++ b/src/operations/internal/changenames.cpp
@@ -11,6 +11,8 @@
     return "targets";
   case ChangeCategory::Calls:
     return "calls";
+  case ChangeCategory::Workspaces:
+    return "workspaces";
   case ChangeCategory::Objectives:
     return "objectives";
   case ChangeCategory::Instances:
@@ -35,6 +37,14 @@
     return "such calls may run more than once";
   case ChangeEffect::LeavesServiceWithoutZone:
     return "no target of the service gets work";
+  case ChangeEffect::AcceptsKeys:
+    return "requests with the added keys are served";
+  case ChangeEffect::RefusesKeys:
+    return "requests with the removed keys are refused";
+  case ChangeEffect::ServesWithoutKey:
+    return "requests without a key are served";
+  case ChangeEffect::RequiresKey:
+    return "requests without a key are refused";
   }
   return "";
 }
--- a/src/operations/internal/checkcommand.cpp
+++ b/src/operations/internal/checkcommand.cpp
@@ -3,6 +3,7 @@
 #include "document/sections.h"
 #include "framework/units.h"
 #include "operations/internal/loaddocument.h"
+#include "operations/internal/quotatext.h"
 #include "operations/types/console.h"
 
 #include <boost/json/array.hpp>
@@ -19,6 +20,7 @@
 using document::RequestKind;
 using document::Service;
 using document::Urgency;
+using document::Workspace;
 using document::Zone;
 using document::ZoneState;
 
@@ -27,7 +29,8 @@
       << (Kind.Urgency_ == Urgency::Urgent ? "urgent" : "ordinary") << ", "
       << (Kind.IsIdempotent_ ? "idempotent" : "at most once") << ", deadline "
       << framework::durationText(Kind.Deadline_)
-      << (Kind.IsHedgingAllowed_ ? ", hedging" : "") << '\n';
+      << (Kind.IsHedgingAllowed_ ? ", hedging" : "")
+      << (Kind.IsAnonymousAllowed_ ? ", open without a key" : "") << '\n';
 }
 
 void writeService(const Service &Each, std::ostream &Out) {
@@ -41,6 +44,19 @@
     writeRequestKind(Kind, Out);
 }
 
+void writeWorkspaces(const EnvironmentDocument &Document, std::ostream &Out) {
+  if (Document.Workspaces_.empty())
+    return;
+  Out << "workspaces:\n";
+  for (const Workspace &Each : Document.Workspaces_) {
+    Out << "  " << Each.Name_.value() << ": " << Each.KeyDigests_.size()
+        << (Each.KeyDigests_.size() == 1 ? " key" : " keys");
+    if (Each.Priority_)
+      Out << ", priority " << *Each.Priority_;
+    Out << ", quota " << quotaText(Each.Quota_) << '\n';
+  }
+}
+
 void writeText(const std::string &Path, const EnvironmentDocument &Document,
                std::ostream &Out) {
   Out << Path << ": accepted, digest "
@@ -52,6 +68,7 @@
   Out << "\nservices:\n";
   for (const Service &Each : Document.Services_)
     writeService(Each, Out);
+  writeWorkspaces(Document, Out);
 }
 
 void writeJson(const std::string &Path, const EnvironmentDocument &Document,
--- a/src/operations/internal/documentdiffer.cpp
+++ b/src/operations/internal/documentdiffer.cpp
@@ -2,19 +2,24 @@
 
 #include "framework/units.h"
 #include "operations/diffdocuments.h"
+#include "operations/internal/quotatext.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 
 namespace cranberryspool::operations {
 
 namespace {
 
 using document::EnvironmentDocument;
+using document::KeyDigest;
 using document::Objective;
 using document::RequestKind;
 using document::Service;
 using document::TargetGroup;
 using document::Urgency;
+using document::Workspace;
 using document::Zone;
 using document::ZoneState;
 using framework::durationText;
@@ -39,6 +44,41 @@
          durationText(Goal.Latency_);
 }
 
+std::string formatValue(std::optional<std::uint32_t> Value) {
+  return Value ? std::to_string(*Value) : "none";
+}
+
+std::string formatKeyCount(std::size_t Count) {
+  return std::to_string(Count) + (Count == 1 ? " key" : " keys");
+}
+
+std::string formatValue(const Workspace &Declared) {
+  std::string Text = formatKeyCount(Declared.KeyDigests_.size());
+  if (Declared.Priority_)
+    Text += ", priority " + formatValue(Declared.Priority_);
+  if (Declared.Quota_.isLimited())
+    Text += ", quota " + quotaText(Declared.Quota_);
+  return Text;
+}
+
+/// Returns the keys of all workspaces, sorted.
+std::vector<KeyDigest> allKeys(const EnvironmentDocument &Document) {
+  std::vector<KeyDigest> Keys;
+  for (const Workspace &Each : Document.Workspaces_)
+    Keys.insert(Keys.end(), Each.KeyDigests_.begin(), Each.KeyDigests_.end());
+  std::sort(Keys.begin(), Keys.end());
+  return Keys;
+}
+
+/// Returns the keys of one sorted list that are not in the other.
+std::vector<KeyDigest> keysOnlyIn(const std::vector<KeyDigest> &Keys,
+                                  const std::vector<KeyDigest> &Others) {
+  std::vector<KeyDigest> Result;
+  std::set_difference(Keys.begin(), Keys.end(), Others.begin(), Others.end(),
+                      std::back_inserter(Result));
+  return Result;
+}
+
 /// Merges two lists that are sorted by the key that `GetKey` returns. Calls
 /// `OnBoth(old, new)` for a key in both lists, `OnRemoved(old)` for a key in
 /// the old list only and `OnAdded(new)` for a key in the new list only.
@@ -83,7 +123,7 @@
 
 DocumentDiffer::DocumentDiffer(const EnvironmentDocument &Old,
                                const EnvironmentDocument &New)
-    : Old_(Old), New_(New) {}
+    : Old_(Old), New_(New), OldKeys_(allKeys(Old)), NewKeys_(allKeys(New)) {}
 
 std::vector<DocumentChange> DocumentDiffer::run() {
   compare(ChangeCategory::Instances, "instances", "max-instances",
@@ -93,6 +133,8 @@
           durationText(Old_.ListLag_), durationText(New_.ListLag_));
   compareZones();
   compareServices();
+  compareKeyRequirement();
+  compareWorkspaces();
   findServicesWithoutZone();
   std::stable_sort(Changes_.begin(), Changes_.end(),
                    [](const DocumentChange &Left, const DocumentChange &Right) {
@@ -229,6 +271,13 @@
   compare(ChangeCategory::Calls, Subject, "hedging",
           formatValue(Old.IsHedgingAllowed_),
           formatValue(New.IsHedgingAllowed_));
+  const ChangeEffect AccessEffect = New.IsAnonymousAllowed_
+                                        ? ChangeEffect::ServesWithoutKey
+                                        : ChangeEffect::RequiresKey;
+  compare(ChangeCategory::Calls, Subject, "anonymous",
+          formatValue(Old.IsAnonymousAllowed_),
+          formatValue(New.IsAnonymousAllowed_),
+          New_.Workspaces_.empty() ? ChangeEffect::None : AccessEffect);
 }
 
 void DocumentDiffer::compareObjectives(const Service &Old, const Service &New) {
@@ -252,6 +301,68 @@
       });
 }
 
+void DocumentDiffer::compareKeyRequirement() {
+  const bool IsRequired = !New_.Workspaces_.empty();
+  compare(ChangeCategory::Workspaces, "workspaces", "key required",
+          formatValue(!Old_.Workspaces_.empty()), formatValue(IsRequired),
+          IsRequired ? ChangeEffect::RequiresKey
+                     : ChangeEffect::ServesWithoutKey);
+}
+
+void DocumentDiffer::compareWorkspaces() {
+  const auto FormatSubject = [](const Workspace &Each) {
+    return "workspace " + Each.Name_.value();
+  };
+  mergeByKey(
+      Old_.Workspaces_, New_.Workspaces_, NameGetter(),
+      [&](const Workspace &Old, const Workspace &New) {
+        compareWorkspace(Old, New);
+      },
+      [&](const Workspace &Old) {
+        add({ChangeCategory::Workspaces, FormatSubject(Old), "",
+             formatValue(Old), "", keyEffect(Old, Workspace())});
+      },
+      [&](const Workspace &New) {
+        add({ChangeCategory::Workspaces, FormatSubject(New), "", "",
+             formatValue(New), keyEffect(Workspace(), New)});
+      });
+}
+
+void DocumentDiffer::compareWorkspace(const Workspace &Old,
+                                      const Workspace &New) {
+  const std::string Subject = "workspace " + New.Name_.value();
+  compareKeys(Old, New);
+  compare(ChangeCategory::Workspaces, Subject, "priority",
+          formatValue(Old.Priority_), formatValue(New.Priority_));
+  compare(ChangeCategory::Workspaces, Subject, "quota", quotaText(Old.Quota_),
+          quotaText(New.Quota_));
+}
+
+void DocumentDiffer::compareKeys(const Workspace &Old, const Workspace &New) {
+  const std::size_t Removed =
+      keysOnlyIn(Old.KeyDigests_, New.KeyDigests_).size();
+  const std::size_t Added = keysOnlyIn(New.KeyDigests_, Old.KeyDigests_).size();
+  if (Removed == 0 && Added == 0)
+    return;
+  add({ChangeCategory::Workspaces, "workspace " + New.Name_.value(),
+       "key-digests", formatKeyCount(Old.KeyDigests_.size()),
+       formatKeyCount(New.KeyDigests_.size()) + ", " + std::to_string(Added) +
+           " added, " + std::to_string(Removed) + " removed",
+       keyEffect(Old, New)});
+}
+
+ChangeEffect DocumentDiffer::keyEffect(const Workspace &Old,
+                                       const Workspace &New) const {
+  // Without workspaces no key is checked.
+  if (New_.Workspaces_.empty())
+    return ChangeEffect::None;
+  if (!keysOnlyIn(Old.KeyDigests_, NewKeys_).empty())
+    return ChangeEffect::RefusesKeys;
+  if (!keysOnlyIn(New.KeyDigests_, OldKeys_).empty())
+    return ChangeEffect::AcceptsKeys;
+  return ChangeEffect::None;
+}
+
 bool DocumentDiffer::hasZoneInService(const EnvironmentDocument &Document,
                                       const Service &Candidate) const {
   return std::any_of(Candidate.Groups_.begin(), Candidate.Groups_.end(),
--- a/src/operations/internal/documentdiffer.h
+++ b/src/operations/internal/documentdiffer.h
@@ -31,6 +31,15 @@
                    const document::RequestKind &New);
   void compareObjectives(const document::Service &Old,
                          const document::Service &New);
+  void compareWorkspaces();
+  void compareWorkspace(const document::Workspace &Old,
+                        const document::Workspace &New);
+  void compareKeys(const document::Workspace &Old,
+                   const document::Workspace &New);
+  void compareKeyRequirement();
+  /// Returns the effect of keys that a workspace had and has.
+  ChangeEffect keyEffect(const document::Workspace &Old,
+                         const document::Workspace &New) const;
   void findServicesWithoutZone();
   bool hasZoneInService(const document::EnvironmentDocument &Document,
                         const document::Service &Candidate) const;
@@ -42,6 +51,9 @@
 
   const document::EnvironmentDocument &Old_;
   const document::EnvironmentDocument &New_;
+  /// All keys of the documents, sorted. A key may move between workspaces.
+  std::vector<document::KeyDigest> OldKeys_;
+  std::vector<document::KeyDigest> NewKeys_;
   std::vector<DocumentChange> Changes_;
 };
 
--- a/src/operations/types/changecategory.h
+++ b/src/operations/types/changecategory.h
@@ -6,7 +6,14 @@
 namespace cranberryspool::operations {
 
 /// The area that a change of the document affects.
-enum class ChangeCategory { Zones, Targets, Calls, Objectives, Instances };
+enum class ChangeCategory {
+  Zones,
+  Targets,
+  Calls,
+  Workspaces,
+  Objectives,
+  Instances
+};
 
 /// Returns the category as cranberryctl prints it, such as `zones`.
 std::string_view categoryName(ChangeCategory Category);
--- a/src/operations/types/changeeffect.h
+++ b/src/operations/types/changeeffect.h
@@ -19,7 +19,15 @@
   /// The targets may now execute a call more than once.
   AllowsRepeatedExecution,
   /// No target of the service receives new calls any more.
-  LeavesServiceWithoutZone
+  LeavesServiceWithoutZone,
+  /// Requests with the added keys are served.
+  AcceptsKeys,
+  /// Requests with the removed keys are refused.
+  RefusesKeys,
+  /// Requests without a key, which were refused before, are served.
+  ServesWithoutKey,
+  /// Requests without a key, which were served before, are refused.
+  RequiresKey
 };
 
 /// Returns a short description of the effect; empty for `None`.
