Encode the quota messages and record the bytes of all peer messages

Cause: the coordinators of different instances exchange requests and grants of credits. Measured: test_fleet passes with the recorded bytes; the fuzz target was not run.

--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <fstream>
+#include <string_view>
 #include <type_traits>
 
 using namespace cranberryspool;
@@ -107,6 +109,11 @@
                                 {framework::TargetName("t2"), {}}},
                                std::chrono::seconds(9)},
                    CrashNotice{}}},
+      quotas::QuotaRequest{Name, Incarnation, framework::WorkspaceName("w1"),
+                           900, true, 1'500'000, 70},
+      quotas::QuotaGrant{Name, Incarnation, Incarnation, 900,
+                         framework::WorkspaceName("w1"), 1'000'000,
+                         std::chrono::milliseconds(40)},
   };
 }
 
@@ -124,6 +131,44 @@
   }
 }
 
+TEST_CASE("each peer message keeps its recorded bytes", "[fleet]") {
+  // A line of hexadecimal digits for each message, in the order of the
+  // alternatives. Instances of different builds run side by side, so a change
+  // of any line separates them.
+  std::ifstream Recorded("src/fleet/tests/corpus/recorded-messages.hex");
+  for (const PeerMessage &Message : makeMessages()) {
+    std::string Expected;
+    REQUIRE(std::getline(Recorded, Expected));
+    std::string Bytes;
+    for (const std::uint8_t Byte : encodePeerMessage(Message)) {
+      constexpr std::string_view Digits = "0123456789abcdef";
+      Bytes += Digits[Byte >> 4];
+      Bytes += Digits[Byte & 15];
+    }
+    CHECK(Bytes == Expected);
+  }
+}
+
+TEST_CASE("negative and non-numeric credits are not decoded", "[fleet]") {
+  // The amount of a grant as a negative integer, NaN, infinity and text; a
+  // decoder that converted them would hand out credits that no one has.
+  const PeerMessage Grant = quotas::QuotaGrant{
+      framework::InstanceName("a"),  framework::Incarnation(1),
+      framework::Incarnation(1),     1,
+      framework::WorkspaceName("w"), 23,
+      framework::Duration(1)};
+  const std::vector<std::uint8_t> Encoded = encodePeerMessage(Grant);
+  const std::vector<std::vector<std::uint8_t>> Amounts = {
+      {0x20}, {0xf9, 0x7e, 0x00}, {0xf9, 0x7c, 0x00}, {0x61, '1'}};
+  for (const auto &Amount : Amounts) {
+    std::vector<std::uint8_t> Changed = Encoded;
+    Changed.erase(Changed.end() - 2);
+    Changed.insert(Changed.end() - 1, Amount.begin(), Amount.end());
+    CHECK_FALSE(decodePeerMessage(Changed));
+  }
+  CHECK(decodePeerMessage(Encoded));
+}
+
 TEST_CASE("truncated and extended messages are rejected", "[fleet]") {
   for (const PeerMessage &Message : makeMessages()) {
     auto Encoded = encodePeerMessage(Message);
