Test quotas under failures and limit a part of the fleet to its fraction

Cause: after a partition of over 45 s both sides granted 1.28 of the quota together (7/6 from the shares times 1.1 from the fraction's slack); an instance without callers dated the removal of members only at its next call; and calls were refused for 200 ms after an instance had heard its peers again. Change: the home instance's limiter fills at the fraction of the rate, a tick is due after members changed, and an outage ends with the first answer.

--- a/src/quotas/internal/callaccount.cpp
+++ b/src/quotas/internal/callaccount.cpp
@@ -41,6 +41,10 @@
 
 QuotaAnswer CallAccount::answerWithoutCredit(framework::CallId Call,
                                              const QuotaContext &Context) {
+  if (IsOutage_ && findHome(Context) != nullptr) {
+    IsOutage_ = false;
+    RefuseUntil_ = Context.Now_;
+  }
   if (Context.Now_ >= RefuseUntil_) {
     Pending_.push_back({Call, Context.Now_});
     if (!Sent_)
--- a/src/quotas/internal/coordinatorstate.cpp
+++ b/src/quotas/internal/coordinatorstate.cpp
@@ -163,6 +163,8 @@
 }
 
 std::optional<Instant> CoordinatorState::nextWakeUp() const {
+  if (Members_.isReviewDue())
+    return Instant{};
   if (Active_.empty())
     return std::nullopt;
   Instant Next = NextSweepAt_;
--- a/src/quotas/internal/creditpool.cpp
+++ b/src/quotas/internal/creditpool.cpp
@@ -122,9 +122,12 @@
   // against the windows since.
   if (Elapsed > IdleTimeout)
     Collected_ = std::min(Collected_, OneCredit);
+  // Where the fleet is divided, the slack of the fractions and the excess of
+  // the shares together would exceed the bound.
+  const double Rate =
+      Context.Limit_.RequestsPerSecond_ * Context.Members_.fraction();
   Limiter_ =
-      std::min(Limiter_ + creditsIn(Context.Limit_.RequestsPerSecond_, Elapsed),
-               poolCapacity(Context));
+      std::min(Limiter_ + creditsIn(Rate, Elapsed), poolCapacity(Context));
   RefilledAt_ = Context.Now_;
 }
 
--- a/src/quotas/internal/memberview.h
+++ b/src/quotas/internal/memberview.h
@@ -29,6 +29,8 @@
   void setMembers(std::vector<QuotaMember> Running, std::size_t KnownCount);
   /// Takes the time for the changes since the last call.
   void advance(framework::Instant Now);
+  /// Returns true if members changed since the last call of `advance`.
+  bool isReviewDue() const { return NextReviewAt_ == framework::Instant{}; }
 
   /// Returns a running member, or null.
   const QuotaMember *find(const framework::InstanceName &Name) const;
--- a/src/quotas/quotacoordinator.h
+++ b/src/quotas/quotacoordinator.h
@@ -59,7 +59,8 @@
   void handle(const QuotaGrant &Message, framework::Instant Now);
 
   void tick(framework::Instant Now);
-  /// Returns when `tick` is due next; nothing while there is nothing to do.
+  /// Returns when `tick` is due next, the epoch if at once; nothing while there
+  /// is nothing to do. `setMembers` has no time, so a tick is due after it.
   std::optional<framework::Instant> nextWakeUp() const;
 
   std::vector<QuotaMessage> takeMessages();
--- a/src/quotas/tests/quotafleet.cpp
+++ b/src/quotas/tests/quotafleet.cpp
@@ -51,6 +51,7 @@
                         framework::Incarnation(++Each.Incarnation_)},
       framework::Random(Rng_.bits()));
   Each.IsAlive_ = true;
+  Each.IsReady_ = false;
   Each.IsFrozen_ = false;
   Each.HasLeft_ = false;
   Each.Held_.clear();
@@ -64,7 +65,7 @@
   Nodes_.emplace_back();
   ByAddress_[addressOf(Index)] = Index;
   start(Index);
-  refreshAllLater(milliseconds(500));
+  refresh();
   return Index;
 }
 
@@ -117,6 +118,8 @@
   }
 }
 
+void QuotaFleet::refresh() { refreshAllLater(milliseconds(500)); }
+
 void QuotaFleet::refreshAllLater(Duration Delay) {
   for (std::size_t Index = 0; Index < Nodes_.size(); ++Index)
     schedule(Now_ + Delay + microseconds(Rng_.index(1'000'000)), [this, Index] {
@@ -145,7 +148,9 @@
                          framework::Incarnation(Peer.Incarnation_),
                          addressOf(Other)});
   }
+  Nodes_[Index].IsReady_ = true;
   Self.Coordinator_->setMembers(std::move(Running), Known);
+  collect(Index);
 }
 
 bool QuotaFleet::isConnected(std::size_t From, std::size_t To) const {
@@ -153,9 +158,11 @@
 }
 
 std::size_t QuotaFleet::anyNode() {
-  for (;;) {
+  // Callers come to an instance once it knows its peers, if any does.
+  for (int Tries = 0;; ++Tries) {
     const std::size_t Index = Rng_.index(Nodes_.size());
-    if (Nodes_[Index].IsAlive_ && !Nodes_[Index].IsFrozen_)
+    const Node &Each = Nodes_[Index];
+    if (Each.IsAlive_ && !Each.IsFrozen_ && (Each.IsReady_ || Tries > 100))
       return Index;
   }
 }
--- a/src/quotas/tests/quotafleet.h
+++ b/src/quotas/tests/quotafleet.h
@@ -57,6 +57,8 @@
   void leave(std::size_t Node);
   void start(std::size_t Node);
   std::size_t join();
+  /// Lets all instances learn the members within the next 1.5 s.
+  void refresh();
   void freeze(std::size_t Node, bool IsFrozen);
   /// Divides the instances: those below `Count` and the others.
   void partition(std::size_t Count);
@@ -84,6 +86,8 @@
     std::unique_ptr<QuotaCoordinator> Coordinator_;
     std::uint64_t Incarnation_ = 0;
     bool IsAlive_ = false;
+    /// True once it knows its peers.
+    bool IsReady_ = false;
     bool IsFrozen_ = false;
     bool HasLeft_ = false;
     int Side_ = 0;
