--- a/src/quotas/internal/creditpool.cpp
+++ b/src/quotas/internal/creditpool.cpp
@@ -70,7 +70,7 @@
     return;
   }
   Collected_ += static_cast<Credits>(Message.Granted_);
-  HasMore_ = HasMore_ || Message.Granted_ == Found->Request_.Wanted_;
+  FullAnswerCount_ += Message.Granted_ == Found->Request_.Wanted_ ? 1 : 0;
   ++AnswerCount_;
   const bool WasAwaited = Found->IsAwaited_;
   Collections_.erase(Found);
@@ -152,7 +152,8 @@
     return false;
   if (wholeCredits(Limiter_) <= wholeCredits(Collected_))
     return false;
-  return isCollecting() || NextCollectionAt_ <= Context.Now_ + CollectInterval;
+  return isCollecting() ||
+         NextCollectionAt_ <= Context.Now_ + MaxCollectionWait;
 }
 
 void CreditPool::answer(Requester &To, const InstanceName &Name,
@@ -208,7 +209,7 @@
   Collections_.clear();
   CollectedAt_ = Context.Now_;
   Tries_ = 1;
-  HasMore_ = false;
+  FullAnswerCount_ = 0;
   AnswerCount_ = 0;
   for (const MemberView::Shareholder &Holder : Context.Shareholders_) {
     const bool IsAwaited =
@@ -253,8 +254,11 @@
 }
 
 void CreditPool::finishCollecting(const QuotaContext &Context) {
-  NextCollectionAt_ = Context.Now_ + CollectInterval;
-  if (!HasMore_) {
+  NextCollectionAt_ = Context.Now_;
+  // While most shares have more, each collection gets most of what is missing.
+  const bool HasMore = FullAnswerCount_ > 0 &&
+                       2 * FullAnswerCount_ >= Context.Shareholders_.size();
+  if (!HasMore) {
     const double Part =
         std::min(1.0, ShareExcess * static_cast<double>(AnswerCount_) /
                           static_cast<double>(Context.Shareholders_.size()));
--- a/src/quotas/internal/creditpool.h
+++ b/src/quotas/internal/creditpool.h
@@ -8,6 +8,7 @@
 #include "quotas/types/quotagrant.h"
 #include "quotas/types/quotarequest.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -71,9 +72,10 @@
   framework::Instant CollectedAt_{};
   framework::Instant NextCollectionAt_{};
   int Tries_ = 0;
-  /// True if a shareholder gave all that was requested in this collection.
-  bool HasMore_ = false;
+  /// Shareholders that answered in this collection, and those of them that gave
+  /// all that was requested.
   std::size_t AnswerCount_ = 0;
+  std::size_t FullAnswerCount_ = 0;
   Credits Collected_ = 0;
   /// Limits what is granted to the rate; the shares issue somewhat more.
   Credits Limiter_;
--- a/src/quotas/internal/quotatiming.h
+++ b/src/quotas/internal/quotatiming.h
@@ -36,11 +36,11 @@
 constexpr int MaxShareTries = 3;
 /// The home instance answers in this time with what it has.
 constexpr framework::Duration HomeTimeout = std::chrono::milliseconds(22);
-/// The time between two collections of shares that had more credits, and of
-/// shares that had none left.
-constexpr framework::Duration CollectInterval = std::chrono::milliseconds(5);
+/// The time between two collections once the shares are empty.
 constexpr framework::Duration DrainedCollectInterval =
     std::chrono::milliseconds(40);
+/// A request waits for the next collection if it is due this soon.
+constexpr framework::Duration MaxCollectionWait = std::chrono::milliseconds(5);
 /// A suspected instance is asked this often whether it answers again.
 constexpr framework::Duration ProbeInterval = std::chrono::milliseconds(500);
 /// With many instances over the quota, each waits longer until it asks again.
--- a/src/quotas/tests/quotafleet.cpp
+++ b/src/quotas/tests/quotafleet.cpp
@@ -208,11 +208,16 @@
   collect(Index);
 }
 
+void QuotaFleet::giveBack(std::size_t Index) {
+  at(Index).giveBack(Options_.Limit_.Workspace_, Now_);
+  collect(Index);
+}
+
 void QuotaFleet::record(std::size_t Index, bool IsAdmitted) {
   Arrival &Each = Arrivals_[Index];
   const Duration Wait = Now_ - Each.At_;
   LongestWait_ = std::max(LongestWait_, Wait);
-  SlowCalls_ += Wait >= milliseconds(10) ? 1 : 0;
+  WaitCount_ += Wait > Duration{} ? 1 : 0;
   Each.At_ = Now_;
   Each.IsAdmitted_ = IsAdmitted;
 }
@@ -332,11 +337,6 @@
   return Count;
 }
 
-double QuotaFleet::slowFraction() const {
-  return static_cast<double>(SlowCalls_) /
-         static_cast<double>(std::max<std::size_t>(Arrivals_.size(), 1));
-}
-
 QuotaCounters QuotaFleet::counters() const {
   QuotaCounters Sum;
   for (const Node &Each : Nodes_) {
--- a/src/quotas/tests/quotafleet.h
+++ b/src/quotas/tests/quotafleet.h
@@ -50,6 +50,8 @@
            const std::function<std::size_t()> &Choose = {});
   /// Sends one call at once. It is recorded when it is decided.
   void call(std::size_t Node);
+  /// Gives back a credit of an admitted call.
+  void giveBack(std::size_t Node);
   /// Lets time pass without calls.
   void pass(Duration Time);
 
@@ -75,8 +77,8 @@
   /// had this rate and burst and all calls.
   std::size_t idealAdmittedSince(Instant At) const;
   Duration longestWait() const { return LongestWait_; }
-  /// Returns the fraction of the calls that waited 10 ms or longer.
-  double slowFraction() const;
+  /// Returns how many calls were not decided at once.
+  std::size_t waitCount() const { return WaitCount_; }
   std::uint64_t sentMessages() const { return SentMessages_; }
   std::uint64_t sentBy(std::size_t Node) const { return Nodes_[Node].Sent_; }
   QuotaCounters counters() const;
@@ -126,7 +128,7 @@
   std::optional<Instant> CutAt_;
   std::vector<Arrival> Arrivals_;
   Duration LongestWait_{};
-  std::size_t SlowCalls_ = 0;
+  std::size_t WaitCount_ = 0;
   std::uint64_t SentMessages_ = 0;
 };
 
