--- a/src/quotas/tests/quotafleet.h
+++ b/src/quotas/tests/quotafleet.h
@@ -50,6 +50,8 @@
            const std::function<std::size_t()> &Choose = {});
   /// Sends one call at once. It is recorded when it is decided.
   void call(std::size_t Node);
+  /// Gives back a credit of an admitted call.
+  void giveBack(std::size_t Node);
   /// Lets time pass without calls.
   void pass(Duration Time);
 
@@ -57,6 +59,8 @@
   void leave(std::size_t Node);
   void start(std::size_t Node);
   std::size_t join();
+  /// Lets all instances learn the members within the next 1.5 s.
+  void refresh();
   void freeze(std::size_t Node, bool IsFrozen);
   /// Divides the instances: those below `Count` and the others.
   void partition(std::size_t Count);
@@ -73,8 +77,8 @@
   /// had this rate and burst and all calls.
   std::size_t idealAdmittedSince(Instant At) const;
   Duration longestWait() const { return LongestWait_; }
-  /// Returns the fraction of the calls that waited 10 ms or longer.
-  double slowFraction() const;
+  /// Returns how many calls were not decided at once.
+  std::size_t waitCount() const { return WaitCount_; }
   std::uint64_t sentMessages() const { return SentMessages_; }
   std::uint64_t sentBy(std::size_t Node) const { return Nodes_[Node].Sent_; }
   QuotaCounters counters() const;
@@ -84,6 +88,8 @@
     std::unique_ptr<QuotaCoordinator> Coordinator_;
     std::uint64_t Incarnation_ = 0;
     bool IsAlive_ = false;
+    /// True once it knows its peers.
+    bool IsReady_ = false;
     bool IsFrozen_ = false;
     bool HasLeft_ = false;
     int Side_ = 0;
@@ -122,7 +128,7 @@
   std::optional<Instant> CutAt_;
   std::vector<Arrival> Arrivals_;
   Duration LongestWait_{};
-  std::size_t SlowCalls_ = 0;
+  std::size_t WaitCount_ = 0;
   std::uint64_t SentMessages_ = 0;
 };
 
