Share a service among workspaces in the admission queue

Change: QueuedCall carries the workspace. Among calls of equal priority the workspaces take turns; when the service cannot be served in time or the queue is full, the last call of the workspace furthest over its share is refused. Without workspaces no turns are counted.

--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -17,7 +17,9 @@
 
 /// Decides when an accepted call starts. Services do not affect each other.
 /// Within a service urgent calls have priority, ordinary calls are delayed but
-/// not starved, and a fraction of the slots is reserved for urgent calls.
+/// not starved, and a fraction of the slots is reserved for urgent calls. Among
+/// calls of equal priority the workspaces share a service that is short of
+/// capacity.
 ///
 /// Usage: call `offer` at arrival. While `next` returns a call, choose a target
 /// for it and call `recordStarted`; when there is no target, the call stays
@@ -41,7 +43,7 @@
   bool remove(framework::CallId Call);
 
   /// Removes and returns the calls that can no longer be answered in time, and
-  /// those that were shed in favour of urgent ones. They have not run.
+  /// those that were shed in favour of others. They have not run.
   std::vector<framework::CallId> takeExpired(framework::Instant Now);
 
   /// Removes a queued call because its first attempt is sent.
--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -40,7 +40,7 @@
   ServiceQueue &Queue = Found->second;
   BOOST_OUTCOME_TRYV(Queue.offer(Call, Now));
   QueuedCalls_.emplace(Call.Call_, Call);
-  if (const auto ShedCall = Queue.shedOrdinary()) {
+  if (const auto ShedCall = Queue.shedFor(Call)) {
     QueuedCalls_.erase(ShedCall->Call_);
     ShedCalls_.push_back(ShedCall->Call_);
   }
--- a/src/admission/internal/servicequeue.cpp
+++ b/src/admission/internal/servicequeue.cpp
@@ -31,7 +31,8 @@
 
 framework::Result<void, Refusal> ServiceQueue::offer(const QueuedCall &Call,
                                                      Instant Now) {
-  const Duration Wait = expectedWait(Call, Now);
+  const double Cost = recordOffered(Call, Now);
+  const Duration Wait = expectedWait(Call, Cost, Now);
   const Duration RetryAfter = std::max(Wait, MinRetryAfter);
   const Duration Needed = Wait == Duration::zero()
                               ? std::chrono::duration_cast<Duration>(
@@ -42,22 +43,28 @@
   const std::size_t QueuedCalls = Queued_[0].size() + Queued_[1].size();
   const bool CanShedOrdinary =
       Call.Urgency_ == Urgency::Urgent && !Queued_[1].empty();
-  if (QueuedCalls >= MaxQueuedCalls && !CanShedOrdinary)
+  if (QueuedCalls >= MaxQueuedCalls && !CanShedOrdinary &&
+      !Queued_[index(Call.Urgency_)].hasCallOverShare(Call, Cost))
     return Refusal{RefusalReason::QueueFull, RetryAfter};
   if (isEmpty())
     LastStartAt_ = Now;
-  Queued_[index(Call.Urgency_)].insert(Call);
+  Queued_[index(Call.Urgency_)].insert(Call, Cost);
   Deadlines_.insert(Call);
   return framework::success();
 }
 
-std::optional<QueuedCall> ServiceQueue::shedOrdinary() {
+std::optional<QueuedCall> ServiceQueue::shedFor(const QueuedCall &Added) {
   const std::size_t QueuedCalls = Queued_[0].size() + Queued_[1].size();
-  if (QueuedCalls <= MaxQueuedCalls || Queued_[1].empty())
+  if (QueuedCalls <= MaxQueuedCalls)
     return std::nullopt;
-  const QueuedCall Newest = Queued_[1].last();
-  remove(Newest);
-  return Newest;
+  const bool IsInFavourOfUrgent =
+      Added.Urgency_ == Urgency::Urgent && !Queued_[1].empty();
+  const QueuedCall Shed =
+      IsInFavourOfUrgent
+          ? Queued_[1].last()
+          : Queued_[index(Added.Urgency_)].lastOf(Added.Priority_);
+  remove(Shed);
+  return Shed;
 }
 
 std::optional<CallId> ServiceQueue::next() const {
@@ -79,10 +86,16 @@
 }
 
 bool ServiceQueue::remove(const QueuedCall &Call) {
-  Deadlines_.erase(Call);
+  eraseDeadline(Call);
   return Queued_[index(Call.Urgency_)].erase(Call);
 }
 
+void ServiceQueue::eraseDeadline(const QueuedCall &Call) {
+  const auto Found = Deadlines_.find(Call);
+  if (Found != Deadlines_.end())
+    Deadlines_.erase(Found);
+}
+
 void ServiceQueue::takeExpired(Instant Now, std::vector<QueuedCall> &Output) {
   for (PriorityClassQueue &Class : Queued_)
     Class.demoteLate(Now);
@@ -97,7 +110,8 @@
 
 void ServiceQueue::recordStarted(const QueuedCall &Call, Instant Now) {
   const bool IsUrgent = Call.Urgency_ == Urgency::Urgent;
-  remove(Call);
+  eraseDeadline(Call);
+  Queued_[index(Call.Urgency_)].eraseStarted(Call);
   ++Running_[index(Call.Urgency_)];
   recordStartInterval(Now);
   ConsecutiveUrgentStarts_ = IsUrgent ? ConsecutiveUrgentStarts_ + 1 : 0;
@@ -135,12 +149,19 @@
          Running_[1] < Limit_.limit(Urgency::Ordinary);
 }
 
-Duration ServiceQueue::expectedWait(const QueuedCall &Call, Instant Now) const {
+double ServiceQueue::recordOffered(const QueuedCall &Call, Instant Now) {
+  if (!Call.Workspace_ && Weights_.empty())
+    return 1;
+  return Weights_.recordCall(Call.Workspace_, Now);
+}
+
+Duration ServiceQueue::expectedWait(const QueuedCall &Call, double Cost,
+                                    Instant Now) const {
   std::size_t CallsAhead = Queued_[0].size();
   if (Call.Urgency_ == Urgency::Ordinary)
-    CallsAhead += Queued_[1].countBefore(Call);
+    CallsAhead += Queued_[1].countBefore(Call, Cost);
   else
-    CallsAhead = Queued_[0].countBefore(Call);
+    CallsAhead = Queued_[0].countBefore(Call, Cost);
   if (CallsAhead == 0 && mayStart(Call.Urgency_))
     return Duration::zero();
   const auto Ahead = static_cast<Duration::rep>(CallsAhead);
--- a/src/admission/internal/servicequeue.h
+++ b/src/admission/internal/servicequeue.h
@@ -6,6 +6,7 @@
 #include "admission/types/queuedcall.h"
 #include "admission/types/refusal.h"
 #include "framework/result.h"
+#include "scheduling/loadweights.h"
 
 #include <array>
 #include <cstddef>
@@ -35,9 +36,11 @@
   /// start in time at the present rate, and appends them to `Output`.
   void takeExpired(framework::Instant Now, std::vector<QueuedCall> &Output);
 
-  /// Removes and returns the newest ordinary call when the queue is longer than
-  /// allowed because an urgent call was added.
-  std::optional<QueuedCall> shedOrdinary();
+  /// Removes and returns a call when the queue is longer than allowed because
+  /// the given one was added: the last ordinary one in favour of an urgent one,
+  /// otherwise the last one of the workspace that has sent most beyond its
+  /// share at the same priority.
+  std::optional<QueuedCall> shedFor(const QueuedCall &Added);
 
   /// Removes a queued call because it starts.
   void recordStarted(const QueuedCall &Call, framework::Instant Now);
@@ -67,18 +70,23 @@
   }
   bool mayStart(document::Urgency Urgency) const;
   /// Returns how long the call would wait if it were queued now.
-  framework::Duration expectedWait(const QueuedCall &Call,
+  framework::Duration expectedWait(const QueuedCall &Call, double Cost,
                                    framework::Instant Now) const;
+  /// Returns the cost of one call of the workspace of the given one, which is
+  /// offered now; 1 as long as no call has a workspace.
+  double recordOffered(const QueuedCall &Call, framework::Instant Now);
   /// Returns the time between two starts while calls are waiting.
   framework::Duration startInterval(framework::Instant Now) const;
   void recordStartInterval(framework::Instant Now);
   /// Removes the calls at the end of a class that will not start in time.
   void takeUnservable(document::Urgency Urgency, framework::Instant Now,
                       std::vector<QueuedCall> &Output);
+  void eraseDeadline(const QueuedCall &Call);
   framework::Duration expectedRunTime() const;
 
   ConcurrencyLimit Limit_;
   std::array<PriorityClassQueue, 2> Queued_;
+  scheduling::LoadWeights Weights_;
   std::set<QueuedCall, ByDeadline> Deadlines_;
   std::array<std::uint32_t, 2> Running_{};
   std::uint32_t ConsecutiveUrgentStarts_ = 0;
--- a/src/admission/types/queuedcall.h
+++ b/src/admission/types/queuedcall.h
@@ -6,6 +6,7 @@
 #include "framework/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cranberryspool::admission {
 
@@ -21,6 +22,8 @@
   framework::Instant LatestTimelyStart_ = framework::Instant::max();
   /// The rank within the urgency class; 0 starts first.
   std::uint32_t Priority_ = 0;
+  /// The workspace that the call belongs to; nothing when it has none.
+  std::optional<framework::WorkspaceId> Workspace_ = std::nullopt;
 
   bool hasObjective() const {
     return LatestTimelyStart_ != framework::Instant::max();
--- a/src/decision/internal/admissioncontroller.cpp
+++ b/src/decision/internal/admissioncontroller.cpp
@@ -31,7 +31,8 @@
                             .Arrival_ = Request.Arrival_,
                             .Deadline_ = Request.Deadline_,
                             .LatestTimelyStart_ = latestTimelyStart(Request),
-                            .Priority_ = Request.Priority_},
+                            .Priority_ = Request.Priority_,
+                            .Workspace_ = Request.Workspace_},
       Context.now());
   if (!Offered)
     Finisher_.fail(Context, Call, reasonOf(Offered.error().Reason_));
--- a/src/routing/benchmarks/choicebenchmark.cpp
+++ b/src/routing/benchmarks/choicebenchmark.cpp
@@ -93,6 +93,44 @@
   countAllocations(State, Before);
 }
 
+/// The number of calls queued while calls are admitted; one more is offered.
+constexpr std::uint64_t Queued = 511;
+
+admission::QueuedCall queuedCall(std::uint64_t Id, std::uint32_t Workspaces,
+                                 Instant Now) {
+  admission::QueuedCall Call{CallId(Id), ServiceId(3),
+                             document::Urgency::Ordinary, Now,
+                             Now + seconds(600)};
+  Call.LatestTimelyStart_ = Now + seconds(300);
+  if (Workspaces > 0)
+    Call.Workspace_ = WorkspaceId(static_cast<std::uint32_t>(Id % Workspaces));
+  return Call;
+}
+
+/// Measures the same with a full queue, whose calls belong to a number of
+/// workspaces.
+void admitCallToFullQueue(benchmark::State &State) {
+  const auto Workspaces = static_cast<std::uint32_t>(State.range(0));
+  admission::AdmissionQueue Queue;
+  Queue.setCapacity(ServiceId(3), {200, 1});
+  Instant Now(seconds(101));
+  std::uint64_t Call = 0;
+  while (Call < Queued)
+    (void)Queue.offer(queuedCall(++Call, Workspaces, Now), Now);
+  const std::uint64_t Before = routing::allocationCount();
+  for (auto Iteration : State) {
+    Now += microseconds(1);
+    benchmark::DoNotOptimize(
+        Queue.offer(queuedCall(++Call, Workspaces, Now), Now));
+    const auto Next = Queue.next(ServiceId(3), Now);
+    Queue.recordStarted(*Next, Now);
+    Queue.recordEnded(ServiceId(3), document::Urgency::Ordinary,
+                      routing::AttemptResult::Answered, milliseconds(8),
+                      routing::ServiceLoad::Unknown, Now);
+  }
+  countAllocations(State, Before);
+}
+
 /// The blend policy with its default parameters.
 struct DefaultBlend : routing::BlendPolicy {
   DefaultBlend() : BlendPolicy(routing::BlendSettings{}) {}
@@ -116,5 +154,6 @@
     ->Args({15, 1})
     ->Args({780, 1});
 BENCHMARK(admitCall);
+BENCHMARK(admitCallToFullQueue)->ArgName("workspaces")->Arg(0)->Arg(83);
 
 BENCHMARK_MAIN();
