Name the workspace in log lines of calls and log refused calls

Cause: the line of an ended call did not name its workspace, and a call that is refused before it is accepted (an unknown key, a view that is too old) left no line at all, so nobody could tell why a caller got 401 or 503. Change: request-ended names the workspace. The dispatcher logs refusals with 401, 429 or 503 that the core does not report as ended calls, with reason and view. These lines count as routine, so that callers with invalid keys cannot use up the budget of other lines.

--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -3,6 +3,7 @@
 #include "calls/endingnames.h"
 #include "calls/fingerprinttext.h"
 #include "decision/changenames.h"
+#include "entry/internal/endingstatus.h"
 #include "framework/log/logline.h"
 #include "framework/log/logwriter.h"
 
@@ -15,6 +16,10 @@
 
 namespace {
 
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned ServiceUnavailable = 503;
+
 std::string_view nameOf(calls::AttemptKind Kind) {
   switch (Kind) {
   case calls::AttemptKind::First:
@@ -134,6 +139,8 @@
   Line.text("request", RequestId);
   Line.text("route", Call.Kind_.value());
   Line.text("service", Call.Service_.value());
+  if (!Call.Workspace_.value().empty())
+    Line.text("workspace", Call.Workspace_.value());
   Line.text("ending", calls::nameOf(Call.Ending_));
   Line.text("reason", calls::nameOf(Call.Reason_));
   Line.number("status", Call.Status_);
@@ -146,6 +153,25 @@
   Writer_->write(Line);
 }
 
+void DecisionLog::logRefusal(const decision::RefuseCall &Refusal,
+                             std::string_view RequestId,
+                             const decision::Core &View) const {
+  if (!Writer_ || !IsRequestLogEnabled_)
+    return;
+  const unsigned Status = statusOf(Refusal.Ending_, Refusal.Reason_);
+  if (Status != Unauthorized && Status != TooManyRequests &&
+      Status != ServiceUnavailable)
+    return;
+  // Routine, since callers without a valid key could otherwise use up the
+  // budget of the other lines.
+  LogLine Line("request-ended", LogImportance::Routine);
+  Line.text("request", RequestId);
+  Line.text("ending", calls::nameOf(Refusal.Ending_));
+  Line.text("reason", calls::nameOf(Refusal.Reason_));
+  addView(Line, View);
+  Writer_->write(Line);
+}
+
 void DecisionLog::logWorkerFailure(const std::string &Worker,
                                    const char *Reason) const {
   if (!Writer_)
--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_DECISIONLOG_H
 
 #include "decision/core.h"
+#include "decision/types/actions/refusecall.h"
 #include "decision/types/actions/reportattempt.h"
 #include "decision/types/actions/reportattemptend.h"
 #include "decision/types/changekind.h"
@@ -35,6 +36,11 @@
   void logCallEnd(const decision::EndedCall &Call, std::string_view RequestId,
                   const decision::Core &View) const;
 
+  /// Logs that a call was refused before it was accepted. Only refusals with
+  /// status 401, 429 or 503 are logged.
+  void logRefusal(const decision::RefuseCall &Refusal,
+                  std::string_view RequestId, const decision::Core &View) const;
+
   /// Logs the failure of a worker; its supervisor decides whether it is
   /// restarted.
   void logWorkerFailure(const std::string &Worker, const char *Reason) const;
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -2,6 +2,9 @@
 
 #include "framework/runtime/clocks.h"
 
+#include <algorithm>
+#include <unordered_set>
+
 namespace cranberryspool::entry {
 
 using framework::Instant;
@@ -72,6 +75,7 @@
 
 void Dispatcher::recordEndedCalls() {
   const std::vector<decision::EndedCall> EndedCalls = Core_.takeEndedCalls();
+  logRefusals(EndedCalls);
   if (EndedCalls.empty())
     return;
   const framework::WallTime Now = framework::readMoment().Wall_;
@@ -81,6 +85,20 @@
   }
 }
 
+/// Logs the refusals of calls that the core did not accept and therefore does
+/// not report as ended.
+void Dispatcher::logRefusals(const std::vector<decision::EndedCall> &Reported) {
+  if (Refusals_.empty())
+    return;
+  std::unordered_set<framework::CallId> ReportedCalls;
+  for (const decision::EndedCall &Call : Reported)
+    ReportedCalls.insert(Call.Call_);
+  for (const decision::RefuseCall &Refusal : Refusals_)
+    if (!ReportedCalls.contains(Refusal.Call_))
+      Log_.logRefusal(Refusal, requestId(Refusal.Call_), Core_);
+  Refusals_.clear();
+}
+
 void Dispatcher::eraseEndedCalls() {
   for (const framework::CallId Call : EndedCalls_) {
     const auto Found = Calls_.find(Call);
@@ -136,6 +154,7 @@
 
 void Dispatcher::execute(const decision::RefuseCall &Action) {
   Callers_.send(Action);
+  Refusals_.push_back(Action);
   EndedCalls_.push_back(Action.Call_);
 }
 
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -41,6 +41,7 @@
   void handle(const decision::Event &Event);
   void storeResponses();
   void recordEndedCalls();
+  void logRefusals(const std::vector<decision::EndedCall> &Reported);
   void eraseEndedCalls();
   void scheduleWakeUp();
   void onTimer();
@@ -94,6 +95,8 @@
       Responses_;
   std::vector<framework::CallId> CallsToStore_;
   std::vector<framework::CallId> EndedCalls_;
+  /// The refusals that the last event caused.
+  std::vector<decision::RefuseCall> Refusals_;
 };
 
 } // namespace cranberryspool::entry
