--- a/src/entry/internal/callstatistics.cpp
+++ b/src/entry/internal/callstatistics.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/callstatistics.h"
 
+#include "entry/internal/durationbuckets.h"
 #include "entry/internal/endingstatus.h"
 #include "report/burnjson.h"
 
@@ -9,10 +10,6 @@
 
 constexpr std::uint32_t FirstServerErrorStatus = 500;
 
-/// The upper bounds of the histogram buckets, in seconds.
-const prometheus::Histogram::BucketBoundaries DurationBucketBounds = {
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
-
 std::string urgencyLabel(document::Urgency Urgency) {
   return Urgency == document::Urgency::Urgent ? "urgent" : "ordinary";
 }
@@ -32,7 +29,8 @@
       Durations_(prometheus::BuildHistogram()
                      .Name("cranberryspool_call_duration_seconds")
                      .Help("From the arrival of the request to the answer")
-                     .Register(Registry_)) {}
+                     .Register(Registry_)),
+      Workspaces_(Registry_) {}
 
 void CallStatistics::setObjectives(
     const document::EnvironmentDocument *Document) {
@@ -45,6 +43,7 @@
                             framework::WallTime Now) {
   const report::ObjectiveKey Key{Call.Service_, Call.Urgency_};
   counter({Key, Call.Ending_}).Increment();
+  Workspaces_.record(Call);
   if (Call.Ending_ == calls::Ending::Answered)
     histogram(Key).Observe(
         std::chrono::duration<double>(Call.Elapsed_).count());
--- a/src/entry/internal/callstatistics.h
+++ b/src/entry/internal/callstatistics.h
@@ -3,6 +3,7 @@
 
 #include "decision/types/endedcall.h"
 #include "document/types/objective.h"
+#include "entry/internal/workspacestatistics.h"
 #include "report/callcounters.h"
 
 #include <prometheus/counter.h>
@@ -54,6 +55,7 @@
   prometheus::Registry Registry_;
   prometheus::Family<prometheus::Counter> &Calls_;
   prometheus::Family<prometheus::Histogram> &Durations_;
+  WorkspaceStatistics Workspaces_;
   std::map<EndingKey, prometheus::Counter *> Counters_;
   std::map<report::ObjectiveKey, prometheus::Histogram *> Histograms_;
   std::map<report::ObjectiveKey, document::Objective> Objectives_;
