Test the edge of workspaces on sockets and close two ways around keys

Cause: nothing ran the edge of workspaces. The tests found two faults. A caller that named Authorization in its Connection field had its key dropped before it was read, so an unknown key ran on an open route. A Cranberry-Workspace field of a caller without a key was passed on with a forwarded call, and the other instance took it for the call's workspace. Also, fingerprints depended on credentials where no workspaces are in force, so a changing credential would have evaded a quarantine. Change: the credential is read from all fields of the request; a forwarded call carries only the field that the instance sets; fingerprints include the key only while workspaces are in force. The default HTTP profile has Authorization and Workspace. The tests run a whole instance with a store, a target and pipelined callers.

--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/callersession.h"
 
+#include "entry/internal/callarrival.h"
 #include "entry/internal/callerserver.h"
 #include "entry/internal/callfields.h"
 #include "entry/internal/copyfields.h"
@@ -52,10 +53,6 @@
   return {static_cast<const char *>(Buffer.data().data()), Buffer.size()};
 }
 
-std::string_view pathOf(std::string_view Target) {
-  return Target.substr(0, Target.find('?'));
-}
-
 } // namespace
 
 CallerSession::CallerSession(net::ip::tcp::socket Socket, std::uint64_t Number,
@@ -202,17 +199,11 @@
   Request_.Fields_ = forwardableRequestFields(Fields, Profile);
   Request_.CredentialFields_ = takeCredentialFields(Request_.Fields_, Profile);
   Request_.AttemptId_ = Metadata.value().AttemptId_;
-  Arrival_ = decision::CallArrived();
-  Arrival_.Method_ = Request_.Method_;
-  Arrival_.Path_ = std::string(pathOf(Request_.Target_));
-  Arrival_.Host_ = std::string(Message[http::field::host]);
-  Arrival_.Urgency_ = Metadata.value().Urgency_;
-  Arrival_.Timeout_ = Metadata.value().Timeout_;
-  Arrival_.Key_ = Metadata.value().Key_;
-  Arrival_.Depth_ = Metadata.value().Depth_;
-  Arrival_.Attempt_ = Metadata.value().Attempt_;
-  Arrival_.Credential_ =
-      readCallerCredential(Request_.CredentialFields_, Profile);
+  Arrival_ =
+      makeArrival(Request_, Message[http::field::host], Metadata.value());
+  // Read from all fields: a key counts even where the caller declares its field
+  // hop-by-hop in `Connection`, so that an unknown key is never taken for none.
+  Arrival_.Credential_ = readCallerCredential(Fields, Profile);
   if (Server_.state().HasWorkspaces_.load())
     Request_.CredentialFields_.clear();
   if (Kind_ == CallerKind::Peer) {
@@ -285,8 +276,12 @@
   Request_.Reservation_.shrink(Request_.Body_.size());
   Parser_.reset();
   Arrival_.BodyBytes_ = Request_.Body_.size();
-  Arrival_.Fingerprint_ =
-      computeFingerprint(Request_, Arrival_.Host_, Arrival_.Credential_);
+  // Without workspaces a caller could evade the quarantine of its request by
+  // changing a credential that nobody checks.
+  Arrival_.Fingerprint_ = computeFingerprint(
+      Request_, Arrival_.Host_,
+      Server_.state().HasWorkspaces_.load() ? Arrival_.Credential_
+                                            : workspaces::Credential());
   const std::string AttemptId = Request_.AttemptId_;
   const auto Call =
       Server_.accept(Number_, std::move(Arrival_), std::move(Request_));
--- a/src/entry/internal/defaulthttpprofile.cpp
+++ b/src/entry/internal/defaulthttpprofile.cpp
@@ -18,6 +18,8 @@
   Profile.StartIdField_ = protocol::StartIdHeader;
   Profile.LoadReportField_ = protocol::LoadReportHeader;
   Profile.ReadLoadReport_ = readLoadReport;
+  Profile.AuthorizationField_ = protocol::AuthorizationHeader;
+  Profile.WorkspaceField_ = protocol::WorkspaceHeader;
   Profile.ProbePath_ = "/_load";
   Profile.EndingField_ = protocol::EndingHeader;
   Profile.EndingReasonField_ = protocol::EndingReasonHeader;
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -157,6 +157,9 @@
   if (Attempt.ForwardedBy_) {
     Output_->set(std::string(protocol::ForwardedByHeader),
                  toText(*Attempt.ForwardedBy_));
+    // The other instance trusts this field, so a caller's own must not reach
+    // it.
+    Output_->erase(std::string(protocol::ForwardedWorkspaceHeader));
     SetField(std::string(protocol::ForwardedWorkspaceHeader),
              Attempt.Workspace_.value());
   } else {
--- a/src/entry/internal/workspacefields.cpp
+++ b/src/entry/internal/workspacefields.cpp
@@ -35,11 +35,12 @@
 }
 
 workspaces::Credential
-readCallerCredential(const std::vector<HeaderField> &CredentialFields,
+readCallerCredential(const std::vector<HeaderField> &Fields,
                      const HttpProfile &Profile) {
   std::vector<std::string_view> Values;
-  for (const HeaderField &Field : CredentialFields)
-    if (equalsIgnoreCase(Field.Name_, Profile.AuthorizationField_))
+  for (const HeaderField &Field : Fields)
+    if (!Profile.AuthorizationField_.empty() &&
+        equalsIgnoreCase(Field.Name_, Profile.AuthorizationField_))
       Values.emplace_back(Field.Value_);
   return workspaces::readCredential(Values);
 }
--- a/src/entry/internal/workspacefields.h
+++ b/src/entry/internal/workspacefields.h
@@ -21,10 +21,10 @@
 std::vector<HeaderField> takeCredentialFields(std::vector<HeaderField> &Fields,
                                               const HttpProfile &Profile);
 
-/// Reads the caller's credential from the fields that `takeCredentialFields`
-/// returned.
+/// Reads the caller's credential from the fields of its request. There is none
+/// where the profile has no field for it.
 workspaces::Credential
-readCallerCredential(const std::vector<HeaderField> &CredentialFields,
+readCallerCredential(const std::vector<HeaderField> &Fields,
                      const HttpProfile &Profile);
 
 /// Removes the field by which another instance names the workspace of a call
--- a/src/entry/tests/callerfixture.cpp
+++ b/src/entry/tests/callerfixture.cpp
@@ -15,6 +15,14 @@
   Refusal.Reason_ = calls::EndingReason::QueueFull;
   if (Path == "/refuse/shed")
     Refusal.Reason_ = calls::EndingReason::Shed;
+  if (Path == "/refuse/unauthenticated") {
+    Refusal.Reason_ = calls::EndingReason::Unauthenticated;
+    Refusal.RetryAfter_ = framework::Duration::zero();
+  }
+  if (Path == "/refuse/unconfirmed")
+    Refusal.Reason_ = calls::EndingReason::AccessUnconfirmed;
+  if (Path == "/refuse/over-quota")
+    Refusal.Reason_ = calls::EndingReason::OverQuota;
   if (Path == "/refuse/unknown") {
     Refusal.Ending_ = calls::Ending::Unknown;
     Refusal.Reason_ = calls::EndingReason::ConnectionLost;
@@ -84,7 +92,16 @@
 
 std::optional<decision::ForwardingInstance> CallerFixture::lastForwarder() {
   const std::lock_guard Lock(Mutex_);
-  return LastForwarder_;
+  return LastArrival_.ForwardedBy_;
+}
+
+decision::CallArrived CallerFixture::lastArrival() {
+  const std::lock_guard Lock(Mutex_);
+  return LastArrival_;
+}
+
+void CallerFixture::setWorkspacesInForce(bool AreInForce) {
+  State_.HasWorkspaces_.store(AreInForce);
 }
 
 framework::CallId CallerFixture::lastCall() {
@@ -120,7 +137,7 @@
     const std::lock_guard Lock(Mutex_);
     ++CallCount_;
     LastCall_ = Arrived.Call_;
-    LastForwarder_ = Arrived.ForwardedBy_;
+    LastArrival_ = Arrived;
     LastRequest_ = Request;
     StateChanged_.notify_all();
   }
--- a/src/entry/tests/callerfixture.h
+++ b/src/entry/tests/callerfixture.h
@@ -30,6 +30,9 @@
   std::size_t callCount();
   framework::CallId lastCall();
   std::optional<decision::ForwardingInstance> lastForwarder();
+  decision::CallArrived lastArrival();
+  /// Sets whether the document in force has workspaces.
+  void setWorkspacesInForce(bool AreInForce);
   void awaitCallerGone(framework::CallId Call);
   void awaitClosed();
   std::size_t requestBytesInUse() const { return State_.RequestBytes_.used(); }
@@ -47,7 +50,7 @@
   std::condition_variable StateChanged_;
   std::size_t CallCount_ = 0;
   framework::CallId LastCall_;
-  std::optional<decision::ForwardingInstance> LastForwarder_;
+  decision::CallArrived LastArrival_;
   framework::CallId AbandonedCall_;
   bool IsClosed_ = false;
   std::shared_ptr<const CallerRequest> LastRequest_;
--- a/src/protocol/headers.h
+++ b/src/protocol/headers.h
@@ -48,6 +48,12 @@
 /// To callers: the machine-readable reason of an outcome other than `answered`.
 inline constexpr std::string_view EndingReasonHeader = "Call-Ending-Reason";
 
+/// From callers: the key of their workspace, as a Bearer token (RFC 6750).
+inline constexpr std::string_view AuthorizationHeader = "Authorization";
+
+/// To targets: the name of the caller's workspace.
+inline constexpr std::string_view WorkspaceHeader = "Workspace";
+
 /// Between instances: the name and the incarnation, joined by a semicolon, of
 /// the instance that forwards a call to another one.
 inline constexpr std::string_view ForwardedByHeader = "Forwarded-By";
