Let stand-ins send and record workspace keys, and replace a key in the soak

Cause: no trial on processes used keys. Change: callers send a random key of a list; their records name the key and the time of sending. A run in which the old and the new key were not used at the decisive time fails.

--- a/experiments/deployments.py
+++ b/experiments/deployments.py
@@ -1,6 +1,8 @@
 """The example deployments: sizes, latencies and the traffic of their callers."""
 
 import dataclasses
+import hashlib
+import json
 import re
 
 
@@ -114,6 +116,16 @@
             if '"hedging": true' in kind}
 
 
+def with_workspaces(text, keys):
+    """Returns the document with the given workspaces, a mapping of names to lists of keys."""
+    workspaces = [{"name": name, "key-digests": [
+        "sha256:" + hashlib.sha256(key.encode()).hexdigest() for key in keys[name]]}
+        for name in sorted(keys)]
+    without = re.sub(r'\n  "workspaces": .*,', "", text, count=1)
+    return re.sub(r"^\{", '{\n  "workspaces": %s,' % json.dumps(workspaces), without, count=1,
+                  flags=re.MULTILINE)
+
+
 def with_zone_state(text, zone, state):
     """Returns the document with the state of one availability zone set to "in" or "out"."""
     pattern = r'(\{"name": "%s", "state": )"(in|out)"' % re.escape(zone)
--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -26,6 +26,15 @@
 PAUSE_DURATION_S = (0.3, 3.0)
 MUST_BE_ZERO = ("duplicate-runs", "false-not-run", "wrong-answers", "stops-not-clean",
                 "revisions-gone-back", "calls-left-in-instances")
+# Checked with --workspaces. Without the calls counted in the second list the first proves nothing.
+WORKSPACES_MUST_BE_ZERO = ("keys-at-targets", "runs-with-withdrawn-key", "runs-before-key-added",
+                           "wrong-workspaces")
+WORKSPACES_MUST_OCCUR = ("late-calls-of-old-key", "runs-of-new-key")
+# A document is in force everywhere 7 s after its publication (docs/FAILURES.md, B9).
+WITHDRAWAL_LIMIT_S = 7.0
+KEYS_BEFORE = {"east": ["east-key"], "west": ["old-key"]}
+KEYS_AFTER = {"east": ["east-key"], "west": ["new-key"]}
+CALLER_KEYS = ["east-key", "new-key", "old-key"]
 
 
 class SoakTrial(trial.Trial):
@@ -115,6 +124,9 @@
         self._trial.publish(
             deployments.with_zone_state(self._trial.document, zone, state))
 
+    def key_replaced(self):
+        replace_key(self._trial)
+
     def draining_target(self):
         return self._inject_target_faults(draining=True)
 
@@ -253,6 +265,37 @@
         recover()
 
 
+def replace_key(active_trial):
+    """Publishes a document without the old key of a workspace and with a new one."""
+    published = deployments.with_workspaces(active_trial.document, KEYS_AFTER)
+    active_trial.key_added_at = time.monotonic()
+    active_trial.publish(published)
+    active_trial.key_withdrawn_at = time.monotonic()
+
+
+def check_workspaces(active_trial, calls, runs, counters):
+    """Returns the number of violations of each invariant of workspaces."""
+    _, body = trial.send_request(active_trial.upstream_control, "GET", "/workspaces", timeout=60)
+    workspaces = json.loads(body)
+    ran = [call for call in calls if call.key and call.call_id in runs]
+    owner = {key: [name] for keys in (KEYS_BEFORE, KEYS_AFTER) for name in keys
+             for key in keys[name]}
+    deadline = (active_trial.key_withdrawn_at + WITHDRAWAL_LIMIT_S) * 1e6
+    return {
+        "keys-at-targets": sum(target["keys-received"] for target in counters["targets"]),
+        "runs-with-withdrawn-key": sum(
+            1 for call in ran if call.key == "old-key" and call.sent_at > deadline),
+        "runs-before-key-added": sum(
+            1 for call in ran if call.key == "new-key"
+            and call.sent_at + call.latency < active_trial.key_added_at * 1e6),
+        "wrong-workspaces": sum(
+            1 for call in ran if workspaces.get(call.call_id) != owner[call.key]),
+        "late-calls-of-old-key": sum(
+            1 for call in calls if call.key == "old-key" and call.sent_at > deadline),
+        "runs-of-new-key": sum(1 for call in ran if call.key == "new-key"),
+    }
+
+
 class RevisionMonitor:
     """Detects a decrease of the document revision that a running instance has applied."""
 
@@ -298,6 +341,9 @@
                                            ", planned changes only" if is_planned_only else ""))
     active_trial = SoakTrial(deployment, instances, arguments.load, seed, arguments.network,
                              arguments.build, direct_share=0.0)
+    if arguments.workspaces:
+        active_trial.caller_keys = CALLER_KEYS
+        active_trial.document = deployments.with_workspaces(active_trial.document, KEYS_BEFORE)
     watchdog = threading.Timer(MAX_RUN_S, active_trial.shut_down)
     watchdog.daemon = True
     watchdog.start()
@@ -305,7 +351,10 @@
         active_trial.start()
         revision_monitor = RevisionMonitor(active_trial)
         active_trial.command_callers("start-callers")
-        run_schedule(FaultInjector(active_trial, rng), schedule, time.monotonic())
+        injector = FaultInjector(active_trial, rng)
+        if arguments.workspaces:
+            schedule = sorted(schedule + [(arguments.seconds / 4, "key_replaced", 0.0)])
+        run_schedule(injector, schedule, time.monotonic())
         active_trial.drain_calls()
         revision_monitor.stop()
         calls, runs, counters = active_trial.read_results()
@@ -313,12 +362,17 @@
         counts = results["proofs"]
         counts["calls-left-in-instances"] = active_trial.count_open_calls()
         counts["revisions-gone-back"] = revision_monitor.regressions
+        if arguments.workspaces:
+            counts.update(check_workspaces(active_trial, calls, runs, counters))
         exit_codes = [code for codes in active_trial.exit_codes.values() for code in codes]
         counts["stops-not-clean"] = sum(1 for code in exit_codes if code != 0)
     finally:
         watchdog.cancel()
         active_trial.shut_down()
     failed = [name for name in MUST_BE_ZERO if counts[name]]
+    if arguments.workspaces:
+        failed += [name for name in WORKSPACES_MUST_BE_ZERO if counts[name]]
+        failed += [name for name in WORKSPACES_MUST_OCCUR if not counts[name]]
     if is_planned_only and counts["cut"]:
         failed.append("cut")
     print("  %d calls; %s" % (results["calls"], ", ".join(
@@ -348,6 +402,8 @@
                         help="number of instances; 0 selects a random number")
     parser.add_argument("--load", type=float, default=0.2,
                         help="offered load as a fraction of the capacity of the targets")
+    parser.add_argument("--workspaces", action="store_true",
+                        help="callers send keys, one of which is replaced during the run")
     parser.add_argument("--network", type=int, default=20,
                         help="N in the loopback addresses 127.N.x.y")
     parser.add_argument("--build", default=str(trial.REPOSITORY / "build"))
--- a/experiments/trial.py
+++ b/experiments/trial.py
@@ -114,6 +114,7 @@
         self.direct_share = direct_share
         self.body_bytes = body_bytes
         self.sends_keys = sends_keys
+        self.caller_keys = []
         self.work_folder = pathlib.Path(tempfile.mkdtemp(prefix="cranberry-trial-"))
         self.document = (REPOSITORY / deployment.document_path).read_text()
         self.platform_address = self._loopback_address(0, 1, 7000)
@@ -249,6 +250,7 @@
             "control": self.callers_control,
             "callers": {
                 "seed": self.seed,
+                "keys": self.caller_keys,
                 "entries": [{"caller": self.caller_address(n),
                              "operator": self.operator_address(n)} for n in numbers],
                 "streams": self._stream_settings(targets),
@@ -428,10 +430,10 @@
     """The outcome of one call as observed by its caller; times in microseconds."""
 
     __slots__ = ("call_id", "stream", "phase", "ending", "reason", "status", "latency", "overhead",
-                 "address", "end_phase")
+                 "address", "end_phase", "key", "sent_at")
 
     def __init__(self, call_id, stream, phase, ending, reason, status, latency, overhead,
-                 address, end_phase):
+                 address, end_phase, key="", sent_at=0):
         self.call_id = call_id
         self.stream = stream
         self.phase = phase
@@ -442,3 +444,5 @@
         self.overhead = overhead
         self.address = address
         self.end_phase = end_phase
+        self.key = key
+        self.sent_at = sent_at
--- a/src/standins/callersettings.h
+++ b/src/standins/callersettings.h
@@ -5,6 +5,7 @@
 #include "standins/instanceaddress.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace cranberryspool::standins {
@@ -13,6 +14,9 @@
 struct CallerSettings {
   std::vector<InstanceAddress> Instances_;
   std::vector<CallerStream> Streams_;
+  /// The keys of workspaces. Each call through an instance carries a random one
+  /// of them; none does when there are none.
+  std::vector<std::string> Keys_;
   /// The seed of the random number generator; also the prefix of call
   /// identifiers.
   std::uint64_t Seed_ = 1;
--- a/src/standins/callrecord.h
+++ b/src/standins/callrecord.h
@@ -28,6 +28,11 @@
   unsigned Status_ = 0;
   /// `IP:port` to which the call was sent.
   std::string Address_;
+  /// The workspace key that the call carried; empty when it carried none.
+  std::string Key_;
+  /// The time at which the call was sent, on the monotonic clock of the
+  /// machine.
+  framework::Duration SentAt_{};
   framework::Duration Latency_{};
   /// The latency minus the time that the target reported for the request.
   framework::Duration Overhead_{};
--- a/src/standins/controlserver.h
+++ b/src/standins/controlserver.h
@@ -38,6 +38,7 @@
   std::optional<std::string> get(const std::string &Path) const;
   std::string countersJson() const;
   std::string runsJson() const;
+  std::string workspacesJson() const;
   std::string callsJson() const;
 
   Deployment *Upstream_;
--- a/src/standins/internal/callerstandin.cpp
+++ b/src/standins/internal/callerstandin.cpp
@@ -166,6 +166,13 @@
   ++InFlightCalls_;
   Record.Address_ = *Address;
   HttpRequest Request = makeRequest(Settings, Record.Call_);
+  if (Settings.DirectTargets_.empty() && !Settings_.Keys_.empty()) {
+    Record.Key_ = Settings_.Keys_[Rng_.index(Settings_.Keys_.size())];
+    Request.Headers_[std::string(protocol::AuthorizationHeader)] =
+        "Bearer " + Record.Key_;
+  }
+  Record.SentAt_ = std::chrono::duration_cast<framework::Duration>(
+      Clock::now().time_since_epoch());
   Client_.send(*Address, std::move(Request), Settings.Timeout_ + TimeoutGrace,
                [this, Record, Arrival](const HttpClient::Reply &Reply) {
                  finishCall(Record, Arrival, Reply);
--- a/src/standins/internal/controlserver.cpp
+++ b/src/standins/internal/controlserver.cpp
@@ -83,6 +83,7 @@
           {"cancelled", Counters.Cancelled_},
           {"expired", Counters.Expired_},
           {"probes", Counters.Probes_},
+          {"keys-received", Counters.KeysReceived_},
           {"over-cold", Counters.ColdOverloads_},
           {"max-cold-in-flight", Counters.MaxColdInFlight_},
           {"max-connections", Target.server().maxConnectionCount()},
@@ -217,6 +218,8 @@
     return countersJson();
   if (Path == "/runs" && Upstream_)
     return runsJson();
+  if (Path == "/workspaces" && Upstream_)
+    return workspacesJson();
   if (Path == "/calls" && Callers_)
     return callsJson();
   if (Path == "/under-way" && Callers_)
@@ -244,6 +247,13 @@
   return json::serialize(Runs);
 }
 
+std::string ControlServer::workspacesJson() const {
+  json::object Workspaces;
+  for (const auto &[Call, Names] : Upstream_->record().workspaces())
+    Workspaces[Call] = json::array(Names.begin(), Names.end());
+  return json::serialize(Workspaces);
+}
+
 std::string ControlServer::callsJson() const {
   json::array Calls;
   for (const CallRecord &Record : Callers_->records())
@@ -251,7 +261,8 @@
         Record.Call_, Callers_->settings().Streams_[Record.Stream_].Name_,
         Callers_->phases()[Record.Phase_], Record.Ending_, Record.Reason_,
         Record.Status_, Record.Latency_.count(), Record.Overhead_.count(),
-        Record.Address_, Callers_->phases()[Record.EndPhase_]});
+        Record.Address_, Callers_->phases()[Record.EndPhase_], Record.Key_,
+        Record.SentAt_.count()});
   return json::serialize(Calls);
 }
 
--- a/src/standins/internal/standinsettings.cpp
+++ b/src/standins/internal/standinsettings.cpp
@@ -170,6 +170,7 @@
 CallerSettings readCallers(JsonObjectReader Reader) {
   CallerSettings Settings;
   Settings.Seed_ = static_cast<std::uint64_t>(Reader.numberOr("seed", 1));
+  Settings.Keys_ = Reader.stringArray("keys");
   Reader.forEachObject("entries", [&Settings](JsonObjectReader Entry) {
     Settings.Instances_.push_back(
         InstanceAddress{Entry.string("caller"), Entry.string("operator")});
--- a/src/standins/internal/targetstandin.cpp
+++ b/src/standins/internal/targetstandin.cpp
@@ -79,6 +79,8 @@
     ++Counters_.Probes_;
   else if (isFromInstance(Request))
     ++Counters_.Requests_;
+  if (!Request.header(toLower(protocol::AuthorizationHeader)).empty())
+    ++Counters_.KeysReceived_;
   if (Faults_.IsFailingFast_)
     return send(Session, makeResponse(Request, StatusServerError));
   if (Queue_.size() >= Settings_.QueueLimit_) {
@@ -164,7 +166,8 @@
   const PendingRequest &Pending = Pending_.at(Session);
   if (!Pending.IsProbe_) {
     ++Counters_.Runs_;
-    Record_.addRun(callId(Pending.Request_));
+    Record_.addRun(callId(Pending.Request_),
+                   Pending.Request_.header(toLower(protocol::WorkspaceHeader)));
   }
   auto Timer = std::make_unique<asio::steady_timer>(Context_);
   Timer->expires_after(sampleServiceTime(Pending));
--- a/src/standins/targetcounters.h
+++ b/src/standins/targetcounters.h
@@ -19,6 +19,8 @@
   std::uint64_t Expired_ = 0;
   /// Load probes received.
   std::uint64_t Probes_ = 0;
+  /// Requests, probes included, that carried the key of a caller.
+  std::uint64_t KeysReceived_ = 0;
   /// Requests from instances that exceeded the in-flight limit of the cold
   /// target on arrival.
   std::uint64_t ColdOverloads_ = 0;
--- a/src/standins/tests/targetstandin_test.cpp
+++ b/src/standins/tests/targetstandin_test.cpp
@@ -68,6 +68,26 @@
   CHECK(Fixture.Record_.runCount("call-1") == 1);
 }
 
+TEST_CASE("a target records the workspace of a run and a key that is passed on",
+          "[standins]") {
+  TargetFixture Fixture(makeSettings("127.0.90.5:19001"));
+  Fixture.send("call-1");
+  Fixture.runUntilReplies(1);
+  CHECK(Fixture.Record_.workspaces().empty());
+  CHECK(Fixture.Target_.counters().KeysReceived_ == 0);
+  HttpRequest Request = makeCall("call-2");
+  Request.Headers_["Workspace"] = "w1";
+  Request.Headers_["Authorization"] = "Bearer x";
+  Fixture.Client_.send(Fixture.Address_, Request, ReplyTimeout,
+                       [&](const HttpClient::Reply &Reply) {
+                         Fixture.Replies_.push_back(Reply);
+                       });
+  Fixture.runUntilReplies(2);
+  CHECK(Fixture.Record_.workspaces() ==
+        std::map<std::string, std::set<std::string>>{{"call-2", {"w1"}}});
+  CHECK(Fixture.Target_.counters().KeysReceived_ == 1);
+}
+
 TEST_CASE(
     "a request that finds the queue full is answered as not run and is not run",
     "[standins]") {
