--- a/src/entry/tests/workspaces_test.cpp
+++ b/src/entry/tests/workspaces_test.cpp
@@ -284,11 +284,11 @@
           "without workspaces a changed credential evades no quarantine",
           "[entry][workspaces]") {
   CallerFixture Fixture;
-  const auto fingerprintOf = [&](const std::string &Key) {
+  const auto FingerprintOf = [&](const std::string &Key) {
     return arrivalOf(Fixture, bearer(Key)).Fingerprint_;
   };
-  CHECK(fingerprintOf("first-key") == fingerprintOf("second-key"));
+  CHECK(FingerprintOf("first-key") == FingerprintOf("second-key"));
   Fixture.setWorkspacesInForce(true);
-  CHECK(fingerprintOf("first-key") != fingerprintOf("second-key"));
-  CHECK(fingerprintOf("first-key") == fingerprintOf("first-key"));
+  CHECK(FingerprintOf("first-key") != FingerprintOf("second-key"));
+  CHECK(FingerprintOf("first-key") == FingerprintOf("first-key"));
 }
