--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -134,8 +134,8 @@
   const bool HasNotRun = Ending == calls::Ending::NotRun ||
                          Ending == calls::Ending::DeadlinePassed;
   if (Call.HoldsQuotaCredit_ && HasNotRun)
-    Core_.Quotas_.giveBack(Core_.Environment_.workspaceName(*Request.Workspace_),
-                           Context.now());
+    Core_.Quotas_.giveBack(
+        Core_.Environment_.workspaceName(*Request.Workspace_), Context.now());
   if (Call.State_ == calls::CallState::AwaitingQuota)
     Core_.Quotas_.cancel(Request.Call_);
   if (Call.HoldsKey_)
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -20,8 +20,9 @@
 Engine::Engine(CoreSettings Settings, framework::Random Rng)
     : Core_(std::move(Settings), Rng), Connections_(Core_),
       Attempts_(Core_, Connections_), Finisher_(Core_, Attempts_),
-      Access_(Core_, Attempts_, Finisher_), Quota_(Core_), Admission_(Core_, Finisher_),
-      Observer_(Core_), Crashes_(Core_, Connections_, Finisher_),
+      Access_(Core_, Attempts_, Finisher_), Quota_(Core_),
+      Admission_(Core_, Finisher_), Observer_(Core_),
+      Crashes_(Core_, Connections_, Finisher_),
       Forwarder_(Core_, Connections_, Attempts_, Finisher_),
       Transport_(Core_, Connections_, Attempts_, Finisher_, Admission_,
                  Observer_, Crashes_, Forwarder_),
--- a/src/decision/internal/quotaguard.cpp
+++ b/src/decision/internal/quotaguard.cpp
@@ -17,7 +17,7 @@
 
 void QuotaGuard::updateMembers() {
   std::vector<quotas::QuotaMember> Running;
-  for (const fleet::MemberInfo &Each : Core_.Fleet_.runningMembers())
+  for (const fleet::MemberInfo &Each : Core_.Fleet_.listRunningMembers())
     Running.push_back({Each.Name_, Each.Incarnation_, Each.Address_});
   Core_.Quotas_.setMembers(std::move(Running), Core_.Fleet_.fleetSize());
 }
@@ -29,8 +29,7 @@
     return quotas::QuotaVerdict::Admitted;
   const framework::WorkspaceName &Name =
       Core_.Environment_.workspaceName(*Request.Workspace_);
-  const document::Workspace *Workspace =
-      Core_.Environment_.findWorkspace(Name);
+  const document::Workspace *Workspace = Core_.Environment_.findWorkspace(Name);
   if (!Workspace || !Workspace->Quota_.isLimited())
     return quotas::QuotaVerdict::Admitted;
   const quotas::QuotaAnswer Answer =
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -132,7 +132,7 @@
   /// the platform publishes a list of instances.
   std::vector<document::PublishedInstance> runningPeers() const;
   /// Returns the same instances with their incarnations.
-  std::vector<MemberInfo> runningMembers() const;
+  std::vector<MemberInfo> listRunningMembers() const;
   /// Returns true when the running instance of this name has the given
   /// incarnation and IP address.
   bool isRunningPeer(const framework::InstanceName &Name,
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -233,8 +233,8 @@
                  : std::vector<document::PublishedInstance>();
 }
 
-std::vector<MemberInfo> Fleet::runningMembers() const {
-  return Seeded_ ? Seeded_->runningMembers() : std::vector<MemberInfo>();
+std::vector<MemberInfo> Fleet::listRunningMembers() const {
+  return Seeded_ ? Seeded_->listRunningMembers() : std::vector<MemberInfo>();
 }
 
 bool Fleet::isRunningPeer(const framework::InstanceName &Name,
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -244,7 +244,7 @@
   return Running;
 }
 
-std::vector<MemberInfo> SeededFleet::runningMembers() const {
+std::vector<MemberInfo> SeededFleet::listRunningMembers() const {
   std::vector<MemberInfo> Running;
   for (const auto &[Name, State] : Membership_.members())
     if (!State.IsLost_ && !State.IsStopping_)
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -74,14 +74,14 @@
   std::vector<document::PublishedInstance> peers() const;
   std::vector<document::PublishedInstance> runningPeers() const;
   /// Returns the other instances that are neither lost nor stopping.
-  std::vector<MemberInfo> runningMembers() const;
+  std::vector<MemberInfo> listRunningMembers() const;
   bool isRunningPeer(const framework::InstanceName &Name,
                      framework::Incarnation Incarnation,
                      const std::string &Address) const;
   std::size_t fleetSize() const;
   /// Returns the number of instances that are neither lost nor stopping, this
   /// one included.
-  std::size_t runningCount() const { return Membership_.runningCount(); }
+  std::size_t runningMembers() const { return Membership_.runningCount(); }
 
   ZonePosition zonePosition() const { return Group_.zonePosition(); }
 
