--- a/src/decision/tests/accessguard_test.cpp
+++ b/src/decision/tests/accessguard_test.cpp
@@ -192,6 +192,22 @@
   CHECK(reasonOf(Later) == calls::EndingReason::AccessUnconfirmed);
 }
 
+// The clock runs on while a process is paused, but nothing checks the view.
+TEST_CASE("a call that waits while the process is paused is not sent with a "
+          "view that got too old",
+          "[access]") {
+  StoreFixture Fixture(makeSettings());
+  publish(Fixture, 6, Key);
+  Fixture.pass(milliseconds(3300));
+  Fixture.ConnectTime_ = milliseconds(100);
+  REQUIRE(sentOf(sendCall(Fixture, 1, "/b/x", makeCredential(Key))).empty());
+  Fixture.Now_.Monotonic_ += milliseconds(400);
+  Fixture.Now_.Wall_ += milliseconds(400);
+  const ActionList Later = Fixture.pass(milliseconds(300));
+  CHECK(sentOf(Later).empty());
+  CHECK(reasonOf(Later) == calls::EndingReason::AccessUnconfirmed);
+}
+
 TEST_CASE("an instance that has just started uses no key before the store has "
           "confirmed its view",
           "[access]") {
