Forget requesters that no longer ask and test one-way links

Cause: the pace that the home instance gives to instances over the quota counted all that ever asked while the workspace was active.

--- a/src/quotas/internal/creditpool.cpp
+++ b/src/quotas/internal/creditpool.cpp
@@ -81,10 +81,6 @@
 }
 
 void CreditPool::tick(const QuotaContext &Context) {
-  std::erase_if(Requesters_, [&](const auto &Each) {
-    return !Each.second.IsWaiting_ &&
-           Context.Now_ >= Each.second.At_ + IdleTimeout;
-  });
   if (isCollecting() &&
       Context.Now_ >= CollectedAt_ + Tries_ * ShareRetryInterval)
     giveUpOn(Context);
@@ -108,7 +104,11 @@
   return std::min(Deadline, Next);
 }
 
-bool CreditPool::isIdle(const QuotaContext &Context) const {
+bool CreditPool::isIdle(const QuotaContext &Context) {
+  std::erase_if(Requesters_, [&](const auto &Each) {
+    return !Each.second.IsWaiting_ &&
+           Context.Now_ >= Each.second.At_ + IdleTimeout;
+  });
   // Slow workspaces collect parts of a credit for longer.
   const Duration Timeout =
       IdleTimeout + timeFor(2 * OneCredit, Context.Limit_.RequestsPerSecond_);
--- a/src/quotas/internal/creditpool.h
+++ b/src/quotas/internal/creditpool.h
@@ -34,7 +34,9 @@
   void adjust(const QuotaContext &Context);
 
   std::optional<framework::Instant> dueAt() const;
-  bool isIdle(const QuotaContext &Context) const;
+  /// Forgets requesters that no longer ask. Returns true if the state is not
+  /// needed any more.
+  bool isIdle(const QuotaContext &Context);
 
 private:
   struct Requester {
--- a/src/quotas/tests/quotafailures_test.cpp
+++ b/src/quotas/tests/quotafailures_test.cpp
@@ -217,3 +217,16 @@
   CHECK(Use >= 0.3);
   checkBound(Fleet);
 }
+
+TEST_CASE("instances that send but hear nothing do not use up the quota",
+          "[quotas]") {
+  // Guards against credits that are granted again and again to instances that
+  // never get them, and against a home instance without answers.
+  QuotaFleet Fleet({.Instances_ = 13, .Limit_ = limitOf(100, 50)});
+  Fleet.run(80, seconds(2));
+  Fleet.deafen(Fleet.home());
+  Fleet.deafen((Fleet.home() + 5) % 13);
+  Fleet.run(200, seconds(1));
+  CHECK(measureUse(Fleet, 100, seconds(20)) >= 0.8);
+  checkBound(Fleet);
+}
--- a/src/quotas/tests/quotafleet.cpp
+++ b/src/quotas/tests/quotafleet.cpp
@@ -259,7 +259,7 @@
   schedule(Now_ + OneWay + Jitter, [this, From, To,
                                     Content = Message.Content_] {
     Node &Receiver = Nodes_[To];
-    if (!Receiver.IsAlive_ || !isConnected(From, To))
+    if (!Receiver.IsAlive_ || Receiver.IsDeaf_ || !isConnected(From, To))
       return;
     const auto Handle = [this, To, Content] {
       std::visit([&](const auto &Each) { at(To).handle(Each, Now_); }, Content);
--- a/src/quotas/tests/quotafleet.h
+++ b/src/quotas/tests/quotafleet.h
@@ -62,6 +62,8 @@
   /// Lets all instances learn the members within the next 1.5 s.
   void refresh();
   void freeze(std::size_t Node, bool IsFrozen);
+  /// Lets an instance send but not receive.
+  void deafen(std::size_t Node) { Nodes_[Node].IsDeaf_ = true; }
   /// Divides the instances: those below `Count` and the others.
   void partition(std::size_t Count);
   void heal();
@@ -92,6 +94,7 @@
     bool IsReady_ = false;
     bool IsFrozen_ = false;
     bool HasLeft_ = false;
+    bool IsDeaf_ = false;
     int Side_ = 0;
     Instant StartedAt_{};
     Instant GoneAt_{};
