Order and shed calls of shared services by the cost to callers

Cause: on a service shared by routes with different priorities or objectives a burst of one kind displaced the others of its priority, long work displaced short work, and the lowest priority starved. Change: scheduling::KindSchedule (static priority with a minimum for each kind, start-time fair queueing within a rank by usual rate and expected work), WorkEstimate (median of response times), and admission::SharedServiceOrder, behind AdmissionSettings::LoadShedding_ (default Off).

--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_ADMISSION_ADMISSIONQUEUE_H
 
 #include "admission/internal/servicequeue.h"
+#include "admission/types/admissionsettings.h"
 #include "admission/types/queuedcall.h"
 #include "admission/types/refusal.h"
 #include "admission/types/servicecapacity.h"
@@ -26,11 +27,14 @@
 /// queued. Call `recordEnded` when the call's last attempt has ended.
 class AdmissionQueue {
 public:
+  explicit AdmissionQueue(AdmissionSettings Settings = {})
+      : Settings_(Settings) {}
+
   /// Adds a service or changes the capacity of its targets.
   void setCapacity(framework::ServiceId Service, ServiceCapacity Capacity);
 
   /// Queues the call. A refused call has not run and is not queued.
-  framework::Result<void, Refusal> offer(const QueuedCall &Call,
+  framework::Result<void, Refusal> offer(const QueuedCall &Offered,
                                          framework::Instant Now);
 
   /// Returns the call to start next, or nothing when none may start. The call
@@ -75,6 +79,7 @@
   framework::Instant nextWakeUp() const;
 
 private:
+  AdmissionSettings Settings_;
   std::map<framework::ServiceId, ServiceQueue> Services_;
   std::map<framework::CallId, QueuedCall> QueuedCalls_;
   std::vector<framework::CallId> ShedCalls_;
--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -26,18 +26,37 @@
          Load != ServiceLoad::Unknown;
 }
 
+/// The run time beyond which an estimate is not believed.
+constexpr Duration MaxExpectedWork = std::chrono::minutes(10);
+
+/// Limits values that make no sense, and drops those that the order of before
+/// does not use.
+QueuedCall normalized(QueuedCall Call, const AdmissionSettings &Settings) {
+  if (Settings.LoadShedding_ == scheduling::LoadSheddingMode::Off) {
+    Call.ExpectedWork_ = Duration::zero();
+    return Call;
+  }
+  Call.Objective_ = std::max(Call.Objective_, Duration::zero());
+  Call.ExpectedWork_ =
+      std::clamp(Call.ExpectedWork_, Duration::zero(), MaxExpectedWork);
+  return Call;
+}
+
 } // namespace
 
 void AdmissionQueue::setCapacity(ServiceId Service, ServiceCapacity Capacity) {
-  Services_[Service].limit().setCapacity(Capacity);
+  Services_.try_emplace(Service, Settings_)
+      .first->second.limit()
+      .setCapacity(Capacity);
 }
 
-framework::Result<void, Refusal> AdmissionQueue::offer(const QueuedCall &Call,
-                                                       Instant Now) {
-  const auto Found = Services_.find(Call.Service_);
+framework::Result<void, Refusal>
+AdmissionQueue::offer(const QueuedCall &Offered, Instant Now) {
+  const auto Found = Services_.find(Offered.Service_);
   if (Found == Services_.end())
     return Refusal{RefusalReason::UnknownService, UnknownServiceRetryAfter};
   ServiceQueue &Queue = Found->second;
+  const QueuedCall Call = normalized(Offered, Settings_);
   BOOST_OUTCOME_TRYV(Queue.offer(Call, Now));
   QueuedCalls_.emplace(Call.Call_, Call);
   if (const auto ShedCall = Queue.shedFor(Call)) {
@@ -56,7 +75,7 @@
   const auto Found = QueuedCalls_.find(Call);
   if (Found == QueuedCalls_.end())
     return false;
-  Services_[Found->second.Service_].remove(Found->second);
+  Services_.at(Found->second.Service_).remove(Found->second);
   QueuedCalls_.erase(Found);
   return true;
 }
@@ -77,7 +96,7 @@
   const auto Found = QueuedCalls_.find(Call);
   if (Found == QueuedCalls_.end())
     return;
-  Services_[Found->second.Service_].recordStarted(Found->second, Now);
+  Services_.at(Found->second.Service_).recordStarted(Found->second, Now);
   QueuedCalls_.erase(Found);
 }
 
--- a/src/admission/internal/priorityclassqueue.cpp
+++ b/src/admission/internal/priorityclassqueue.cpp
@@ -23,10 +23,11 @@
   return IsLate.has_value();
 }
 
-void PriorityClassQueue::eraseStarted(const QueuedCall &Call) {
+bool PriorityClassQueue::eraseStarted(const QueuedCall &Call) {
   const std::optional<bool> IsLate = eraseFromSets(Call);
   if (IsLate && HasTurns_)
     Turns_[Call.Priority_].recordStarted(Call.Workspace_, *IsLate);
+  return IsLate.has_value();
 }
 
 void PriorityClassQueue::demoteLate(framework::Instant Now) {
--- a/src/admission/internal/priorityclassqueue.h
+++ b/src/admission/internal/priorityclassqueue.h
@@ -33,13 +33,15 @@
   void insert(const QueuedCall &Call, double Cost);
   /// Removes a call that does not start. Returns false when it is not queued.
   bool erase(const QueuedCall &Call);
-  /// Removes a call that starts, and charges its workspace for it.
-  void eraseStarted(const QueuedCall &Call);
+  /// Removes a call that starts, and charges its workspace for it. Returns
+  /// false when it is not queued.
+  bool eraseStarted(const QueuedCall &Call);
 
   /// Moves the calls whose latest timely start has passed behind the others.
   void demoteLate(framework::Instant Now);
 
   bool empty() const { return size() == 0; }
+  bool hasTimely() const { return !Timely_.empty(); }
   std::size_t size() const { return Timely_.size() + Late_.size(); }
   /// Returns the call that starts next, and the one to refuse first: of the
   /// lowest priority, the last call of the workspace that has sent most beyond
--- a/src/admission/internal/servicequeue.cpp
+++ b/src/admission/internal/servicequeue.cpp
@@ -10,6 +10,7 @@
 using framework::CallId;
 using framework::Duration;
 using framework::Instant;
+using scheduling::LoadSheddingMode;
 
 constexpr std::size_t MaxQueuedCalls = 512;
 /// An ordinary call is overdue when it arrived this much earlier than the first
@@ -25,6 +26,9 @@
 constexpr double MinTimeFraction = 0.5;
 /// The weight of the latest sample in the average time between starts.
 constexpr double StartIntervalWeight = 0.2;
+/// The waits of all kinds are compared with their deadlines no more often than
+/// this: events come in much shorter intervals in an overload.
+constexpr Duration MinCheckInterval = std::chrono::milliseconds(1);
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(10);
 
 } // namespace
@@ -32,37 +36,47 @@
 framework::Result<void, Refusal> ServiceQueue::offer(const QueuedCall &Call,
                                                      Instant Now) {
   const double Cost = recordOffered(Call, Now);
-  const Duration Wait = expectedWait(Call, Cost, Now);
+  const bool IsByKind =
+      Settings_.LoadShedding_ == LoadSheddingMode::SharedServices &&
+      Shared_.recordOffered(Call, Now);
+  const Duration Wait = expectedWait(Call, Cost, IsByKind, Now);
   const Duration RetryAfter = std::max(Wait, MinRetryAfter);
   const Duration Needed = Wait == Duration::zero()
                               ? std::chrono::duration_cast<Duration>(
-                                    expectedRunTime() * MinTimeFraction)
-                              : Wait + expectedRunTime();
+                                    expectedRunTime(Call) * MinTimeFraction)
+                              : Wait + expectedRunTime(Call);
   if (Now + Needed >= Call.Deadline_)
     return Refusal{RefusalReason::DeadlineTooShort, RetryAfter};
-  const std::size_t QueuedCalls = Queued_[0].size() + Queued_[1].size();
-  const bool CanShedOrdinary =
-      Call.Urgency_ == Urgency::Urgent && !Queued_[1].empty();
-  if (QueuedCalls >= MaxQueuedCalls && !CanShedOrdinary &&
-      !Queued_[index(Call.Urgency_)].hasCallOverShare(Call, Cost))
+  if (size() >= MaxQueuedCalls && !canShedFor(Call, Cost, IsByKind))
     return Refusal{RefusalReason::QueueFull, RetryAfter};
   if (isEmpty())
     LastStartAt_ = Now;
-  Queued_[index(Call.Urgency_)].insert(Call, Cost);
+  if (IsByKind)
+    Shared_.insert(Call, Cost);
+  else
+    Queued_[index(Call.Urgency_)].insert(Call, Cost);
   Deadlines_.insert(Call);
   return framework::success();
 }
 
+bool ServiceQueue::canShedFor(const QueuedCall &Call, double Cost,
+                              bool IsByKind) const {
+  if (IsByKind)
+    return Shared_.hasCallOverShare(Call, Cost);
+  return (Call.Urgency_ == Urgency::Urgent && !Queued_[1].empty()) ||
+         Queued_[index(Call.Urgency_)].hasCallOverShare(Call, Cost);
+}
+
 std::optional<QueuedCall> ServiceQueue::shedFor(const QueuedCall &Added) {
-  const std::size_t QueuedCalls = Queued_[0].size() + Queued_[1].size();
-  if (QueuedCalls <= MaxQueuedCalls)
+  if (size() <= MaxQueuedCalls)
     return std::nullopt;
   const bool IsInFavourOfUrgent =
       Added.Urgency_ == Urgency::Urgent && !Queued_[1].empty();
-  const QueuedCall Shed =
-      IsInFavourOfUrgent
-          ? Queued_[1].last()
-          : Queued_[index(Added.Urgency_)].lastOf(Added.Priority_);
+  const PriorityClassQueue &Class = Queued_[index(Added.Urgency_)];
+  // A service that is shared from now on may have calls in both orders.
+  const QueuedCall Shed = !Shared_.empty()     ? Shared_.last()
+                          : IsInFavourOfUrgent ? Queued_[1].last()
+                                               : Class.lastOf(Added.Priority_);
   remove(Shed);
   return Shed;
 }
@@ -72,8 +86,11 @@
   const auto &Ordinary = Queued_[1];
   const bool HasUrgent = !Urgent.empty() && mayStart(Urgency::Urgent);
   const bool HasOrdinary = !Ordinary.empty() && mayStart(Urgency::Ordinary);
-  if (!HasUrgent && !HasOrdinary)
-    return std::nullopt;
+  if (!HasUrgent && !HasOrdinary) {
+    const QueuedCall *First =
+        Shared_.first(mayStart(Urgency::Urgent), mayStart(Urgency::Ordinary));
+    return First ? std::optional(First->Call_) : std::nullopt;
+  }
   if (!HasOrdinary)
     return Urgent.first().Call_;
   if (!HasUrgent)
@@ -87,7 +104,7 @@
 
 bool ServiceQueue::remove(const QueuedCall &Call) {
   eraseDeadline(Call);
-  return Queued_[index(Call.Urgency_)].erase(Call);
+  return Queued_[index(Call.Urgency_)].erase(Call) || Shared_.erase(Call);
 }
 
 void ServiceQueue::eraseDeadline(const QueuedCall &Call) {
@@ -99,19 +116,22 @@
 void ServiceQueue::takeExpired(Instant Now, std::vector<QueuedCall> &Output) {
   for (PriorityClassQueue &Class : Queued_)
     Class.demoteLate(Now);
-  const Duration Needed = expectedRunTime();
-  while (!Deadlines_.empty() && Deadlines_.begin()->Deadline_ <= Now + Needed) {
+  Shared_.demoteLate(Now);
+  while (!Deadlines_.empty() && latestStart(*Deadlines_.begin()) <=
+                                    Now + unknownRunTime(*Deadlines_.begin())) {
     Output.push_back(*Deadlines_.begin());
     remove(Output.back());
   }
   takeUnservable(Urgency::Urgent, Now, Output);
   takeUnservable(Urgency::Ordinary, Now, Output);
+  takeUnservableKinds(Now, Output);
 }
 
 void ServiceQueue::recordStarted(const QueuedCall &Call, Instant Now) {
   const bool IsUrgent = Call.Urgency_ == Urgency::Urgent;
   eraseDeadline(Call);
-  Queued_[index(Call.Urgency_)].eraseStarted(Call);
+  if (!Queued_[index(Call.Urgency_)].eraseStarted(Call))
+    Shared_.eraseStarted(Call);
   ++Running_[index(Call.Urgency_)];
   recordStartInterval(Now);
   ConsecutiveUrgentStarts_ = IsUrgent ? ConsecutiveUrgentStarts_ + 1 : 0;
@@ -124,12 +144,14 @@
 
 bool ServiceQueue::isAtLimit() const { return !mayStart(Urgency::Ordinary); }
 
-bool ServiceQueue::isEmpty() const {
-  return Queued_[0].empty() && Queued_[1].empty();
+bool ServiceQueue::isEmpty() const { return size() == 0; }
+
+std::size_t ServiceQueue::size() const {
+  return Queued_[0].size() + Queued_[1].size() + Shared_.size();
 }
 
 std::size_t ServiceQueue::queueLength(Urgency Urgency) const {
-  return Queued_[index(Urgency)].size();
+  return Queued_[index(Urgency)].size() + Shared_.size(Urgency);
 }
 
 std::uint32_t ServiceQueue::running() const {
@@ -139,7 +161,7 @@
 std::optional<Instant> ServiceQueue::nextExpiry() const {
   if (Deadlines_.empty())
     return std::nullopt;
-  return Deadlines_.begin()->Deadline_ - expectedRunTime();
+  return latestStart(*Deadlines_.begin()) - unknownRunTime(*Deadlines_.begin());
 }
 
 bool ServiceQueue::mayStart(Urgency Urgency) const {
@@ -155,13 +177,19 @@
   return Weights_.recordCall(Call.Workspace_, Now);
 }
 
+std::size_t ServiceQueue::countBefore(const QueuedCall &Call, double Cost,
+                                      bool IsByKind) const {
+  if (IsByKind)
+    return Queued_[0].size() + Queued_[1].size() +
+           Shared_.countBefore(Call, Cost);
+  if (Call.Urgency_ == Urgency::Urgent)
+    return Queued_[0].countBefore(Call, Cost);
+  return Queued_[0].size() + Queued_[1].countBefore(Call, Cost);
+}
+
 Duration ServiceQueue::expectedWait(const QueuedCall &Call, double Cost,
-                                    Instant Now) const {
-  std::size_t CallsAhead = Queued_[0].size();
-  if (Call.Urgency_ == Urgency::Ordinary)
-    CallsAhead += Queued_[1].countBefore(Call, Cost);
-  else
-    CallsAhead = Queued_[0].countBefore(Call, Cost);
+                                    bool IsByKind, Instant Now) const {
+  const std::size_t CallsAhead = countBefore(Call, Cost, IsByKind);
   if (CallsAhead == 0 && mayStart(Call.Urgency_))
     return Duration::zero();
   const auto Ahead = static_cast<Duration::rep>(CallsAhead);
@@ -177,8 +205,7 @@
 }
 
 Duration ServiceQueue::drainTime(Instant Now) const {
-  return startInterval(Now) *
-         static_cast<Duration::rep>(Queued_[0].size() + Queued_[1].size());
+  return startInterval(Now) * static_cast<Duration::rep>(size());
 }
 
 void ServiceQueue::recordStartInterval(Instant Now) {
@@ -207,8 +234,35 @@
   }
 }
 
+void ServiceQueue::takeUnservableKinds(Instant Now,
+                                       std::vector<QueuedCall> &Output) {
+  if (StartInterval_ == Duration::zero() ||
+      Now - CheckedKindsAt_ < MinCheckInterval)
+    return;
+  CheckedKindsAt_ = Now;
+  const Duration Interval = startInterval(Now);
+  const auto IsUnservable = [&](const QueuedCall &Call,
+                                std::size_t CallsAhead) {
+    const Duration Wait = Interval * static_cast<Duration::rep>(CallsAhead);
+    return Now + Wait + expectedRunTime(Call) > Call.Deadline_;
+  };
+  while (const QueuedCall *Found = Shared_.findLast(IsUnservable)) {
+    Output.push_back(*Found);
+    remove(Output.back());
+  }
+}
+
 Duration ServiceQueue::expectedRunTime() const {
   return Limit_.averageLatency();
 }
 
+Duration ServiceQueue::expectedRunTime(const QueuedCall &Call) const {
+  return Call.ExpectedWork_ > Duration::zero() ? Call.ExpectedWork_
+                                               : expectedRunTime();
+}
+
+Duration ServiceQueue::unknownRunTime(const QueuedCall &Call) const {
+  return expectedRunTime(Call) - Call.ExpectedWork_;
+}
+
 } // namespace cranberryspool::admission
--- a/src/admission/internal/servicequeue.h
+++ b/src/admission/internal/servicequeue.h
@@ -3,6 +3,8 @@
 
 #include "admission/internal/concurrencylimit.h"
 #include "admission/internal/priorityclassqueue.h"
+#include "admission/internal/sharedserviceorder.h"
+#include "admission/types/admissionsettings.h"
 #include "admission/types/queuedcall.h"
 #include "admission/types/refusal.h"
 #include "framework/result.h"
@@ -19,9 +21,12 @@
 
 /// The queued calls of one service and its concurrency limit. Urgent calls have
 /// priority, but an ordinary call that has waited much longer gets every fourth
-/// start.
+/// start. Where kinds with different priorities or objectives share a service
+/// and the settings say so, `SharedServiceOrder` holds the calls instead.
 class ServiceQueue {
 public:
+  explicit ServiceQueue(AdmissionSettings Settings) : Settings_(Settings) {}
+
   framework::Result<void, Refusal> offer(const QueuedCall &Call,
                                          framework::Instant Now);
 
@@ -58,10 +63,15 @@
   std::optional<framework::Instant> nextExpiry() const;
 
 private:
+  /// Returns when the call must start to be answered by its deadline, as far as
+  /// its own run time is known.
+  static framework::Instant latestStart(const QueuedCall &Call) {
+    return Call.Deadline_ - Call.ExpectedWork_;
+  }
   struct ByDeadline {
     bool operator()(const QueuedCall &Left, const QueuedCall &Right) const {
-      return std::tie(Left.Deadline_, Left.Call_) <
-             std::tie(Right.Deadline_, Right.Call_);
+      return std::tuple(latestStart(Left), Left.Call_) <
+             std::tuple(latestStart(Right), Right.Call_);
     }
   };
 
@@ -71,7 +81,13 @@
   bool mayStart(document::Urgency Urgency) const;
   /// Returns how long the call would wait if it were queued now.
   framework::Duration expectedWait(const QueuedCall &Call, double Cost,
-                                   framework::Instant Now) const;
+                                   bool IsByKind, framework::Instant Now) const;
+  std::size_t countBefore(const QueuedCall &Call, double Cost,
+                          bool IsByKind) const;
+  std::size_t size() const;
+  /// Returns whether a call that is queued is refused rather than this one when
+  /// the queue is full.
+  bool canShedFor(const QueuedCall &Call, double Cost, bool IsByKind) const;
   /// Returns the cost of one call of the workspace of the given one, which is
   /// offered now; 1 as long as no call has a workspace.
   double recordOffered(const QueuedCall &Call, framework::Instant Now);
@@ -81,11 +97,19 @@
   /// Removes the calls at the end of a class that will not start in time.
   void takeUnservable(document::Urgency Urgency, framework::Instant Now,
                       std::vector<QueuedCall> &Output);
+  void takeUnservableKinds(framework::Instant Now,
+                           std::vector<QueuedCall> &Output);
   void eraseDeadline(const QueuedCall &Call);
   framework::Duration expectedRunTime() const;
+  /// The run time of the call, or that of all calls when its own is unknown.
+  framework::Duration expectedRunTime(const QueuedCall &Call) const;
+  /// The part of the run time that `latestStart` does not contain.
+  framework::Duration unknownRunTime(const QueuedCall &Call) const;
 
+  AdmissionSettings Settings_;
   ConcurrencyLimit Limit_;
   std::array<PriorityClassQueue, 2> Queued_;
+  SharedServiceOrder Shared_;
   scheduling::LoadWeights Weights_;
   std::set<QueuedCall, ByDeadline> Deadlines_;
   std::array<std::uint32_t, 2> Running_{};
@@ -94,6 +118,7 @@
   /// of the times between such starts.
   framework::Instant LastStartAt_{};
   framework::Duration StartInterval_{};
+  framework::Instant CheckedKindsAt_{};
 };
 
 } // namespace cranberryspool::admission
--- a/src/admission/types/queuedcall.h
+++ b/src/admission/types/queuedcall.h
@@ -24,6 +24,12 @@
   std::uint32_t Priority_ = 0;
   /// The workspace that the call belongs to; nothing when it has none.
   std::optional<framework::WorkspaceId> Workspace_ = std::nullopt;
+  /// The request kind, its latency objective and the expected run time; zero
+  /// where there is none or it is not known. Used for services whose calls are
+  /// ordered by the cost to callers only.
+  std::uint32_t Kind_ = 0;
+  framework::Duration Objective_{};
+  framework::Duration ExpectedWork_{};
 
   bool hasObjective() const {
     return LatestTimelyStart_ != framework::Instant::max();
--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_DECISION_CORESETTINGS_H
 #define CRANBERRYSPOOL_DECISION_CORESETTINGS_H
 
+#include "admission/types/admissionsettings.h"
 #include "fleet/types/seedsettings.h"
 #include "framework/ids.h"
 #include "framework/time.h"
@@ -39,6 +40,8 @@
   /// How long calls are still accepted and queued while the view of the
   /// published state is too old to act on.
   framework::Duration StaleViewGracePeriod_ = std::chrono::seconds(1);
+  /// The settings of the queue in which calls wait to start.
+  admission::AdmissionSettings Admission_ = {};
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/admissioncontroller.cpp
+++ b/src/decision/internal/admissioncontroller.cpp
@@ -25,14 +25,18 @@
   const calls::CallRequest &Request = Call.Request_;
   Call.State_ = calls::CallState::Queued;
   const auto Offered = Core_.Queue_.offer(
-      admission::QueuedCall{.Call_ = Request.Call_,
-                            .Service_ = Request.Service_,
-                            .Urgency_ = Request.Urgency_,
-                            .Arrival_ = Request.Arrival_,
-                            .Deadline_ = Request.Deadline_,
-                            .LatestTimelyStart_ = latestTimelyStart(Request),
-                            .Priority_ = Request.Priority_,
-                            .Workspace_ = Request.Workspace_},
+      admission::QueuedCall{
+          .Call_ = Request.Call_,
+          .Service_ = Request.Service_,
+          .Urgency_ = Request.Urgency_,
+          .Arrival_ = Request.Arrival_,
+          .Deadline_ = Request.Deadline_,
+          .LatestTimelyStart_ = latestTimelyStart(Request),
+          .Priority_ = Request.Priority_,
+          .Workspace_ = Request.Workspace_,
+          .Kind_ = Request.Kind_.value(),
+          .Objective_ = Request.LatencyObjective_,
+          .ExpectedWork_ = Core_.ServiceStats_.expectedWork(Request.Kind_)},
       Context.now());
   if (!Offered)
     Finisher_.fail(Context, Call, reasonOf(Offered.error().Reason_));
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -47,7 +47,7 @@
         Access_(revocationBounds(Settings_), Settings_.KeyIndexSecret_),
         Targets_(Environment_.internZone(Settings_.Zone_),
                  routing::DefaultPolicy(), framework::Random(Rng_.bits())),
-        ServiceStats_(CallSettings_),
+        Queue_(Settings_.Admission_), ServiceStats_(CallSettings_),
         Fleet_(fleet::FleetSettings{.Self_ = Settings_.Self_,
                                     .Incarnation_ = Settings_.Incarnation_,
                                     .Zone_ = Settings_.Zone_,
--- a/src/decision/internal/servicestatistics.h
+++ b/src/decision/internal/servicestatistics.h
@@ -8,6 +8,7 @@
 #include "calls/windowbudget.h"
 #include "decision/internal/callsettings.h"
 #include "framework/ids.h"
+#include "scheduling/workestimate.h"
 
 #include <chrono>
 #include <map>
@@ -67,6 +68,7 @@
   /// Records the latency of an answer of a request kind.
   void recordLatency(calls::KindId Kind, framework::Duration Elapsed) {
     latency(Kind).record(Elapsed);
+    Work_[Kind].record(Elapsed);
     framework::Duration &Mean =
         MeanLatencies_.try_emplace(Kind, Elapsed).first->second;
     Mean += std::chrono::duration_cast<framework::Duration>((Elapsed - Mean) *
@@ -82,6 +84,14 @@
     return Found->second;
   }
 
+  /// Returns the median latency of recent answers of a request kind; zero
+  /// before the first. Unlike the mean it does not follow a few slow targets.
+  framework::Duration expectedWork(calls::KindId Kind) const {
+    const auto Found = Work_.find(Kind);
+    return Found == Work_.end() ? framework::Duration::zero()
+                                : Found->second.median();
+  }
+
   /// Returns the latency estimate of recent answers of a request kind.
   calls::LatencyEstimate &latency(calls::KindId Kind) {
     return Latencies_.try_emplace(Kind, Settings_.HedgeQuantilePerThousand_)
@@ -126,6 +136,7 @@
   std::map<framework::ServiceId, calls::WindowBudget> WindowBudgets_;
   std::map<calls::KindId, calls::LatencyEstimate> Latencies_;
   std::map<calls::KindId, framework::Duration> MeanLatencies_;
+  std::map<calls::KindId, scheduling::WorkEstimate> Work_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/routing/benchmarks/choicebenchmark.cpp
+++ b/src/routing/benchmarks/choicebenchmark.cpp
@@ -95,6 +95,8 @@
 
 /// The number of calls queued while calls are admitted; one more is offered.
 constexpr std::uint64_t Queued = 511;
+/// The number of request kinds, each with a priority of its own.
+constexpr std::uint64_t Kinds = 4;
 
 admission::QueuedCall queuedCall(std::uint64_t Id, std::uint32_t Workspaces,
                                  Instant Now) {
@@ -104,14 +106,21 @@
   Call.LatestTimelyStart_ = Now + seconds(300);
   if (Workspaces > 0)
     Call.Workspace_ = WorkspaceId(static_cast<std::uint32_t>(Id % Workspaces));
+  Call.Kind_ = static_cast<std::uint32_t>(Id % Kinds);
+  Call.Priority_ = Call.Kind_;
+  Call.Objective_ = seconds(300);
+  Call.ExpectedWork_ = milliseconds(8);
   return Call;
 }
 
 /// Measures the same with a full queue, whose calls belong to a number of
-/// workspaces.
+/// workspaces, with and without load shedding for shared services.
 void admitCallToFullQueue(benchmark::State &State) {
   const auto Workspaces = static_cast<std::uint32_t>(State.range(0));
-  admission::AdmissionQueue Queue;
+  const auto Mode = State.range(1) == 0
+                        ? scheduling::LoadSheddingMode::Off
+                        : scheduling::LoadSheddingMode::SharedServices;
+  admission::AdmissionQueue Queue({Mode});
   Queue.setCapacity(ServiceId(3), {200, 1});
   Instant Now(seconds(101));
   std::uint64_t Call = 0;
@@ -120,6 +129,7 @@
   const std::uint64_t Before = routing::allocationCount();
   for (auto Iteration : State) {
     Now += microseconds(1);
+    benchmark::DoNotOptimize(Queue.takeExpired(Now));
     benchmark::DoNotOptimize(
         Queue.offer(queuedCall(++Call, Workspaces, Now), Now));
     const auto Next = Queue.next(ServiceId(3), Now);
@@ -154,6 +164,11 @@
     ->Args({15, 1})
     ->Args({780, 1});
 BENCHMARK(admitCall);
-BENCHMARK(admitCallToFullQueue)->ArgName("workspaces")->Arg(0)->Arg(83);
+BENCHMARK(admitCallToFullQueue)
+    ->ArgNames({"workspaces", "shared"})
+    ->Args({0, 0})
+    ->Args({0, 1})
+    ->Args({83, 0})
+    ->Args({83, 1});
 
 BENCHMARK_MAIN();
