--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -206,6 +206,7 @@
   Arrival_.Credential_ = readCallerCredential(Fields, Profile);
   if (Server_.state().HasWorkspaces_.load())
     Request_.CredentialFields_.clear();
+  error_code Ignored;
   if (Kind_ == CallerKind::Peer) {
     Arrival_.ForwardedBy_ = takeForwardedBy(Request_.Fields_);
     if (!Arrival_.ForwardedBy_) {
@@ -213,19 +214,16 @@
       return;
     }
     Arrival_.ForwardedWorkspace_ = takeForwardedWorkspace(Request_.Fields_);
-    error_code Ignored;
     Arrival_.ForwardedBy_->Address_ =
         Socket_.remote_endpoint(Ignored).address().to_string();
   }
-  const bool IsContinueExpected =
-      beast::iequals(Message[http::field::expect], "100-continue");
   Input_.consume(ConsumedBytes);
   if (!reserveBody())
     return;
   Phase_ = Phase::Body;
   setDeadline(Server_.limits().BodyTimeout_);
-  if (IsContinueExpected && Input_.size() == 0 && !Parser_->is_done()) {
-    error_code Ignored;
+  if (beast::iequals(Message[http::field::expect], "100-continue") &&
+      Input_.size() == 0 && !Parser_->is_done()) {
     Socket_.write_some(
         net::buffer(ContinueResponse.data(), ContinueResponse.size()), Ignored);
   }
