--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_ENTRY_ENTRYSETTINGS_H
 #define CRANBERRYSPOOL_ENTRY_ENTRYSETTINGS_H
 
+#include "admission/types/admissionsettings.h"
 #include "entry/defaulthttpprofile.h"
 #include "entry/storeclient.h"
 #include "entry/types/endpoint.h"
@@ -38,6 +39,7 @@
   /// balancer in front of it sees the failing readiness check first.
   framework::Duration StopLinger_ = std::chrono::seconds(3);
   HttpProfile HttpProfile_ = defaultHttpProfile();
+  admission::AdmissionSettings Admission_ = {};
   /// The settings of discovery by seeds, set together with `StoreFactory_` or
   /// not at all. With both, instances find each other by seeds and read the
   /// platform's store; `DocumentService_` and `InstanceList_` are then unused.
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -294,6 +294,7 @@
     Settings.ForwardPort_ = ForwardListener_.local_endpoint().port();
   Settings.Seeds_ = Settings_.Seeds_;
   Settings.ReportsAttempts_ = Settings_.IsRequestLogEnabled_;
+  Settings.Admission_ = Settings_.Admission_;
   Settings.KeyIndexSecret_ = workspaces::makeProcessSecret();
   return decision::Core(std::move(Settings), framework::Random(randomSeed()));
 }
