Report open kinds as a change only where keys are checked

Cause: diff said of a kind that becomes anonymous that requests without a key are served, also where the documents have no workspaces and such requests were served before. Change: the effect is given only when both documents have workspaces. Measured: test_operations, 107 assertions in 24 test cases pass.

--- a/src/operations/internal/documentdiffer.cpp
+++ b/src/operations/internal/documentdiffer.cpp
@@ -271,13 +271,15 @@
   compare(ChangeCategory::Calls, Subject, "hedging",
           formatValue(Old.IsHedgingAllowed_),
           formatValue(New.IsHedgingAllowed_));
+  const bool AreKeysChecked =
+      !Old_.Workspaces_.empty() && !New_.Workspaces_.empty();
   const ChangeEffect AccessEffect = New.IsAnonymousAllowed_
                                         ? ChangeEffect::ServesWithoutKey
                                         : ChangeEffect::RequiresKey;
   compare(ChangeCategory::Calls, Subject, "anonymous",
           formatValue(Old.IsAnonymousAllowed_),
           formatValue(New.IsAnonymousAllowed_),
-          New_.Workspaces_.empty() ? ChangeEffect::None : AccessEffect);
+          AreKeysChecked ? AccessEffect : ChangeEffect::None);
 }
 
 void DocumentDiffer::compareObjectives(const Service &Old, const Service &New) {
--- a/src/operations/tests/diffcommand_test.cpp
+++ b/src/operations/tests/diffcommand_test.cpp
@@ -136,6 +136,17 @@
              Effect::AcceptsKeys}});
 }
 
+TEST_CASE("without workspaces a kind that becomes anonymous changes nothing",
+          "[operations]") {
+  const EnvironmentDocument Old = loadExample();
+  EnvironmentDocument New = Old;
+  New.Services_[0].Kinds_[0].IsAnonymousAllowed_ = true;
+  const auto Changes = diffDocuments(Old, New);
+  REQUIRE(Changes.size() == 1);
+  CHECK(Changes[0].Property_ == "anonymous");
+  CHECK(Changes[0].Effect_ == ChangeEffect::None);
+}
+
 // The last workspace that goes opens the environment to everybody.
 TEST_CASE("the first and the last workspace change who needs a key",
           "[operations]") {
