--- a/src/admission/internal/servicequeue.cpp
+++ b/src/admission/internal/servicequeue.cpp
@@ -130,7 +130,8 @@
 void ServiceQueue::recordStarted(const QueuedCall &Call, Instant Now) {
   const bool IsUrgent = Call.Urgency_ == Urgency::Urgent;
   eraseDeadline(Call);
-  if (!Queued_[index(Call.Urgency_)].eraseStarted(Call))
+  PriorityClassQueue &Class = Queued_[index(Call.Urgency_)];
+  if (Class.empty() || !Class.eraseStarted(Call))
     Shared_.eraseStarted(Call);
   ++Running_[index(Call.Urgency_)];
   recordStartInterval(Now);
--- a/src/admission/internal/sharedserviceorder.cpp
+++ b/src/admission/internal/sharedserviceorder.cpp
@@ -26,8 +26,9 @@
 }
 
 void SharedServiceOrder::insert(const QueuedCall &Call, double WorkspaceCost) {
-  Kinds_[key(Call)].insert(Call, WorkspaceCost);
-  Schedule_.add(key(Call));
+  const KindKey Key = key(Call);
+  Kinds_[Key].insert(Call, WorkspaceCost);
+  Schedule_.add(Key);
   ++Lengths_[index(Call.Urgency_)];
 }
 
@@ -41,10 +42,11 @@
 }
 
 void SharedServiceOrder::eraseStarted(const QueuedCall &Call) {
-  const auto Calls = Kinds_.find(key(Call));
+  const KindKey Key = key(Call);
+  const auto Calls = Kinds_.find(Key);
   if (Calls == Kinds_.end() || !Calls->second.eraseStarted(Call))
     return;
-  Schedule_.recordStarted(key(Call));
+  Schedule_.recordStarted(Key);
   --Lengths_[index(Call.Urgency_)];
 }
 
--- a/src/scheduling/internal/kindschedule.cpp
+++ b/src/scheduling/internal/kindschedule.cpp
@@ -64,8 +64,10 @@
   ++Queued_;
 }
 
-void KindSchedule::remove(KindKey Kind) {
-  --state(Kind).Queued_;
+void KindSchedule::remove(KindKey Kind) { countRemoved(state(Kind)); }
+
+void KindSchedule::countRemoved(KindState &Removed) {
+  --Removed.Queued_;
   --Queued_;
   if (Queued_ > 0)
     return;
@@ -84,7 +86,7 @@
   Started.Owed_ = std::max(0.0, Started.Owed_ - 1);
   Started.LastTag_ = Started.Tag_;
   Started.Tag_ = Started.tagAfter(1);
-  remove(Kind);
+  countRemoved(Started);
 }
 
 KindKey KindSchedule::furthestWith(const KindState *Added) const {
@@ -152,9 +154,9 @@
 }
 
 KindSchedule::KindState &KindSchedule::state(KindKey Kind) {
-  const auto Place = std::lower_bound(
-      Kinds_.begin(), Kinds_.end(), Kind,
-      [](const KindState &State, KindKey Key) { return State.Key_ < Key; });
+  const auto Place =
+      std::find_if(Kinds_.begin(), Kinds_.end(),
+                   [&](const KindState &State) { return State.Key_ >= Kind; });
   if (Place != Kinds_.end() && Place->Key_ == Kind)
     return *Place;
   KindState New;
--- a/src/scheduling/kindschedule.h
+++ b/src/scheduling/kindschedule.h
@@ -116,6 +116,7 @@
   KindKey furthestWith(const KindState *Added) const;
   const KindState *find(KindKey Kind) const;
   KindState &state(KindKey Kind);
+  void countRemoved(KindState &Removed);
   double startTag(const KindState &State) const;
   /// Returns the number of starts in which the minimum serves so many calls of
   /// the kind.
--- a/src/scheduling/tests/callpolicy.h
+++ b/src/scheduling/tests/callpolicy.h
@@ -70,7 +70,7 @@
 /// and a call that can no longer be answered by its deadline is refused.
 class ListPolicy : public CallPolicy {
 public:
-  ListPolicy(std::uint32_t Slots)
+  explicit ListPolicy(std::uint32_t Slots)
       : Slots_(Slots), OrdinarySlots_(Slots * 4 / 5) {}
 
   std::optional<Duration> offer(const QueuedCall &Call, Instant Now) override {
