Divide the slots of a service by the demand told to peers

Cause: each instance had at least an even share of a service's slots, rounded, whatever its callers asked for, and instances chose the same targets on stale load reports. Change: instances of a peer group tell each other the calls that they have in progress or queued. While a group is short of slots, each instance computes which slots at which targets are its own. A message that exists keeps its bytes.

--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -9,6 +9,8 @@
 #include "routing/types/attemptresult.h"
 #include "routing/types/serviceload.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -27,6 +29,15 @@
   /// Adds a service or changes the capacity of its targets.
   void setCapacity(framework::ServiceId Service, ServiceCapacity Capacity);
 
+  /// Sets the share of the service's slots that limits this instance in place
+  /// of its adaptive limit; nothing restores that. Has no effect on an unknown
+  /// service.
+  void setShare(framework::ServiceId Service,
+                std::optional<std::uint32_t> Share);
+
+  /// Returns the number of calls of the service that are in progress or queued.
+  std::size_t demand(framework::ServiceId Service) const;
+
   /// Queues the call. A refused call has not run and is not queued.
   framework::Result<void, Refusal> offer(const QueuedCall &Call,
                                          framework::Instant Now);
--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -32,6 +32,22 @@
   Services_[Service].limit().setCapacity(Capacity);
 }
 
+void AdmissionQueue::setShare(ServiceId Service,
+                              std::optional<std::uint32_t> Share) {
+  const auto Found = Services_.find(Service);
+  if (Found != Services_.end())
+    Found->second.limit().setShare(Share);
+}
+
+std::size_t AdmissionQueue::demand(ServiceId Service) const {
+  const auto Found = Services_.find(Service);
+  if (Found == Services_.end())
+    return 0;
+  const ServiceQueue &Queue = Found->second;
+  return Queue.running() + Queue.queueLength(document::Urgency::Urgent) +
+         Queue.queueLength(document::Urgency::Ordinary);
+}
+
 framework::Result<void, Refusal> AdmissionQueue::offer(const QueuedCall &Call,
                                                        Instant Now) {
   const auto Found = Services_.find(Call.Service_);
--- a/src/admission/internal/concurrencylimit.cpp
+++ b/src/admission/internal/concurrencylimit.cpp
@@ -81,6 +81,8 @@
 }
 
 std::uint32_t ConcurrencyLimit::limit(document::Urgency Urgency) const {
+  if (Share_)
+    return *Share_ + (Urgency == document::Urgency::Urgent ? 1U : 0U);
   const double Reserved = UrgentReserve * Slots_;
   const double Ordinary = std::min(Limit_, Slots_ - Reserved);
   const double Urgent = std::min(
--- a/src/admission/internal/concurrencylimit.h
+++ b/src/admission/internal/concurrencylimit.h
@@ -7,6 +7,7 @@
 #include "routing/types/serviceload.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cranberryspool::admission {
 
@@ -18,6 +19,10 @@
 public:
   void setCapacity(ServiceCapacity Capacity);
 
+  /// Sets the share of the slots that replaces the adaptive limit; nothing
+  /// restores that.
+  void setShare(std::optional<std::uint32_t> Share) { Share_ = Share; }
+
   /// Records the latency of an answered call. `WasAtLimit` tells whether the
   /// limit was reached when the call ended.
   void recordAnswered(framework::Duration Elapsed, bool WasAtLimit,
@@ -37,6 +42,7 @@
 private:
   void decrease(double Factor, framework::Instant Now);
 
+  std::optional<std::uint32_t> Share_;
   double Slots_ = 1;
   double MinLimit_ = 1;
   /// How much higher than `MinLimit_` the limit of urgent calls stays. It falls
--- a/src/admission/internal/servicequeue.cpp
+++ b/src/admission/internal/servicequeue.cpp
@@ -145,7 +145,8 @@
     return Duration::zero();
   const auto Ahead = static_cast<Duration::rep>(CallsAhead);
   const Duration WaitByLimit =
-      Limit_.averageLatency() * Ahead / Limit_.limit(Call.Urgency_);
+      Limit_.averageLatency() * Ahead /
+      std::max(Limit_.limit(Call.Urgency_), 1U);
   return std::max(WaitByLimit, startInterval(Now) * Ahead);
 }
 
--- /dev/null
+++ b/src/capacity/tests/computeallotment_test.cpp
@@ -0,0 +1,2 @@
+#include "capacity/computeallotment.h"
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/capacity/tests/demandtable_test.cpp
@@ -0,0 +1,2 @@
+#include "capacity/demandtable.h"
+#include <catch2/catch.hpp>
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -8,6 +8,7 @@
 #include "calls/requestquarantine.h"
 #include "calls/silencedetector.h"
 #include "calls/timerqueue.h"
+#include "capacity/demandtable.h"
 #include "decision/corecounters.h"
 #include "decision/coresettings.h"
 #include "decision/internal/callsettings.h"
@@ -84,6 +85,10 @@
   /// Outputs of the fleet module that have not been processed yet.
   fleet::OutputList FleetOutput_;
 
+  /// What the peer group, including this instance, was last told of the demand
+  /// for services.
+  capacity::DemandTable Demand_;
+
   calls::CallTable Calls_;
   calls::ConnectionPool Connections_;
   calls::RequestQuarantine Quarantine_;
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -91,8 +91,10 @@
 }
 
 void Engine::runDueWork(const EventContext &Context) {
-  if (Context.now() >= Core_.Fleet_.nextWakeUp())
+  if (Context.now() >= Core_.Fleet_.nextWakeUp()) {
+    EnvironmentUpdater_.publishDemand();
     Core_.Fleet_.tick(Context.Now_, Core_.FleetOutput_);
+  }
   FleetAdapter_.processOutputs(Context);
   Core_.Targets_.advance(Context.now());
   View_.update(Context);
--- a/src/decision/internal/environmentupdater.cpp
+++ b/src/decision/internal/environmentupdater.cpp
@@ -1,7 +1,9 @@
 #include "decision/internal/environmentupdater.h"
 
+#include "capacity/computeallotment.h"
 #include "decision/internal/ringpositions.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
@@ -62,6 +64,10 @@
 void EnvironmentUpdater::applyShares(const EventContext &Context) {
   updateExtraAttemptLimit();
   updateQueueCapacities();
+  updateServiceSlots();
+  GroupPosition_ = Core_.Fleet_.groupPosition(Context.now());
+  for (const auto &[Service, Share] : std::exchange(SlotShares_, {}))
+    Core_.Queue_.setShare(Service, std::nullopt);
   if (ownPosition() != RingPosition_)
     updateRingDistances();
   for (const routing::TargetDescription &Target :
@@ -75,6 +81,7 @@
           Core_.Fleet_.senderRank(Core_.Environment_.targetName(Target.Target_),
                                   Context.now()));
   }
+  applySlotShares(Context);
 }
 
 routing::TargetLimits
@@ -186,4 +193,68 @@
                              {.Slots_ = Total, .Instances_ = instanceCount()});
 }
 
+void EnvironmentUpdater::updateServiceSlots() {
+  ServiceSlots_.clear();
+  std::map<std::pair<framework::ZoneName, framework::TargetName>,
+           const routing::TargetDescription *>
+      Ordered;
+  for (const routing::TargetDescription &Target : Core_.Environment_.targets())
+    if (!Target.IsLeaving_)
+      Ordered[{Core_.Environment_.zoneName(Target.Zone_),
+               Core_.Environment_.targetName(Target.Target_)}] = &Target;
+  for (const auto &[Name, Target] : Ordered) {
+    ServiceSlots &Slots = ServiceSlots_[Target->Service_];
+    Slots.Targets_.push_back(Target->Target_);
+    Slots.Slots_.push_back(Target->Slots_);
+  }
+}
+
+void EnvironmentUpdater::publishDemand() {
+  std::vector<capacity::ServiceDemand> Services;
+  for (const auto &[Service, Slots] : ServiceSlots_)
+    if (const std::size_t Calls = Core_.Queue_.demand(Service))
+      Services.push_back({Core_.Environment_.serviceName(Service),
+                          static_cast<std::uint32_t>(Calls)});
+  Core_.Fleet_.setDemand(std::move(Services));
+}
+
+std::optional<capacity::SlotAllotment>
+EnvironmentUpdater::computeShare(framework::ServiceId Service,
+                                 const ServiceSlots &Slots,
+                                 framework::Instant Now) const {
+  if (!GroupPosition_)
+    return std::nullopt;
+  capacity::PeerGroupDemand Group;
+  Group.FleetSize_ = GroupPosition_->FleetSize_;
+  Group.FirstRank_ = GroupPosition_->FirstRank_;
+  const framework::ServiceName &Name = Core_.Environment_.serviceName(Service);
+  for (const framework::InstanceName &Member : GroupPosition_->Members_) {
+    if (Member == Core_.Settings_.Self_)
+      Group.Own_ = Group.Calls_.size();
+    Group.Calls_.push_back(Core_.Demand_.demand(Member, Name, Now));
+  }
+  return capacity::computeAllotment(Slots.Slots_, Group);
+}
+
+void EnvironmentUpdater::applySlotShares(const EventContext &Context) {
+  for (const auto &[Service, Slots] : ServiceSlots_) {
+    const auto Share = computeShare(Service, Slots, Context.now());
+    const auto Previous = SlotShares_.find(Service);
+    const bool HasPrevious = Previous != SlotShares_.end();
+    if (HasPrevious == Share.has_value() &&
+        (!Share || Previous->second == *Share))
+      continue;
+    Core_.Queue_.setShare(Service,
+                          Share ? std::optional(Share->Total_) : std::nullopt);
+    for (std::size_t Index = 0; Index < Slots.Targets_.size(); ++Index)
+      Core_.Targets_.setSlotShare(Slots.Targets_[Index],
+                                  Share ? Share->SlotsByTarget_[Index] : 0,
+                                  Context.now());
+    if (Share)
+      SlotShares_[Service] = *Share;
+    else
+      SlotShares_.erase(Service);
+  }
+}
+
 } // namespace cranberryspool::decision
--- a/src/decision/internal/environmentupdater.h
+++ b/src/decision/internal/environmentupdater.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENTUPDATER_H
 #define CRANBERRYSPOOL_DECISION_INTERNAL_ENVIRONMENTUPDATER_H
 
+#include "capacity/types/slotallotment.h"
 #include "decision/internal/corestate.h"
 #include "decision/internal/eventcontext.h"
 #include "decision/internal/transporteventhandler.h"
@@ -8,7 +9,9 @@
 #include "document/types/publishedinstance.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace cranberryspool::decision {
@@ -27,6 +30,12 @@
                         std::vector<fleet::PublishedTarget> Targets);
   /// Updates this instance's shares of fleet-wide limits.
   void applyShares(const EventContext &Context);
+  /// Updates this instance's shares of the slots of services after a change of
+  /// the demand of the peer group.
+  void applySlotShares(const EventContext &Context);
+  /// Passes the demand for services on to the fleet, which tells the peer
+  /// group.
+  void publishDemand();
   /// Returns the number of services that have a listed target that accepts
   /// work.
   std::size_t countServedServices() const;
@@ -45,6 +54,18 @@
   fleet::ZonePosition ownPosition() const;
   void updateRingDistances();
 
+  /// The targets of a service in the order in which all instances divide their
+  /// slots.
+  struct ServiceSlots {
+    std::vector<framework::TargetId> Targets_;
+    std::vector<std::uint32_t> Slots_;
+  };
+
+  void updateServiceSlots();
+  std::optional<capacity::SlotAllotment>
+  computeShare(framework::ServiceId Service, const ServiceSlots &Slots,
+               framework::Instant Now) const;
+
   /// Where a target stands on the ring of `RingPositions`.
   struct RingPlace {
     double Distance_ = 0;
@@ -55,6 +76,10 @@
   TransportEventHandler &Transport_;
   fleet::ZonePosition RingPosition_;
   std::map<framework::TargetId, RingPlace> RingPlaces_;
+  std::optional<fleet::GroupPosition> GroupPosition_;
+  std::map<framework::ServiceId, ServiceSlots> ServiceSlots_;
+  /// The shares in force; a service without one is limited adaptively.
+  std::map<framework::ServiceId, capacity::SlotAllotment> SlotShares_;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -141,6 +141,16 @@
          std::to_string(Output.Revision_.value()));
 }
 
+void FleetAdapter::apply(const EventContext &Context,
+                         const fleet::DemandReceived &Output) {
+  const auto Fault = Core_.Demand_.record(Output.Update_, Context.now());
+  if (Fault)
+    reportRejectedMessage(Context,
+                          Output.Update_.From_.value() + ": " + *Fault);
+  else
+    EnvironmentUpdater_.applySlotShares(Context);
+}
+
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::DocumentRejected &Output) {
   ++Core_.Counters_.DocumentsRejected_;
--- a/src/decision/internal/fleetadapter.h
+++ b/src/decision/internal/fleetadapter.h
@@ -60,6 +60,7 @@
 
 private:
   void apply(const EventContext &Context, const fleet::DocumentApplied &Output);
+  void apply(const EventContext &Context, const fleet::DemandReceived &Output);
   void apply(const EventContext &Context,
              const fleet::DocumentRejected &Output);
   void apply(const EventContext &Context, const fleet::FetchSections &Output);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -9,6 +9,7 @@
 #include "fleet/peermessage.h"
 #include "fleet/types/crashnotice.h"
 #include "fleet/types/crashnoticerecipients.h"
+#include "fleet/types/groupposition.h"
 #include "fleet/types/publishedtarget.h"
 #include "fleet/types/sectionreply.h"
 #include "fleet/types/sectionrequest.h"
@@ -104,6 +105,14 @@
   void recordLoad(const framework::TargetName &Target,
                   const routing::LoadReport &Report, framework::Instant Now);
 
+  /// Sets the demand that the next `tick` tells the peer group. Services
+  /// without demand are left out.
+  void setDemand(std::vector<capacity::ServiceDemand> Services);
+  /// Returns the position of this instance's peer group; nothing while a
+  /// starting instance does not know most of the others, and where the platform
+  /// publishes a list of instances.
+  std::optional<GroupPosition> groupPosition(framework::Instant Now) const;
+
   /// Sends crash notices to other instances.
   void sendCrashNotices(std::vector<CrashNotice> Notices,
                         CrashNoticeRecipients Recipients, framework::Moment Now,
--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -206,6 +206,20 @@
   Visit(Item.Notices_);
 }
 
+template <typename Visitor>
+void visitFields(capacity::ServiceDemand &Item, Visitor &&Visit) {
+  Visit(Item.Service_);
+  Visit(Item.Calls_);
+}
+
+template <typename Visitor>
+void visitFields(capacity::DemandUpdate &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Sequence_);
+  Visit(Item.Services_);
+}
+
 template <typename Visitor>
 void visitFields(RecordFragment &Item, Visitor &&Visit) {
   Visit(Item.From_);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -107,6 +107,8 @@
             State_->handle(Item, Now, Output);
         } else if constexpr (std::is_same_v<MessageType, GossipMessage> ||
                              std::is_same_v<MessageType, LoadUpdate> ||
+                             std::is_same_v<MessageType,
+                                            capacity::DemandUpdate> ||
                              std::is_same_v<MessageType, RecordUpdate> ||
                              std::is_same_v<MessageType, RecordFragment>) {
           if (Seeded_)
@@ -176,6 +178,16 @@
     Seeded_->recordLoad(Target, Report, Now);
 }
 
+void Fleet::setDemand(std::vector<capacity::ServiceDemand> Services) {
+  if (Seeded_)
+    Seeded_->setDemand(std::move(Services));
+}
+
+std::optional<GroupPosition>
+Fleet::groupPosition(framework::Instant Now) const {
+  return Seeded_ ? Seeded_->groupPosition(Now) : std::nullopt;
+}
+
 void Fleet::sendCrashNotices(std::vector<CrashNotice> Notices,
                              CrashNoticeRecipients Recipients,
                              framework::Moment Now, OutputList &Output) {
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -97,6 +97,7 @@
   notifySharesChanged(MonotonicNow, Output);
   Replicator_.tick(makeContext(Now, Output));
   sendLoads(makeContext(Now, Output));
+  sendDemand(makeContext(Now, Output));
   if (MonotonicNow >= NextGossipAt_)
     sendGossipRound(MonotonicNow, Output);
   if (MonotonicNow >= NextSeedContactAt_)
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -10,6 +10,7 @@
 #include "fleet/internal/seeded/storereplicator.h"
 #include "fleet/output.h"
 #include "fleet/types/crashnoticerecipients.h"
+#include "fleet/types/groupposition.h"
 #include "framework/moment.h"
 #include "framework/random.h"
 #include "routing/types/senderrank.h"
@@ -18,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cranberryspool::fleet {
@@ -44,6 +46,12 @@
               OutputList &Output);
   void handle(const CrashUpdate &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const capacity::DemandUpdate &Message, framework::Moment Now,
+              OutputList &Output);
+  void setDemand(std::vector<capacity::ServiceDemand> Services) {
+    Demand_ = std::move(Services);
+  }
+  std::optional<GroupPosition> groupPosition(framework::Instant Now) const;
   void sendCrashNotices(std::vector<CrashNotice> Notices,
                         CrashNoticeRecipients Recipients, framework::Moment Now,
                         OutputList &Output);
@@ -119,6 +127,7 @@
   void notifySharesChanged(framework::Instant Now, OutputList &Output);
   EventContext makeContext(framework::Moment Now, OutputList &Output) const;
   void sendLoads(const EventContext &Context);
+  void sendDemand(const EventContext &Context);
   /// Returns the addresses of randomly chosen members that are not lost.
   std::vector<std::string> chooseMembers(std::size_t Count);
   std::vector<CrashUpdate>
@@ -143,6 +152,10 @@
   PeerGroup Group_;
   LoadReportExchange Loads_;
   StoreReplicator Replicator_;
+  std::vector<capacity::ServiceDemand> Demand_;
+  std::vector<capacity::ServiceDemand> SentDemand_;
+  std::uint64_t DemandSequence_ = 0;
+  framework::Instant NextDemandAt_{};
   bool IsStopping_ = false;
   ShareInputs NotifiedInputs_;
   framework::Instant StartedAt_{};
--- a/src/fleet/output.h
+++ b/src/fleet/output.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_FLEET_OUTPUT_H
 
 #include "fleet/types/outputs/crashnoticesreceived.h"
+#include "fleet/types/outputs/demandreceived.h"
 #include "fleet/types/outputs/documentapplied.h"
 #include "fleet/types/outputs/documentrejected.h"
 #include "fleet/types/outputs/fetchsections.h"
@@ -36,7 +37,7 @@
                  StaleValueIgnored, PeerReachabilityChanged, ReadPublished,
                  ReadRecords, RecordRejected, SendMessage, Superseded,
                  SharesChanged, TargetReportedCold, TargetReportedWarm,
-                 TargetsChanged, ViewFreshnessChanged>;
+                 TargetsChanged, ViewFreshnessChanged, DemandReceived>;
 
 /// Outputs in the order in which they must be processed.
 using OutputList = std::vector<Output>;
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_FLEET_PEERMESSAGE_H
 #define CRANBERRYSPOOL_FLEET_PEERMESSAGE_H
 
+#include "capacity/types/demandupdate.h"
 #include "fleet/types/crashupdate.h"
 #include "fleet/types/gossipmessage.h"
 #include "fleet/types/heartbeat.h"
@@ -24,7 +25,8 @@
 using PeerMessage =
     std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
                  KeyEndedAck, KeyHandover, KeyHandoverAck, GossipMessage,
-                 LoadUpdate, RecordUpdate, RecordFragment, CrashUpdate>;
+                 LoadUpdate, RecordUpdate, RecordFragment, CrashUpdate,
+                 capacity::DemandUpdate>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/routing/internal/reportedloadpolicy.cpp
+++ b/src/routing/internal/reportedloadpolicy.cpp
@@ -29,6 +29,8 @@
       From, Settings_.Affinity_.SampleSize_, Rng, [&](std::size_t Position) {
         if (needsTrial(From.state(Position)))
           return 0.0;
+        if (From.state(Position).hasFreeShare())
+          return shareLatencyMicros(From, Position);
         const double Latency = expectedLatencyMicros(From, Position);
         if (!From.state(Position).Report_.SlowdownPercent_)
           return Latency;
@@ -40,6 +42,15 @@
       });
 }
 
+double ReportedLoadPolicy::shareLatencyMicros(const Candidates &From,
+                                              std::size_t Position) const {
+  const TargetState &State = From.state(Position);
+  const double Slowdown =
+      State.Report_.SlowdownPercent_.value_or(100) / 100.0;
+  return Settings_.ShareCost_ * Slowdown *
+         std::max(From.serviceLatencyMicros(), 1.0) / From.serviceSlowdown();
+}
+
 double ReportedLoadPolicy::expectedLatencyMicros(const Candidates &From,
                                                  std::size_t Position) const {
   const TargetState &State = From.state(Position);
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -153,6 +153,15 @@
   updateEligibility(Target, Now);
 }
 
+void TargetRegistry::setSlotShare(TargetId Target, std::uint32_t Slots,
+                                  Instant Now) {
+  if (Target.value() >= States_.size() ||
+      States_[Target.value()].Limits_.SlotShare_ == Slots)
+    return;
+  States_[Target.value()].Limits_.SlotShare_ = Slots;
+  updateEligibility(Target, Now);
+}
+
 void TargetRegistry::setLimits(TargetId Target, const TargetLimits &Limits) {
   if (Target.value() >= States_.size())
     return;
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -30,6 +30,9 @@
                   framework::Instant Now);
   void setLimits(framework::TargetId Target, const TargetLimits &Limits);
 
+  void setSlotShare(framework::TargetId Target, std::uint32_t Slots,
+                    framework::Instant Now);
+
   void recordSent(framework::TargetId Target, framework::Instant Now);
   void recordEnded(framework::TargetId Target, AttemptResult Result,
                    framework::Duration Elapsed, framework::Instant Now);
--- a/src/routing/internal/targetselection.cpp
+++ b/src/routing/internal/targetselection.cpp
@@ -105,7 +105,8 @@
     return false;
   if (Entry.Health_.isEjected() || Entry.Health_.isBlocked(Now))
     return false;
-  if (Now < Entry.UnreachableUntil_ || isFull(State, Now))
+  if (Now < Entry.UnreachableUntil_ ||
+      (!State.hasFreeShare() && isFull(State, Now)))
     return false;
   if (!RequestLimits_.of(Target).canSend(Now))
     return false;
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -152,6 +152,12 @@
     return Registry_.serviceLoad(Service, Now);
   }
 
+  /// Sets the number of the target's slots that are this instance's share.
+  void setSlotShare(framework::TargetId Target, std::uint32_t Slots,
+                    framework::Instant Now) {
+    Registry_.setSlotShare(Target, Slots, Now);
+  }
+
   bool isCold(framework::TargetId Target) const {
     return Registry_.isCold(Target);
   }
--- a/src/routing/types/targetlimits.h
+++ b/src/routing/types/targetlimits.h
@@ -22,6 +22,9 @@
   /// True when the target is one of the few of its service and availability
   /// zone that this instance prefers, so that its connections are reused.
   bool IsPreferred_ = false;
+  /// The number of the target's slots that are this instance's share. While it
+  /// uses fewer of them, the target is not full whatever the reports say.
+  std::uint32_t SlotShare_ = 0;
   /// When set, the maximum rate of this instance's requests to the target while
   /// the target is cold. Replaces `MaxColdInFlight_`.
   std::optional<double> ColdRequestsPerSecond_ = std::nullopt;
--- a/src/routing/types/targetstate.h
+++ b/src/routing/types/targetstate.h
@@ -48,6 +48,9 @@
   /// The moving average of the response time; zero before the first response.
   double LatencyMicros_ = 0;
 
+  /// Returns true when a slot of this instance's share is free.
+  bool hasFreeShare() const { return InFlight_ < Limits_.SlotShare_; }
+
   void recordSent(framework::Instant Now) {
     if (SentSinceReport_.size() < MaxSendTimes)
       SentSinceReport_.push_back(Now);
