--- a/src/admission/tests/admissionqueue_test.cpp
+++ b/src/admission/tests/admissionqueue_test.cpp
@@ -230,6 +230,21 @@
   CHECK(startAll(Queue, at({})).size() <= 6);
 }
 
+// Guards against an adaptive limit that allows more than the share.
+TEST_CASE("a share replaces the adaptive limit until it is withdrawn",
+          "[admission]") {
+  ConcurrencyLimit Limit;
+  Limit.setCapacity({.Slots_ = 24, .Instances_ = 17});
+  const auto Adaptive = Limit.limit(document::Urgency::Ordinary);
+  Limit.setShare(2);
+  CHECK(Limit.limit(document::Urgency::Ordinary) == 2);
+  CHECK(Limit.limit(document::Urgency::Urgent) == 3);
+  Limit.setShare(0);
+  CHECK(Limit.limit(document::Urgency::Ordinary) == 0);
+  Limit.setShare(std::nullopt);
+  CHECK(Limit.limit(document::Urgency::Ordinary) == Adaptive);
+}
+
 TEST_CASE("lost connections lower the limit only while the service is busy",
           "[admission]") {
   const auto Load = GENERATE(ServiceLoad::Low, ServiceLoad::Busy);
--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -37,6 +37,10 @@
   std::uint64_t TargetCrashes_ = 0;
   std::uint64_t CallsQuarantined_ = 0;
   std::uint64_t PeerMessagesRejected_ = 0;
+  /// The slots that are this instance's shares of contended services now; zero
+  /// while all services are limited adaptively. A gauge, not a counter.
+  std::uint64_t SlotsInShares_ = 0;
+  std::uint64_t SlotShareChanges_ = 0;
 
   /// Calls forwarded to other instances, counted for each that was tried.
   std::uint64_t CallsForwarded_ = 0;
--- a/src/decision/internal/environmentupdater.cpp
+++ b/src/decision/internal/environmentupdater.cpp
@@ -254,7 +254,11 @@
       SlotShares_[Service] = *Share;
     else
       SlotShares_.erase(Service);
+    ++Core_.Counters_.SlotShareChanges_;
   }
+  Core_.Counters_.SlotsInShares_ = 0;
+  for (const auto &[Service, Share] : SlotShares_)
+    Core_.Counters_.SlotsInShares_ += Share.Total_;
 }
 
 } // namespace cranberryspool::decision
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -61,6 +61,9 @@
     {"cranberryspool_peer_messages_rejected_total",
      "Messages of instances that could not be decoded or used",
      &CoreCounters::PeerMessagesRejected_},
+    {"cranberryspool_slot_share_changes_total",
+     "Changes of this instance's shares of contended services",
+     &CoreCounters::SlotShareChanges_},
     {"cranberryspool_calls_forwarded_total",
      "Calls offered to other instances because no target could be reached",
      &CoreCounters::CallsForwarded_},
@@ -177,6 +180,9 @@
   AddGauge("cranberryspool_targets_limited",
            "Targets that limit the requests of all instances",
            static_cast<double>(Status.LimitedTargets_));
+  AddGauge("cranberryspool_slots_in_shares",
+           "Slots that are this instance's shares of contended services",
+           static_cast<double>(Counters.SlotsInShares_));
   AddGauge("cranberryspool_peers_heard", "Peers heard lately",
            static_cast<double>(ReachablePeers));
   AddGauge("cranberryspool_calls_open", "Calls that have not ended",
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -107,6 +107,8 @@
                                 {framework::TargetName("t2"), {}}},
                                std::chrono::seconds(9)},
                    CrashNotice{}}},
+      capacity::DemandUpdate{
+          Name, Incarnation, 12, {{framework::ServiceName("s"), 40}, {}}},
   };
 }
 
