--- a/src/admission/internal/servicequeue.cpp
+++ b/src/admission/internal/servicequeue.cpp
@@ -144,9 +144,8 @@
   if (CallsAhead == 0 && mayStart(Call.Urgency_))
     return Duration::zero();
   const auto Ahead = static_cast<Duration::rep>(CallsAhead);
-  const Duration WaitByLimit =
-      Limit_.averageLatency() * Ahead /
-      std::max(Limit_.limit(Call.Urgency_), 1U);
+  const Duration WaitByLimit = Limit_.averageLatency() * Ahead /
+                               std::max(Limit_.limit(Call.Urgency_), 1U);
   return std::max(WaitByLimit, startInterval(Now) * Ahead);
 }
 
--- a/src/decision/internal/environmentupdater.cpp
+++ b/src/decision/internal/environmentupdater.cpp
@@ -237,6 +237,7 @@
 }
 
 void EnvironmentUpdater::applySlotShares(const EventContext &Context) {
+  Core_.Demand_.expire(Context.now());
   for (const auto &[Service, Slots] : ServiceSlots_) {
     const auto Share = computeShare(Service, Slots, Context.now());
     const auto Previous = SlotShares_.find(Service);
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -324,6 +324,35 @@
   }
 }
 
+// Guards against figures of an instance that is gone or was never known, and
+// against peers that do not agree on the order of the group.
+TEST_CASE("demand is taken from known instances only", "[seeds]") {
+  SeededSimulation Simulation(3);
+  Simulation.pass(seconds(2));
+  const auto Position =
+      Simulation.Instances_[1].groupPosition(Simulation.Now_.Monotonic_);
+  REQUIRE(Position);
+  CHECK(Position->FleetSize_ == 3);
+  CHECK(Position->FirstRank_ == 0);
+  CHECK(Position->Members_.size() == 3);
+  const auto Receive = [&](const char *From, std::uint64_t Incarnation) {
+    OutputList Output;
+    Simulation.Instances_[0].handle(
+        capacity::DemandUpdate{framework::InstanceName(From),
+                               framework::Incarnation(Incarnation),
+                               1,
+                               {{framework::ServiceName("s"), 4}}},
+        Simulation.Now_, Output);
+    return Output;
+  };
+  CHECK(outputsOf<DemandReceived>(Receive("entry-2", 1000)).size() == 1);
+  for (const OutputList &Output :
+       {Receive("entry-2", 999), Receive("stranger", 1000)}) {
+    CHECK(outputsOf<DemandReceived>(Output).empty());
+    CHECK(outputsOf<PeerMessageRejected>(Output).size() == 1);
+  }
+}
+
 TEST_CASE("a full crash update fits in a datagram", "[crash]") {
   CrashNotice Largest;
   Largest.Request_ = {~std::uint64_t{0}, ~std::uint64_t{0}};
--- a/src/routing/internal/reportedloadpolicy.cpp
+++ b/src/routing/internal/reportedloadpolicy.cpp
@@ -45,8 +45,7 @@
 double ReportedLoadPolicy::shareLatencyMicros(const Candidates &From,
                                               std::size_t Position) const {
   const TargetState &State = From.state(Position);
-  const double Slowdown =
-      State.Report_.SlowdownPercent_.value_or(100) / 100.0;
+  const double Slowdown = State.Report_.SlowdownPercent_.value_or(100) / 100.0;
   return Settings_.ShareCost_ * Slowdown *
          std::max(From.serviceLatencyMicros(), 1.0) / From.serviceSlowdown();
 }
--- a/src/routing/policies/reportedloadpolicy.h
+++ b/src/routing/policies/reportedloadpolicy.h
@@ -38,9 +38,9 @@
   /// The maximum random increase of costs, as a fraction, so that instances
   /// with the same reports do not all select the same target.
   double CostJitter_ = 0.1;
-  /// The cost of a target at which a slot of this instance's share is free, as a
-  /// fraction of the time that work takes there. It is below that of any other
-  /// target of the same speed, since no other instance uses that slot.
+  /// The cost of a target at which a slot of this instance's share is free, as
+  /// a fraction of the time that work takes there. It is below that of any
+  /// other target of the same speed, since no other instance uses that slot.
   double ShareCost_ = 0.5;
 };
 
