Merge the division of slots by demand, behind a setting that is off

Cause: with the division of slots every instance with peers decides and sends otherwise than before, and deployments that do not ask for it must be served as before.

--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -25,6 +25,9 @@
   std::uint16_t ForwardPort_ = 0;
   /// Keys the index of the workspaces' keys; random in production.
   workspaces::ProcessSecret KeyIndexSecret_ = {};
+  /// Whether instances tell their peer group the demand of their callers and
+  /// divide the slots of a service by it while they are short.
+  bool IsSlotSharingEnabled_ = false;
   /// Set if instances discover each other through seeds and read the platform's
   /// metadata store. Otherwise they read the platform's document and instance
   /// list.
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -8,6 +8,7 @@
 #include "calls/requestquarantine.h"
 #include "calls/silencedetector.h"
 #include "calls/timerqueue.h"
+#include "capacity/demandtable.h"
 #include "decision/corecounters.h"
 #include "decision/coresettings.h"
 #include "decision/internal/callsettings.h"
@@ -103,6 +104,9 @@
   fleet::OutputList FleetOutput_;
 
   quotas::QuotaCoordinator Quotas_;
+  /// What the peer group, including this instance, was last told of the demand
+  /// for services.
+  capacity::DemandTable Demand_;
 
   calls::CallTable Calls_;
   calls::ConnectionPool Connections_;
--- a/src/decision/tests/fleetsimulation.cpp
+++ b/src/decision/tests/fleetsimulation.cpp
@@ -100,6 +100,7 @@
 
 Core FleetSimulation::makeCore(std::size_t Instance) {
   CoreSettings Core;
+  Core.IsSlotSharingEnabled_ = true;
   Core.Self_ = framework::InstanceName("entry-" + std::to_string(Instance));
   Core.Incarnation_ = framework::Incarnation(1 + Starts_[Instance]);
   Core.Zone_ = framework::ZoneName("a");
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -40,6 +40,9 @@
   framework::Duration StopLinger_ = std::chrono::seconds(3);
   HttpProfile HttpProfile_ = defaultHttpProfile();
   admission::AdmissionSettings Admission_ = {};
+  /// Whether instances divide the slots of a short service by the demand of
+  /// their callers.
+  bool IsSlotSharingEnabled_ = false;
   /// The settings of discovery by seeds, set together with `StoreFactory_` or
   /// not at all. With both, instances find each other by seeds and read the
   /// platform's store; `DocumentService_` and `InstanceList_` are then unused.
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -295,6 +295,7 @@
   Settings.Seeds_ = Settings_.Seeds_;
   Settings.ReportsAttempts_ = Settings_.IsRequestLogEnabled_;
   Settings.Admission_ = Settings_.Admission_;
+  Settings.IsSlotSharingEnabled_ = Settings_.IsSlotSharingEnabled_;
   Settings.KeyIndexSecret_ = workspaces::makeProcessSecret();
   return decision::Core(std::move(Settings), framework::Random(randomSeed()));
 }
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -114,6 +114,8 @@
       quotas::QuotaGrant{Name, Incarnation, Incarnation, 900,
                          framework::WorkspaceName("w1"), 1'000'000,
                          std::chrono::milliseconds(40)},
+      capacity::DemandUpdate{
+          Name, Incarnation, 12, {{framework::ServiceName("s"), 40}, {}}},
   };
 }
 
