Tell restarted instances the size of the fleet

Cause: an instance that restarted in a partition took the peers that it heard for the whole fleet and issued a larger share. Change: requests and grants carry the largest number of instances known to have run, with its age. A setting gives the expected number to an instance that starts and hears nobody.

--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -219,6 +219,12 @@
   Visit(Item.Bytes_);
 }
 
+template <typename Visitor>
+void visitFields(quotas::FleetSize &Item, Visitor &&Visit) {
+  Visit(Item.Count_);
+  Visit(Item.Age_);
+}
+
 template <typename Visitor>
 void visitFields(quotas::QuotaRequest &Item, Visitor &&Visit) {
   Visit(Item.From_);
@@ -228,6 +234,7 @@
   Visit(Item.IsForShare_);
   Visit(Item.Wanted_);
   Visit(Item.Returned_);
+  Visit(Item.Fleet_);
 }
 
 template <typename Visitor>
@@ -239,6 +246,7 @@
   Visit(Item.Workspace_);
   Visit(Item.Granted_);
   Visit(Item.NextCreditIn_);
+  Visit(Item.Fleet_);
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <string_view>
 #include <type_traits>
@@ -109,11 +110,22 @@
                                 {framework::TargetName("t2"), {}}},
                                std::chrono::seconds(9)},
                    CrashNotice{}}},
-      quotas::QuotaRequest{Name, Incarnation, framework::WorkspaceName("w1"),
-                           900, true, 1'500'000, 70},
-      quotas::QuotaGrant{Name, Incarnation, Incarnation, 900,
-                         framework::WorkspaceName("w1"), 1'000'000,
-                         std::chrono::milliseconds(40)},
+      quotas::QuotaRequest{Name,
+                           Incarnation,
+                           framework::WorkspaceName("w1"),
+                           900,
+                           true,
+                           1'500'000,
+                           70,
+                           {48, std::chrono::seconds(2)}},
+      quotas::QuotaGrant{Name,
+                         Incarnation,
+                         Incarnation,
+                         900,
+                         framework::WorkspaceName("w1"),
+                         1'000'000,
+                         std::chrono::milliseconds(40),
+                         {48, std::chrono::seconds(2)}},
   };
 }
 
@@ -156,14 +168,15 @@
       framework::InstanceName("a"),  framework::Incarnation(1),
       framework::Incarnation(1),     1,
       framework::WorkspaceName("w"), 23,
-      framework::Duration(1)};
+      framework::Duration(1),        {}};
   const std::vector<std::uint8_t> Encoded = encodePeerMessage(Grant);
   const std::vector<std::vector<std::uint8_t>> Amounts = {
       {0x20}, {0xf9, 0x7e, 0x00}, {0xf9, 0x7c, 0x00}, {0x61, '1'}};
   for (const auto &Amount : Amounts) {
     std::vector<std::uint8_t> Changed = Encoded;
-    Changed.erase(Changed.end() - 2);
-    Changed.insert(Changed.end() - 1, Amount.begin(), Amount.end());
+    const auto Position = std::find(Changed.begin(), Changed.end(), 23);
+    REQUIRE(Position != Changed.end());
+    Changed.insert(Changed.erase(Position), Amount.begin(), Amount.end());
     CHECK_FALSE(decodePeerMessage(Changed));
   }
   CHECK(decodePeerMessage(Encoded));
--- a/src/quotas/internal/callaccount.cpp
+++ b/src/quotas/internal/callaccount.cpp
@@ -190,7 +190,8 @@
                        .Sequence_ = Context.Outbox_.nextSequence(),
                        .IsForShare_ = false,
                        .Wanted_ = static_cast<std::uint64_t>(Wanted),
-                       .Returned_ = static_cast<std::uint64_t>(Returned)};
+                       .Returned_ = static_cast<std::uint64_t>(Returned),
+                       .Fleet_ = {}};
   Context.Outbox_.send(Home, Request);
   Sent_ = Sent{Home, std::move(Request), Context.Now_, 1};
 }
@@ -249,7 +250,8 @@
                                  .Sequence_ = Context.Outbox_.nextSequence(),
                                  .IsForShare_ = false,
                                  .Wanted_ = 0,
-                                 .Returned_ = 0});
+                                 .Returned_ = 0,
+                                 .Fleet_ = {}});
   }
 }
 
--- a/src/quotas/internal/coordinatorstate.cpp
+++ b/src/quotas/internal/coordinatorstate.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration SweepInterval = std::chrono::seconds(1);
 /// Values above this from another instance are rejected.
+constexpr std::uint64_t MaxFleetSize = 100'000;
 constexpr Duration MaxNextCreditIn = std::chrono::hours(2);
 /// The retry delay from an instance that has not read the quota yet.
 constexpr Duration UnknownQuotaDelay = std::chrono::milliseconds(100);
@@ -24,6 +25,11 @@
          Limit.Burst_ >= 0;
 }
 
+bool isPossible(const FleetSize &Size) {
+  return Size.Count_ > 0 && Size.Count_ <= MaxFleetSize &&
+         Size.Age_ >= Duration{};
+}
+
 } // namespace
 
 CoordinatorState::CoordinatorState(QuotaSettings Settings,
@@ -119,11 +125,13 @@
   Members_.advance(Now);
   if (Message.From_ == Settings_.Self_ || Message.Sequence_ == 0 ||
       Message.Wanted_ > MaxCredits || Message.Returned_ > MaxCredits ||
+      !isPossible(Message.Fleet_) ||
       isFromPast(Message.From_, Message.Incarnation_)) {
     ++Counters_.MessagesRejected_;
     return;
   }
   Members_.clearSuspicion(Message.From_);
+  Members_.learnFleetSize(Message.Fleet_);
   apply(Message, Now);
   dispatchMessages(Now);
 }
@@ -133,12 +141,13 @@
   if (Message.From_ == Settings_.Self_ ||
       Message.EchoIncarnation_ != Settings_.Incarnation_ ||
       Message.Granted_ > MaxCredits || Message.NextCreditIn_ < Duration{} ||
-      Message.NextCreditIn_ > MaxNextCreditIn ||
+      Message.NextCreditIn_ > MaxNextCreditIn || !isPossible(Message.Fleet_) ||
       isFromPast(Message.From_, Message.Incarnation_)) {
     ++Counters_.MessagesRejected_;
     return;
   }
   Members_.clearSuspicion(Message.From_);
+  Members_.learnFleetSize(Message.Fleet_);
   apply(Message, Now);
   dispatchMessages(Now);
 }
@@ -262,7 +271,8 @@
                           .EchoSequence_ = Message.Sequence_,
                           .Workspace_ = Message.Workspace_,
                           .Granted_ = static_cast<std::uint64_t>(Amount),
-                          .NextCreditIn_ = NextCreditIn});
+                          .NextCreditIn_ = NextCreditIn,
+                          .Fleet_ = {}});
 }
 
 bool CoordinatorState::isFromPast(const framework::InstanceName &From,
@@ -288,6 +298,8 @@
                    Each.Content_);
         continue;
       }
+      std::visit([&](auto &Content) { Content.Fleet_ = Members_.fleetSize(); },
+                 Each.Content_);
       if (const QuotaMember *Member = Members_.find(Each.To_))
         Messages_.push_back({Member->Address_, std::move(Each.Content_)});
     }
--- a/src/quotas/internal/creditpool.cpp
+++ b/src/quotas/internal/creditpool.cpp
@@ -168,7 +168,8 @@
                           .EchoSequence_ = To.Sequence_,
                           .Workspace_ = Context.Limit_.Workspace_,
                           .Granted_ = static_cast<std::uint64_t>(Amount),
-                          .NextCreditIn_ = {}};
+                          .NextCreditIn_ = {},
+                          .Fleet_ = {}};
   if (Amount < To.Wanted_)
     To.Answer_.NextCreditIn_ = nextCreditIn(Context);
   if (Amount > 0 && Name != Context.Settings_.Self_)
@@ -222,7 +223,8 @@
                          .Sequence_ = Context.Outbox_.nextSequence(),
                          .IsForShare_ = true,
                          .Wanted_ = Each,
-                         .Returned_ = 0};
+                         .Returned_ = 0,
+                         .Fleet_ = {}};
     Context.Outbox_.send(Holder.Name_, Request);
     Collections_.push_back({Holder.Name_, std::move(Request), IsAwaited});
   }
--- a/src/quotas/internal/memberview.cpp
+++ b/src/quotas/internal/memberview.cpp
@@ -29,7 +29,8 @@
 } // namespace
 
 MemberView::MemberView(const QuotaSettings &Settings)
-    : Settings_(Settings), SelfSeed_(seedOf(Settings.Self_)) {}
+    : Settings_(Settings), SelfSeed_(seedOf(Settings.Self_)),
+      LargestCount_(std::max<std::size_t>(Settings.ExpectedInstances_, 1)) {}
 
 void MemberView::setMembers(std::vector<QuotaMember> Running,
                             std::size_t KnownCount) {
@@ -60,8 +61,10 @@
 
 void MemberView::advance(Instant Now) {
   Now_ = Now;
-  if (!StartedAt_)
+  if (!StartedAt_) {
     StartedAt_ = Now;
+    LargestAt_ = Now;
+  }
   if (RunningCount_ >= LargestCount_ || Now >= LargestAt_ + FleetMemory) {
     LargestCount_ = RunningCount_;
     LargestAt_ = Now;
@@ -136,6 +139,17 @@
                            static_cast<double>(LargestCount_));
 }
 
+FleetSize MemberView::fleetSize() const {
+  return {LargestCount_, Now_ - LargestAt_};
+}
+
+void MemberView::learnFleetSize(const FleetSize &Size) {
+  if (Size.Count_ <= LargestCount_ || Size.Age_ >= FleetMemory)
+    return;
+  LargestCount_ = Size.Count_;
+  LargestAt_ = Now_ - Size.Age_;
+}
+
 std::size_t MemberView::reserve(const WorkspaceName &Workspace) const {
   // A restarted instance knows neither the fleet nor what it admitted before.
   if (!StartedAt_ || Now_ < *StartedAt_ + StartDelay + Settings_.Window_)
--- a/src/quotas/internal/memberview.h
+++ b/src/quotas/internal/memberview.h
@@ -4,6 +4,7 @@
 #include "framework/ids.h"
 #include "framework/time.h"
 #include "quotas/internal/quotatiming.h"
+#include "quotas/types/fleetsize.h"
 #include "quotas/types/quotamember.h"
 #include "quotas/types/quotasettings.h"
 
@@ -44,6 +45,10 @@
   shareStart(const framework::WorkspaceName &Workspace) const;
   /// Returns the fraction of the quotas that the running members may use.
   double fraction() const;
+  /// Returns the largest fleet known, for other instances.
+  FleetSize fleetSize() const;
+  /// Takes over what another instance knows of the largest fleet.
+  void learnFleetSize(const FleetSize &Size);
   /// Returns how many requests this instance may admit on its own in a window.
   std::size_t reserve(const framework::WorkspaceName &Workspace) const;
 
--- a/src/quotas/tests/quotacoordinator_test.cpp
+++ b/src/quotas/tests/quotacoordinator_test.cpp
@@ -50,7 +50,8 @@
           .Sequence_ = Sequence,
           .IsForShare_ = true,
           .Wanted_ = Wanted,
-          .Returned_ = 0};
+          .Returned_ = 0,
+          .Fleet_ = {}};
 }
 
 std::uint64_t grantedIn(const std::vector<QuotaMessage> &Messages) {
@@ -78,6 +79,30 @@
   CHECK(Test.Coordinator_.takeMessages().empty());
 }
 
+TEST_CASE("an instance that starts alone uses its part of the expected fleet",
+          "[quotas]") {
+  // Guards against a restarted instance without peers that grants the whole
+  // quota beside the others.
+  QuotaCoordinator Coordinator(QuotaSettings{.Self_ = InstanceName("a"),
+                                             .Incarnation_ = Incarnation(5),
+                                             .ExpectedInstances_ = 11},
+                               framework::Random(1));
+  Instant Now{std::chrono::hours(1)};
+  Coordinator.setQuotas({limitOf(100, 0)}, Now);
+  Now += seconds(10);
+  std::size_t Admitted = 0;
+  for (std::uint64_t Call = 0; Call < 2000; ++Call, Now += milliseconds(5)) {
+    Coordinator.tick(Now);
+    const auto Answer = Coordinator.request(Name, CallId(Call), Now);
+    Admitted += Answer.Verdict_ == QuotaVerdict::Admitted ? 1 : 0;
+    for (const QuotaDecision &Each : Coordinator.takeDecisions())
+      Admitted += Each.IsAdmitted_ ? 1 : 0;
+  }
+  // A tenth of the quota in 10 s, and the content of the buckets.
+  CHECK(Admitted >= 90);
+  CHECK(Admitted <= 115);
+}
+
 TEST_CASE("a credit given back admits another call", "[quotas]") {
   Alone Test(limitOf(0.2, 1), false);
   REQUIRE(Test.request(1) == QuotaVerdict::Admitted);
@@ -194,7 +219,8 @@
                    .EchoSequence_ = Asked.Sequence_,
                    .Workspace_ = Name,
                    .Granted_ = Asked.Wanted_ + 1,
-                   .NextCreditIn_ = {}};
+                   .NextCreditIn_ = {},
+                   .Fleet_ = {}};
   const auto Reject = [&](const QuotaGrant &Message) {
     const auto Before = Test.Coordinator_.counters().MessagesRejected_;
     Test.Coordinator_.handle(Message, Test.Now_);
--- a/src/quotas/tests/quotafailures_test.cpp
+++ b/src/quotas/tests/quotafailures_test.cpp
@@ -52,6 +52,27 @@
   }
 }
 
+TEST_CASE("instances that restart in a partition stay in the bound",
+          "[quotas]") {
+  // Guards against a restarted instance that takes its side for the whole
+  // fleet: five instances then ran 691 requests in 5 s where 645 are allowed.
+  for (const std::size_t Instances : {5, 13, 48}) {
+    QuotaFleet Fleet({.Instances_ = Instances, .Limit_ = limitOf(100, 0)});
+    INFO(Instances);
+    Fleet.run(400, seconds(5));
+    Fleet.partition(Instances / 2);
+    Fleet.run(400, seconds(2));
+    for (std::size_t Node = 0; Node < Instances; Node += 2) {
+      Fleet.kill(Node);
+      Fleet.start(Node);
+      Fleet.refresh();
+      Fleet.run(400, seconds(4));
+    }
+    Fleet.run(400, seconds(60));
+    checkBound(Fleet);
+  }
+}
+
 TEST_CASE("a side of a partition uses its part of the quota", "[quotas]") {
   // Guards against a side that grants nothing because the home instance is on
   // the other one.
--- a/src/quotas/types/quotagrant.h
+++ b/src/quotas/types/quotagrant.h
@@ -3,6 +3,7 @@
 
 #include "framework/ids.h"
 #include "framework/time.h"
+#include "quotas/types/fleetsize.h"
 
 #include <cstdint>
 
@@ -21,6 +22,7 @@
   /// The time until the sender expects to have another credit. No request is
   /// sent earlier.
   framework::Duration NextCreditIn_{};
+  FleetSize Fleet_;
 
   friend bool operator==(const QuotaGrant &, const QuotaGrant &) = default;
 };
--- a/src/quotas/types/quotarequest.h
+++ b/src/quotas/types/quotarequest.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_QUOTAS_TYPES_QUOTAREQUEST_H
 
 #include "framework/ids.h"
+#include "quotas/types/fleetsize.h"
 
 #include <cstdint>
 
@@ -23,6 +24,7 @@
   std::uint64_t Wanted_ = 0;
   /// Unused credits that go back to the home instance, in millionths.
   std::uint64_t Returned_ = 0;
+  FleetSize Fleet_;
 
   friend bool operator==(const QuotaRequest &, const QuotaRequest &) = default;
 };
--- a/src/quotas/types/quotasettings.h
+++ b/src/quotas/types/quotasettings.h
@@ -4,6 +4,8 @@
 #include "framework/ids.h"
 #include "framework/time.h"
 
+#include <cstddef>
+
 namespace cranberryspool::quotas {
 
 /// The identity of an instance and the bound on the requests of a workspace:
@@ -16,6 +18,10 @@
   framework::Duration Window_ = std::chrono::seconds(5);
   double Overage_ = 0.25;
   double Tolerance_ = 20;
+  /// The number of instances that are expected to run, if the deployment tells.
+  /// Without it, an instance that starts and hears nobody takes itself for the
+  /// whole fleet.
+  std::size_t ExpectedInstances_ = 1;
 };
 
 } // namespace cranberryspool::quotas
