Keep the minimum of each kind above a quarter and its counts above zero

Cause: with an owed part of exactly a quarter the lowest kind got 0.02 of its calls at ten times the capacity, where a quarter of the mean is 0.025; and a call that ended a pause of hours decayed with the counts of before it, which left rates of zero and owed every kind calls. Change: 0.28 of its part of the arrivals; counts decay before a call is counted. The comparison test now asks for a quarter without tolerance.

--- a/src/scheduling/internal/kindschedule.cpp
+++ b/src/scheduling/internal/kindschedule.cpp
@@ -20,8 +20,9 @@
 constexpr Duration UpdateInterval = std::chrono::milliseconds(50);
 /// The promise of a kind that sends many times its usual rate.
 constexpr double MinUsualPart = 1.0 / 3;
-/// The part of the mean share of served calls that each kind gets at least.
-constexpr double MinServedPart = 1.0 / 4;
+/// The part of the mean share of served calls that each kind gets at least. A
+/// quarter is required; the rest is margin for the error of the rates.
+constexpr double MinServedPart = 0.28;
 /// A kind is owed no more calls than this, so that it does not hold up others
 /// after it got less for a while.
 constexpr double MaxOwedCalls = 4;
@@ -45,6 +46,9 @@
                                  Duration ExpectedWork, Instant Now) {
   if (Kinds_.empty())
     BegunAt_ = UpdatedAt_ = Now;
+  const bool IsDue = Now - UpdatedAt_ >= UpdateInterval;
+  if (IsDue)
+    decay(Now);
   KindState &State = state(Kind);
   const bool HasChanged = State.Usual_ == 0 || State.Objective_ != Objective;
   State.Objective_ = Objective;
@@ -52,8 +56,8 @@
   ++State.Usual_;
   ++State.Present_;
   ++Present_;
-  if (HasChanged || Now - UpdatedAt_ >= UpdateInterval)
-    updateWeights(Now);
+  if (HasChanged || IsDue)
+    updateWeights();
 }
 
 void KindSchedule::add(KindKey Kind) {
@@ -174,7 +178,7 @@
   return std::max(State.Tag_, VirtualTime);
 }
 
-void KindSchedule::updateWeights(Instant Now) {
+void KindSchedule::decay(Instant Now) {
   const double Elapsed = std::max(0.0, seconds(Now - UpdatedAt_));
   UpdatedAt_ = std::max(UpdatedAt_, Now);
   const double UsualDecay = std::exp(-Elapsed / UsualSeconds);
@@ -184,6 +188,9 @@
     State.Present_ *= PresentDecay;
   }
   forgetIdle();
+}
+
+void KindSchedule::updateWeights() {
   const double Age = seconds(UpdatedAt_ - BegunAt_);
   const double UsualWindow =
       Age < MinKnownSeconds
--- a/src/scheduling/kindschedule.h
+++ b/src/scheduling/kindschedule.h
@@ -121,7 +121,9 @@
   /// Returns the number of starts in which the minimum serves so many calls of
   /// the kind.
   double startsByMinimum(const KindState &State, std::size_t Calls) const;
-  void updateWeights(framework::Instant Now);
+  /// Lets the counts decay, and forgets kinds without calls.
+  void decay(framework::Instant Now);
+  void updateWeights();
   static double weight(const KindState &State, double UsualWindow);
   void forgetIdle();
 
--- a/src/scheduling/tests/kindschedule_test.cpp
+++ b/src/scheduling/tests/kindschedule_test.cpp
@@ -149,3 +149,22 @@
   arrive(Schedule, {{High, 10}}, Now, 1);
   CHECK_FALSE(Schedule.isShared());
 }
+
+// Guards against counts that decay to zero with the call that ends a long
+// pause: every kind would be owed calls at once.
+TEST_CASE("the order of ranks holds after hours without calls",
+          "[scheduling]") {
+  KindSchedule Schedule;
+  Instant Now(seconds(100));
+  arrive(Schedule, {{High, 10}, {Low, 10}}, Now, 5);
+  Now += std::chrono::hours(2);
+  Schedule.recordArrival(Low, Objective, Work, Now);
+  Schedule.recordArrival(High, Objective, Work, Now);
+  addAll(Schedule, {Low, High}, 5);
+  for (int Index = 0; Index < 3; ++Index) {
+    const auto Next = Schedule.next([](KindKey) { return true; },
+                                    [](KindKey) { return Instant::max(); });
+    CHECK(Next == KindTurn{High, TurnReason::Rank});
+    Schedule.recordStarted(High);
+  }
+}
--- a/src/scheduling/tests/policycomparison_test.cpp
+++ b/src/scheduling/tests/policycomparison_test.cpp
@@ -138,7 +138,7 @@
     }
     for (std::size_t Kind = 0; Kind < Shared.Kinds_.size(); ++Kind) {
       CAPTURE(Case.Kinds_[Kind].Name_);
-      CHECK(Shared.Kinds_[Kind].served() >= 0.9 * Served / Sent / 4);
+      CHECK(Shared.Kinds_[Kind].served() >= Served / Sent / 4);
       for (std::size_t Other = 0; Other < Kind; ++Other)
         if (Case.Kinds_[Other].Priority_ < Case.Kinds_[Kind].Priority_)
           CHECK(Shared.Kinds_[Other].served() + 0.01 >=
