--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 23> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 24> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
