--- a/src/decision/tests/slotshare_test.cpp
+++ b/src/decision/tests/slotshare_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 const framework::InstanceName Peer("entry-peer");
-constexpr framework::Incarnation PeerIncarnation(7);
+const framework::Incarnation PeerIncarnation(7);
 
 CoreSettings makeSettings() {
   CoreSettings Settings = StoreFixture::settings();
