Tell the quota coordinator the number of seeds

Cause: an instance that starts and hears nobody took itself for the whole fleet. Change: it expects at least as many instances as there are seeds.

--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -22,6 +22,7 @@
 #include "routing/targettable.h"
 #include "workspaces/accesspolicy.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -49,6 +50,9 @@
   Result.Window_ = Bounds.QuotaWindow_;
   Result.Overage_ = Bounds.QuotaOverage_;
   Result.Tolerance_ = Bounds.QuotaTolerance_;
+  // A lower bound of the fleet's size, for an instance that hears nobody.
+  Result.ExpectedInstances_ =
+      std::max<std::size_t>(Settings.Seeds_->Addresses_.size(), 1);
   return Result;
 }
 
