--- a/src/entry/tests/callhead_fuzz.cpp
+++ b/src/entry/tests/callhead_fuzz.cpp
@@ -6,6 +6,7 @@
 #include "entry/internal/callfields.h"
 #include "entry/internal/fieldtext.h"
 #include "entry/internal/headvalidation.h"
+#include "entry/internal/workspacefields.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -50,6 +51,21 @@
   }
 }
 
+/// A key or a workspace that the caller names must not stay among the fields
+/// that are always forwarded.
+void checkCredentialTaken(const std::vector<HeaderField> &Fields) {
+  const HttpProfile Profile = defaultHttpProfile();
+  std::vector<HeaderField> Forwarded =
+      forwardableRequestFields(Fields, Profile);
+  const std::size_t Count = Forwarded.size();
+  const std::size_t Taken = takeCredentialFields(Forwarded, Profile).size();
+  require(Forwarded.size() + Taken == Count);
+  for (const HeaderField &Field : Forwarded) {
+    require(!equalsIgnoreCase(Field.Name_, "Authorization"));
+    require(!equalsIgnoreCase(Field.Name_, "Workspace"));
+  }
+}
+
 void checkAccepted(std::string_view Head) {
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(static_cast<std::uint32_t>(Head.size() + 1));
@@ -71,6 +87,7 @@
   if (Metadata)
     require(Metadata.value().Attempt_ >= 1);
   checkForwarded(Fields);
+  checkCredentialTaken(Fields);
 }
 
 } // namespace
