--- a/src/routing/experiment/simulatedfleet.h
+++ b/src/routing/experiment/simulatedfleet.h
@@ -134,7 +134,7 @@
       Instances_.push_back(
           {Zone,
            {Zone, MakePolicy(Truth_), framework::Random(Seeds.bits())},
-           {},
+           admission::AdmissionQueue(),
            Instant::max()});
       setUp(Instances_.back(), Index);
     }
