--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -37,6 +37,12 @@
   std::uint64_t TargetCrashes_ = 0;
   std::uint64_t CallsQuarantined_ = 0;
   std::uint64_t PeerMessagesRejected_ = 0;
+  /// Calls refused beyond the quota of their workspace.
+  std::uint64_t CallsOverQuota_ = 0;
+  /// Requests for quota credits that no instance answered in time, and quota
+  /// messages that could not be used.
+  std::uint64_t QuotaRequestsUnanswered_ = 0;
+  std::uint64_t QuotaMessagesRejected_ = 0;
   /// The slots that are this instance's shares of contended services now; zero
   /// while all services are limited adaptively. A gauge, not a counter.
   std::uint64_t SlotsInShares_ = 0;
--- a/src/decision/internal/quotaguard.cpp
+++ b/src/decision/internal/quotaguard.cpp
@@ -64,6 +64,10 @@
 }
 
 void QuotaGuard::sendMessages(const EventContext &Context) {
+  const quotas::QuotaCounters &Counters = Core_.Quotas_.counters();
+  Core_.Counters_.CallsOverQuota_ = Counters.Refused_;
+  Core_.Counters_.QuotaRequestsUnanswered_ = Counters.RequestsUnanswered_;
+  Core_.Counters_.QuotaMessagesRejected_ = Counters.MessagesRejected_;
   for (quotas::QuotaMessage &Each : Core_.Quotas_.takeMessages())
     std::visit(
         [&](auto &Content) {
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 24> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 27> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
@@ -61,6 +61,15 @@
     {"cranberryspool_peer_messages_rejected_total",
      "Messages of instances that could not be decoded or used",
      &CoreCounters::PeerMessagesRejected_},
+    {"cranberryspool_calls_over_quota_total",
+     "Calls refused beyond the quota of their workspace",
+     &CoreCounters::CallsOverQuota_},
+    {"cranberryspool_quota_requests_unanswered_total",
+     "Requests for quota credits that no instance answered in time",
+     &CoreCounters::QuotaRequestsUnanswered_},
+    {"cranberryspool_quota_messages_rejected_total",
+     "Quota messages of instances that could not be used",
+     &CoreCounters::QuotaMessagesRejected_},
     {"cranberryspool_slot_share_changes_total",
      "Changes of this instance's shares of contended services",
      &CoreCounters::SlotShareChanges_},
