--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -62,7 +62,7 @@
      "Messages of instances that could not be decoded or used",
      &CoreCounters::PeerMessagesRejected_},
     {"cranberryspool_calls_over_quota_total",
-     "Calls refused beyond the quota of their workspace",
+     "Calls refused beyond a quota",
      &CoreCounters::CallsOverQuota_},
     {"cranberryspool_quota_requests_unanswered_total",
      "Requests for quota credits that no instance answered in time",
