Log how news of the published state arrives, and when it is missing

- document-in-force names its source and the time that it took
- view-behind and view-caught-up: a newer revision exists, since when, from whom
- store-unavailable and store-available: what failed, for how long
- target-removed and target-removal-deferred: a deleted record takes effect, or not yet
- counters of gaps and of outages seen by this instance

--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -57,6 +57,10 @@
   std::uint64_t ProbesFailed_ = 0;
 
   std::uint64_t Pauses_ = 0;
+  /// Times at which this instance was behind others, and at which the
+  /// platform's store stopped answering it.
+  std::uint64_t ViewGaps_ = 0;
+  std::uint64_t StoreOutages_ = 0;
   std::uint64_t DocumentsRejected_ = 0;
   std::uint64_t DocumentsOlderIgnored_ = 0;
 
--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -48,6 +48,18 @@
     return "targets-unreachable";
   case ChangeKind::TargetsReachable:
     return "targets-reachable";
+  case ChangeKind::ViewBehind:
+    return "view-behind";
+  case ChangeKind::ViewCaughtUp:
+    return "view-caught-up";
+  case ChangeKind::StoreUnavailable:
+    return "store-unavailable";
+  case ChangeKind::StoreAvailable:
+    return "store-available";
+  case ChangeKind::TargetRemoved:
+    return "target-removed";
+  case ChangeKind::TargetRemovalDeferred:
+    return "target-removal-deferred";
   case ChangeKind::ViewLost:
     return "view-lost";
   case ChangeKind::ViewRestored:
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -12,6 +12,24 @@
 /// Of rejected messages at most one is logged in this time; all are counted.
 constexpr framework::Duration RejectionLogInterval = std::chrono::seconds(1);
 
+ChangeKind changeKindOf(fleet::ViewEvent Event) {
+  switch (Event) {
+  case fleet::ViewEvent::Behind:
+    return ChangeKind::ViewBehind;
+  case fleet::ViewEvent::CaughtUp:
+    return ChangeKind::ViewCaughtUp;
+  case fleet::ViewEvent::StoreUnavailable:
+    return ChangeKind::StoreUnavailable;
+  case fleet::ViewEvent::StoreAvailable:
+    return ChangeKind::StoreAvailable;
+  case fleet::ViewEvent::TargetRemoved:
+    return ChangeKind::TargetRemoved;
+  case fleet::ViewEvent::RemovalDeferred:
+    break;
+  }
+  return ChangeKind::TargetRemovalDeferred;
+}
+
 } // namespace
 
 void FleetAdapter::handle(const EventContext &Context,
@@ -99,8 +117,9 @@
 }
 
 void FleetAdapter::handle(const EventContext &Context,
-                          const RecordsUnavailable &) {
-  Core_.Fleet_.handleRecordsUnavailable(Context.Now_, Core_.FleetOutput_);
+                          const RecordsUnavailable &Input) {
+  Core_.Fleet_.handleRecordsUnavailable(Input.Reason_, Context.Now_,
+                                        Core_.FleetOutput_);
 }
 
 void FleetAdapter::handle(const EventContext &, const SeedsChanged &Input) {
@@ -140,8 +159,10 @@
   EnvironmentUpdater_.setDocument(Context, *Core_.Fleet_.currentDocument());
   Access_.updateWorkspaces(Context);
   Quota_.updateQuotas(Context);
-  report(Context, ChangeKind::DocumentInForce,
-         std::to_string(Output.Revision_.value()));
+  ReportChange Report{ChangeKind::DocumentInForce,
+                      std::to_string(Output.Revision_.value())};
+  Report.Source_ = Output.Source_;
+  Context.Output_.push_back(std::move(Report));
 }
 
 void FleetAdapter::apply(const EventContext &Context,
@@ -271,6 +292,19 @@
     Core_.Targets_.markWarm(*Target, Context.now());
 }
 
+void FleetAdapter::apply(const EventContext &Context,
+                         const fleet::ViewChanged &Output) {
+  if (Output.Event_ == fleet::ViewEvent::Behind)
+    ++Core_.Counters_.ViewGaps_;
+  if (Output.Event_ == fleet::ViewEvent::StoreUnavailable)
+    ++Core_.Counters_.StoreOutages_;
+  ReportChange Report{changeKindOf(Output.Event_), Output.Subject_};
+  Report.Source_ = Output.Source_;
+  Report.Announced_ = Output.Announced_;
+  Report.Elapsed_ = Output.Elapsed_;
+  Context.Output_.push_back(std::move(Report));
+}
+
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::ViewFreshnessChanged &Output) {
   report(Context,
--- a/src/decision/internal/fleetadapter.h
+++ b/src/decision/internal/fleetadapter.h
@@ -86,6 +86,7 @@
   void apply(const EventContext &Context,
              const fleet::TargetReportedWarm &Output);
   void apply(const EventContext &Context, const fleet::TargetsChanged &Output);
+  void apply(const EventContext &Context, const fleet::ViewChanged &Output);
   void apply(const EventContext &Context,
              const fleet::ViewFreshnessChanged &Output);
   void apply(const EventContext &Context,
--- a/src/decision/types/actions/reportchange.h
+++ b/src/decision/types/actions/reportchange.h
@@ -2,7 +2,8 @@
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTCHANGE_H
 
 #include "decision/types/changekind.h"
-
+#include "framework/ids.h"
+#include "framework/time.h"
 #include "routing/types/requestrate.h"
 
 #include <optional>
@@ -18,6 +19,12 @@
   std::string Subject_;
   /// The new limit of a target that limits its requests.
   std::optional<routing::RequestRate> RequestLimit_ = std::nullopt;
+  /// Where news of the published state came from: `store` or an instance.
+  std::string Source_{};
+  /// The revision that other instances have announced.
+  std::optional<framework::Revision> Announced_ = std::nullopt;
+  /// How long the state that has ended lasted.
+  std::optional<framework::Duration> Elapsed_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/events/recordsunavailable.h
+++ b/src/decision/types/events/recordsunavailable.h
@@ -1,10 +1,15 @@
 #ifndef CRANBERRYSPOOL_DECISION_TYPES_EVENTS_RECORDSUNAVAILABLE_H
 #define CRANBERRYSPOOL_DECISION_TYPES_EVENTS_RECORDSUNAVAILABLE_H
 
+#include <string>
+
 namespace cranberryspool::decision {
 
 /// A read or watch of the platform's metadata store failed or timed out.
-struct RecordsUnavailable {};
+struct RecordsUnavailable {
+  /// What failed, for the log.
+  std::string Reason_{};
+};
 
 } // namespace cranberryspool::decision
 
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -74,6 +74,13 @@
   Line.text("subject", Change.Subject_);
   if (Change.RequestLimit_)
     Line.number("limit_millihertz", Change.RequestLimit_->Millihertz_);
+  if (!Change.Source_.empty())
+    Line.text("source", Change.Source_);
+  if (Change.Announced_)
+    Line.number("announced_revision",
+                static_cast<std::int64_t>(Change.Announced_->value()));
+  if (Change.Elapsed_)
+    Line.millis("elapsed_ms", *Change.Elapsed_);
   addView(Line, View);
   Writer_->write(Line);
 }
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -51,7 +51,9 @@
 void Dispatcher::handle(const decision::Event &Event) {
   // The clock is read for each event: the first event after a pause of the
   // process then shows the gap.
-  Core_.handle(framework::readMoment(), Event, Actions_);
+  const framework::Moment Now = framework::readMoment();
+  HandlingSince_ = Now.Monotonic_;
+  Core_.handle(Now, Event, Actions_);
   for (const decision::Action &Action : Actions_)
     std::visit([this](const auto &Alternative) { execute(Alternative); },
                Action);
@@ -251,9 +253,13 @@
 }
 
 void Dispatcher::execute(const decision::ReportChange &Action) {
-  Log_.log(Action, Core_);
-  if (Action.Kind_ != decision::ChangeKind::DocumentInForce)
+  if (Action.Kind_ != decision::ChangeKind::DocumentInForce) {
+    Log_.log(Action, Core_);
     return;
+  }
+  decision::ReportChange Timed = Action;
+  Timed.Elapsed_ = framework::readMoment().Monotonic_ - HandlingSince_;
+  Log_.log(Timed, Core_);
   const document::EnvironmentDocument *Document = Core_.document();
   Statistics_.setObjectives(Document);
   State_.HasWorkspaces_.store(Document && !Document->Workspaces_.empty());
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -88,6 +88,8 @@
   boost::asio::steady_timer Timer_;
   framework::Instant TimerExpiry_ = framework::Instant::max();
   decision::ActionList Actions_;
+  /// When the handling of the current event began.
+  framework::Instant HandlingSince_{};
   std::unordered_map<framework::CallId, PendingCall> Calls_;
   std::unordered_map<framework::AttemptId, framework::CallId> CallOfAttempt_;
   std::unordered_map<framework::AttemptId,
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 27> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 29> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
@@ -83,6 +83,12 @@
     {"cranberryspool_probes_total", "Probes sent", &CoreCounters::ProbesSent_},
     {"cranberryspool_pauses_total", "Pauses of the process that were noticed",
      &CoreCounters::Pauses_},
+    {"cranberryspool_view_gaps_total",
+     "Times at which other instances had a newer view",
+     &CoreCounters::ViewGaps_},
+    {"cranberryspool_store_outages_total",
+     "Times at which the platform's store stopped answering this instance",
+     &CoreCounters::StoreOutages_},
     {"cranberryspool_documents_rejected_total", "Published documents refused",
      &CoreCounters::DocumentsRejected_},
     {"cranberryspool_documents_older_ignored_total",
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -77,7 +77,9 @@
   /// Handles a watch whose start revision is no longer in the store's change
   /// history.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
-  void handleRecordsUnavailable(framework::Moment Now, OutputList &Output);
+  /// Handles a failed read of the metadata store; `Reason` says what failed.
+  void handleRecordsUnavailable(const std::string &Reason,
+                                framework::Moment Now, OutputList &Output);
   /// Replaces the addresses of the seeds.
   void setSeeds(std::vector<std::string> Addresses);
 
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -82,10 +82,11 @@
     Seeded_->handleHistoryLost(Now, Output);
 }
 
-void Fleet::handleRecordsUnavailable(framework::Moment Now,
+void Fleet::handleRecordsUnavailable(const std::string &Reason,
+                                     framework::Moment Now,
                                      OutputList &Output) {
   if (Seeded_)
-    Seeded_->handleRecordsUnavailable(Now, Output);
+    Seeded_->handleRecordsUnavailable(Reason, Now, Output);
 }
 
 void Fleet::setSeeds(std::vector<std::string> Addresses) {
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -199,9 +199,10 @@
   Replicator_.handleHistoryLost(makeContext(Now, Output));
 }
 
-void SeededFleet::handleRecordsUnavailable(framework::Moment Now,
+void SeededFleet::handleRecordsUnavailable(const std::string &Reason,
+                                           framework::Moment Now,
                                            OutputList &Output) {
-  Replicator_.handleReadFailure(makeContext(Now, Output));
+  Replicator_.handleReadFailure(Reason, makeContext(Now, Output));
 }
 
 void SeededFleet::handleStopRequest(framework::Moment Now, OutputList &Output) {
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -71,7 +71,8 @@
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
-  void handleRecordsUnavailable(framework::Moment Now, OutputList &Output);
+  void handleRecordsUnavailable(const std::string &Reason,
+                                framework::Moment Now, OutputList &Output);
 
   void handleStopRequest(framework::Moment Now, OutputList &Output);
   void handlePause(framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -42,6 +42,10 @@
 constexpr Duration ReorderTolerance = milliseconds(100);
 /// A group leader sends an update to its group at least this often.
 constexpr Duration UpdateInterval = milliseconds(200);
+/// Watches are interrupted in normal operation, so that a single failure does
+/// not mean that the store is unavailable.
+constexpr std::uint32_t FailuresOfUnavailableStore = 2;
+constexpr const char *StoreSource = "store";
 
 std::vector<StoredRecord>
 recordsAfter(Revision Known, const std::vector<StoredRecord> &Records) {
@@ -61,7 +65,9 @@
           Rng_.index(static_cast<std::size_t>(MaxReadJitter.count())))) {}
 
 void StoreReplicator::tick(const EventContext &Context) {
-  reportChanges(View_.expireMissing(Context.Now_), Context.Output_);
+  reportChanges(View_.expireMissing(Context.Now_), StoreSource,
+                Context.Output_);
+  reportProgress(AnnouncedBy_, Context);
   readIfDue(Context);
   if (Context.Now_ >= NextUpdateAt_ && Context.isGroupLeader())
     sendRecentChanges(Context);
@@ -71,11 +77,13 @@
   return Now >= StartedAt_ + LeaderStartupWait;
 }
 
-void StoreReplicator::recordGap(Revision Announced, Instant Now) {
+void StoreReplicator::recordGap(const RecordUpdate &Announcement, Instant Now) {
   if (!AnnouncedRevision_)
     GapSince_ = Now;
-  AnnouncedRevision_ =
-      std::max(Announced, AnnouncedRevision_.value_or(Announced));
+  if (AnnouncedRevision_ && *AnnouncedRevision_ >= Announcement.ToRevision_)
+    return;
+  AnnouncedRevision_ = Announcement.ToRevision_;
+  AnnouncedBy_ = Announcement.From_.value();
 }
 
 bool StoreReplicator::isBehind(Instant Now) const {
@@ -128,14 +136,15 @@
                                        const EventContext &Context) {
   IsReading_ = false;
   IsFullReadNeeded_ = false;
-  Failures_ = 0;
+  recordReadSuccess(Context);
   Log_.clear();
   if (!IsFullReadStale_)
-    recordAnswer(Context);
+    AnsweredWallTime_ = Context.Wall_;
   reportChanges(IsFullReadStale_
                     ? View_.replaceAllStale(Records, AsOf, Context.Now_)
                     : View_.replaceAll(Records, AsOf, Context.Now_),
-                Context.Output_);
+                StoreSource, Context.Output_);
+  reportProgress(StoreSource, Context);
   readIfDue(Context);
 }
 
@@ -144,14 +153,16 @@
     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
   IsReading_ = false;
-  Failures_ = 0;
-  AnnouncedRevision_.reset();
+  recordReadSuccess(Context);
   // Other instances may have sent some of these changes in the meantime.
   const Revision Before = View_.revision();
   const std::vector<StoredRecord> NewRecords = recordsAfter(Before, Records);
-  recordAnswer(Context);
+  AnsweredWallTime_ = Context.Wall_;
   Log_.append(Before, AsOf, NewRecords, Context.Now_);
-  reportChanges(View_.apply(NewRecords, AsOf, Context.Now_), Context.Output_);
+  reportChanges(View_.apply(NewRecords, AsOf, Context.Now_), StoreSource,
+                Context.Output_);
+  AnnouncedRevision_.reset();
+  reportProgress(StoreSource, Context);
   if (!Records.empty())
     NextReadAt_ =
         Context.Now_ +
@@ -174,8 +185,22 @@
   readIfDue(Context);
 }
 
-void StoreReplicator::handleReadFailure(const EventContext &Context) {
+void StoreReplicator::recordReadSuccess(const EventContext &Context) {
+  if (std::exchange(Failures_, 0) < FailuresOfUnavailableStore)
+    return;
+  ViewChanged Report{ViewEvent::StoreAvailable, StoreSource, StoreSource};
+  Report.Elapsed_ = Context.Now_ - FailingSince_;
+  Context.Output_.push_back(std::move(Report));
+}
+
+void StoreReplicator::handleReadFailure(const std::string &Reason,
+                                        const EventContext &Context) {
   IsReading_ = false;
+  if (Failures_ == 0)
+    FailingSince_ = Context.Now_;
+  if (Failures_ + 1 == FailuresOfUnavailableStore)
+    Context.Output_.push_back(
+        ViewChanged{ViewEvent::StoreUnavailable, Reason, StoreSource});
   const Duration MaxDelay =
       Context.isGroupLeader()
           ? MaxLeaderRetryDelay
@@ -196,15 +221,36 @@
 }
 
 void StoreReplicator::reportChanges(const StoreView::Changes &Changed,
+                                    const std::string &Source,
                                     OutputList &Output) const {
+  for (const std::string &Key : Changed.Removed_)
+    Output.push_back(ViewChanged{ViewEvent::TargetRemoved, Key, Source});
+  for (const std::string &Key : Changed.Deferred_)
+    Output.push_back(ViewChanged{ViewEvent::RemovalDeferred, Key, Source});
   for (const auto &[Key, Reason] : Changed.Rejected_)
     Output.push_back(RecordRejected{Key, Reason});
   if (Changed.IsDocumentChanged_)
-    Output.push_back(DocumentApplied{Revision(View_.configuration().Version_)});
+    Output.push_back(
+        DocumentApplied{Revision(View_.configuration().Version_), Source});
   if (Changed.AreTargetsChanged_)
     Output.push_back(TargetsChanged{});
 }
 
+void StoreReplicator::reportProgress(const std::string &Source,
+                                     const EventContext &Context) {
+  const bool IsBehindNow = isBehind(Context.Now_);
+  if (IsBehindNow == IsBehindReported_)
+    return;
+  IsBehindReported_ = IsBehindNow;
+  ViewChanged Report{IsBehindNow ? ViewEvent::Behind : ViewEvent::CaughtUp,
+                     Context.self().Name_.value(), Source};
+  if (IsBehindNow)
+    Report.Announced_ = AnnouncedRevision_;
+  else
+    Report.Elapsed_ = Context.Now_ - GapSince_;
+  Context.Output_.push_back(std::move(Report));
+}
+
 void StoreReplicator::sendRecentChanges(const EventContext &Context) {
   const auto Age = View_.age(Context.Now_);
   if (!Age)
@@ -259,7 +305,7 @@
   if (!View_.isLoaded() || Message.ToRevision_ < Before)
     return;
   if (Message.FromRevision_ > Before) {
-    recordGap(Message.ToRevision_, Context.Now_);
+    recordGap(Message, Context.Now_);
     return;
   }
   std::vector<StoredRecord> Records;
@@ -275,11 +321,12 @@
   const Duration Age =
       std::max(Message.Age_, Context.Wall_ - Message.AnsweredAt_);
   reportChanges(View_.apply(Records, Message.ToRevision_, Context.Now_ - Age),
-                Context.Output_);
+                Message.From_.value(), Context.Output_);
   if (View_.age(Context.Now_) == Age)
     AnsweredWallTime_ = Message.AnsweredAt_;
   if (AnnouncedRevision_ && *AnnouncedRevision_ <= View_.revision())
     AnnouncedRevision_.reset();
+  reportProgress(Message.From_.value(), Context);
   // An update from outside the group is passed on by each relay that receives
   // it, since one of them may be slow.
   const bool IsFromOtherGroup = !Context.Group_.isInGroup(Message.From_);
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cranberryspool::fleet {
@@ -41,7 +42,9 @@
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(const EventContext &Context);
-  void handleReadFailure(const EventContext &Context);
+  /// Handles a failed read; `Reason` says what failed.
+  void handleReadFailure(const std::string &Reason,
+                         const EventContext &Context);
 
   void handle(const RecordUpdate &Message, const EventContext &Context);
   void handle(const RecordFragment &Message, const EventContext &Context);
@@ -56,18 +59,20 @@
   /// Returns true once this instance has run for long enough to know the
   /// members of its zone.
   bool isDiscoveryComplete(framework::Instant Now) const;
-  /// Records that another instance has reached a revision from an update that
+  /// Records that another instance has reached a revision, from an update that
   /// cannot be applied, since earlier changes are missing here.
-  void recordGap(framework::Revision Announced, framework::Instant Now);
+  void recordGap(const RecordUpdate &Announcement, framework::Instant Now);
   /// Returns true when the missing changes have not arrived within the
   /// tolerance for reordered messages.
   bool isBehind(framework::Instant Now) const;
+  /// Reports the changes that an answer of the store or an update from another
+  /// instance has brought.
   void reportChanges(const StoreView::Changes &Changed,
-                     OutputList &Output) const;
-  /// Records that the store has just answered this instance.
-  void recordAnswer(const EventContext &Context) {
-    AnsweredWallTime_ = Context.Wall_;
-  }
+                     const std::string &Source, OutputList &Output) const;
+  /// Reports when this instance starts or stops to be behind others.
+  void reportProgress(const std::string &Source, const EventContext &Context);
+  /// Ends a series of failed reads.
+  void recordReadSuccess(const EventContext &Context);
   /// Sends the revision and the age of the view, with the recent changes.
   void sendRecentChanges(const EventContext &Context);
   /// Sends the changes that were not sent before, in as many messages as
@@ -86,13 +91,16 @@
   /// The newest revision that other instances have announced while the changes
   /// that lead to it are missing here.
   std::optional<framework::Revision> AnnouncedRevision_;
+  std::string AnnouncedBy_;
   framework::Instant GapSince_{};
+  bool IsBehindReported_ = false;
   bool IsReading_ = false;
   bool IsFullReadNeeded_ = true;
   /// Whether the store may answer the full read that is under way with stale
   /// records.
   bool IsFullReadStale_ = false;
   std::uint32_t Failures_ = 0;
+  framework::Instant FailingSince_{};
   framework::Instant NextReadAt_{};
   framework::Instant NextUpdateAt_{};
   /// The wall-clock time at which the store gave the answer that the view is
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -80,11 +80,13 @@
   Changes Result;
   if (isRecovering(Now) || !AnsweredAt_ || Now - *AnsweredAt_ > OutageThreshold)
     return Result;
-  const std::size_t RemovedCount =
-      std::erase_if(Targets_, [](const auto &Each) {
-        return Each.second.MissingSince_.has_value();
-      });
-  Result.AreTargetsChanged_ = RemovedCount > 0;
+  std::erase_if(Targets_, [&](const auto &Each) {
+    const bool IsMissing = Each.second.MissingSince_.has_value();
+    if (IsMissing)
+      Result.Removed_.push_back(Each.first);
+    return IsMissing;
+  });
+  Result.AreTargetsChanged_ = !Result.Removed_.empty();
   return Result;
 }
 
@@ -175,9 +177,11 @@
     return;
   if (isRecovering(Now) && !Position->second.Target_.IsDraining_) {
     Position->second.MissingSince_ = Now;
+    Result.Deferred_.push_back(Key);
     return;
   }
   Targets_.erase(Position);
+  Result.Removed_.push_back(Key);
   Result.AreTargetsChanged_ = true;
 }
 
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -23,6 +23,11 @@
   struct Changes {
     bool IsDocumentChanged_ = false;
     bool AreTargetsChanged_ = false;
+    /// The keys of targets whose records were deleted.
+    std::vector<std::string> Removed_;
+    /// The keys of targets whose records are missing and that are used until
+    /// the recovery grace period ends.
+    std::vector<std::string> Deferred_;
     /// The keys of records that are not used, each with the reason.
     std::vector<std::pair<std::string, std::string>> Rejected_;
   };
--- a/src/fleet/output.h
+++ b/src/fleet/output.h
@@ -22,6 +22,7 @@
 #include "fleet/types/outputs/targetreportedcold.h"
 #include "fleet/types/outputs/targetreportedwarm.h"
 #include "fleet/types/outputs/targetschanged.h"
+#include "fleet/types/outputs/viewchanged.h"
 #include "fleet/types/outputs/viewfreshnesschanged.h"
 
 #include <variant>
@@ -30,14 +31,13 @@
 namespace cranberryspool::fleet {
 
 /// An action that `Fleet` requests or an event that it reports.
-using Output =
-    std::variant<CrashNoticesReceived, PeerMessageRejected, DocumentApplied,
-                 DocumentRejected, FetchSections, InstancesChanged,
-                 StoredResponseExpired, KeyDecided, LoadReceived,
-                 StaleValueIgnored, PeerReachabilityChanged, ReadPublished,
-                 ReadRecords, RecordRejected, SendMessage, Superseded,
-                 SharesChanged, TargetReportedCold, TargetReportedWarm,
-                 TargetsChanged, ViewFreshnessChanged, DemandReceived>;
+using Output = std::variant<
+    CrashNoticesReceived, PeerMessageRejected, DocumentApplied,
+    DocumentRejected, FetchSections, InstancesChanged, StoredResponseExpired,
+    KeyDecided, LoadReceived, StaleValueIgnored, PeerReachabilityChanged,
+    ReadPublished, ReadRecords, RecordRejected, SendMessage, Superseded,
+    SharesChanged, TargetReportedCold, TargetReportedWarm, TargetsChanged,
+    ViewChanged, ViewFreshnessChanged, DemandReceived>;
 
 /// Outputs in the order in which they must be processed.
 using OutputList = std::vector<Output>;
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -173,7 +173,7 @@
     ++ReadCount_;
     OutputList Output;
     if (IsStoreDown_)
-      Instances_[Instance].handleRecordsUnavailable(Now_, Output);
+      Instances_[Instance].handleRecordsUnavailable("down", Now_, Output);
     else if (!Request.After_)
       Instances_[Instance].handleAllRecords(allRecords(), Revision_, Now_,
                                             Output);
@@ -233,7 +233,7 @@
         if (Watch != Watches_.end() && Watch->second <= Now_.Monotonic_) {
           Watches_.erase(Watch);
           if (IsStoreDown_)
-            Instances_[Index].handleRecordsUnavailable(Now_, Output);
+            Instances_[Index].handleRecordsUnavailable("down", Now_, Output);
           else
             Instances_[Index].handleChangedRecords({}, Revision_, Now_, Output);
         }
--- a/src/fleet/types/outputs/documentapplied.h
+++ b/src/fleet/types/outputs/documentapplied.h
@@ -3,11 +3,16 @@
 
 #include "framework/ids.h"
 
+#include <string>
+
 namespace cranberryspool::fleet {
 
 /// Reports that a newer document was accepted and is now the current one.
 struct DocumentApplied {
   framework::Revision Revision_;
+  /// `store`, or the name of the instance from which the document came; empty
+  /// where documents are not replicated as records.
+  std::string Source_{};
 };
 
 } // namespace cranberryspool::fleet
--- /dev/null
+++ b/src/fleet/types/viewevent.h
@@ -0,0 +1,25 @@
+#ifndef CRANBERRYSPOOL_FLEET_TYPES_VIEWEVENT_H
+#define CRANBERRYSPOOL_FLEET_TYPES_VIEWEVENT_H
+
+namespace cranberryspool::fleet {
+
+/// What happened to an instance's view of the platform's metadata store.
+enum class ViewEvent {
+  /// Other instances have a newer revision whose changes are missing here.
+  Behind,
+  /// The missing changes have arrived.
+  CaughtUp,
+  /// The store does not answer this instance.
+  StoreUnavailable,
+  /// The store answers this instance again.
+  StoreAvailable,
+  /// The record of a target was deleted; the target is no longer used.
+  TargetRemoved,
+  /// The record of a target was deleted, perhaps in an outage of the store; the
+  /// target is used until the recovery grace period ends.
+  RemovalDeferred,
+};
+
+} // namespace cranberryspool::fleet
+
+#endif // CRANBERRYSPOOL_FLEET_TYPES_VIEWEVENT_H
