Reproduce the late configurations and the requests to leaving targets

They run in virtual time with the real replication code; the simulated store now turns single instances away, deletes records and loses chosen messages.

Hypothesis 2: a change between the records of a stale first read and the revision beside them is never asked for.

Hypothesis 2: a full read that other instances' news have overtaken brings a target back.

--- /dev/null
+++ b/src/fleet/tests/catchup_test.cpp
@@ -0,0 +1,150 @@
+#include "fleet/tests/seededsimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+using framework::Revision;
+
+namespace {
+
+/// A configuration that is split into several fragments.
+const std::string Configuration(5'000, 'x');
+
+/// Returns every third instance.
+std::set<std::size_t> thirdOf(const SeededSimulation &Fleet) {
+  std::set<std::size_t> Chosen;
+  for (std::size_t Index = 0; Index < Fleet.Instances_.size(); Index += 3)
+    Chosen.insert(Index);
+  return Chosen;
+}
+
+/// Loses one fragment of the next change to each of the given instances.
+void loseFragments(SeededSimulation &Fleet, std::set<std::size_t> Receivers) {
+  const Revision Known = Fleet.Revision_;
+  Fleet.IsLost_ = [Known, Receivers](std::size_t Receiver,
+                                     const PeerMessage &Message) {
+    const auto *Fragment = std::get_if<RecordFragment>(&Message);
+    return Fragment && Fragment->Index_ == 0 && Fragment->ToRevision_ > Known &&
+           Receivers.contains(Receiver);
+  };
+}
+
+/// Returns a text of incompressible content.
+std::string randomText(std::size_t Bytes) {
+  framework::Random Rng(7);
+  std::string Text(Bytes, ' ');
+  for (char &Each : Text)
+    Each = static_cast<char>(Rng.index(256));
+  return Text;
+}
+
+} // namespace
+
+TEST_CASE("an instance that the store turns away gets a configuration of which "
+          "it lost a part",
+          "[catchup][!shouldfail]") {
+  SeededSimulation Fleet(40);
+  Fleet.pass(seconds(3));
+  const std::set<std::size_t> Away = thirdOf(Fleet);
+  Fleet.turnAway(Away);
+  Fleet.pass(seconds(4));
+  loseFragments(Fleet, Away);
+  Fleet.change("c", Configuration);
+  Fleet.pass(MaxChangeDelay);
+  Fleet.IsLost_ = nullptr;
+  Fleet.pass(seconds(1));
+  CHECK(Fleet.staleCount() == 0);
+}
+
+TEST_CASE("an instance whose reads have failed does not wait for its back-off "
+          "when it is behind",
+          "[catchup][!shouldfail]") {
+  SeededSimulation Fleet(143, {"a", "b", "c", "d"});
+  Fleet.pass(seconds(4));
+  const std::set<std::size_t> Away = thirdOf(Fleet);
+  Fleet.turnAway(Away);
+  // They hear no updates, so that they read the store themselves.
+  Fleet.IsLost_ = [&](std::size_t Receiver, const PeerMessage &Message) {
+    return Away.contains(Receiver) && !std::get_if<GossipMessage>(&Message);
+  };
+  Fleet.pass(seconds(9));
+  loseFragments(Fleet, Away);
+  Fleet.change("c", Configuration);
+  // The first read of each of them after the change fails as well.
+  Fleet.pass(MaxChangeDelay / 2);
+  Fleet.turnAway({});
+  Fleet.pass(MaxChangeDelay / 2);
+  CHECK(Fleet.staleCount() == 0);
+}
+
+TEST_CASE("a configuration of any size reaches instances that the store turns "
+          "away",
+          "[catchup][!shouldfail]") {
+  const std::string Large =
+      GENERATE(std::string(300'000, 'x'), randomText(200'000));
+  SeededSimulation Fleet(20);
+  Fleet.pass(seconds(3));
+  std::set<std::size_t> Away;
+  for (std::size_t Index = 0; Index < 20; ++Index)
+    if (!Fleet.Watches_.contains(Index))
+      Away.insert(Index);
+  REQUIRE(Away.size() == 19);
+  Fleet.turnAway(Away);
+  Fleet.change("c", Large);
+  Fleet.pass(MaxChangeDelay);
+  CHECK(Fleet.staleCount() == 0);
+}
+
+TEST_CASE("a change that is missing from a stale first read is read afterwards",
+          "[catchup][!shouldfail]") {
+  SeededFleet Restarted(makeSettings(1), framework::Random(1));
+  framework::Moment Now{framework::Instant(seconds(100)),
+                        framework::WallTime(seconds(1'000'000))};
+  OutputList Output;
+  Restarted.start(Now, Output);
+  REQUIRE(outputsOf<ReadRecords>(Output).front().IsStaleAllowed_);
+  Output.clear();
+  // The records are old, the revision beside them is the present one.
+  Restarted.handleAllRecords({{"c", "document", Revision(7), false},
+                              {"t0", "target a", Revision(8), false}},
+                             Revision(12), Now, Output);
+  std::vector<ReadRecords> Next = outputsOf<ReadRecords>(Output);
+  while (Next.empty()) {
+    Now.Monotonic_ += milliseconds(10);
+    Now.Wall_ += milliseconds(10);
+    REQUIRE(Now.Monotonic_ < framework::Instant(seconds(101)));
+    Output.clear();
+    Restarted.tick(Now, Output);
+    Next = outputsOf<ReadRecords>(Output);
+  }
+  CHECK(Next[0].After_ == Revision(8));
+}
+
+TEST_CASE("a target whose record was deleted is not used on while the leader "
+          "of the zone cannot read the store",
+          "[catchup][!shouldfail]") {
+  std::vector<std::string> Zones;
+  for (char Zone = 'a'; Zone <= 'o'; ++Zone)
+    Zones.emplace_back(1, Zone);
+  constexpr int Rounds = 8;
+  SeededSimulation Fleet(30, Zones, Rounds);
+  // Processors are slow, so that reads start later than they are due.
+  Fleet.Step_ = milliseconds(70);
+  Fleet.pass(seconds(3));
+  std::set<std::size_t> Leaders;
+  for (const auto &[Index, Until] : Fleet.Watches_)
+    Leaders.insert(Index);
+  REQUIRE(Leaders.size() == Zones.size());
+  for (std::size_t Round = 1; Round <= Rounds; ++Round) {
+    Fleet.turnAway(Leaders);
+    Fleet.remove("t" + std::to_string(Round - 1));
+    Fleet.pass(MaxChangeDelay);
+    CHECK(std::all_of(Fleet.Instances_.begin(), Fleet.Instances_.end(),
+                      [&](const auto &Each) {
+                        return Each.view().targets().size() == Rounds - Round;
+                      }));
+    Fleet.turnAway({});
+    Fleet.pass(seconds(3));
+  }
+}
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -5,6 +5,7 @@
 #include "fleet/peercodec.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -69,6 +70,10 @@
   std::size_t LargestMessage_ = 0;
   /// Instances whose messages are all lost, in both directions.
   std::set<std::size_t> Isolated_;
+  /// Instances whose reads the store refuses.
+  std::set<std::size_t> TurnedAway_;
+  /// Returns true for a message to the given instance that is lost.
+  std::function<bool(std::size_t, const PeerMessage &)> IsLost_;
   /// Instances that process each message after `SlowDelay`, as if it had only
   /// just arrived.
   std::set<std::size_t> Slow_;
@@ -136,6 +141,8 @@
     const std::size_t Receiver = Found->second;
     if (Isolated_.contains(Receiver) || Isolated_.contains(Sender))
       return;
+    if (IsLost_ && IsLost_(Receiver, Message.Message_))
+      return;
     if (Slow_.contains(Receiver)) {
       Delayed_.emplace_back(Now_.Monotonic_ + SlowDelay,
                             std::pair(Receiver, Message));
@@ -172,7 +179,7 @@
   void answer(std::size_t Instance, const ReadRecords &Request) {
     ++ReadCount_;
     OutputList Output;
-    if (IsStoreDown_)
+    if (isStoreDownFor(Instance))
       Instances_[Instance].handleRecordsUnavailable("down", Now_, Output);
     else if (!Request.After_)
       Instances_[Instance].handleAllRecords(allRecords(), Revision_, Now_,
@@ -186,6 +193,22 @@
     process(Instance, Output);
   }
 
+  bool isStoreDownFor(std::size_t Instance) const {
+    return IsStoreDown_ || TurnedAway_.contains(Instance);
+  }
+
+  /// Makes the store refuse the given instances, also those that watch it.
+  void turnAway(std::set<std::size_t> Instances) {
+    TurnedAway_ = std::move(Instances);
+    for (const std::size_t Each : TurnedAway_) {
+      if (Watches_.erase(Each) == 0)
+        continue;
+      OutputList Output;
+      Instances_[Each].handleRecordsUnavailable("down", Now_, Output);
+      process(Each, Output);
+    }
+  }
+
   std::vector<StoredRecord> allRecords() const {
     std::vector<StoredRecord> All = Targets_;
     All.push_back({"c", "document", framework::Revision(9), false});
@@ -202,8 +225,16 @@
 
   /// Changes a record of the store and answers all open watches at once.
   void change(const std::string &Key, const std::string &Value) {
+    publish({Key, Value, {}, false});
+  }
+
+  /// Deletes a record of the store and answers all open watches at once.
+  void remove(const std::string &Key) { publish({Key, "", {}, true}); }
+
+  void publish(StoredRecord Record) {
     Revision_ = framework::Revision(Revision_.value() + 1);
-    Changes_.push_back({Key, Value, Revision_, false});
+    Record.Revision_ = Revision_;
+    Changes_.push_back(std::move(Record));
     const auto Pending = std::exchange(Watches_, {});
     for (const auto &[Index, Until] : Pending) {
       OutputList Output;
@@ -220,19 +251,22 @@
         [&](const auto &Each) { return Each.view().revision() != Revision_; }));
   }
 
-  /// Advances the virtual time in steps of 10 ms.
+  /// The time between two moments at which the instances run.
+  framework::Duration Step_ = milliseconds(10);
+
+  /// Advances the virtual time.
   void pass(framework::Duration Time) {
     const framework::Instant End = Now_.Monotonic_ + Time;
     while (Now_.Monotonic_ < End) {
-      Now_.Monotonic_ += milliseconds(10);
-      Now_.Wall_ += milliseconds(10);
+      Now_.Monotonic_ += Step_;
+      Now_.Wall_ += Step_;
       deliverDelayed();
       for (std::size_t Index = 0; Index < Instances_.size(); ++Index) {
         OutputList Output;
         const auto Watch = Watches_.find(Index);
         if (Watch != Watches_.end() && Watch->second <= Now_.Monotonic_) {
           Watches_.erase(Watch);
-          if (IsStoreDown_)
+          if (isStoreDownFor(Index))
             Instances_[Index].handleRecordsUnavailable("down", Now_, Output);
           else
             Instances_[Index].handleChangedRecords({}, Revision_, Now_, Output);
--- a/src/fleet/tests/storeview_test.cpp
+++ b/src/fleet/tests/storeview_test.cpp
@@ -122,6 +122,21 @@
   }
 }
 
+TEST_CASE("a full read that is older than the view does not undo changes",
+          "[store][!shouldfail]") {
+  Fixture Test;
+  // Other instances have sent these while the store was being read.
+  Test.View_.apply(
+      {deleted("t1", 7), put("t2", "target 50 1", 8), put("z", "zone", 9)},
+      Revision(9), at(milliseconds(10)));
+  Test.View_.replaceAll({put("t1", "target 50 3", 5), put("c", "version 7", 6)},
+                        Revision(6), at(milliseconds(20)));
+  const auto Targets = Test.View_.targets();
+  REQUIRE(Targets.size() == 1);
+  CHECK(Targets.front().Name_ == framework::TargetName("t2"));
+  CHECK(Targets.front().IsDraining_);
+}
+
 TEST_CASE("targets of an evacuated zone count as draining", "[store]") {
   Fixture Test;
   Test.View_.apply({put("z", "zone", 7)}, Revision(7), at(milliseconds(10)));
