--- a/src/entry/tests/targetconnectionpool_test.cpp
+++ b/src/entry/tests/targetconnectionpool_test.cpp
@@ -20,6 +20,17 @@
   AttemptFailure Failure_;
 };
 
+/// Returns a profile with the callers' attempt ids and with responses that may
+/// end with their connection.
+HttpProfile callerIdProfile() {
+  HttpProfile Profile = defaultHttpProfile();
+  Profile.AttemptIdField_ = "Attempt-Id";
+  Profile.IsCallerAttemptIdUsed_ = true;
+  Profile.SignatureField_ = "Signature";
+  Profile.IsCloseDelimitedBodyAllowed_ = true;
+  return Profile;
+}
+
 } // namespace
 
 TEST_CASE("an attempt carries its header fields and its response is read",
@@ -145,6 +156,52 @@
   CHECK(Fixture.responseBytesInUse() == 0);
 }
 
+TEST_CASE("a response that ends within its head fails the attempt where "
+          "responses may end with their connection",
+          "[entry]") {
+  const std::string Response = "HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\n"
+                               "Signature: s\r\nContent-Type: text\r\n";
+  for (std::size_t Length = 1; Length <= Response.size(); ++Length) {
+    CAPTURE(Length);
+    TargetFixture Fixture(EntryLimits(), callerIdProfile());
+    tcp::socket Target = Fixture.open(1);
+    Fixture.send(1, 1, "POST", std::nullopt, "/", "id-1");
+    readHead(Target);
+    writeAll(Target, Response.substr(0, Length));
+    boost::system::error_code Ignored;
+    Target.shutdown(tcp::socket::shutdown_send, Ignored);
+    Fixture.expect<decision::AnswerBegan>();
+    const auto Event = Fixture.expect<AttemptFailed>();
+    CHECK(Event.Failure_ == AttemptFailure::Truncated);
+    CHECK(Event.Written_ == WriteState::MaybeWritten);
+  }
+}
+
+// The core keeps a refused call away from the connection that refused it.
+TEST_CASE("a refusal that is written again cannot be told from that of a later "
+          "attempt of the same request",
+          "[entry]") {
+  TargetFixture Fixture(EntryLimits(), callerIdProfile());
+  tcp::socket Target = Fixture.open(1);
+  const std::string Refusal = "HTTP/1.1 503 Busy\r\nAttempt-Id: id-1\r\n"
+                              "Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+  for (std::uint64_t Attempt = 1; Attempt <= 2; ++Attempt) {
+    Fixture.send(1, Attempt, "POST", std::nullopt, "/", "id-1");
+    readHead(Target);
+    writeAll(Target, Refusal);
+    Fixture.expect<decision::AnswerBegan>();
+    const auto Event = Fixture.expect<AttemptAnswered>();
+    CHECK(Event.IsNotRun_);
+    CHECK(Event.EchoedAttempt_ == framework::AttemptId(Attempt));
+  }
+  Fixture.send(1, 3, "POST", std::nullopt, "/", "id-2");
+  readHead(Target);
+  writeAll(Target, Refusal);
+  Fixture.expect<decision::AnswerBegan>();
+  CHECK(Fixture.expect<AttemptAnswered>().EchoedAttempt_ !=
+        framework::AttemptId(3));
+}
+
 TEST_CASE("a target that closes instead of answering may have run the request",
           "[entry]") {
   TargetFixture Fixture;
--- a/src/entry/tests/targetfixture.cpp
+++ b/src/entry/tests/targetfixture.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-TargetFixture::TargetFixture(const EntryLimits &Limits)
-    : State_(Limits, Mailboxes_),
+TargetFixture::TargetFixture(const EntryLimits &Limits, HttpProfile Profile)
+    : State_(Limits, Mailboxes_, std::move(Profile)),
       Acceptor_(std::move(listen(TargetIo_, {"127.0.0.1", 0}).value())) {
   Mailboxes_.Dispatch_.attach(DispatchIo_, [this](DispatchInput &Input) {
     const std::lock_guard Lock(Mutex_);
@@ -59,10 +59,11 @@
 void TargetFixture::send(
     std::uint64_t Connection, std::uint64_t Attempt, const std::string &Method,
     const std::optional<decision::ForwardingInstance> &Forwarder,
-    const std::string &Target) {
+    const std::string &Target, const std::string &CallerAttemptId) {
   auto Request = std::make_shared<CallerRequest>();
   Request->Method_ = Method;
   Request->Target_ = Target;
+  Request->AttemptId_ = CallerAttemptId;
   Request->Fields_ = {{"Host", "x"}};
   Request->Body_ = Method == "POST" ? "body" : "";
   decision::SendAttempt Command;
--- a/src/entry/tests/targetfixture.h
+++ b/src/entry/tests/targetfixture.h
@@ -14,7 +14,8 @@
 /// for the target, and the events that the dispatch worker would receive.
 class TargetFixture {
 public:
-  explicit TargetFixture(const EntryLimits &Limits = EntryLimits());
+  explicit TargetFixture(const EntryLimits &Limits = EntryLimits(),
+                         HttpProfile Profile = defaultHttpProfile());
   ~TargetFixture();
 
   void sendCommand(TargetCommand Command);
@@ -26,7 +27,8 @@
             const std::string &Method = "GET",
             const std::optional<decision::ForwardingInstance> &Forwarder =
                 std::nullopt,
-            const std::string &Target = "/a?b");
+            const std::string &Target = "/a?b",
+            const std::string &CallerAttemptId = "");
 
   /// Waits for the next event with its response.
   DispatchInput next();
