Ask other instances for changes that the store does not give

Callers saw: an instance goes on with an older configuration although the others have the new one (CONFIG), also with targets that have announced their leaving (DRAIN).

Cause: records travel between instances in datagrams, and what does not fit in one is sent in fragments that are sent once. An instance that lost one knew that it was behind, from updates that state the revision, but only the store could help it. Where the store turns this instance away, is slow or silent, nobody did. Class: a message without a second try, whose loss only the sender's source can repair.

An instance whose read is due and not answered within 150 ms, or that waits for its next try, sends a RecordRequest with its revision, every 150 ms while newer changes are known to exist: in turn to the instance that has announced them and to any other. Whoever has news sends the last change of each key since then, in at most 32 messages. The answer therefore does not depend on what was sent recently, nor on how many versions were missed. RecordTable replaces RecordLog, which an instance that never led its group did not shorten. Requests of unknown senders are rejected.

After lost history, changes found by the full read are sent on as well, so that the others need not read everything themselves.

The simulated store now publishes configurations with versions, and an instance counts as stale until it has the newest one; before, these changes were unreadable records, which are no longer sent.

--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -233,6 +233,16 @@
   Visit(Item.Bytes_);
 }
 
+template <typename Visitor>
+void visitFields(RecordRequest &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.After_);
+  Visit(Item.Age_);
+  Visit(Item.LargeRevision_);
+  Visit(Item.MissingFragments_);
+}
+
 template <typename Visitor>
 void visitFields(quotas::FleetSize &Item, Visitor &&Visit) {
   Visit(Item.Count_);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -115,7 +115,8 @@
                              std::is_same_v<MessageType,
                                             capacity::DemandUpdate> ||
                              std::is_same_v<MessageType, RecordUpdate> ||
-                             std::is_same_v<MessageType, RecordFragment>) {
+                             std::is_same_v<MessageType, RecordFragment> ||
+                             std::is_same_v<MessageType, RecordRequest>) {
           if (Seeded_)
             Seeded_->handle(Item, Now, Output);
         } else {
--- a/src/fleet/internal/seeded/recordtable.h
+++ b/src/fleet/internal/seeded/recordtable.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_RECORDTABLE_H
 #define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_RECORDTABLE_H
 
+#include "fleet/types/recordupdate.h"
 #include "fleet/types/storedrecord.h"
 #include "framework/ids.h"
 
@@ -13,7 +14,8 @@
 
 /// The newest known record of each key of the platform's metadata store.
 /// Deletions are kept as well, so that an older record of the key, which may
-/// arrive later by another way, is recognised.
+/// arrive later by another way, is recognised. Only the last change of a key is
+/// kept, which is what another instance needs, however far it is behind.
 class RecordTable {
 public:
   /// Returns true when no change of the key at this revision or a later one is
@@ -26,16 +28,42 @@
   std::vector<std::string> findMissing(const std::set<std::string> &Present,
                                        framework::Revision AsOf) const;
 
+  /// Records that all changes after this revision are known.
+  void setCompleteSince(framework::Revision Revision) {
+    CompleteSince_ = Revision;
+  }
+  /// Returns the revision after which all changes are known. Earlier deletions
+  /// may be unknown.
+  framework::Revision completeSince() const { return CompleteSince_; }
+
+  /// Returns the changes that lead from revision `After`, which must not be
+  /// before `completeSince`, to `To`. Each update fits in a message, unless its
+  /// only record is larger than that. Changes that are not kept, since they
+  /// have no effect, are left out.
+  std::vector<RecordUpdate> updatesAfter(framework::Revision After,
+                                         framework::Revision To) const;
+  /// Returns the last of these changes, as many as fit in one message. Without
+  /// any the update only states the revision.
+  RecordUpdate lastUpdate(framework::Revision After,
+                          framework::Revision To) const;
+
+  static bool fitsInMessage(const RecordUpdate &Update);
+
 private:
   /// Bounds the memory for deleted records.
   static constexpr std::size_t MaxDeletions = 2048;
 
   void dropOldestDeletion();
+  std::vector<const StoredRecord *> recordsAfter(framework::Revision After,
+                                                 framework::Revision To) const;
+  /// Returns the revision of the last kept change at `Limit` or before it.
+  framework::Revision lastChangeUpTo(framework::Revision Limit) const;
 
   std::map<std::string, StoredRecord> Records_;
   /// The keys of all records by revision.
   std::multimap<framework::Revision, std::string> KeysByRevision_;
   std::size_t DeletionCount_ = 0;
+  framework::Revision CompleteSince_;
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -460,4 +460,18 @@
   Replicator_.handle(Message, makeContext(Now, Output));
 }
 
+void SeededFleet::handle(const RecordRequest &Message, framework::Moment Now,
+                         OutputList &Output) {
+  const auto Sender = Membership_.members().find(Message.From_);
+  if (Sender == Membership_.members().end() ||
+      Sender->second.Info_.Incarnation_ != Message.Incarnation_) {
+    Output.push_back(PeerMessageRejected{
+        Message.From_.value(), "record request of an unknown instance"});
+    return;
+  }
+  Group_.recordActivity(Message.From_, Now.Monotonic_);
+  Replicator_.answer(Message, Sender->second.Info_.Address_,
+                     makeContext(Now, Output));
+}
+
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -44,6 +44,8 @@
               OutputList &Output);
   void handle(const RecordFragment &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const RecordRequest &Message, framework::Moment Now,
+              OutputList &Output);
   void handle(const CrashUpdate &Message, framework::Moment Now,
               OutputList &Output);
   void handle(const capacity::DemandUpdate &Message, framework::Moment Now,
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -1,7 +1,6 @@
 #include "fleet/internal/seeded/storereplicator.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace cranberryspool::fleet {
@@ -47,13 +46,28 @@
 constexpr std::uint32_t FailuresOfUnavailableStore = 2;
 constexpr const char *StoreSource = "store";
 
+/// How long a change is sent repeatedly.
+constexpr Duration RetransmitPeriod = milliseconds(1500);
+/// Another instance is asked when a read of the store takes longer than this.
+constexpr Duration ReadPatience = milliseconds(150);
+/// The time after which the next instance is asked. While nothing newer is
+/// known to exist, as in an outage of the store, it grows.
+constexpr Duration InitialRequestDelay = milliseconds(150);
+constexpr Duration MaxRequestDelay = milliseconds(600);
+/// A request that could only make the view younger by less is not answered.
+constexpr Duration MinAgeGain = milliseconds(200);
+/// The most messages in which a request is answered.
+constexpr std::size_t MaxAnswerMessages = 32;
+
 std::vector<StoredRecord>
-recordsAfter(Revision Known, const std::vector<StoredRecord> &Records) {
-  std::vector<StoredRecord> Newer;
-  std::copy_if(
-      Records.begin(), Records.end(), std::back_inserter(Newer),
-      [&](const StoredRecord &Each) { return Each.Revision_ > Known; });
-  return Newer;
+storedRecords(const std::vector<ReplicatedRecord> &Records) {
+  std::vector<StoredRecord> Stored;
+  for (const ReplicatedRecord &Each : Records)
+    Stored.push_back({Each.Key_,
+                      {Each.Value_.begin(), Each.Value_.end()},
+                      Each.Revision_,
+                      Each.IsDeleted_});
+  return Stored;
 }
 
 } // namespace
@@ -68,8 +82,9 @@
 void StoreReplicator::tick(const EventContext &Context) {
   reportChanges(View_.expireMissing(Context.Now_), StoreSource,
                 Context.Output_);
-  reportProgress(AnnouncedBy_, Context);
+  reportProgress(AnnouncedBy_.value(), Context);
   readIfDue(Context);
+  requestIfDue(Context);
   if (Context.Now_ >= NextUpdateAt_ && Context.isGroupLeader())
     sendRecentChanges(Context);
 }
@@ -84,7 +99,8 @@
   if (AnnouncedRevision_ && *AnnouncedRevision_ >= Announcement.ToRevision_)
     return;
   AnnouncedRevision_ = Announcement.ToRevision_;
-  AnnouncedBy_ = Announcement.From_.value();
+  AnnouncedBy_ = Announcement.From_;
+  NextRequestAt_ = std::min(NextRequestAt_, Now + InitialRequestDelay);
 }
 
 bool StoreReplicator::isBehind(Instant Now) const {
@@ -112,6 +128,7 @@
     // a watch or from other instances.
     IsFullReadStale_ = !View_.isLoaded() && Failures_ == 0;
     IsReading_ = true;
+    ReadStartedAt_ = Now;
     Context.Output_.push_back(
         ReadRecords{std::nullopt, Duration{}, IsFullReadStale_});
     return;
@@ -124,6 +141,7 @@
   if (!IsWatch && !isReadNeeded(Context))
     return;
   IsReading_ = true;
+  ReadStartedAt_ = Now;
   // The age of the view includes the pause after changes, so the pause does not
   // make other instances wait longer for an update.
   const Duration Wait =
@@ -135,10 +153,12 @@
 void StoreReplicator::handleAllRecords(const std::vector<StoredRecord> &Records,
                                        Revision AsOf,
                                        const EventContext &Context) {
+  const bool IsFirstRead = !View_.isLoaded();
+  const bool WasBehind = isBehind(Context.Now_);
+  const Revision Before = View_.revision();
   IsReading_ = false;
   IsFullReadNeeded_ = false;
   recordReadSuccess(Context);
-  Log_.clear();
   if (!IsFullReadStale_)
     AnsweredWallTime_ = Context.Wall_;
   reportChanges(IsFullReadStale_
@@ -146,21 +166,36 @@
                     : View_.replaceAll(Records, AsOf, Context.Now_),
                 StoreSource, Context.Output_);
   reportProgress(StoreSource, Context);
+  if (IsFirstRead)
+    SentRevision_ = View_.revision();
+  else
+    shareAnswer(Before, WasBehind, Context);
   readIfDue(Context);
 }
 
+void StoreReplicator::shareAnswer(Revision Before, bool WasBehind,
+                                  const EventContext &Context) {
+  recordAdvance(Before, Context.Now_);
+  // The view is as fresh as possible now, so it is sent on. An instance that
+  // read the store only because it missed a message does not send what the
+  // others already have.
+  if (WasBehind && !Context.isGroupLeader()) {
+    SentRevision_ = View_.revision();
+    return;
+  }
+  sendNewChanges(Context);
+  sendRecentChanges(Context);
+}
+
 void StoreReplicator::handleChangedRecords(
     const std::vector<StoredRecord> &Records, Revision AsOf,
     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
   IsReading_ = false;
   recordReadSuccess(Context);
-  // Other instances may have sent some of these changes in the meantime.
   const Revision Before = View_.revision();
-  const std::vector<StoredRecord> NewRecords = recordsAfter(Before, Records);
   AnsweredWallTime_ = Context.Wall_;
-  Log_.append(Before, AsOf, NewRecords, Context.Now_);
-  reportChanges(View_.apply(NewRecords, AsOf, Context.Now_), StoreSource,
+  reportChanges(View_.apply(Records, AsOf, Context.Now_), StoreSource,
                 Context.Output_);
   AnnouncedRevision_.reset();
   reportProgress(StoreSource, Context);
@@ -170,13 +205,7 @@
         std::min(MaxWatchPause,
                  WatchPausePerGroup *
                      static_cast<std::int64_t>(Context.estimatedGroupCount()));
-  // The view is as fresh as possible now, so it is sent on. An instance that
-  // read the store only because it missed a message does not send what the
-  // others already have.
-  if (Context.isGroupLeader() || !WasBehind) {
-    sendNewChanges(Context);
-    sendRecentChanges(Context);
-  }
+  shareAnswer(Before, WasBehind, Context);
   readIfDue(Context);
 }
 
@@ -252,36 +281,46 @@
   Context.Output_.push_back(std::move(Report));
 }
 
+void StoreReplicator::recordAdvance(Revision Before, Instant Now) {
+  if (View_.revision() > Before)
+    Advances_.push_back({Before, Now});
+  while (!Advances_.empty() && Now - Advances_.front().At_ > RetransmitPeriod)
+    Advances_.pop_front();
+}
+
+template <typename Message>
+void StoreReplicator::stamp(Message &Update,
+                            const EventContext &Context) const {
+  Update.From_ = Context.self().Name_;
+  Update.Age_ = View_.age(Context.Now_).value_or(Duration{});
+  Update.AnsweredAt_ = AnsweredWallTime_;
+}
+
 void StoreReplicator::sendRecentChanges(const EventContext &Context) {
-  const auto Age = View_.age(Context.Now_);
-  if (!Age)
+  if (!View_.age(Context.Now_))
     return;
   NextUpdateAt_ = Context.Now_ + UpdateInterval;
-  RecordUpdate Update;
-  Update.From_ = Context.self().Name_;
+  recordAdvance(View_.revision(), Context.Now_);
+  RecordUpdate Update = View_.records().lastUpdate(
+      Advances_.empty() ? View_.revision() : Advances_.front().Before_,
+      View_.revision());
+  stamp(Update, Context);
   Update.Incarnation_ = Context.self().Incarnation_;
-  Update.ToRevision_ = View_.revision();
-  Update.Age_ = *Age;
-  Update.AnsweredAt_ = AnsweredWallTime_;
-  Log_.addRecent(Update, Context.Now_);
   send(Update, Context);
 }
 
 void StoreReplicator::sendNewChanges(const EventContext &Context) {
-  const Duration Age = View_.age(Context.Now_).value_or(Duration{});
-  for (RecordUpdate &Update : Log_.takeUnsent()) {
-    Update.From_ = Context.self().Name_;
+  const Revision After = std::exchange(SentRevision_, View_.revision());
+  for (RecordUpdate &Update :
+       View_.records().updatesAfter(After, View_.revision())) {
+    stamp(Update, Context);
     Update.Incarnation_ = Context.self().Incarnation_;
-    Update.Age_ = Age;
-    Update.AnsweredAt_ = AnsweredWallTime_;
-    if (RecordLog::fitsInMessage(Update)) {
+    if (RecordTable::fitsInMessage(Update)) {
       send(Update, Context);
       continue;
     }
     for (RecordFragment &Fragment : splitRecord(Update)) {
-      Fragment.From_ = Update.From_;
-      Fragment.Age_ = Age;
-      Fragment.AnsweredAt_ = AnsweredWallTime_;
+      stamp(Fragment, Context);
       send(Fragment, Context);
     }
   }
@@ -294,6 +333,94 @@
     Context.sendTo(Context.Group_.groupRelays(), Message);
 }
 
+bool StoreReplicator::isHelpNeeded(const EventContext &Context) const {
+  if (!View_.isLoaded() || !isReadNeeded(Context))
+    return false;
+  return IsReading_ ? Context.Now_ >= ReadStartedAt_ + ReadPatience
+                    : Context.Now_ < NextReadAt_;
+}
+
+void StoreReplicator::requestIfDue(const EventContext &Context) {
+  if (Context.Now_ < NextRequestAt_ || !isHelpNeeded(Context))
+    return;
+  const MemberInfo *Source = chooseSource(Context);
+  if (!Source)
+    return;
+  const bool IsGrowing =
+      !AnnouncedRevision_ && View_.revision() == RevisionAtRequest_;
+  RequestDelay_ = IsGrowing ? std::min(2 * RequestDelay_, MaxRequestDelay)
+                            : InitialRequestDelay;
+  NextRequestAt_ = Context.Now_ + RequestDelay_;
+  sendRequest(*Source, Context);
+}
+
+const MemberInfo *StoreReplicator::chooseSource(const EventContext &Context) {
+  std::vector<const MemberInfo *> OwnZone;
+  std::vector<const MemberInfo *> OtherZones;
+  for (const auto &[Name, State] : Context.Membership_.members()) {
+    if (State.IsLost_ || State.IsStopping_)
+      continue;
+    const bool IsAnnouncer = AnnouncedRevision_ && Name == AnnouncedBy_;
+    const bool WasAsked = Asked_ && Asked_->Name_ == Name;
+    if (IsAnnouncer && !WasAsked)
+      return &State.Info_;
+    const bool IsInOwnZone = State.Info_.Zone_ == Context.self().Zone_;
+    (IsInOwnZone ? OwnZone : OtherZones).push_back(&State.Info_);
+  }
+  const bool IsOwnZoneAsked =
+      OtherZones.empty() || (!OwnZone.empty() && Rng_.index(2) == 0);
+  const auto &Candidates = IsOwnZoneAsked ? OwnZone : OtherZones;
+  return Candidates.empty() ? nullptr
+                            : Candidates[Rng_.index(Candidates.size())];
+}
+
+void StoreReplicator::sendRequest(const MemberInfo &Source,
+                                  const EventContext &Context) {
+  Asked_ = Source;
+  RevisionAtRequest_ = View_.revision();
+  RecordRequest Request;
+  Request.From_ = Context.self().Name_;
+  Request.Incarnation_ = Context.self().Incarnation_;
+  Request.After_ = View_.revision();
+  Request.Age_ = View_.age(Context.Now_).value_or(Duration::max());
+  Context.sendTo({Source.Address_}, Request);
+}
+
+void StoreReplicator::answer(const RecordRequest &Message,
+                             const std::string &Address,
+                             const EventContext &Context) const {
+  const auto Age = View_.age(Context.Now_);
+  const bool HasNews = View_.revision() > Message.After_ ||
+                       (Age && *Age + MinAgeGain < Message.Age_ &&
+                        View_.revision() == Message.After_);
+  if (!Age || !HasNews || Message.After_ < View_.records().completeSince())
+    return;
+  std::vector<RecordUpdate> Updates =
+      View_.records().updatesAfter(Message.After_, View_.revision());
+  if (Updates.empty()) {
+    RecordUpdate &Statement = Updates.emplace_back();
+    Statement.FromRevision_ = Message.After_;
+    Statement.ToRevision_ = View_.revision();
+  }
+  std::size_t Sent = 0;
+  for (RecordUpdate &Update : Updates) {
+    stamp(Update, Context);
+    Update.Incarnation_ = Context.self().Incarnation_;
+    if (RecordTable::fitsInMessage(Update)) {
+      Context.sendTo({Address}, Update);
+      ++Sent;
+    } else {
+      for (RecordFragment &Fragment : splitRecord(Update)) {
+        stamp(Fragment, Context);
+        Context.sendTo({Address}, Fragment);
+        ++Sent;
+      }
+    }
+    if (Sent >= MaxAnswerMessages)
+      return;
+  }
+}
+
 void StoreReplicator::handle(const RecordFragment &Message,
                              const EventContext &Context) {
   if (const auto Update = Reassembler_.add(Message))
@@ -309,33 +436,33 @@
     recordGap(Message, Context.Now_);
     return;
   }
-  std::vector<StoredRecord> Records;
-  for (const ReplicatedRecord &Each : Message.Records_)
-    if (Each.Revision_ > Before)
-      Records.push_back({Each.Key_,
-                         {Each.Value_.begin(), Each.Value_.end()},
-                         Each.Revision_,
-                         Each.IsDeleted_});
-  Log_.append(Before, Message.ToRevision_, Records, Context.Now_);
   // A clock difference may make the update look older, never younger than its
   // own age says.
   const Duration Age =
       std::max(Message.Age_, Context.Wall_ - Message.AnsweredAt_);
-  reportChanges(View_.apply(Records, Message.ToRevision_, Context.Now_ - Age),
+  reportChanges(View_.apply(storedRecords(Message.Records_),
+                            Message.ToRevision_, Context.Now_ - Age),
                 Message.From_.value(), Context.Output_);
+  recordAdvance(Before, Context.Now_);
   if (View_.age(Context.Now_) == Age)
     AnsweredWallTime_ = Message.AnsweredAt_;
   if (AnnouncedRevision_ && *AnnouncedRevision_ <= View_.revision())
     AnnouncedRevision_.reset();
   reportProgress(Message.From_.value(), Context);
+  passOn(Message, Context);
+}
+
+void StoreReplicator::passOn(const RecordUpdate &Message,
+                             const EventContext &Context) {
   // An update from outside the group is passed on by each relay that receives
-  // it, since one of them may be slow.
-  const bool IsFromOtherGroup = !Context.Group_.isInGroup(Message.From_);
-  if (IsFromOtherGroup || Context.isGroupLeader())
+  // it, since one of them may be slow. An answer to a request is not.
+  const bool IsAnswer = Asked_ && Asked_->Name_ == Message.From_;
+  const bool IsForGroup = !IsAnswer && !Context.Group_.isInGroup(Message.From_);
+  if (IsForGroup || Context.isGroupLeader())
     sendNewChanges(Context);
   else
-    Log_.takeUnsent();
-  if (IsFromOtherGroup && Context.Now_ >= NextUpdateAt_)
+    SentRevision_ = View_.revision();
+  if (IsForGroup && Context.Now_ >= NextUpdateAt_)
     sendRecentChanges(Context);
 }
 
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -2,11 +2,11 @@
 #define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_STOREREPLICATOR_H
 
 #include "fleet/internal/seeded/eventcontext.h"
-#include "fleet/internal/seeded/recordlog.h"
 #include "fleet/internal/seeded/recordreassembler.h"
 #include "fleet/internal/seeded/storeview.h"
 #include "fleet/recorddecoder.h"
 #include "fleet/types/recordfragment.h"
+#include "fleet/types/recordrequest.h"
 #include "fleet/types/recordupdate.h"
 #include "fleet/types/storedrecord.h"
 #include "framework/ids.h"
@@ -14,6 +14,7 @@
 #include "framework/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,7 +24,8 @@
 /// Keeps the view of the platform's metadata store up to date. The leader of an
 /// availability zone watches the store and sends changes to its peer group and
 /// to the relays of the zone's other groups, which pass them on. An instance
-/// whose view gets too old reads the store itself.
+/// that misses changes, or whose view gets too old, reads the store itself, and
+/// asks other instances as long as the store does not answer.
 class StoreReplicator {
 public:
   StoreReplicator(RecordDecoder Decode, const FleetBounds &Bounds,
@@ -48,6 +50,10 @@
 
   void handle(const RecordUpdate &Message, const EventContext &Context);
   void handle(const RecordFragment &Message, const EventContext &Context);
+  /// Answers the request of the instance at `Address` unless it has all that
+  /// this instance knows.
+  void answer(const RecordRequest &Message, const std::string &Address,
+              const EventContext &Context) const;
 
 private:
   /// Starts a read or watch of the store unless one is under way, not needed or
@@ -59,6 +65,16 @@
   /// Returns true once this instance has run for long enough to know the
   /// members of its zone.
   bool isDiscoveryComplete(framework::Instant Now) const;
+  /// Asks another instance for changes when they are needed and the store does
+  /// not answer.
+  void requestIfDue(const EventContext &Context);
+  /// Returns true when a read is needed and either waits for its next try or
+  /// has been under way for a while.
+  bool isHelpNeeded(const EventContext &Context) const;
+  void sendRequest(const MemberInfo &Source, const EventContext &Context);
+  /// Chooses the instance to ask: in turn the one that has announced a newer
+  /// revision and any other, since a whole zone may lack the changes.
+  const MemberInfo *chooseSource(const EventContext &Context);
   /// Records that another instance has reached a revision, from an update that
   /// cannot be applied, since earlier changes are missing here.
   void recordGap(const RecordUpdate &Announcement, framework::Instant Now);
@@ -73,15 +89,34 @@
   void reportProgress(const std::string &Source, const EventContext &Context);
   /// Ends a series of failed reads.
   void recordReadSuccess(const EventContext &Context);
+  /// Sends on what the store has answered to this instance.
+  void shareAnswer(framework::Revision Before, bool WasBehind,
+                   const EventContext &Context);
+  /// Sends on what another instance has sent.
+  void passOn(const RecordUpdate &Message, const EventContext &Context);
   /// Sends the revision and the age of the view, with the recent changes.
   void sendRecentChanges(const EventContext &Context);
   /// Sends the changes that were not sent before, in as many messages as
   /// needed.
   void sendNewChanges(const EventContext &Context);
   void send(const PeerMessage &Message, const EventContext &Context) const;
+  /// Remembers when the view reached a new revision, for `sendRecentChanges`.
+  void recordAdvance(framework::Revision Before, framework::Instant Now);
+  /// Sets the sender and the age of the view in an update or a fragment.
+  template <typename Message>
+  void stamp(Message &Update, const EventContext &Context) const;
+
+  /// The view has reached a new revision at a time.
+  struct Advance {
+    framework::Revision Before_;
+    framework::Instant At_{};
+  };
 
   StoreView View_;
-  RecordLog Log_;
+  /// The advances whose changes are still sent repeatedly, oldest first.
+  std::deque<Advance> Advances_;
+  /// The changes up to this revision have been sent, or need not be.
+  framework::Revision SentRevision_;
   RecordReassembler Reassembler_;
   framework::Random Rng_;
   /// Added to the maximum age of the view, so that instances that miss the same
@@ -91,7 +126,12 @@
   /// The newest revision that other instances have announced while the changes
   /// that lead to it are missing here.
   std::optional<framework::Revision> AnnouncedRevision_;
-  std::string AnnouncedBy_;
+  framework::InstanceName AnnouncedBy_;
+  /// The instance that was asked last, and the view at that time.
+  std::optional<MemberInfo> Asked_;
+  framework::Revision RevisionAtRequest_;
+  framework::Instant NextRequestAt_{};
+  framework::Duration RequestDelay_ = std::chrono::milliseconds(150);
   framework::Instant GapSince_{};
   bool IsBehindReported_ = false;
   bool IsReading_ = false;
@@ -101,6 +141,7 @@
   bool IsFullReadStale_ = false;
   std::uint32_t Failures_ = 0;
   framework::Instant FailingSince_{};
+  framework::Instant ReadStartedAt_{};
   framework::Instant NextReadAt_{};
   framework::Instant NextUpdateAt_{};
   /// The wall-clock time at which the store gave the answer that the view is
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -57,6 +57,7 @@
   /// were not written again within the recovery grace period.
   Changes expireMissing(framework::Instant Now);
 
+  const RecordTable &records() const { return Records_; }
   bool isLoaded() const { return IsLoaded_; }
   framework::Revision revision() const { return Revision_; }
   /// Returns the time since the store last answered, or nothing before its
--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// A configuration that is split into several fragments.
+/// The content of a configuration that is split into several fragments.
 const std::string Configuration(5'000, 'x');
 
 /// Returns every third instance.
@@ -43,14 +43,14 @@
 
 TEST_CASE("an instance that the store turns away gets a configuration of which "
           "it lost a part",
-          "[catchup][!shouldfail]") {
+          "[catchup]") {
   SeededSimulation Fleet(40);
   Fleet.pass(seconds(3));
   const std::set<std::size_t> Away = thirdOf(Fleet);
   Fleet.turnAway(Away);
   Fleet.pass(seconds(4));
   loseFragments(Fleet, Away);
-  Fleet.change("c", Configuration);
+  Fleet.changeConfiguration(Configuration);
   Fleet.pass(MaxChangeDelay);
   Fleet.IsLost_ = nullptr;
   Fleet.pass(seconds(1));
@@ -70,7 +70,7 @@
   };
   Fleet.pass(seconds(9));
   loseFragments(Fleet, Away);
-  Fleet.change("c", Configuration);
+  Fleet.changeConfiguration(Configuration);
   // The first read of each of them after the change fails as well.
   Fleet.pass(MaxChangeDelay / 2);
   Fleet.turnAway({});
@@ -91,7 +91,7 @@
       Away.insert(Index);
   REQUIRE(Away.size() == 19);
   Fleet.turnAway(Away);
-  Fleet.change("c", Large);
+  Fleet.changeConfiguration(Large);
   Fleet.pass(MaxChangeDelay);
   CHECK(Fleet.staleCount() == 0);
 }
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -128,6 +128,12 @@
                          {48, std::chrono::seconds(2)}},
       capacity::DemandUpdate{
           Name, Incarnation, 12, {{framework::ServiceName("s"), 40}, {}}},
+      RecordRequest{Name,
+                    Incarnation,
+                    framework::Revision(7),
+                    std::chrono::milliseconds(300),
+                    framework::Revision(9),
+                    {0, 31, 1'099}},
   };
 }
 
--- a/src/fleet/tests/seededfleet_test.cpp
+++ b/src/fleet/tests/seededfleet_test.cpp
@@ -48,7 +48,7 @@
   Fleet.pass(seconds(3));
   Fleet.ReadCount_ = 0;
   const auto Bytes = GENERATE(std::size_t{20}, std::size_t{5'000});
-  Fleet.change("c", std::string(Bytes, 'x'));
+  Fleet.changeConfiguration(std::string(Bytes, 'x'));
   Fleet.pass(milliseconds(500));
   CHECK(Fleet.staleCount() == 0);
   CHECK(Fleet.ReadCount_ <= 2);
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -21,7 +21,8 @@
 /// The platform requires that changes take effect within this time.
 inline constexpr framework::Duration MaxChangeDelay = seconds(2);
 
-/// Decodes the values `document` and `target ZONE`; rejects all others.
+/// Decodes the values `document`, `document VERSION TEXT` and `target ZONE`;
+/// rejects all others.
 inline PublishedItem decode(const std::string &Key, const std::string &Value) {
   if (Value.starts_with("target ")) {
     PublishedTarget Target;
@@ -29,10 +30,10 @@
     Target.Zone_ = framework::ZoneName(Value.substr(7));
     return Target;
   }
-  if (Value != "document")
+  if (!Value.starts_with("document"))
     return UnreadableRecord{"unknown value"};
   PublishedConfiguration Item;
-  Item.Version_ = 3;
+  Item.Version_ = Value == "document" ? 3 : std::stoull(Value.substr(9));
   Item.Document_ = std::make_shared<document::EnvironmentDocument>();
   return Item;
 }
@@ -64,6 +65,7 @@
                          framework::WallTime(seconds(1'000'000))};
   bool IsStoreDown_ = false;
   framework::Revision Revision_{10};
+  std::uint64_t Version_ = 3;
   std::vector<StoredRecord> Targets_;
   std::vector<StoredRecord> Changes_;
   int ReadCount_ = 0;
@@ -228,6 +230,13 @@
     publish({Key, Value, {}, false});
   }
 
+  /// Changes the configuration to one with the next version and the given
+  /// content.
+  void changeConfiguration(const std::string &Content) {
+    ++Version_;
+    change("c", "document " + std::to_string(Version_) + " " + Content);
+  }
+
   /// Deletes a record of the store and answers all open watches at once.
   void remove(const std::string &Key) { publish({Key, "", {}, true}); }
 
@@ -244,11 +253,14 @@
     }
   }
 
-  /// Counts the instances that have not reached the store's revision.
+  /// Counts the instances that have not reached the store's revision or its
+  /// configuration.
   std::size_t staleCount() const {
     return static_cast<std::size_t>(std::count_if(
-        Instances_.begin(), Instances_.end(),
-        [&](const auto &Each) { return Each.view().revision() != Revision_; }));
+        Instances_.begin(), Instances_.end(), [&](const auto &Each) {
+          return Each.view().revision() != Revision_ ||
+                 Each.view().configuration().Version_ != Version_;
+        }));
   }
 
   /// The time between two moments at which the instances run.
