Let a change take effect although an earlier one was lost

Callers saw: requests reach a target that leaves while the instance waits for an unrelated change that was lost (DRAIN, CONFIG).

Cause: changes were applied in one chain. When many targets leave at once, their records fill several datagrams; if the first is lost, all later ones were dropped, although they had arrived. Since the last one is repeated for 1.5 s only as far as it fits in one datagram, the rest waited for a read of the store.

Evidence: 'a change takes effect although an earlier one was lost' failed (the target was still used) and passes now.

The revisions of the keys make the order harmless: each change that arrives is applied to its own key at once. The revision of the view still counts only what is complete, so that the missing changes are asked for as before.

--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -500,6 +500,9 @@
     return;
   if (Message.FromRevision_ > Before) {
     recordGap(Message, Context.Now_);
+    reportChanges(
+        View_.applyAhead(storedRecords(Message.Records_), Context.Now_),
+        Message.From_.value(), Context.Output_);
     return;
   }
   // A clock difference may make the update look older, never younger than its
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -74,6 +74,15 @@
   return Result;
 }
 
+StoreView::Changes
+StoreView::applyAhead(const std::vector<StoredRecord> &Records,
+                      framework::Instant Now) {
+  Changes Result;
+  for (const StoredRecord &Each : Records)
+    applyChange(Each, Now, Result);
+  return Result;
+}
+
 void StoreView::applyChange(const StoredRecord &Record, framework::Instant Now,
                             Changes &Result) {
   if (!Records_.isNewer(Record))
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -53,6 +53,10 @@
   /// Applies changes, which must be in the order of their revisions.
   Changes apply(const std::vector<StoredRecord> &Records,
                 framework::Revision AsOf, framework::Instant Now);
+  /// Applies single changes while earlier ones are missing. The revision and
+  /// the age of the view stay.
+  Changes applyAhead(const std::vector<StoredRecord> &Records,
+                     framework::Instant Now);
   /// Removes the targets whose records were lost in an outage of the store and
   /// were not written again within the recovery grace period.
   Changes expireMissing(framework::Instant Now);
--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -148,3 +148,26 @@
     Fleet.pass(seconds(3));
   }
 }
+
+TEST_CASE("a change takes effect although an earlier one was lost",
+          "[catchup]") {
+  SeededFleet Instance(makeSettings(1), framework::Random(1));
+  const framework::Moment Now{framework::Instant(seconds(100)),
+                              framework::WallTime(seconds(1'000'000))};
+  OutputList Output;
+  Instance.start(Now, Output);
+  Instance.handleAllRecords({{"c", "document", Revision(7), false},
+                             {"t0", "target a", Revision(8), false}},
+                            Revision(8), Now, Output);
+  Output.clear();
+  RecordUpdate Update;
+  Update.From_ = framework::InstanceName("entry-2");
+  Update.FromRevision_ = Revision(9);
+  Update.ToRevision_ = Revision(10);
+  Update.Records_ = {{"t0", {}, Revision(10), true}};
+  Instance.handle(Update, Now, Output);
+  CHECK(Instance.view().targets().empty());
+  CHECK(outputsOf<TargetsChanged>(Output).size() == 1);
+  // The earlier change is still asked for.
+  CHECK(Instance.view().revision() == Revision(8));
+}
