Read large responses of the store as long as they arrive

Cause: a read of the store had 600 ms for the whole response. 280 KB of routes are 373 KB there, 0.3 s on an idle link of 10 Mbit/s (by calculation) and more beside callers' traffic; every version since the last read is in it. A read that runs into the limit begins anew, with more to read. A response of more than 4 MB was never read.

Evidence: 'a response of which parts arrive in time is read beyond the time limit of its beginning' fails without the extension ('none' instead of the body), in a trial.

With it: bytes that wait on an idle connection belong to no request; the connection is not used again ('a response that no request is waiting for is not taken for the next one' fails without the check: the copy is taken for the answer). This concerns the store and probes.

--- a/src/entry/httpgetclient.h
+++ b/src/entry/httpgetclient.h
@@ -27,9 +27,13 @@
   /// The request target: path and query.
   std::string Target_;
   std::string UserAgent_;
-  /// The time limit of the whole exchange: connecting, writing the request and
+  /// The time limit of the exchange: connecting, writing the request and
   /// reading the response.
   framework::Duration Timeout_{};
+  /// If it is not zero, the time limit is extended while the response arrives:
+  /// this long after each part of it, up to `MaxDuration_` in total.
+  framework::Duration ProgressTimeout_{};
+  framework::Duration MaxDuration_{};
   /// The maximum size of the response body.
   std::size_t BodyBytes_ = 0;
   /// True when the connection is kept open for the next request.
@@ -51,6 +55,9 @@
   /// Sends a request and calls the handler once with its outcome. A request in
   /// progress is cancelled without calling its handler.
   void get(HttpGetRequest Request, Handler OnResponse);
+  /// Returns true when the last response was not read because its body exceeds
+  /// the maximum size.
+  bool wasTooLarge() const { return WasTooLarge_; }
   /// Closes the connection and cancels a request in progress without calling
   /// its handler.
   void close();
@@ -75,7 +82,14 @@
   void write();
   void onConnected(const boost::system::error_code &Error);
   void onWritten(const boost::system::error_code &Error);
+  void readSome();
   void onRead(const boost::system::error_code &Error);
+  void startTimer(framework::Duration SinceStart);
+  /// Moves the time limit after a part of the response has arrived.
+  void extendTimer();
+  /// Returns true when the server has sent something on the idle connection or
+  /// closed it. Such bytes belong to no request.
+  bool hasUnreadBytes();
   /// Reconnects when the server had closed a reused connection; otherwise the
   /// request fails.
   void retryOrFail();
@@ -94,6 +108,8 @@
   Endpoint ConnectedServer_;
   bool IsConnectionReused_ = false;
   std::uint64_t RequestNumber_ = 0;
+  boost::asio::steady_timer::time_point StartedAt_;
+  bool WasTooLarge_ = false;
 };
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/httpgetclient.cpp
+++ b/src/entry/internal/httpgetclient.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cranberryspool::entry {
@@ -31,19 +32,42 @@
   ++RequestNumber_;
   Request_ = std::move(Request);
   OnResponse_ = std::move(OnResponse);
-  Timer_.expires_after(Request_.Timeout_);
+  WasTooLarge_ = false;
+  StartedAt_ = net::steady_timer::clock_type::now();
+  startTimer(Request_.Timeout_);
+  if (Connection_ && ConnectedServer_ == Request_.Server_ &&
+      !hasUnreadBytes()) {
+    IsConnectionReused_ = true;
+    write();
+  } else {
+    connect();
+  }
+}
+
+void HttpGetClient::startTimer(framework::Duration SinceStart) {
+  Timer_.expires_at(StartedAt_ + SinceStart);
   Timer_.async_wait([Self = shared_from_this(),
                      RequestNumber = RequestNumber_](const error_code &Error) {
     if (Error || RequestNumber != Self->RequestNumber_ || !Self->OnResponse_)
       return;
     Self->finish(std::nullopt);
   });
-  if (Connection_ && ConnectedServer_ == Request_.Server_) {
-    IsConnectionReused_ = true;
-    write();
-  } else {
-    connect();
-  }
+}
+
+void HttpGetClient::extendTimer() {
+  if (Request_.ProgressTimeout_ == framework::Duration::zero())
+    return;
+  const auto Elapsed = std::chrono::duration_cast<framework::Duration>(
+      net::steady_timer::clock_type::now() - StartedAt_);
+  startTimer(
+      std::max(Request_.Timeout_, std::min(Elapsed + Request_.ProgressTimeout_,
+                                           Request_.MaxDuration_)));
+}
+
+bool HttpGetClient::hasUnreadBytes() {
+  error_code Error;
+  const std::size_t Bytes = Connection_->Socket_.available(Error);
+  return Error || Bytes > 0;
 }
 
 void HttpGetClient::close() {
@@ -103,15 +127,27 @@
   }
   auto &Parser = Connection_->Parser_.emplace();
   Parser.body_limit(Request_.BodyBytes_);
-  http::async_read(Connection_->Socket_, Connection_->Input_, Parser,
-                   ifCurrent(&HttpGetClient::onRead));
+  Parser.eager(true);
+  readSome();
+}
+
+void HttpGetClient::readSome() {
+  http::async_read_some(Connection_->Socket_, Connection_->Input_,
+                        *Connection_->Parser_,
+                        ifCurrent(&HttpGetClient::onRead));
 }
 
 void HttpGetClient::onRead(const error_code &Error) {
   if (Error) {
+    WasTooLarge_ = Error == http::error::body_limit;
     retryOrFail();
     return;
   }
+  if (!Connection_->Parser_->is_done()) {
+    extendTimer();
+    readSome();
+    return;
+  }
   finish(Connection_->Parser_->release());
 }
 
--- a/src/entry/tests/httpgetclient_test.cpp
+++ b/src/entry/tests/httpgetclient_test.cpp
@@ -1,6 +1,7 @@
 #include "entry/httpgetclient.h"
 #include "standins/httpserver.h"
 
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <chrono>
@@ -76,6 +77,47 @@
   }
 };
 
+/// A client and a listening socket whose connections the test serves itself.
+struct RawServerFixture {
+  boost::asio::io_context ServerIo_;
+  boost::asio::io_context ClientIo_;
+  boost::asio::ip::tcp::acceptor Acceptor_{
+      ServerIo_, {boost::asio::ip::make_address("127.0.0.79"), 0}};
+  std::optional<boost::asio::ip::tcp::socket> Connection_;
+  std::shared_ptr<HttpGetClient> Client_ =
+      std::make_shared<HttpGetClient>(ClientIo_);
+  framework::Duration ProgressTimeout_{};
+  std::vector<std::string> Bodies_;
+
+  void sendRequest(framework::Duration Timeout = std::chrono::seconds(20)) {
+    HttpGetRequest Request;
+    Request.Server_ = Endpoint{"127.0.0.79", Acceptor_.local_endpoint().port()};
+    Request.Target_ = "/";
+    Request.Timeout_ = Timeout;
+    Request.ProgressTimeout_ = ProgressTimeout_;
+    Request.MaxDuration_ = std::chrono::seconds(20);
+    Request.BodyBytes_ = 1'000'000;
+    Client_->get(std::move(Request), [this](const auto &Result) {
+      Bodies_.push_back(Result ? Result->body() : "none");
+    });
+    ClientIo_.poll();
+  }
+
+  /// Accepts the connection of the request, of which nothing is read.
+  void accept() { Connection_ = Acceptor_.accept(); }
+
+  void write(const std::string &Bytes) {
+    boost::asio::write(*Connection_, boost::asio::buffer(Bytes));
+  }
+
+  void runUntil(std::size_t Outcomes) {
+    while (Bodies_.size() < Outcomes) {
+      ClientIo_.restart();
+      ClientIo_.poll();
+    }
+  }
+};
+
 } // namespace
 
 TEST_CASE("a late response does not affect the next request", "[entry]") {
@@ -111,3 +153,50 @@
   CHECK(Fixture.ResponseCount_ == 1);
   CHECK(Fixture.Body_ == "second");
 }
+
+TEST_CASE("a response that no request is waiting for is not taken for the next "
+          "one",
+          "[entry]") {
+  RawServerFixture Fixture;
+  Fixture.sendRequest();
+  Fixture.accept();
+  Fixture.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+  Fixture.runUntil(1);
+  CHECK(Fixture.Bodies_.back() == "first");
+  // The copy arrives while the connection is idle.
+  Fixture.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+  Fixture.sendRequest();
+  Fixture.accept();
+  Fixture.write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+  Fixture.runUntil(2);
+  CHECK(Fixture.Bodies_.back() == "second");
+}
+
+TEST_CASE("a response of which parts arrive in time is read beyond the time "
+          "limit of its beginning",
+          "[entry]") {
+  RawServerFixture Fixture;
+  Fixture.ProgressTimeout_ = std::chrono::seconds(20);
+  Fixture.sendRequest(milliseconds(200));
+  Fixture.accept();
+  Fixture.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfi");
+  for (int Round = 0; Round < 40; ++Round) {
+    Fixture.ClientIo_.restart();
+    Fixture.ClientIo_.poll();
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  Fixture.write("rst");
+  Fixture.runUntil(1);
+  CHECK(Fixture.Bodies_.back() == "first");
+}
+
+TEST_CASE("a response that is too large is told from a missing one",
+          "[entry]") {
+  RawServerFixture Fixture;
+  Fixture.sendRequest();
+  Fixture.accept();
+  Fixture.write("HTTP/1.1 200 OK\r\nContent-Length: 1000001\r\n\r\n");
+  Fixture.runUntil(1);
+  CHECK(Fixture.Bodies_.back() == "none");
+  CHECK(Fixture.Client_->wasTooLarge());
+}
