Reject unknown paths only while no newer configuration is known

Cause: a path without a route was rejected while the view was younger than 1.5 s, also when other instances had announced a newer revision and its changes were missing here.

Evidence: 'a path without a route is not rejected while a newer configuration is known to be missing' fails without the check (NoSuchKind instead of ViewTooOld) and passes now.

Such a call is refused as not run, and its caller may come back.

--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -25,7 +25,8 @@
   // A newer document that this instance has not read yet may define the request
   // kind.
   const bool IsViewOld =
-      Core_.Fleet_.viewAge(Context.now()) > MaxViewAgeForNoSuchKind;
+      Core_.Fleet_.viewAge(Context.now()) > MaxViewAgeForNoSuchKind ||
+      Core_.Fleet_.isViewBehind();
   if (Kind)
     acceptIfPermitted(Context, Input, *Kind);
   else if (Core_.Environment_.hasDocument() && !IsViewOld)
--- a/src/decision/tests/routes_test.cpp
+++ b/src/decision/tests/routes_test.cpp
@@ -45,6 +45,21 @@
   CHECK(Ended[0].Reason_ == calls::EndingReason::ViewTooOld);
 }
 
+TEST_CASE("a path without a route is not rejected while a newer configuration "
+          "is known to be missing",
+          "[routes]") {
+  StoreFixture Fixture;
+  Fixture.deliver(RecordsChanged{{}, framework::Revision(5)});
+  fleet::RecordUpdate Update;
+  Update.From_ = framework::InstanceName("entry-2");
+  Update.FromRevision_ = Update.ToRevision_ = framework::Revision(7);
+  Fixture.deliver(PeerMessageReceived{Update});
+  const auto Ended =
+      StoreFixture::actionsOf<RefuseCall>(Fixture.sendCall(1, "/none/"));
+  REQUIRE(Ended.size() == 1);
+  CHECK(Ended[0].Reason_ == calls::EndingReason::ViewTooOld);
+}
+
 TEST_CASE("a call is sent to no more targets than its route allows",
           "[routes]") {
   StoreFixture Fixture;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -170,6 +170,10 @@
   /// the platform publishes a list of instances instead.
   framework::Duration viewAge(framework::Instant Now) const;
 
+  /// Returns true while other instances are known to have newer changes of the
+  /// metadata store.
+  bool isViewBehind() const;
+
   /// Returns true while new requests may be sent to targets. Also false while a
   /// starting instance has not yet asked its peers for their document.
   bool isViewFresh(framework::Instant Now) const;
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -283,6 +283,8 @@
   return Seeded_->view().age(Now).value_or(framework::Duration::max());
 }
 
+bool Fleet::isViewBehind() const { return Seeded_ && Seeded_->isViewBehind(); }
+
 bool Fleet::isViewFresh(framework::Instant Now) const {
   return Seeded_ ? Seeded_->isViewFresh(Now) : State_->isViewFresh(Now);
 }
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -111,8 +111,7 @@
 }
 
 bool StoreReplicator::isBehind(Instant Now) const {
-  return AnnouncedRevision_ && *AnnouncedRevision_ > View_.revision() &&
-         Now >= GapSince_ + ReorderTolerance;
+  return isAnnouncedMissing() && Now >= GapSince_ + ReorderTolerance;
 }
 
 bool StoreReplicator::isReadNeeded(const EventContext &Context) const {
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -33,6 +33,11 @@
                   framework::Random Rng);
 
   const StoreView &view() const { return View_; }
+  /// Returns true while other instances have announced a revision whose changes
+  /// are missing here.
+  bool isAnnouncedMissing() const {
+    return AnnouncedRevision_ && *AnnouncedRevision_ > View_.revision();
+  }
 
   void start(framework::Instant Now) { StartedAt_ = Now; }
   void tick(const EventContext &Context);
