Count the age of a view from the time for which an answer holds

Callers may see: 404 for a route that has been added, or an older configuration, while the instance takes its view for fresh (CONFIG).

Cause: the age of a view began when an answer was handled. An answer may have waited in its socket or in the queue to the core while the process had no processor, and then made the view look younger by that time, here and at all instances to which it was sent on. An answer from before a change that had arrived by another way did the same.

Evidence: 'the age of a view counts from the request, not from the receipt of the answer' and 'an answer from before a known change does not make the view fresher' fail without the change (age 0 where 400 ms, and 100 ms where 500 ms have passed; calculated from the code, as the tests came with it).

A read without a wait counts from its request, a watch without changes from the end of its wait. A watch that returns changes counts from its receipt, since the store answers it at once.

--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -135,6 +135,7 @@
     IsFullReadStale_ = !View_.isLoaded() && Failures_ == 0;
     IsReading_ = true;
     ReadStartedAt_ = Now;
+    ReadWait_ = Duration{};
     Context.Output_.push_back(
         ReadRecords{std::nullopt, Duration{}, IsFullReadStale_});
     return;
@@ -150,10 +151,9 @@
   ReadStartedAt_ = Now;
   // The age of the view includes the pause after changes, so the pause does not
   // make other instances wait longer for an update.
-  const Duration Wait =
-      IsWatch ? std::max(MinWatchWait, MaxWatchWait - *View_.age(Now))
-              : Duration{};
-  Context.Output_.push_back(ReadRecords{View_.revision(), Wait});
+  ReadWait_ = IsWatch ? std::max(MinWatchWait, MaxWatchWait - *View_.age(Now))
+                      : Duration{};
+  Context.Output_.push_back(ReadRecords{View_.revision(), ReadWait_});
 }
 
 void StoreReplicator::handleAllRecords(const std::vector<StoredRecord> &Records,
@@ -165,11 +165,12 @@
   IsReading_ = false;
   IsFullReadNeeded_ = false;
   recordReadSuccess(Context);
+  const Instant AnsweredAt = answeredAt(false, Context);
   if (!IsFullReadStale_)
-    AnsweredWallTime_ = Context.Wall_;
+    AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(IsFullReadStale_
                     ? View_.replaceAllStale(Records, AsOf, Context.Now_)
-                    : View_.replaceAll(Records, AsOf, Context.Now_),
+                    : View_.replaceAll(Records, AsOf, AnsweredAt),
                 StoreSource, Context.Output_);
   reportProgress(StoreSource, Context);
   if (IsFirstRead)
@@ -200,8 +201,9 @@
   IsReading_ = false;
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
-  AnsweredWallTime_ = Context.Wall_;
-  reportChanges(View_.apply(Records, AsOf, Context.Now_), StoreSource,
+  const Instant AnsweredAt = answeredAt(!Records.empty(), Context);
+  AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
+  reportChanges(View_.apply(Records, AsOf, AnsweredAt), StoreSource,
                 Context.Output_);
   AnnouncedRevision_.reset();
   reportProgress(StoreSource, Context);
@@ -221,6 +223,14 @@
   readIfDue(Context);
 }
 
+Instant StoreReplicator::answeredAt(bool HasChanges,
+                                    const EventContext &Context) const {
+  // A watch is answered when there is a change, or when its wait is over.
+  if (HasChanges && ReadWait_ > Duration::zero())
+    return Context.Now_;
+  return std::min(Context.Now_, ReadStartedAt_ + ReadWait_);
+}
+
 void StoreReplicator::recordReadSuccess(const EventContext &Context) {
   if (std::exchange(Failures_, 0) < FailuresOfUnavailableStore)
     return;
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -93,6 +93,10 @@
                      const std::string &Source, OutputList &Output) const;
   /// Reports when this instance starts or stops to be behind others.
   void reportProgress(const std::string &Source, const EventContext &Context);
+  /// Returns the time for which the answer of the read that has ended certainly
+  /// holds: the answer may have waited while this process did not run.
+  framework::Instant answeredAt(bool HasChanges,
+                                const EventContext &Context) const;
   /// Ends a series of failed reads.
   void recordReadSuccess(const EventContext &Context);
   /// Sends on what the store has answered to this instance.
@@ -161,6 +165,8 @@
   std::uint32_t Failures_ = 0;
   framework::Instant FailingSince_{};
   framework::Instant ReadStartedAt_{};
+  /// How long the store may hold the read that is under way.
+  framework::Duration ReadWait_{};
   framework::Instant NextReadAt_{};
   framework::Instant NextUpdateAt_{};
   /// The wall-clock time at which the store gave the answer that the view is
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -14,14 +14,17 @@
 } // namespace
 
 void StoreView::recordAnswer(framework::Revision AsOf, framework::Instant Now) {
+  // An answer from before a known change says nothing about the present.
+  if (AsOf < Revision_)
+    return;
   if (AnsweredAt_ && Now <= *AnsweredAt_) {
-    Revision_ = std::max(Revision_, AsOf);
+    Revision_ = AsOf;
     return;
   }
   if (AnsweredAt_ && Now - *AnsweredAt_ > LossyOutage_)
     RecoveryEndsAt_ = Now + RecoveryGrace_;
   AnsweredAt_ = Now;
-  Revision_ = std::max(Revision_, AsOf);
+  Revision_ = AsOf;
 }
 
 StoreView::Changes
--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -4,6 +4,7 @@
 
 using namespace cranberryspool;
 using namespace cranberryspool::fleet;
+using framework::Duration;
 using framework::Revision;
 
 namespace {
@@ -171,3 +172,38 @@
   // The earlier change is still asked for.
   CHECK(Instance.view().revision() == Revision(8));
 }
+
+TEST_CASE("the age of a view counts from the request, not from the receipt of "
+          "the answer",
+          "[catchup]") {
+  SeededFleet Instance(makeSettings(1), framework::Random(1));
+  framework::Moment Now{framework::Instant(seconds(100)),
+                        framework::WallTime(seconds(1'000'000))};
+  OutputList Output;
+  Instance.start(Now, Output);
+  const auto Answer = [&](Duration After) {
+    Now.Monotonic_ += After;
+    Now.Wall_ += After;
+    Output.clear();
+    Instance.handleChangedRecords({}, Revision(8), Now, Output);
+  };
+  Instance.handleAllRecords({{"c", "document", Revision(8), false}},
+                            Revision(8), Now, Output);
+  std::vector<ReadRecords> Reads;
+  while (Reads.empty()) {
+    Now.Monotonic_ += milliseconds(10);
+    Now.Wall_ += milliseconds(10);
+    Output.clear();
+    Instance.tick(Now, Output);
+    Reads = outputsOf<ReadRecords>(Output);
+  }
+  REQUIRE(Reads[0].Wait_ == Duration{});
+  Answer(milliseconds(400));
+  CHECK(Instance.view().age(Now.Monotonic_) == Duration(milliseconds(400)));
+  // The answer of a watch has been waiting since the end of its wait.
+  Reads = outputsOf<ReadRecords>(Output);
+  REQUIRE(Reads.size() == 1);
+  REQUIRE(Reads[0].Wait_ > Duration{});
+  Answer(Reads[0].Wait_ + milliseconds(300));
+  CHECK(Instance.view().age(Now.Monotonic_) == Duration(milliseconds(300)));
+}
--- a/src/fleet/tests/storeview_test.cpp
+++ b/src/fleet/tests/storeview_test.cpp
@@ -165,6 +165,15 @@
   CHECK(Test.View_.targets().size() == 1);
 }
 
+TEST_CASE("an answer from before a known change does not make the view fresher",
+          "[store]") {
+  Fixture Test;
+  Test.View_.apply({deleted("t1", 8)}, Revision(8), at(milliseconds(100)));
+  Test.View_.apply({}, Revision(7), at(milliseconds(500)));
+  CHECK(Test.View_.age(at(milliseconds(600))) == Duration(milliseconds(500)));
+  CHECK(Test.View_.revision() == Revision(8));
+}
+
 TEST_CASE("an older update from a peer does not make the view fresher",
           "[store]") {
   Fixture Test;
