Reproduce a view that looks fresh after a part of an answer

An answer with many changes is sent on in many datagrams. Each carries the age of the whole answer, also those that lead to a revision in between. If the rest is lost, the receiver takes its view for fresh and reads the store only 1.5 to 1.7 s later.

--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -207,3 +207,25 @@
   Answer(Reads[0].Wait_ + milliseconds(300));
   CHECK(Instance.view().age(Now.Monotonic_) == Duration(milliseconds(300)));
 }
+
+TEST_CASE("the first part of an answer does not make a view look fresh",
+          "[catchup][!shouldfail]") {
+  constexpr int Targets = 40;
+  SeededSimulation Fleet(9, {"a"}, Targets);
+  Fleet.pass(seconds(3));
+  std::set<std::size_t> All;
+  for (std::size_t Index = 0; Index < Fleet.Instances_.size(); ++Index)
+    All.insert(Index);
+  Fleet.turnAway(All);
+  for (int Number = 0; Number < Targets; ++Number)
+    Fleet.change("t" + std::to_string(Number),
+                 "target a" + std::string(200, ' ') + "draining");
+  // The last message of each answer is lost.
+  Fleet.IsLost_ = [&](std::size_t, const PeerMessage &Message) {
+    const auto *Update = std::get_if<RecordUpdate>(&Message);
+    return Update && Update->ToRevision_ == Fleet.Revision_;
+  };
+  Fleet.turnAway({});
+  Fleet.pass(MaxChangeDelay);
+  CHECK(Fleet.staleCount() == 0);
+}
