Split the requests from the replicator, and forget only announcements that were reached

An answer of the store ended any announcement of newer changes, also when the read had begun before the announcement and could not contain them. It now ends those that the view has reached, and all that were made before the read began.

--- /dev/null
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -0,0 +1,175 @@
+// Requests between instances for changes of the platform's metadata store.
+
+#include "fleet/internal/seeded/storereplicator.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cranberryspool::fleet {
+
+namespace {
+
+using framework::Duration;
+using framework::Revision;
+using std::chrono::milliseconds;
+
+/// Another instance is asked when a read of the store takes longer than this.
+constexpr Duration ReadPatience = milliseconds(150);
+/// While nothing newer is known to exist, as in an outage of the store, the
+/// delay between requests grows up to this.
+constexpr Duration MaxRequestDelay = milliseconds(600);
+/// A request that could only make the view younger by less is not answered.
+constexpr Duration MinAgeGain = milliseconds(200);
+
+} // namespace
+
+bool StoreReplicator::isHelpNeeded(const EventContext &Context) const {
+  if (!View_.isLoaded() || !isReadNeeded(Context))
+    return false;
+  return IsReading_ ? Context.Now_ >= ReadStartedAt_ + ReadPatience
+                    : Context.Now_ < NextReadAt_;
+}
+
+void StoreReplicator::requestIfDue(const EventContext &Context) {
+  if (Context.Now_ < NextRequestAt_ || !isHelpNeeded(Context))
+    return;
+  const MemberInfo *Source = chooseSource(Context);
+  if (!Source)
+    return;
+  const bool IsNothingNewer =
+      !isAnnouncedMissing() && View_.revision() == RevisionAtRequest_;
+  NextRequestDelay_ = IsNothingNewer
+                          ? std::min(2 * NextRequestDelay_, MaxRequestDelay)
+                          : RequestDelay;
+  sendRequest(*Source, Context);
+}
+
+const MemberInfo *StoreReplicator::chooseSource(const EventContext &Context) {
+  std::vector<const MemberInfo *> OwnZone;
+  std::vector<const MemberInfo *> OtherZones;
+  for (const auto &[Name, State] : Context.Membership_.members()) {
+    if (State.IsLost_ || State.IsStopping_)
+      continue;
+    const bool IsAnnouncer = AnnouncedRevision_ && Name == AnnouncedBy_;
+    const bool WasAsked = Asked_ && Asked_->Name_ == Name;
+    if (IsAnnouncer && !WasAsked)
+      return &State.Info_;
+    const bool IsInOwnZone = State.Info_.Zone_ == Context.self().Zone_;
+    (IsInOwnZone ? OwnZone : OtherZones).push_back(&State.Info_);
+  }
+  const bool IsOwnZoneAsked =
+      OtherZones.empty() || (!OwnZone.empty() && Rng_.index(2) == 0);
+  const auto &Candidates = IsOwnZoneAsked ? OwnZone : OtherZones;
+  return Candidates.empty() ? nullptr
+                            : Candidates[Rng_.index(Candidates.size())];
+}
+
+void StoreReplicator::sendRequest(const MemberInfo &Source,
+                                  const EventContext &Context) {
+  Asked_ = Source;
+  RevisionAtRequest_ = View_.revision();
+  RecordRequest Request;
+  Request.From_ = Context.self().Name_;
+  Request.Incarnation_ = Context.self().Incarnation_;
+  Request.After_ = View_.revision();
+  Request.Age_ = View_.age(Context.Now_).value_or(RecordUpdate::MoreFollows);
+  if (Reassembler_.revision() > View_.revision()) {
+    Request.LargeRevision_ = Reassembler_.revision();
+    Request.MissingParts_ = Reassembler_.listMissing(MaxMessagesAtOnce);
+  }
+  LastRequestedPart_ = Request.MissingParts_.empty()
+                           ? static_cast<std::uint32_t>(MaxMessagesAtOnce) - 1
+                           : Request.MissingParts_.back();
+  NextRequestAt_ = Context.Now_ + NextRequestDelay_;
+  Context.sendTo({Source.Address_}, Request);
+}
+
+void StoreReplicator::answer(const RecordRequest &Message,
+                             const std::string &Address,
+                             const EventContext &Context) {
+  const auto Age = View_.age(Context.Now_);
+  const bool HasNews = View_.revision() > Message.After_ ||
+                       (Age && *Age + MinAgeGain < Message.Age_ &&
+                        View_.revision() == Message.After_);
+  if (!Age || !HasNews || Message.After_ < View_.records().completeSince())
+    return;
+  std::vector<RecordUpdate> Updates =
+      View_.records().updatesAfter(Message.After_, View_.revision());
+  if (Updates.empty()) {
+    RecordUpdate &Statement = Updates.emplace_back();
+    Statement.FromRevision_ = Message.After_;
+    Statement.ToRevision_ = View_.revision();
+  }
+  std::size_t Sent = 0;
+  for (RecordUpdate &Update : Updates) {
+    if (Sent >= MaxMessagesAtOnce)
+      return;
+    stamp(Update, Context);
+    Update.Incarnation_ = Context.self().Incarnation_;
+    if (RecordTable::fitsInMessage(Update)) {
+      Context.sendTo({Address}, Update);
+      ++Sent;
+      continue;
+    }
+    const auto Parts =
+        sendParts(Update, Message, Address, MaxMessagesAtOnce - Sent, Context);
+    // What follows cannot be applied before this record is complete.
+    if (!Parts)
+      return;
+    Sent += *Parts;
+  }
+}
+
+std::optional<std::size_t>
+StoreReplicator::sendParts(const RecordUpdate &Update,
+                           const RecordRequest &Request,
+                           const std::string &Address, std::size_t Limit,
+                           const EventContext &Context) {
+  const CompressedRecord *Large = compress(Update.Records_.front());
+  if (!Large)
+    return std::nullopt;
+  const bool IsContinued = Request.LargeRevision_ == Large->Revision_ &&
+                           !Request.MissingParts_.empty();
+  std::vector<std::uint32_t> Indices = Request.MissingParts_;
+  if (!IsContinued) {
+    Indices.resize(Large->partCount());
+    std::iota(Indices.begin(), Indices.end(), 0U);
+  }
+  const bool AreAllSent = Indices.size() <= Limit;
+  Indices.resize(std::min(Indices.size(), Limit));
+  for (const std::uint32_t Index : Indices) {
+    if (Index >= Large->partCount())
+      return std::nullopt;
+    RecordPart Part = Large->makePart(Update, Index);
+    stamp(Part, Context);
+    Context.sendTo({Address}, Part);
+  }
+  return AreAllSent ? std::optional(Indices.size()) : std::nullopt;
+}
+
+const CompressedRecord *
+StoreReplicator::compress(const ReplicatedRecord &Record) {
+  const auto IsSame = [&](const std::optional<CompressedRecord> &Known) {
+    return Known && Known->Key_ == Record.Key_ &&
+           Known->Revision_ == Record.Revision_;
+  };
+  if (IsSame(Reassembler_.completed()))
+    return &*Reassembler_.completed();
+  if (!IsSame(Compressed_))
+    Compressed_ = compressRecord(Record);
+  return Compressed_ ? &*Compressed_ : nullptr;
+}
+
+void StoreReplicator::handle(const RecordPart &Message,
+                             const EventContext &Context) {
+  if (const auto Update = Reassembler_.add(Message)) {
+    handle(*Update, Context);
+    return;
+  }
+  const bool IsAnswer = Asked_ && Asked_->Name_ == Message.From_;
+  if (IsAnswer && Message.Index_ == LastRequestedPart_ &&
+      Message.RecordRevision_ == Reassembler_.revision())
+    sendRequest(MemberInfo(*Asked_), Context);
+}
+
+} // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -1,7 +1,6 @@
 #include "fleet/internal/seeded/storereplicator.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace cranberryspool::fleet {
@@ -50,18 +49,6 @@
 
 /// How long a change is sent repeatedly.
 constexpr Duration RetransmitPeriod = milliseconds(1500);
-/// Another instance is asked when a read of the store takes longer than this.
-constexpr Duration ReadPatience = milliseconds(150);
-/// The time after which the next instance is asked. While nothing newer is
-/// known to exist, as in an outage of the store, it grows.
-constexpr Duration InitialRequestDelay = milliseconds(150);
-constexpr Duration MaxRequestDelay = milliseconds(600);
-/// A request that could only make the view younger by less is not answered.
-constexpr Duration MinAgeGain = milliseconds(200);
-/// The most messages in which a request is answered, and the most parts of a
-/// record that are sent without a request.
-constexpr std::size_t MaxAnswerMessages = 32;
-
 std::vector<StoredRecord>
 storedRecords(const std::vector<ReplicatedRecord> &Records) {
   std::vector<StoredRecord> Stored;
@@ -107,7 +94,12 @@
   AnnouncedBy_ = By;
   // The store answers others, so that the delay after an outage is over.
   NextReadAt_ = std::min(NextReadAt_, Now + MaxUrgentRetryDelay);
-  NextRequestAt_ = std::min(NextRequestAt_, Now + InitialRequestDelay);
+  NextRequestAt_ = std::min(NextRequestAt_, Now + RequestDelay);
+}
+
+void StoreReplicator::forgetReachedAnnouncement() {
+  if (!isAnnouncedMissing())
+    AnnouncedRevision_.reset();
 }
 
 bool StoreReplicator::isBehind(Instant Now) const {
@@ -172,6 +164,7 @@
                     ? View_.replaceAllStale(Records, AsOf, Context.Now_)
                     : View_.replaceAll(Records, AsOf, AnsweredAt),
                 StoreSource, Context.Output_);
+  forgetReachedAnnouncement();
   reportProgress(StoreSource, Context);
   if (IsFirstRead)
     SentRevision_ = View_.revision();
@@ -205,7 +198,10 @@
   AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(View_.apply(Records, AsOf, AnsweredAt), StoreSource,
                 Context.Output_);
-  AnnouncedRevision_.reset();
+  // A read that began after the announcement has returned what was announced.
+  if (ReadStartedAt_ >= GapSince_)
+    AnnouncedRevision_.reset();
+  forgetReachedAnnouncement();
   reportProgress(StoreSource, Context);
   if (!Records.empty())
     NextReadAt_ =
@@ -248,7 +244,7 @@
     Context.Output_.push_back(
         ViewChanged{ViewEvent::StoreUnavailable, Reason, StoreSource});
   const Duration MaxDelay =
-      Context.isGroupLeader() || AnnouncedRevision_
+      Context.isGroupLeader() || isAnnouncedMissing()
           ? MaxUrgentRetryDelay
           : std::max(MaxUrgentRetryDelay,
                      MemberRetryDelayPerInstance *
@@ -304,16 +300,6 @@
     Advances_.pop_front();
 }
 
-template <typename Message>
-void StoreReplicator::stamp(Message &Update,
-                            const EventContext &Context) const {
-  Update.From_ = Context.self().Name_;
-  const bool IsLast = Update.ToRevision_ == View_.revision();
-  Update.Age_ = IsLast ? View_.age(Context.Now_).value_or(Duration{})
-                       : RecordUpdate::MoreFollows;
-  Update.AnsweredAt_ = AnsweredWallTime_;
-}
-
 void StoreReplicator::sendRecentChanges(const EventContext &Context) {
   if (!View_.age(Context.Now_))
     return;
@@ -339,7 +325,7 @@
     }
     // The others request a larger record, so that nobody's link is filled.
     const CompressedRecord *Large = compress(Update.Records_.front());
-    if (!Large || Large->partCount() > MaxAnswerMessages)
+    if (!Large || Large->partCount() > MaxMessagesAtOnce)
       continue;
     for (std::uint32_t Index = 0; Index < Large->partCount(); ++Index) {
       RecordPart Part = Large->makePart(Update, Index);
@@ -349,19 +335,6 @@
   }
 }
 
-const CompressedRecord *
-StoreReplicator::compress(const ReplicatedRecord &Record) {
-  const auto IsSame = [&](const std::optional<CompressedRecord> &Known) {
-    return Known && Known->Key_ == Record.Key_ &&
-           Known->Revision_ == Record.Revision_;
-  };
-  if (IsSame(Reassembler_.completed()))
-    return &*Reassembler_.completed();
-  if (!IsSame(Compressed_))
-    Compressed_ = compressRecord(Record);
-  return Compressed_ ? &*Compressed_ : nullptr;
-}
-
 void StoreReplicator::send(const PeerMessage &Message,
                            const EventContext &Context) const {
   Context.sendToGroup(Message);
@@ -369,141 +342,6 @@
     Context.sendTo(Context.Group_.groupRelays(), Message);
 }
 
-bool StoreReplicator::isHelpNeeded(const EventContext &Context) const {
-  if (!View_.isLoaded() || !isReadNeeded(Context))
-    return false;
-  return IsReading_ ? Context.Now_ >= ReadStartedAt_ + ReadPatience
-                    : Context.Now_ < NextReadAt_;
-}
-
-void StoreReplicator::requestIfDue(const EventContext &Context) {
-  if (Context.Now_ < NextRequestAt_ || !isHelpNeeded(Context))
-    return;
-  const MemberInfo *Source = chooseSource(Context);
-  if (!Source)
-    return;
-  const bool IsGrowing =
-      !AnnouncedRevision_ && View_.revision() == RevisionAtRequest_;
-  RequestDelay_ = IsGrowing ? std::min(2 * RequestDelay_, MaxRequestDelay)
-                            : InitialRequestDelay;
-  sendRequest(*Source, Context);
-}
-
-const MemberInfo *StoreReplicator::chooseSource(const EventContext &Context) {
-  std::vector<const MemberInfo *> OwnZone;
-  std::vector<const MemberInfo *> OtherZones;
-  for (const auto &[Name, State] : Context.Membership_.members()) {
-    if (State.IsLost_ || State.IsStopping_)
-      continue;
-    const bool IsAnnouncer = AnnouncedRevision_ && Name == AnnouncedBy_;
-    const bool WasAsked = Asked_ && Asked_->Name_ == Name;
-    if (IsAnnouncer && !WasAsked)
-      return &State.Info_;
-    const bool IsInOwnZone = State.Info_.Zone_ == Context.self().Zone_;
-    (IsInOwnZone ? OwnZone : OtherZones).push_back(&State.Info_);
-  }
-  const bool IsOwnZoneAsked =
-      OtherZones.empty() || (!OwnZone.empty() && Rng_.index(2) == 0);
-  const auto &Candidates = IsOwnZoneAsked ? OwnZone : OtherZones;
-  return Candidates.empty() ? nullptr
-                            : Candidates[Rng_.index(Candidates.size())];
-}
-
-void StoreReplicator::sendRequest(const MemberInfo &Source,
-                                  const EventContext &Context) {
-  Asked_ = Source;
-  RevisionAtRequest_ = View_.revision();
-  RecordRequest Request;
-  Request.From_ = Context.self().Name_;
-  Request.Incarnation_ = Context.self().Incarnation_;
-  Request.After_ = View_.revision();
-  Request.Age_ = View_.age(Context.Now_).value_or(RecordUpdate::MoreFollows);
-  if (Reassembler_.revision() > View_.revision()) {
-    Request.LargeRevision_ = Reassembler_.revision();
-    Request.MissingParts_ = Reassembler_.listMissing(MaxAnswerMessages);
-  }
-  LastRequestedPart_ = Request.MissingParts_.empty()
-                           ? static_cast<std::uint32_t>(MaxAnswerMessages) - 1
-                           : Request.MissingParts_.back();
-  NextRequestAt_ = Context.Now_ + RequestDelay_;
-  Context.sendTo({Source.Address_}, Request);
-}
-
-void StoreReplicator::answer(const RecordRequest &Message,
-                             const std::string &Address,
-                             const EventContext &Context) {
-  const auto Age = View_.age(Context.Now_);
-  const bool HasNews = View_.revision() > Message.After_ ||
-                       (Age && *Age + MinAgeGain < Message.Age_ &&
-                        View_.revision() == Message.After_);
-  if (!Age || !HasNews || Message.After_ < View_.records().completeSince())
-    return;
-  std::vector<RecordUpdate> Updates =
-      View_.records().updatesAfter(Message.After_, View_.revision());
-  if (Updates.empty()) {
-    RecordUpdate &Statement = Updates.emplace_back();
-    Statement.FromRevision_ = Message.After_;
-    Statement.ToRevision_ = View_.revision();
-  }
-  std::size_t Sent = 0;
-  for (RecordUpdate &Update : Updates) {
-    if (Sent >= MaxAnswerMessages)
-      return;
-    stamp(Update, Context);
-    Update.Incarnation_ = Context.self().Incarnation_;
-    if (RecordTable::fitsInMessage(Update)) {
-      Context.sendTo({Address}, Update);
-      ++Sent;
-      continue;
-    }
-    const auto Parts =
-        sendParts(Update, Message, Address, MaxAnswerMessages - Sent, Context);
-    // What follows cannot be applied before this record is complete.
-    if (!Parts)
-      return;
-    Sent += *Parts;
-  }
-}
-
-std::optional<std::size_t>
-StoreReplicator::sendParts(const RecordUpdate &Update,
-                           const RecordRequest &Request,
-                           const std::string &Address, std::size_t Limit,
-                           const EventContext &Context) {
-  const CompressedRecord *Large = compress(Update.Records_.front());
-  if (!Large)
-    return std::nullopt;
-  const bool IsContinued = Request.LargeRevision_ == Large->Revision_ &&
-                           !Request.MissingParts_.empty();
-  std::vector<std::uint32_t> Indices = Request.MissingParts_;
-  if (!IsContinued) {
-    Indices.resize(Large->partCount());
-    std::iota(Indices.begin(), Indices.end(), 0U);
-  }
-  const bool AreAllSent = Indices.size() <= Limit;
-  Indices.resize(std::min(Indices.size(), Limit));
-  for (const std::uint32_t Index : Indices) {
-    if (Index >= Large->partCount())
-      return std::nullopt;
-    RecordPart Part = Large->makePart(Update, Index);
-    stamp(Part, Context);
-    Context.sendTo({Address}, Part);
-  }
-  return AreAllSent ? std::optional(Indices.size()) : std::nullopt;
-}
-
-void StoreReplicator::handle(const RecordPart &Message,
-                             const EventContext &Context) {
-  if (const auto Update = Reassembler_.add(Message)) {
-    handle(*Update, Context);
-    return;
-  }
-  const bool IsAnswer = Asked_ && Asked_->Name_ == Message.From_;
-  if (IsAnswer && Message.Index_ == LastRequestedPart_ &&
-      Message.RecordRevision_ == Reassembler_.revision())
-    sendRequest(MemberInfo(*Asked_), Context);
-}
-
 void StoreReplicator::handle(const RecordUpdate &Message,
                              const EventContext &Context) {
   const Revision Before = View_.revision();
@@ -519,8 +357,7 @@
   reportChanges(applyNext(Message, Context), Message.From_.value(),
                 Context.Output_);
   recordAdvance(Before, Context.Now_);
-  if (AnnouncedRevision_ && *AnnouncedRevision_ <= View_.revision())
-    AnnouncedRevision_.reset();
+  forgetReachedAnnouncement();
   reportProgress(Message.From_.value(), Context);
   passOn(Message, Context);
 }
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -62,6 +62,13 @@
               const EventContext &Context);
 
 private:
+  /// The time after which an instance that is behind asks the next one.
+  static constexpr framework::Duration RequestDelay =
+      std::chrono::milliseconds(150);
+  /// The most messages in which a request is answered, and the most parts of a
+  /// record that are sent without a request.
+  static constexpr std::size_t MaxMessagesAtOnce = 32;
+
   /// Starts a read or watch of the store unless one is under way, not needed or
   /// not due yet.
   void readIfDue(const EventContext &Context);
@@ -85,6 +92,7 @@
   /// cannot be applied, since earlier changes are missing here.
   void recordGap(framework::Revision Announced,
                  const framework::InstanceName &By, framework::Instant Now);
+  void forgetReachedAnnouncement();
   /// Applies an update that leads on from the view's revision.
   StoreView::Changes applyNext(const RecordUpdate &Message,
                                const EventContext &Context);
@@ -159,7 +167,7 @@
   /// After this part of a large record, the next ones are requested.
   std::uint32_t LastRequestedPart_ = 0;
   framework::Instant NextRequestAt_{};
-  framework::Duration RequestDelay_ = std::chrono::milliseconds(150);
+  framework::Duration NextRequestDelay_ = RequestDelay;
   framework::Instant GapSince_{};
   bool IsBehindReported_ = false;
   bool IsReading_ = false;
@@ -179,6 +187,16 @@
   framework::WallTime AnsweredWallTime_{};
 };
 
+template <typename Message>
+void StoreReplicator::stamp(Message &Update,
+                            const EventContext &Context) const {
+  Update.From_ = Context.self().Name_;
+  const bool IsLast = Update.ToRevision_ == View_.revision();
+  Update.Age_ = IsLast ? View_.age(Context.Now_).value_or(framework::Duration{})
+                       : RecordUpdate::MoreFollows;
+  Update.AnsweredAt_ = AnsweredWallTime_;
+}
+
 } // namespace cranberryspool::fleet
 
 #endif // CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_STOREREPLICATOR_H
