Do not pass on what a full read found as if it were complete

Cause: after lost history the changes found by a full read were sent on as if they led from the revision before to the one after it. A key that was added and deleted in between was never known to the reader, which had just been replaced, so that its deletion was not among them; others that knew the key took the range as complete and never asked for it.

Evidence: 'what an instance found by a full read is not passed on as complete' failed and passes now.

After a full read, only what comes later is known completely.

--- a/src/fleet/internal/seeded/recordtable.cpp
+++ b/src/fleet/internal/seeded/recordtable.cpp
@@ -126,6 +126,7 @@
 
 RecordUpdate RecordTable::lastUpdate(framework::Revision After,
                                      framework::Revision To) const {
+  After = std::max(After, CompleteSince_);
   RecordUpdate Update;
   Update.ToRevision_ = To;
   Update.FromRevision_ = lastChangeUpTo(After);
--- a/src/fleet/internal/seeded/recordtable.h
+++ b/src/fleet/internal/seeded/recordtable.h
@@ -5,6 +5,7 @@
 #include "fleet/types/storedrecord.h"
 #include "framework/ids.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -28,9 +29,9 @@
   std::vector<std::string> findMissing(const std::set<std::string> &Present,
                                        framework::Revision AsOf) const;
 
-  /// Records that all changes after this revision are known.
+  /// Records that only the changes after this revision are known completely.
   void setCompleteSince(framework::Revision Revision) {
-    CompleteSince_ = Revision;
+    CompleteSince_ = std::max(CompleteSince_, Revision);
   }
   /// Returns the revision after which all changes are known. Earlier deletions
   /// may be unknown.
@@ -42,8 +43,8 @@
   /// have no effect, are left out.
   std::vector<RecordUpdate> updatesAfter(framework::Revision After,
                                          framework::Revision To) const;
-  /// Returns the last of these changes, as many as fit in one message. Without
-  /// any the update only states the revision.
+  /// Returns the last of these changes, as many as are known completely and fit
+  /// in one message. Without any the update only states the revision.
   RecordUpdate lastUpdate(framework::Revision After,
                           framework::Revision To) const;
 
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -151,9 +151,6 @@
 void StoreReplicator::handleAllRecords(const std::vector<StoredRecord> &Records,
                                        Revision AsOf,
                                        const EventContext &Context) {
-  const bool IsFirstRead = !View_.isLoaded();
-  const bool WasBehind = isBehind(Context.Now_);
-  const Revision Before = View_.revision();
   IsReading_ = false;
   IsFullReadNeeded_ = false;
   recordReadSuccess(Context);
@@ -166,10 +163,10 @@
                 StoreSource, Context.Output_);
   forgetReachedAnnouncement();
   reportProgress(StoreSource, Context);
-  if (IsFirstRead)
-    SentRevision_ = View_.revision();
-  else
-    shareAnswer(Before, WasBehind, Context);
+  // What was deleted before is not known completely, so that others have to
+  // read the changes themselves.
+  SentRevision_ = View_.revision();
+  Advances_.clear();
   readIfDue(Context);
 }
 
--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -229,3 +229,25 @@
   Fleet.pass(MaxChangeDelay);
   CHECK(Fleet.staleCount() == 0);
 }
+
+TEST_CASE("what an instance found by a full read is not passed on as complete",
+          "[catchup]") {
+  SeededSimulation Fleet(6, {"a"}, 3);
+  Fleet.pass(seconds(3));
+  std::size_t Leader = 0;
+  while (!Fleet.Watches_.contains(Leader))
+    ++Leader;
+  // The leader restarts and never hears of a target that joins and leaves.
+  Fleet.StaleRevision_ = Fleet.Revision_;
+  Fleet.turnAway({Leader});
+  Fleet.change("t9", "target a");
+  Fleet.pass(seconds(2));
+  Fleet.turnAway({});
+  Fleet.restart(Leader);
+  Fleet.remove("t9");
+  Fleet.FirstKept_ = Fleet.Revision_;
+  Fleet.pass(MaxChangeDelay);
+  CHECK(std::all_of(
+      Fleet.Instances_.begin(), Fleet.Instances_.end(),
+      [](const auto &Each) { return Each.view().targets().size() == 3; }));
+}
