--- a/src/fleet/tests/recordsoak_test.cpp
+++ b/src/fleet/tests/recordsoak_test.cpp
@@ -150,11 +150,8 @@
         continue;
       const bool IsUnstable = now() < AwaySeenAt_ + Contact;
       const Duration Bound = MaxChangeDelay + (IsUnstable ? Outer : Duration{});
-      // The platform sets no bound to an instance that is turned away for the
-      // time in which the store was down as well.
-      const Instant Since = IsUnstable ? StoreCalmSince_ : Instant();
       for (const auto &[At, Each] : Published_)
-        expect(now() < std::max(At, Since) + Bound || Version >= Each, Index,
+        expect(now() < At + Bound || Version >= Each, Index,
                "version " + std::to_string(Each) + " not in force");
       if (!IsUnstable)
         checkTargets(Index, View, Bound);
