--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -406,10 +406,14 @@
         return f"{self.network}.{last}"
 
     def new_address(self, last=201):
-        self.next_port += 1
-        with socket.socket() as probe:
-            probe.bind((self.ip(last), self.next_port))
-        return (self.ip(last), self.next_port)
+        while True:
+            self.next_port += 1
+            with socket.socket() as probe:
+                try:
+                    probe.bind((self.ip(last), self.next_port))
+                    return (self.ip(last), self.next_port)
+                except OSError:
+                    continue
 
     async def add_server(self, name, service_name, zone, work, slots=8, is_registered=True):
         server = Server(self.record, name, service_name, zone, work, slots)
