--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,121 +1,83 @@
-"""Clients pipeline a request with `Expect: 100-continue` and don't read for some seconds."""
+"""A process is killed and starts again while the store answers its first read with old pages."""
 
 import asyncio
 import os
-import socket
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from standins import (BROKEN, HELD, Fleet, call, configuration, main, new_id, now, request_head,
-                      route)
+from standins import (BROKEN, HELD, Fleet, call, configuration, main, now, route)
 
-HOST = "archive.example"
-LARGE = bytes(65 + index % 26 for index in range(2_000_000))
-MEDIUM = LARGE[:200_000]
-SMALL = b"y" * 400
-CLIENTS = 3
-SECONDS_WITHOUT_READING = 5.0
-ROUTE_TIMEOUT = 1.0
+HOST = "records.example"
+# Entries of another writer, which name no service of the configuration. With them the items of
+# the store take two pages.
+FOREIGN_ENTRIES = 520
+SECONDS_OLD = 3.0
+CONFIG_APPLY = 2.0
+CONTACT = 3.0
 
 
 def work(method, target, headers, body):
-    data = {"large": LARGE, "medium": MEDIUM}.get(target.split("/")[1], SMALL)
-    return 0.05, 200, data
+    return 0.02, 200, b"x" * 400
 
 
-async def connect_slow_link(address):
-    """Opens a connection with the segments of an Ethernet link and a small window."""
-    link = socket.socket()
-    link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
-    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
-    link.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(link, address)
-    return await asyncio.open_connection(sock=link, limit=1 << 24)
-
-
-async def pipelining_client(fleet, address, number, is_reading):
-    """Sends three safe requests, the last with a body. Returns the number of wrong answers."""
-    record = fleet.record
-    reader, writer = await connect_slow_link(address)
-    if not is_reading:
-        writer.transport.pause_reading()
-    ids = [new_id() for _ in range(3)]
-    for each, path in zip(ids, ("/medium/a", "/large/b")):
-        record.write("sent", id=each, client=number, path=path)
-        writer.write(request_head("GET", path, HOST, each, 20000))
-        await asyncio.sleep(0.5)
-    record.write("sent", id=ids[2], client=number, path="/search/c", expect="100-continue")
-    writer.write(f"POST /search/c HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {ids[2]}\r\n"
-                 "X-Timeout-Ms: 20000\r\nContent-Length: 300\r\nExpect: 100-continue\r\n\r\n"
-                 .encode())
-    # A client does not wait for 100 (Continue) without end.
-    await asyncio.sleep(1)
-    writer.write(b"z" * 300)
-    if not is_reading:
-        await asyncio.sleep(SECONDS_WITHOUT_READING - 1)
-        writer.transport.resume_reading()
-    data = b""
-    try:
-        while not data.endswith(SMALL):
-            part = await asyncio.wait_for(reader.read(1 << 20), 5)
-            if not part:
-                break
-            data += part
-    except (OSError, asyncio.TimeoutError):
-        pass
-    writer.close()
-    return check(record, number, ids, data)
-
-
-def check(record, number, ids, data):
-    """Reads the answers one after another, as HTTP/1.1 says."""
-    wrong = 0
-    for each, expected in zip(ids, (MEDIUM, LARGE, SMALL)):
-        head, _, data = data.partition(b"\r\n\r\n")
-        while head.startswith(b"HTTP/1.1 100"):
-            head, _, data = data.partition(b"\r\n\r\n")
-        body, data = data[:len(expected)], data[len(expected):]
-        is_whole = head.startswith(b"HTTP/1.1 200") and body == expected
-        record.write("answered", id=each, client=number, head=head[:12], whole=is_whole,
-                     interim_response_in_body_at=body.find(b"HTTP/1.1 100 Continue"))
-        wrong += head.startswith(b"HTTP/1.1 200") and not is_whole
-        if not is_whole:
-            break
-    return wrong
-
-
-async def other_client(fleet, instance, times, until):
-    """Sends single safe requests and notes how long each remains without an answer."""
-    while now() < until:
-        begin = now()
-        _, status, _, _ = await call(fleet.record, instance.front, "GET", "/small/d", HOST, 1500)
-        times.append(now() - begin if status else 9.0)
-        await asyncio.sleep(0.1)
+def config(version, service):
+    return configuration(version, ["old", "new"],
+                         {HOST: [route("lookup", "/lookup/", service, timeout="2000ms")]})
 
 
 async def case(record, trouble):
-    fleet = Fleet(record, ["gla", "edi", "lvs"], 3)
+    fleet = Fleet(record, ["gla", "edi", "lvs"], 6)
+    store = fleet.store
+    # The first page of a stale read is 3 s old, the second one is new.
+    store.staleness = lambda after: 0.0 if after else SECONDS_OLD
     try:
-        for index in range(6):
-            await fleet.add_server(f"i-{index}", "records", fleet.zones[index % 3], work, slots=12)
-        fleet.store.put("op/config", configuration(5, ["records"], {HOST: [
-            route("medium", "/medium/", "records", timeout="20000ms", latency="3000ms"),
-            route("large", "/large/", "records", timeout="20000ms", latency="3000ms"),
-            route("search", "/search/", "records", timeout="20000ms"),
-            route("small", "/small/", "records", timeout=f"{ROUTE_TIMEOUT * 1000:.0f}ms")]}))
-        await fleet.start()
-        instance, times = fleet.instances[0], []
-        until = now() + SECONDS_WITHOUT_READING + 2
-        outcomes = await asyncio.gather(
-            *(pipelining_client(fleet, instance.front, number, not trouble)
-              for number in range(CLIENTS)),
-            *(other_client(fleet, instance, times, until) for _ in range(8)))
-        wrong = sum(outcomes[:CLIENTS])
-        late = sum(1 for each in times if each > ROUTE_TIMEOUT + 0.5)
-        print(f"{wrong} of {CLIENTS} large answers have status 200 and not the server's body")
-        print(f"other clients of the same process: {len(times)} requests, {late} without an answer "
-              f"0.5 s after the timeout of their route")
-        return BROKEN if wrong else HELD
+        for index in range(FOREIGN_ENTRIES):
+            store.put(f"servers/a-{index:04}", {
+                "address": f"{fleet.ip(202)}:9", "born": 1764900000000,
+                "info": {"service": "retired", "version": "v1", "zone": "gla", "capacity": 3},
+                "status": {"state": "ready", "seq": 1, "warmup_left": "0ms"}})
+        for index in range(3):
+            await fleet.add_server(f"i-old{index}", "old", fleet.zones[index], work)
+            await fleet.add_server(f"i-new{index}", "new", fleet.zones[index], work)
+        store.put("op/config", config(5, "old"))
+        # The deployment has run for longer than a stale read is old.
+        await store.start(fleet.store_address)
+        await asyncio.sleep(SECONDS_OLD + 0.5)
+        for instance in fleet.instances:
+            instance.start()
+        for instance in fleet.instances:
+            await instance.wait_ready()
+        await asyncio.sleep(CONTACT + 1)
+
+        store.put("op/config", config(7, "new"))
+        acknowledged = now()
+        await asyncio.sleep(0.4)
+        await fleet.add_server("i-new9", "new", "gla", work)
+        await asyncio.sleep(0.8)
+        restarted = fleet.instances[0]
+        if trouble:
+            restarted.kill()
+            await asyncio.sleep(0.1)
+            restarted.start()
+            await restarted.wait_ready()
+        await asyncio.sleep(CONTACT + 1)
+
+        assert now() - acknowledged > CONFIG_APPLY + 0.5
+        by_old = answered = 0
+        end = now() + 12
+        while now() < end:
+            for instance in fleet.instances:
+                attempt, status, _, _ = await call(record, instance.front, "GET", "/lookup/1", HOST)
+                answered += status == 200
+                for _, server in fleet.runs(attempt):
+                    if server.service == "old":
+                        by_old += 1
+                        record.write("stale", id=attempt, instance=instance.name,
+                                     after_ack=f"{now() - acknowledged:.1f}")
+            await asyncio.sleep(0.2)
+        print(f"{answered} requests answered, {by_old} run by the service of version 5 more than "
+              f"{CONFIG_APPLY:.0f} s after version 7 was acknowledged")
+        return BROKEN if by_old else HELD
     finally:
         fleet.stop()
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -457,6 +457,16 @@
             f"X-Timeout-Ms: {timeout_ms}\r\n{extra}{length}\r\n").encode() + body
 
 
+async def connect_slow_link(address):
+    """Opens a connection with the segments of an Ethernet link and a small window."""
+    link = socket.socket()
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+    link.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(link, address)
+    return await asyncio.open_connection(sock=link, limit=1 << 20)
+
+
 async def call(record, address, method, path, host, timeout_ms=2000, body=b"", attempt=None):
     """Sends one request on a new connection. Returns (id, status or None, headers, body)."""
     attempt = attempt or new_id()
