--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -29,6 +30,17 @@
     return time.monotonic() - START
 
 
+# Descriptors of a process (`self.limits.max_fds`); the stand-ins of a case share one process.
+MAX_DESCRIPTORS = 4100
+
+
+def raise_descriptor_limit():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MAX_DESCRIPTORS if hard == resource.RLIM_INFINITY else min(MAX_DESCRIPTORS, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 class Record:
     """The file record.txt: what was sent, answered and run, with times."""
 
@@ -490,6 +502,7 @@
 
 def main(case, seconds=115):
     """Runs `case(record, trouble)`, a coroutine that returns an exit code."""
+    raise_descriptor_limit()
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
