--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 9), "Python 3.9 or later is needed"'
-for File in lib/*.py [1-5]/*.py; do
+for File in *.py [1-5]/*.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1])' "$File"
 done
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 import traceback
 import urllib.parse
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "bin", "cranberryspool")
 START = time.monotonic()
 
@@ -500,12 +500,11 @@
     return attempt, status, headers, data
 
 
-def main(case, seconds=115):
+def main(case, trouble, seconds=115):
     """Runs `case(record, trouble)`, a coroutine that returns an exit code."""
     raise_descriptor_limit()
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("begin", trouble=int(trouble))
 
     async def bounded():
