Log reads of the store that take long or return much

The hypotheses on both matters of the incident differ in which read was under way while an instance was late, since when and of how many bytes. The logs named only the second failure of two reads in a row.

--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -56,6 +56,8 @@
     return "store-unavailable";
   case ChangeKind::StoreAvailable:
     return "store-available";
+  case ChangeKind::StoreReadSlow:
+    return "store-read-slow";
   case ChangeKind::TargetRemoved:
     return "target-removed";
   case ChangeKind::TargetRemovalDeferred:
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -22,6 +22,8 @@
     return ChangeKind::StoreUnavailable;
   case fleet::ViewEvent::StoreAvailable:
     return ChangeKind::StoreAvailable;
+  case fleet::ViewEvent::StoreReadSlow:
+    return ChangeKind::StoreReadSlow;
   case fleet::ViewEvent::TargetRemoved:
     return ChangeKind::TargetRemoved;
   case fleet::ViewEvent::RemovalDeferred:
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -31,6 +31,7 @@
   ViewCaughtUp,
   StoreUnavailable,
   StoreAvailable,
+  StoreReadSlow,
   TargetRemoved,
   TargetRemovalDeferred,
   ViewLost,
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -46,6 +46,10 @@
 /// not mean that the store is unavailable.
 constexpr std::uint32_t FailuresOfUnavailableStore = 2;
 constexpr const char *StoreSource = "store";
+/// Reads that take longer than this, besides the wait of a watch, and answers
+/// that are larger are reported.
+constexpr Duration SlowReadTime = milliseconds(250);
+constexpr std::size_t LargeReadBytes = 100'000;
 
 /// How long a change is sent repeatedly.
 constexpr Duration RetransmitPeriod = milliseconds(1500);
@@ -153,6 +157,7 @@
                                        const EventContext &Context) {
   IsReading_ = false;
   IsFullReadNeeded_ = false;
+  reportSlowRead(Records, Context);
   recordReadSuccess(Context);
   const Instant AnsweredAt = answeredAt(false, Context);
   if (!IsFullReadStale_)
@@ -189,6 +194,7 @@
     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
   IsReading_ = false;
+  reportSlowRead(Records, Context);
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
   const Instant AnsweredAt = answeredAt(!Records.empty(), Context);
@@ -224,6 +230,26 @@
   return std::min(Context.Now_, ReadStartedAt_ + ReadWait_);
 }
 
+void StoreReplicator::reportSlowRead(const std::vector<StoredRecord> &Records,
+                                     const EventContext &Context) const {
+  std::size_t Bytes = 0;
+  for (const StoredRecord &Each : Records)
+    Bytes += Each.Value_.size();
+  reportSlowRead(std::to_string(Records.size()) + " records of " +
+                     std::to_string(Bytes) + " bytes",
+                 Bytes, Context);
+}
+
+void StoreReplicator::reportSlowRead(std::string Result, std::size_t Bytes,
+                                     const EventContext &Context) const {
+  const Duration Elapsed = Context.Now_ - ReadStartedAt_;
+  if (Elapsed <= ReadWait_ + SlowReadTime && Bytes <= LargeReadBytes)
+    return;
+  ViewChanged Report{ViewEvent::StoreReadSlow, std::move(Result), StoreSource};
+  Report.Elapsed_ = Elapsed;
+  Context.Output_.push_back(std::move(Report));
+}
+
 void StoreReplicator::recordReadSuccess(const EventContext &Context) {
   if (std::exchange(Failures_, 0) < FailuresOfUnavailableStore)
     return;
@@ -235,6 +261,7 @@
 void StoreReplicator::handleReadFailure(const std::string &Reason,
                                         const EventContext &Context) {
   IsReading_ = false;
+  reportSlowRead(Reason, 0, Context);
   if (Failures_ == 0)
     FailingSince_ = Context.Now_;
   if (Failures_ + 1 == FailuresOfUnavailableStore)
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -109,6 +109,12 @@
   /// holds: the answer may have waited while this process did not run.
   framework::Instant answeredAt(bool HasChanges,
                                 const EventContext &Context) const;
+  /// Reports a read that took long or returned much, since other changes wait
+  /// behind it.
+  void reportSlowRead(std::string Result, std::size_t Bytes,
+                      const EventContext &Context) const;
+  void reportSlowRead(const std::vector<StoredRecord> &Records,
+                      const EventContext &Context) const;
   /// Ends a series of failed reads.
   void recordReadSuccess(const EventContext &Context);
   /// Sends on what the store has answered to this instance.
--- a/src/fleet/types/outputs/viewchanged.h
+++ b/src/fleet/types/outputs/viewchanged.h
@@ -13,13 +13,14 @@
 /// Reports an event in the replication of the platform's metadata store.
 struct ViewChanged {
   ViewEvent Event_{};
-  /// The affected target, or the reason for which the store is unavailable.
+  /// The affected target, the reason for which the store is unavailable, or what
+  /// a read returned.
   std::string Subject_;
   /// `store`, or the name of the instance from which the news came.
   std::string Source_;
   /// The revision that other instances have announced.
   std::optional<framework::Revision> Announced_ = std::nullopt;
-  /// How long the instance was behind, or the store unavailable.
+  /// How long the instance was behind, the store unavailable, or a read took.
   std::optional<framework::Duration> Elapsed_ = std::nullopt;
 };
 
