Reproduce late changes beside large configurations on slow links

Users saw requests at a target 2.95 s after it had stated that it leaves, at an instance with a link of 10 Mbit/s, while two configurations of 1 MB each were published.

The simulated store now needs time to answer over a slow link, and messages to an instance are lost while an answer fills its link, as the platform's pages say.

--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -60,6 +60,15 @@
   return Found;
 }
 
+/// An answer of the simulated store on its way to an instance.
+struct ArrivingAnswer {
+  framework::Instant At_;
+  std::size_t Instance_ = 0;
+  std::vector<StoredRecord> Records_;
+  framework::Revision AsOf_;
+  bool IsFullRead_ = false;
+};
+
 /// Simulates several instances and a metadata store in virtual time. Messages
 /// arrive without delay, except at the instances in `Slow_`.
 struct SeededSimulation {
@@ -77,6 +86,10 @@
   std::set<std::size_t> Isolated_;
   /// Instances whose reads the store refuses.
   std::set<std::size_t> TurnedAway_;
+  /// The bytes that the link of an instance carries in a millisecond; unlimited
+  /// when it is not listed. Messages to an instance are lost while an answer of
+  /// the store fills its link.
+  std::map<std::size_t, std::size_t> LinkBytesPerMs_;
   /// Returns true for a message to the given instance that is lost.
   std::function<bool(std::size_t, const PeerMessage &)> IsLost_;
   /// Instances that process each message after `SlowDelay`, as if it had only
@@ -149,6 +162,8 @@
       return;
     if (IsLost_ && IsLost_(Receiver, Message.Message_))
       return;
+    if (isLinkFull(Receiver))
+      return;
     if (Slow_.contains(Receiver)) {
       Delayed_.emplace_back(Now_.Monotonic_ + SlowDelay,
                             std::pair(Receiver, Message));
@@ -188,20 +203,65 @@
     if (isStoreDownFor(Instance))
       Instances_[Instance].handleRecordsUnavailable("down", Now_, Output);
     else if (!Request.After_)
-      Instances_[Instance].handleAllRecords(
-          recordsAt(Request.IsStaleAllowed_ ? StaleRevision_ : Revision_),
-          Revision_, Now_, Output);
+      transmit({Now_.Monotonic_, Instance,
+                recordsAt(Request.IsStaleAllowed_ ? StaleRevision_ : Revision_),
+                Revision_, true});
     else if (*Request.After_ < FirstKept_)
       Instances_[Instance].handleHistoryLost(Now_, Output);
     else if (Request.Wait_ > framework::Duration::zero() &&
              *Request.After_ == Revision_)
       Watches_[Instance] = Now_.Monotonic_ + Request.Wait_;
     else
-      Instances_[Instance].handleChangedRecords(changesAfter(*Request.After_),
-                                                Revision_, Now_, Output);
+      transmit({Now_.Monotonic_, Instance, changesAfter(*Request.After_),
+                Revision_, false});
     process(Instance, Output);
   }
 
+  /// Hands an answer over once its bytes have passed the link of the instance.
+  void transmit(ArrivingAnswer Answer) {
+    const auto Link = LinkBytesPerMs_.find(Answer.Instance_);
+    if (Link == LinkBytesPerMs_.end()) {
+      receive(Answer);
+      return;
+    }
+    std::size_t Bytes = 0;
+    // Values are encoded as base64.
+    for (const StoredRecord &Each : Answer.Records_)
+      Bytes += Each.Key_.size() + Each.Value_.size() * 4 / 3;
+    Answer.At_ += milliseconds(Bytes / Link->second);
+    Arriving_.push_back(std::move(Answer));
+  }
+
+  void receive(const ArrivingAnswer &Answer) {
+    OutputList Output;
+    SeededFleet &Receiver = Instances_[Answer.Instance_];
+    if (Answer.IsFullRead_)
+      Receiver.handleAllRecords(Answer.Records_, Answer.AsOf_, Now_, Output);
+    else
+      Receiver.handleChangedRecords(Answer.Records_, Answer.AsOf_, Now_,
+                                    Output);
+    process(Answer.Instance_, Output);
+  }
+
+  void receiveArrived() {
+    std::vector<ArrivingAnswer> Due;
+    std::erase_if(Arriving_, [&](const ArrivingAnswer &Each) {
+      const bool IsDue = Each.At_ <= Now_.Monotonic_;
+      if (IsDue)
+        Due.push_back(Each);
+      return IsDue;
+    });
+    for (const ArrivingAnswer &Each : Due)
+      receive(Each);
+  }
+
+  bool isLinkFull(std::size_t Instance) const {
+    return std::any_of(
+        Arriving_.begin(), Arriving_.end(), [&](const ArrivingAnswer &Each) {
+          return Each.Instance_ == Instance && Each.At_ > Now_.Monotonic_;
+        });
+  }
+
   bool isStoreDownFor(std::size_t Instance) const {
     return IsStoreDown_ || TurnedAway_.contains(Instance);
   }
@@ -253,6 +313,9 @@
                                  LastIncarnation_),
                     framework::Random(LastIncarnation_));
     Watches_.erase(Index);
+    std::erase_if(Arriving_, [&](const ArrivingAnswer &Each) {
+      return Each.Instance_ == Index;
+    });
     OutputList Output;
     Instances_[Index].start(Now_, Output);
     process(Index, Output);
@@ -286,12 +349,8 @@
     Record.Revision_ = Revision_;
     Changes_.push_back(std::move(Record));
     const auto Pending = std::exchange(Watches_, {});
-    for (const auto &[Index, Until] : Pending) {
-      OutputList Output;
-      Instances_[Index].handleChangedRecords({Changes_.back()}, Revision_, Now_,
-                                             Output);
-      process(Index, Output);
-    }
+    for (const auto &[Index, Until] : Pending)
+      transmit({Now_.Monotonic_, Index, {Changes_.back()}, Revision_, false});
   }
 
   /// Counts the instances that have not reached the store's revision or its
@@ -314,6 +373,7 @@
       Now_.Monotonic_ += Step_;
       Now_.Wall_ += Step_;
       deliverDelayed();
+      receiveArrived();
       for (std::size_t Index = 0; Index < Instances_.size(); ++Index) {
         OutputList Output;
         const auto Watch = Watches_.find(Index);
@@ -340,6 +400,8 @@
   std::map<std::string, std::size_t> IndexByAddress_;
   /// The open watches of instances, with the times at which they end.
   std::map<std::size_t, framework::Instant> Watches_;
+  /// The answers of the store that pass the links of their instances.
+  std::vector<ArrivingAnswer> Arriving_;
   /// The load reports that were forwarded to each instance.
   std::vector<std::pair<std::size_t, LoadReceived>> ReceivedLoads_;
   /// The rate at a cold target that each instance last computed.
