Get a large configuration from other instances, not from the store

What callers saw: requests at a target 2.95 s after it had stated that it leaves, through one instance with a link of 10 Mbit/s, while versions of 1 MB were published.

Cause: an instance that learnt of a version that does not fit in 32 datagrams read it from the store at once, uncompressed. On a slow link this takes 0.8 to 1.1 s, in which messages to it are lost, and whoever depends on it starts the same read only afterwards: the leader of the zone, then those of its groups, then their members, three reads in a row. While the leader reads, its updates look older and older, so that all others read as well.

Class: one large item on the path of small urgent ones, repeated at each hop.

Now an instance asks others for what is missing first, who send it compressed, and reads the store when they have given nothing of it for 250 ms. A leader to which a large answer begins to arrive states that more follows, and so does an instance that knows that changes are missing: it no longer states an age as if it were complete. Others wait for it for at most 1.3 s, the time of the largest value on such a link.

--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -20,6 +20,7 @@
 #include "decision/types/events/probeanswered.h"
 #include "decision/types/events/probefailed.h"
 #include "decision/types/events/recordhistorylost.h"
+#include "decision/types/events/recordsarriving.h"
 #include "decision/types/events/recordschanged.h"
 #include "decision/types/events/recordsread.h"
 #include "decision/types/events/recordsunavailable.h"
@@ -35,14 +36,16 @@
 namespace cranberryspool::decision {
 
 /// All events that a core handles.
-using Event = std::variant<
-    AnswerBegan, AttemptAnswered, AttemptFailed, CallArrived, CallerGone,
-    ConnectionClosed, ConnectionOpened, DocumentPublished, DocumentUnavailable,
-    DocumentUnchanged, InstancesPublished, InstancesUnchanged,
-    InstancesUnavailable, KeptAnswerFetched, PeerMessageReceived,
-    PeerMessageUnreadable, ProbeAnswered, ProbeFailed, RecordHistoryLost,
-    RecordsChanged, RecordsRead, RecordsUnavailable, SectionsFetched,
-    SectionsRequested, SectionsUnavailable, SeedsChanged, StopRequested, Tick>;
+using Event =
+    std::variant<AnswerBegan, AttemptAnswered, AttemptFailed, CallArrived,
+                 CallerGone, ConnectionClosed, ConnectionOpened,
+                 DocumentPublished, DocumentUnavailable, DocumentUnchanged,
+                 InstancesPublished, InstancesUnchanged, InstancesUnavailable,
+                 KeptAnswerFetched, PeerMessageReceived, PeerMessageUnreadable,
+                 ProbeAnswered, ProbeFailed, RecordHistoryLost, RecordsArriving,
+                 RecordsChanged, RecordsRead, RecordsUnavailable,
+                 SectionsFetched, SectionsRequested, SectionsUnavailable,
+                 SeedsChanged, StopRequested, Tick>;
 
 } // namespace cranberryspool::decision
 
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -118,6 +118,11 @@
   Core_.Fleet_.handleHistoryLost(Context.Now_, Core_.FleetOutput_);
 }
 
+void FleetAdapter::handle(const EventContext &Context,
+                          const RecordsArriving &) {
+  Core_.Fleet_.handleRecordsArriving(Context.Now_, Core_.FleetOutput_);
+}
+
 void FleetAdapter::handle(const EventContext &Context,
                           const RecordsUnavailable &Input) {
   Core_.Fleet_.handleRecordsUnavailable(Input.Reason_, Context.Now_,
--- a/src/decision/internal/fleetadapter.h
+++ b/src/decision/internal/fleetadapter.h
@@ -18,6 +18,7 @@
 #include "decision/types/events/peermessagereceived.h"
 #include "decision/types/events/peermessageunreadable.h"
 #include "decision/types/events/recordhistorylost.h"
+#include "decision/types/events/recordsarriving.h"
 #include "decision/types/events/recordschanged.h"
 #include "decision/types/events/recordsread.h"
 #include "decision/types/events/recordsunavailable.h"
@@ -53,6 +54,7 @@
   void handle(const EventContext &Context, const RecordsRead &Input);
   void handle(const EventContext &Context, const RecordsChanged &Input);
   void handle(const EventContext &Context, const RecordHistoryLost &Input);
+  void handle(const EventContext &Context, const RecordsArriving &Input);
   void handle(const EventContext &Context, const RecordsUnavailable &Input);
   void handle(const EventContext &Context, const SeedsChanged &Input);
 
--- a/src/entry/httpgetclient.h
+++ b/src/entry/httpgetclient.h
@@ -36,6 +36,10 @@
   framework::Duration MaxDuration_{};
   /// The maximum size of the response body.
   std::size_t BodyBytes_ = 0;
+  /// Called once when a response of at least `LargeBodyBytes_` begins to
+  /// arrive.
+  std::function<void()> OnLargeBody_ = {};
+  std::size_t LargeBodyBytes_ = 0;
   /// True when the connection is kept open for the next request.
   bool IsKeptAlive_ = true;
 };
@@ -85,6 +89,8 @@
   void readSome();
   void onRead(const boost::system::error_code &Error);
   void startTimer(framework::Duration SinceStart);
+  /// Calls `OnLargeBody_` when the head of such a response has arrived.
+  void reportLargeBody();
   /// Moves the time limit after a part of the response has arrived.
   void extendTimer();
   /// Returns true when the server has sent something on the idle connection or
--- a/src/entry/internal/httpgetclient.cpp
+++ b/src/entry/internal/httpgetclient.cpp
@@ -144,6 +144,7 @@
     return;
   }
   if (!Connection_->Parser_->is_done()) {
+    reportLargeBody();
     extendTimer();
     readSome();
     return;
@@ -151,6 +152,15 @@
   finish(Connection_->Parser_->release());
 }
 
+void HttpGetClient::reportLargeBody() {
+  const ResponseParser &Parser = *Connection_->Parser_;
+  if (!Request_.OnLargeBody_ || !Parser.is_header_done() ||
+      Parser.get().result() != http::status::ok ||
+      Parser.content_length().value_or(0) < Request_.LargeBodyBytes_)
+    return;
+  std::exchange(Request_.OnLargeBody_, nullptr)();
+}
+
 void HttpGetClient::retryOrFail() {
   const bool HasReceivedBytes =
       Connection_->Parser_ && Connection_->Parser_->got_some();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -77,6 +77,8 @@
   /// Handles a watch whose start revision is no longer in the store's change
   /// history.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
+  /// Handles the beginning of a large answer of the metadata store.
+  void handleRecordsArriving(framework::Moment Now, OutputList &Output);
   /// Handles a failed read of the metadata store; `Reason` says what failed.
   void handleRecordsUnavailable(const std::string &Reason,
                                 framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -82,6 +82,11 @@
     Seeded_->handleHistoryLost(Now, Output);
 }
 
+void Fleet::handleRecordsArriving(framework::Moment Now, OutputList &Output) {
+  if (Seeded_)
+    Seeded_->handleRecordsArriving(Now, Output);
+}
+
 void Fleet::handleRecordsUnavailable(const std::string &Reason,
                                      framework::Moment Now,
                                      OutputList &Output) {
--- a/src/fleet/internal/seeded/recordreassembler.h
+++ b/src/fleet/internal/seeded/recordreassembler.h
@@ -24,6 +24,8 @@
   /// Returns the first parts that are missing of it, at most `Limit`. None when
   /// no record is incomplete.
   std::vector<std::uint32_t> listMissing(std::size_t Limit) const;
+  /// Returns the number of parts that are missing of it.
+  std::size_t missingCount() const { return MissingCount_; }
   /// Returns the record that was completed last, compressed as it arrived.
   const std::optional<CompressedRecord> &completed() const {
     return Completed_;
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -24,10 +24,14 @@
 } // namespace
 
 bool StoreReplicator::isHelpNeeded(const EventContext &Context) const {
-  if (!View_.isLoaded() || !isReadNeeded(Context))
+  if (!View_.isLoaded())
     return false;
-  return IsReading_ ? Context.Now_ >= ReadStartedAt_ + ReadPatience
-                    : Context.Now_ < NextReadAt_;
+  const bool IsBehind = isBehind(Context.Now_);
+  if (!IsBehind && !isViewTooOld(Context))
+    return false;
+  if (IsReading_)
+    return Context.Now_ >= ReadStartedAt_ + ReadPatience;
+  return IsBehind || Context.Now_ < NextReadAt_;
 }
 
 void StoreReplicator::requestIfDue(const EventContext &Context) {
@@ -51,7 +55,8 @@
     if (State.IsLost_ || State.IsStopping_)
       continue;
     const bool IsAnnouncer = AnnouncedRevision_ && Name == AnnouncedBy_;
-    const bool WasAsked = Asked_ && Asked_->Name_ == Name;
+    const bool WasAsked =
+        Asked_ && Asked_->Name_ == Name && AskedAt_ >= AnnouncedAt_;
     if (IsAnnouncer && !WasAsked)
       return &State.Info_;
     const bool IsInOwnZone = State.Info_.Zone_ == Context.self().Zone_;
@@ -67,6 +72,7 @@
 void StoreReplicator::sendRequest(const MemberInfo &Source,
                                   const EventContext &Context) {
   Asked_ = Source;
+  AskedAt_ = Context.Now_;
   RevisionAtRequest_ = View_.revision();
   RecordRequest Request;
   Request.From_ = Context.self().Name_;
@@ -162,10 +168,13 @@
 
 void StoreReplicator::handle(const RecordPart &Message,
                              const EventContext &Context) {
+  const std::size_t MissingBefore = Reassembler_.missingCount();
   if (const auto Update = Reassembler_.add(Message)) {
     handle(*Update, Context);
     return;
   }
+  if (Reassembler_.missingCount() != MissingBefore)
+    HelpedAt_ = Context.Now_;
   const bool IsAnswer = Asked_ && Asked_->Name_ == Message.From_;
   if (IsAnswer && Message.Index_ == LastRequestedPart_ &&
       Message.RecordRevision_ == Reassembler_.revision())
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -199,6 +199,11 @@
   Replicator_.handleHistoryLost(makeContext(Now, Output));
 }
 
+void SeededFleet::handleRecordsArriving(framework::Moment Now,
+                                        OutputList &Output) {
+  Replicator_.handleAnswerArriving(makeContext(Now, Output));
+}
+
 void SeededFleet::handleRecordsUnavailable(const std::string &Reason,
                                            framework::Moment Now,
                                            OutputList &Output) {
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -73,6 +73,7 @@
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
+  void handleRecordsArriving(framework::Moment Now, OutputList &Output);
   void handleRecordsUnavailable(const std::string &Reason,
                                 framework::Moment Now, OutputList &Output);
 
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -40,6 +40,16 @@
 constexpr Duration MaxReadJitter = milliseconds(200);
 /// Messages that were sent together may arrive reordered within this time.
 constexpr Duration ReorderTolerance = milliseconds(100);
+/// What is missing is read from the store when other instances have neither
+/// given a part of it nor stated that it is on its way to them for this long.
+/// They send a large record compressed, while the answer of the store fills a
+/// slow link.
+constexpr Duration PeerPatience = milliseconds(250);
+/// The longest time for which a statement is relied on: that of an answer of
+/// the largest size on a link of 10 Mbit/s.
+constexpr Duration MaxPromiseTime = milliseconds(1300);
+/// The longest time in which parts of what is missing may arrive.
+constexpr Duration MaxHelpTime = milliseconds(2000);
 /// A group leader sends an update to its group at least this often.
 constexpr Duration UpdateInterval = milliseconds(200);
 /// Watches are interrupted in normal operation, so that a single failure does
@@ -96,9 +106,10 @@
     return;
   AnnouncedRevision_ = Announced;
   AnnouncedBy_ = By;
+  AnnouncedAt_ = Now;
   // The store answers others, so that the delay after an outage is over.
   NextReadAt_ = std::min(NextReadAt_, Now + MaxUrgentRetryDelay);
-  NextRequestAt_ = std::min(NextRequestAt_, Now + RequestDelay);
+  NextRequestAt_ = std::min(NextRequestAt_, Now + ReorderTolerance);
 }
 
 void StoreReplicator::forgetReachedAnnouncement() {
@@ -110,9 +121,25 @@
   return isAnnouncedMissing() && Now >= GapSince_ + ReorderTolerance;
 }
 
+bool StoreReplicator::isHelpExpected(Instant Now) const {
+  if (!isAnnouncedMissing())
+    return false;
+  const bool IsArriving =
+      Now < HelpedAt_ + PeerPatience && Now < GapSince_ + MaxHelpTime;
+  const bool IsPromised =
+      Now < PromisedAt_ + PeerPatience && Now < GapSince_ + MaxPromiseTime;
+  return IsArriving || IsPromised;
+}
+
 bool StoreReplicator::isReadNeeded(const EventContext &Context) const {
-  if (isBehind(Context.Now_))
-    return true;
+  const Instant Now = Context.Now_;
+  if (isHelpExpected(Now))
+    return false;
+  return isViewTooOld(Context) ||
+         (isBehind(Now) && Now >= GapSince_ + PeerPatience);
+}
+
+bool StoreReplicator::isViewTooOld(const EventContext &Context) const {
   const bool IsLeader = Context.isGroupLeader();
   const auto Age = View_.age(Context.Now_);
   if (!Age)
@@ -155,7 +182,7 @@
 void StoreReplicator::handleAllRecords(const std::vector<StoredRecord> &Records,
                                        Revision AsOf,
                                        const EventContext &Context) {
-  IsReading_ = false;
+  endRead();
   IsFullReadNeeded_ = false;
   reportSlowRead(Records, Context);
   recordReadSuccess(Context);
@@ -193,7 +220,7 @@
     const std::vector<StoredRecord> &Records, Revision AsOf,
     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
-  IsReading_ = false;
+  endRead();
   reportSlowRead(Records, Context);
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
@@ -216,8 +243,14 @@
   readIfDue(Context);
 }
 
+void StoreReplicator::handleAnswerArriving(const EventContext &Context) {
+  IsAnswerArriving_ = IsReading_;
+  if (Context.isGroupLeader())
+    sendRecentChanges(Context);
+}
+
 void StoreReplicator::handleHistoryLost(const EventContext &Context) {
-  IsReading_ = false;
+  endRead();
   IsFullReadNeeded_ = true;
   readIfDue(Context);
 }
@@ -260,7 +293,7 @@
 
 void StoreReplicator::handleReadFailure(const std::string &Reason,
                                         const EventContext &Context) {
-  IsReading_ = false;
+  endRead();
   reportSlowRead(Reason, 0, Context);
   if (Failures_ == 0)
     FailingSince_ = Context.Now_;
@@ -381,6 +414,8 @@
   reportChanges(applyNext(Message, Context), Message.From_.value(),
                 Context.Output_);
   recordAdvance(Before, Context.Now_);
+  if (View_.revision() > Before)
+    HelpedAt_ = Context.Now_;
   forgetReachedAnnouncement();
   reportProgress(Message.From_.value(), Context);
   passOn(Message, Context);
@@ -390,6 +425,10 @@
                                               const EventContext &Context) {
   const auto Records = storedRecords(Message.Records_);
   if (Message.Age_ >= RecordUpdate::MoreFollows) {
+    if (Records.empty()) {
+      recordPromise(Message, Context.Now_);
+      return {};
+    }
     const auto Changed =
         View_.applyPart(Records, Message.ToRevision_, Context.Now_);
     recordGap(Revision(Message.ToRevision_.value() + 1), Message.From_,
@@ -407,6 +446,15 @@
   return Changed;
 }
 
+void StoreReplicator::recordPromise(const RecordUpdate &Message, Instant Now) {
+  // The store has just stated the opposite: the sender may not know yet.
+  const auto Age = View_.age(Now);
+  if (Age && *Age < PeerPatience)
+    return;
+  PromisedAt_ = Now;
+  recordGap(Revision(Message.ToRevision_.value() + 1), Message.From_, Now);
+}
+
 void StoreReplicator::passOn(const RecordUpdate &Message,
                              const EventContext &Context) {
   // An update from outside the group is passed on by each relay that receives
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -50,6 +50,9 @@
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(const EventContext &Context);
+  /// Handles the beginning of a large answer, whose end may take long. Other
+  /// instances are told that more follows, so that they do not read the same.
+  void handleAnswerArriving(const EventContext &Context);
   /// Handles a failed read; `Reason` says what failed.
   void handleReadFailure(const std::string &Reason,
                          const EventContext &Context);
@@ -75,6 +78,18 @@
   /// Returns true when this instance must read the store because other
   /// instances have not updated it in time.
   bool isReadNeeded(const EventContext &Context) const;
+  /// Returns true when the view is too old, whether or not changes are known to
+  /// be missing.
+  bool isViewTooOld(const EventContext &Context) const;
+  /// Returns true while other instances are expected to give what is missing.
+  bool isHelpExpected(framework::Instant Now) const;
+  /// Returns true when this instance knows that newer changes exist.
+  bool areChangesMissing() const {
+    return IsAnswerArriving_ || isAnnouncedMissing();
+  }
+  /// Handles the statement of an instance that newer changes are on their way
+  /// to it.
+  void recordPromise(const RecordUpdate &Message, framework::Instant Now);
   /// Returns true once this instance has run for long enough to know the
   /// members of its zone.
   bool isDiscoveryComplete(framework::Instant Now) const;
@@ -105,6 +120,11 @@
                      const std::string &Source, OutputList &Output) const;
   /// Reports when this instance starts or stops to be behind others.
   void reportProgress(const std::string &Source, const EventContext &Context);
+  /// The read under way has ended, with or without an answer.
+  void endRead() {
+    IsReading_ = false;
+    IsAnswerArriving_ = false;
+  }
   /// Returns the time for which the answer of the read that has ended certainly
   /// holds: the answer may have waited while this process did not run.
   framework::Instant answeredAt(bool HasChanges,
@@ -167,16 +187,25 @@
   /// that lead to it are missing here.
   std::optional<framework::Revision> AnnouncedRevision_;
   framework::InstanceName AnnouncedBy_;
+  framework::Instant AnnouncedAt_{};
   /// The instance that was asked last, and the view at that time.
   std::optional<MemberInfo> Asked_;
+  framework::Instant AskedAt_{};
   framework::Revision RevisionAtRequest_;
   /// After this part of a large record, the next ones are requested.
   std::uint32_t LastRequestedPart_ = 0;
   framework::Instant NextRequestAt_{};
   framework::Duration NextRequestDelay_ = RequestDelay;
   framework::Instant GapSince_{};
+  /// When another instance last gave a part of what is missing.
+  framework::Instant HelpedAt_{};
+  /// When another instance last stated that what is missing is on its way to
+  /// it.
+  framework::Instant PromisedAt_{};
   bool IsBehindReported_ = false;
   bool IsReading_ = false;
+  /// Whether a large answer to the read that is under way has begun to arrive.
+  bool IsAnswerArriving_ = false;
   bool IsFullReadNeeded_ = true;
   /// Whether the store may answer the full read that is under way with stale
   /// records.
@@ -197,7 +226,8 @@
 void StoreReplicator::stamp(Message &Update,
                             const EventContext &Context) const {
   Update.From_ = Context.self().Name_;
-  const bool IsLast = Update.ToRevision_ == View_.revision();
+  const bool IsLast =
+      Update.ToRevision_ == View_.revision() && !areChangesMissing();
   Update.Age_ = IsLast ? View_.age(Context.Now_).value_or(framework::Duration{})
                        : RecordUpdate::MoreFollows;
   Update.AnsweredAt_ = AnsweredWallTime_;
--- a/src/fleet/tests/largechanges_test.cpp
+++ b/src/fleet/tests/largechanges_test.cpp
@@ -101,7 +101,7 @@
 
 TEST_CASE("a target that leaves is not used on while a large configuration "
           "fills slow links",
-          "[largechanges][!shouldfail]") {
+          "[largechanges]") {
   for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
     LargeChanges Changes(Seed);
     Changes.run();
@@ -111,7 +111,7 @@
 }
 
 TEST_CASE("a large configuration is in force in time on slow links",
-          "[largechanges][!shouldfail]") {
+          "[largechanges]") {
   for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
     LargeChanges Changes(Seed);
     Changes.run();
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -90,6 +90,8 @@
   /// when it is not listed. Messages to an instance are lost while an answer of
   /// the store fills its link.
   std::map<std::size_t, std::size_t> LinkBytesPerMs_;
+  /// The beginning of a larger answer is reported.
+  static constexpr std::size_t LargeAnswerBytes = 64 * 1024;
   /// Returns true for a message to the given instance that is lost.
   std::function<bool(std::size_t, const PeerMessage &)> IsLost_;
   /// Instances that process each message after `SlowDelay`, as if it had only
@@ -229,7 +231,12 @@
     for (const StoredRecord &Each : Answer.Records_)
       Bytes += Each.Key_.size() + Each.Value_.size() * 4 / 3;
     Answer.At_ += milliseconds(Bytes / Link->second);
-    Arriving_.push_back(std::move(Answer));
+    Arriving_.push_back(Answer);
+    if (Bytes < LargeAnswerBytes)
+      return;
+    OutputList Output;
+    Instances_[Answer.Instance_].handleRecordsArriving(Now_, Output);
+    process(Answer.Instance_, Output);
   }
 
   void receive(const ArrivingAnswer &Answer) {
--- a/src/fleet/types/outputs/viewchanged.h
+++ b/src/fleet/types/outputs/viewchanged.h
@@ -13,8 +13,8 @@
 /// Reports an event in the replication of the platform's metadata store.
 struct ViewChanged {
   ViewEvent Event_{};
-  /// The affected target, the reason for which the store is unavailable, or what
-  /// a read returned.
+  /// The affected target, the reason for which the store is unavailable, or
+  /// what a read returned.
   std::string Subject_;
   /// `store`, or the name of the instance from which the news came.
   std::string Source_;
--- a/src/session/internal/eventjson.cpp
+++ b/src/session/internal/eventjson.cpp
@@ -117,6 +117,10 @@
   return {{"event", "record-history-lost"}};
 }
 
+json::object toJson(const RecordsArriving &) {
+  return {{"event", "records-arriving"}};
+}
+
 json::object toJson(const RecordsUnavailable &) {
   return {{"event", "records-unavailable"}};
 }
