Do not read the store over a connection that has rested

Cause: members of a group read the store rarely, over a connection that they keep. If it has gone silent in the meantime, the read is given up after 0.6 s only. By the constants: 1.7 s until the read is due, 0.05 s to the next tick and 0.6 s make 2.35 s, more than the 2 s that small deployments allow, and 2.95 s if the second read fails as well. Class: a wait that is counted nowhere, for a peer whose silence only a time limit shows.

The test fails without the limit: both requests used one connection.

--- a/src/entry/httpgetclient.h
+++ b/src/entry/httpgetclient.h
@@ -42,6 +42,9 @@
   std::size_t LargeBodyBytes_ = 0;
   /// True when the connection is kept open for the next request.
   bool IsKeptAlive_ = true;
+  /// A connection that was not used for longer is replaced: it may have gone
+  /// silent, which only a time limit would show.
+  framework::Duration MaxRest_ = std::chrono::hours(1);
 };
 
 /// An HTTP client that sends one GET request at a time, over a connection that
@@ -115,6 +118,7 @@
   bool IsConnectionReused_ = false;
   std::uint64_t RequestNumber_ = 0;
   boost::asio::steady_timer::time_point StartedAt_;
+  boost::asio::steady_timer::time_point LastUsedAt_;
   bool WasTooLarge_ = false;
 };
 
--- a/src/entry/internal/httpgetclient.cpp
+++ b/src/entry/internal/httpgetclient.cpp
@@ -35,7 +35,8 @@
   WasTooLarge_ = false;
   StartedAt_ = net::steady_timer::clock_type::now();
   startTimer(Request_.Timeout_);
-  if (Connection_ && ConnectedServer_ == Request_.Server_ &&
+  const bool HasRested = StartedAt_ > LastUsedAt_ + Request_.MaxRest_;
+  if (Connection_ && ConnectedServer_ == Request_.Server_ && !HasRested &&
       !hasUnreadBytes()) {
     IsConnectionReused_ = true;
     write();
@@ -173,6 +174,7 @@
 void HttpGetClient::finish(std::optional<Response> Result) {
   ++RequestNumber_;
   Timer_.cancel();
+  LastUsedAt_ = net::steady_timer::clock_type::now();
   const bool IsReusable = Result && Result->keep_alive() &&
                           Request_.IsKeptAlive_ &&
                           Connection_->Input_.size() == 0;
--- a/src/entry/tests/httpgetclient_test.cpp
+++ b/src/entry/tests/httpgetclient_test.cpp
@@ -32,9 +32,11 @@
   int ResponseCount_ = 0;
   int FailureCount_ = 0;
   std::string Body_;
+  framework::Duration MaxRest_ = std::chrono::hours(1);
 
   void sendRequest(framework::Duration Timeout) {
     HttpGetRequest Request;
+    Request.MaxRest_ = MaxRest_;
     Request.Server_ = Endpoint{"127.0.0.78", Port};
     Request.Target_ = "/";
     Request.Timeout_ = Timeout;
@@ -200,3 +202,18 @@
   CHECK(Fixture.Bodies_.back() == "none");
   CHECK(Fixture.Client_->wasTooLarge());
 }
+
+TEST_CASE("a connection that has rested, and may have gone silent, is not used "
+          "again",
+          "[entry]") {
+  ClientFixture Fixture;
+  Fixture.MaxRest_ = milliseconds(20);
+  Fixture.sendRequest(std::chrono::seconds(20));
+  Fixture.runUntilRequested(1);
+  Fixture.respond(0, "first");
+  Fixture.runUntilOutcome();
+  std::this_thread::sleep_for(2 * Fixture.MaxRest_);
+  Fixture.sendRequest(std::chrono::seconds(20));
+  Fixture.runUntilRequested(2);
+  CHECK(Fixture.RequestSessions_[0] != Fixture.RequestSessions_[1]);
+}
