Do not forget what was announced while the store was read

An instance that is behind reads the store. When the read ended, it dropped the announced revision if the read had begun after the first announcement, although later ones had arrived during the read, which over a slow link takes a second. It took itself for complete until the next update.

What was announced after the read began now stays, with the start of the read as the time since when it is missing. The test failed before: the instance did not know that it was behind revision 20 after an answer as of 12.

--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -228,9 +228,12 @@
   AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(View_.apply(Records, AsOf, AnsweredAt), StoreSource,
                 Context.Output_);
-  // A read that began after the announcement has returned what was announced.
-  if (ReadStartedAt_ >= GapSince_)
+  // A read that began after the last announcement has returned what was
+  // announced, one that began earlier only what was announced until then.
+  if (ReadStartedAt_ > AnnouncedAt_)
     AnnouncedRevision_.reset();
+  else
+    GapSince_ = std::max(GapSince_, ReadStartedAt_);
   forgetReachedAnnouncement();
   reportProgress(StoreSource, Context);
   if (!Records.empty())
--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -251,3 +251,32 @@
       Fleet.Instances_.begin(), Fleet.Instances_.end(),
       [](const auto &Each) { return Each.view().targets().size() == 3; }));
 }
+
+TEST_CASE("an instance does not forget what was announced while it read the "
+          "store",
+          "[catchup]") {
+  SeededFleet Instance(makeSettings(1), framework::Random(1));
+  framework::Moment Now{framework::Instant(seconds(100)),
+                        framework::WallTime(seconds(1'000'000))};
+  OutputList Output;
+  Instance.start(Now, Output);
+  Instance.handleAllRecords({{"c", "document", Revision(8), false}},
+                            Revision(8), Now, Output);
+  const auto Announce = [&](std::uint64_t At) {
+    RecordUpdate Update;
+    Update.From_ = framework::InstanceName("entry-2");
+    Update.FromRevision_ = Revision(At);
+    Update.ToRevision_ = Revision(At);
+    Instance.handle(Update, Now, Output);
+  };
+  Announce(10);
+  Output.clear();
+  while (outputsOf<ReadRecords>(Output).empty()) {
+    Now.Monotonic_ += milliseconds(10);
+    Now.Wall_ += milliseconds(10);
+    Instance.tick(Now, Output);
+  }
+  Announce(20);
+  Instance.handleChangedRecords({}, Revision(12), Now, Output);
+  CHECK(Instance.isViewBehind());
+}
