Include changes that the sender of an update knows ahead of its revision

An instance that holds a newer change of a key ahead of its revision no longer has the earlier one. Its updates up to that revision left the key out, and a receiver took itself for complete without either change: a target that leaves and changes again would be used on until the sender had caught up.

Updates now include the later change as well; receivers apply each key by its revision.

--- a/src/fleet/internal/seeded/recordtable.cpp
+++ b/src/fleet/internal/seeded/recordtable.cpp
@@ -76,11 +76,10 @@
 }
 
 std::vector<const StoredRecord *>
-RecordTable::recordsAfter(framework::Revision After,
-                          framework::Revision To) const {
+RecordTable::recordsAfter(framework::Revision After) const {
   std::vector<const StoredRecord *> Found;
   for (auto Each = KeysByRevision_.upper_bound(After);
-       Each != KeysByRevision_.end() && Each->first <= To; ++Each)
+       Each != KeysByRevision_.end(); ++Each)
     Found.push_back(&Records_.at(Each->second));
   return Found;
 }
@@ -103,13 +102,13 @@
   // apply the first update as well.
   Next.FromRevision_ = lastChangeUpTo(After);
   std::size_t Bytes = 0;
-  for (const StoredRecord *Each : recordsAfter(After, To)) {
+  for (const StoredRecord *Each : recordsAfter(After)) {
     const std::size_t Size = encodedSize(*Each);
     if (Bytes + Size > MaxRecordBytes && !Next.Records_.empty()) {
       const framework::Revision Last = Next.Records_.back().Revision_;
       // More records of the same revision follow.
-      Next.ToRevision_ =
-          Each->Revision_ > Last ? Last : std::max(before(Last), After);
+      Next.ToRevision_ = std::min(
+          To, Each->Revision_ > Last ? Last : std::max(before(Last), After));
       Updates.push_back(std::exchange(Next, RecordUpdate()));
       Next.FromRevision_ = Updates.back().ToRevision_;
       Bytes = 0;
@@ -130,14 +129,15 @@
   RecordUpdate Update;
   Update.ToRevision_ = To;
   Update.FromRevision_ = lastChangeUpTo(After);
-  const std::vector<const StoredRecord *> Records = recordsAfter(After, To);
+  const std::vector<const StoredRecord *> Records = recordsAfter(After);
   auto First = Records.end();
   std::size_t Bytes = 0;
   while (First != Records.begin()) {
     Bytes += encodedSize(**std::prev(First));
     if (Bytes > MaxRecordBytes) {
-      Update.FromRevision_ =
-          First == Records.end() ? To : (*std::prev(First))->Revision_;
+      Update.FromRevision_ = First == Records.end()
+                                 ? To
+                                 : std::min(To, (*std::prev(First))->Revision_);
       break;
     }
     --First;
--- a/src/fleet/internal/seeded/recordtable.h
+++ b/src/fleet/internal/seeded/recordtable.h
@@ -55,8 +55,10 @@
   static constexpr std::size_t MaxDeletions = 2048;
 
   void dropOldestDeletion();
-  std::vector<const StoredRecord *> recordsAfter(framework::Revision After,
-                                                 framework::Revision To) const;
+  /// Returns the changes after a revision, with those beyond the revision of
+  /// the view: a later change of a key replaces the one that a receiver needs.
+  std::vector<const StoredRecord *>
+  recordsAfter(framework::Revision After) const;
   /// Returns the revision of the last kept change at `Limit` or before it.
   framework::Revision lastChangeUpTo(framework::Revision Limit) const;
 
