Count the age of a view from the request of a watch with changes

Cause: the answer of a watch that brings changes counted from its receipt.

The answer now holds from the request on. So that views do not get older, the pause before the next watch ends earlier when they would be older than 0.6 s. The test failed before (age 0 instead of 0.9 s). It was the last age that counted from a receipt: full reads, reads without a wait and updates of other instances count from the request or the statement.

--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -20,6 +20,8 @@
 /// with the fleet, so that a store with many changes is not read for each one.
 constexpr Duration WatchPausePerGroup = milliseconds(20);
 constexpr Duration MaxWatchPause = milliseconds(400);
+/// The pause ends earlier when the view would be older than this.
+constexpr Duration MaxAgeAfterPause = milliseconds(600);
 constexpr Duration InitialRetryDelay = milliseconds(100);
 /// Of leaders, and of instances that are known to be behind.
 constexpr Duration MaxUrgentRetryDelay = milliseconds(400);
@@ -186,7 +188,7 @@
   IsFullReadNeeded_ = false;
   reportSlowRead(Records, Context);
   recordReadSuccess(Context);
-  const Instant AnsweredAt = answeredAt(false, Context);
+  const Instant AnsweredAt = answeredAt(false, Context.Now_);
   if (!IsFullReadStale_)
     AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(IsFullReadStale_
@@ -224,7 +226,7 @@
   reportSlowRead(Records, Context);
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
-  const Instant AnsweredAt = answeredAt(!Records.empty(), Context);
+  const Instant AnsweredAt = answeredAt(!Records.empty(), Context.Now_);
   AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(View_.apply(Records, AsOf, AnsweredAt), StoreSource,
                 Context.Output_);
@@ -237,15 +239,20 @@
   forgetReachedAnnouncement();
   reportProgress(StoreSource, Context);
   if (!Records.empty())
-    NextReadAt_ =
-        Context.Now_ +
-        std::min(MaxWatchPause,
-                 WatchPausePerGroup *
-                     static_cast<std::int64_t>(Context.estimatedGroupCount()));
+    NextReadAt_ = Context.Now_ + watchPause(Context.Now_ - AnsweredAt, Context);
   shareAnswer(Before, WasBehind, Context);
   readIfDue(Context);
 }
 
+Duration StoreReplicator::watchPause(Duration Age,
+                                     const EventContext &Context) const {
+  const Duration Pause =
+      std::min(MaxWatchPause,
+               WatchPausePerGroup *
+                   static_cast<std::int64_t>(Context.estimatedGroupCount()));
+  return std::clamp(MaxAgeAfterPause - Age, Duration{}, Pause);
+}
+
 void StoreReplicator::handleAnswerArriving(const EventContext &Context) {
   IsAnswerArriving_ = IsReading_;
   if (Context.isGroupLeader())
@@ -258,12 +265,11 @@
   readIfDue(Context);
 }
 
-Instant StoreReplicator::answeredAt(bool HasChanges,
-                                    const EventContext &Context) const {
-  // A watch is answered when there is a change, or when its wait is over.
-  if (HasChanges && ReadWait_ > Duration::zero())
-    return Context.Now_;
-  return std::min(Context.Now_, ReadStartedAt_ + ReadWait_);
+Instant StoreReplicator::answeredAt(bool HasChanges, Instant Now) const {
+  // A watch without changes is answered when its wait is over. One with changes
+  // may have been answered at any time, and held up on its way.
+  const Duration Wait = HasChanges ? Duration{} : ReadWait_;
+  return std::min(Now, ReadStartedAt_ + Wait);
 }
 
 void StoreReplicator::reportSlowRead(const std::vector<StoredRecord> &Records,
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -126,9 +126,12 @@
     IsAnswerArriving_ = false;
   }
   /// Returns the time for which the answer of the read that has ended certainly
-  /// holds: the answer may have waited while this process did not run.
-  framework::Instant answeredAt(bool HasChanges,
-                                const EventContext &Context) const;
+  /// holds: it may have waited on its way, or while this process did not run.
+  framework::Instant answeredAt(bool HasChanges, framework::Instant Now) const;
+  /// Returns the pause before the next watch, after one that has returned
+  /// changes; `Age` is the age of the view.
+  framework::Duration watchPause(framework::Duration Age,
+                                 const EventContext &Context) const;
   /// Reports a read that took long or returned much, since other changes wait
   /// behind it.
   void reportSlowRead(std::string Result, std::size_t Bytes,
--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -280,3 +280,31 @@
   Instance.handleChangedRecords({}, Revision(12), Now, Output);
   CHECK(Instance.isViewBehind());
 }
+
+TEST_CASE("a late answer to a watch does not make a view look fresh",
+          "[catchup]") {
+  SeededFleet Instance(makeSettings(1), framework::Random(1));
+  framework::Moment Now{framework::Instant(seconds(100)),
+                        framework::WallTime(seconds(1'000'000))};
+  OutputList Output;
+  Instance.start(Now, Output);
+  Instance.handleAllRecords({{"c", "document", Revision(8), false}},
+                            Revision(8), Now, Output);
+  Output.clear();
+  while (outputsOf<ReadRecords>(Output).empty()) {
+    Now.Monotonic_ += milliseconds(10);
+    Now.Wall_ += milliseconds(10);
+    Instance.tick(Now, Output);
+  }
+  Output.clear();
+  Instance.handleChangedRecords({}, Revision(8), Now, Output);
+  const auto Watches = outputsOf<ReadRecords>(Output);
+  REQUIRE(Watches.size() == 1);
+  REQUIRE(Watches[0].Wait_ > Duration{});
+  // The store answered the watch at once; the answer was held up on the way.
+  Now.Monotonic_ += milliseconds(900);
+  Now.Wall_ += milliseconds(900);
+  Instance.handleChangedRecords({{"t0", "target a", Revision(9), false}},
+                                Revision(9), Now, Output);
+  CHECK(Instance.view().age(Now.Monotonic_) >= Duration(milliseconds(900)));
+}
