Read no request behind the response that closes a connection

Cause: the decision that a response is the last one set a flag that only the next wait for a request asked. A session that was already waiting went on to read, parse and run what arrived. The decision now also ends that wait, in one place. A request behind the last response is not read, so that its caller sends it again, whatever its kind.

The test failed before on the untouched session (2 calls instead of 1).

--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -415,7 +415,7 @@
   if (Server_.isDraining() && HasNoRequestBehind)
     Next.IsKeptAlive_ = false;
   if (!Next.IsKeptAlive_)
-    HasReadLastRequest_ = true;
+    stopReading();
   Next.Response_->keep_alive(Next.IsKeptAlive_);
   Serializer_.emplace(*Next.Response_);
   Serializer_->split(false);
@@ -426,6 +426,16 @@
       });
 }
 
+/// A request that arrives behind the last response would be run and never
+/// answered.
+void CallerSession::stopReading() {
+  HasReadLastRequest_ = true;
+  if (Phase_ != Phase::Idle)
+    return;
+  Phase_ = Phase::Paused;
+  Deadline_ = framework::Instant::max();
+}
+
 void CallerSession::onWritten(const error_code &Error) {
   Serializer_.reset();
   WriteDeadline_ = framework::Instant::max();
--- a/src/entry/internal/callersession.h
+++ b/src/entry/internal/callersession.h
@@ -88,6 +88,8 @@
   Response startResponse(unsigned Status) const;
   framework::Duration idleTimeout() const;
   void writeNext();
+  /// Parses no further request of this connection.
+  void stopReading();
   void onWritten(const boost::system::error_code &Error);
   void linger();
   void close();
--- a/src/entry/tests/callerserver_test.cpp
+++ b/src/entry/tests/callerserver_test.cpp
@@ -243,6 +243,26 @@
   Fixture.awaitClosed();
 }
 
+TEST_CASE("a request that arrives while the last response is written is not "
+          "run",
+          "[entry]") {
+  CallerFixture Fixture;
+  RawClient Client = Fixture.connect();
+  Client.send(getRequest("/hold"));
+  Fixture.awaitCalls(1);
+  Fixture.sendCommand(DrainCallers{});
+  const auto Response = std::make_shared<TargetResponse>();
+  Response->Status_ = 200;
+  // More than the buffers of the connection hold.
+  Response->Body_ = std::string(16'000'000, 'x');
+  Fixture.sendCommand(SendResponse{Fixture.lastCall(), Response});
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  Client.send(getRequest("/b"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK_THAT(Client.receiveResponse(), Contains("Connection: close\r\n"));
+  CHECK(Fixture.callCount() == 1);
+}
+
 TEST_CASE("a draining instance asks callers to reconnect", "[entry]") {
   CallerFixture Fixture;
   RawClient Client = Fixture.connect();
