Answer all callers before the grace period of a stop ends

A call that was taken up to 3 s after SIGTERM kept its own deadline, and the target was given all of it; at the end of the grace the process was killed with it. Attempts whose callers had gone held the stop for up to 30 s.

Now the deadlines of all calls end with nine tenths of the grace period, and targets are not given more time than that. A call that usually takes longer than what is left is refused at once, as not run, so that its caller can go elsewhere. Who still waits at the end gets 'may have run' instead of a cut connection, and the stop ends although targets still work.

Where no grace period is set, stops behave as before.

--- a/src/decision/coresettings.h
+++ b/src/decision/coresettings.h
@@ -38,6 +38,9 @@
   /// How long a stopping instance continues to accept calls, so that the
   /// platform's load balancer can notice that it is no longer ready.
   framework::Duration StopLinger_ = std::chrono::seconds(3);
+  /// The time from the request to stop after which the process may be killed;
+  /// unlimited by default.
+  framework::Duration StopGracePeriod_ = framework::Duration::max();
   /// A longer gap between two events means that the process was paused.
   framework::Duration PauseThreshold_ = std::chrono::milliseconds(500);
   /// How long calls are still accepted and queued while the view of the
--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -49,8 +49,10 @@
                           const MatchedKind &Matched,
                           std::optional<framework::WorkspaceId> Workspace) {
   const MatchedKind Kind = applyWorkspacePriority(Matched, Workspace);
-  const framework::Duration Timeout =
+  framework::Duration Timeout =
       std::min(Input.Timeout_.value_or(Kind.Deadline_), Kind.LongestWait_);
+  if (Core_.StopEndsAt_)
+    Timeout = std::min(Timeout, *Core_.StopEndsAt_ - Context.now());
   calls::Call &Call = Core_.Calls_.accept(calls::CallRequest{
       .Call_ = Input.Call_,
       .Service_ = Kind.Service_,
@@ -74,7 +76,7 @@
       .IsFromPeer_ = Input.ForwardedBy_.has_value()});
   ++Core_.Counters_.CallsAccepted_;
   Core_.Counters_.CallsFromPeers_ += Input.ForwardedBy_ ? 1 : 0;
-  if (const auto Reason = findRefusalReason(Context, Input, Timeout)) {
+  if (const auto Reason = findRefusalReason(Context, Input, Call, Timeout)) {
     Core_.Counters_.CallsFromPeersRefused_ += Input.ForwardedBy_ ? 1 : 0;
     Finisher_.fail(Context, Call, *Reason);
     return;
@@ -126,11 +128,10 @@
   return Kind;
 }
 
-std::optional<calls::EndingReason>
-CallReceiver::findRefusalReason(const EventContext &Context,
-                                const CallArrived &Input,
-                                framework::Duration Timeout) const {
-  if (IsStopped_)
+std::optional<calls::EndingReason> CallReceiver::findRefusalReason(
+    const EventContext &Context, const CallArrived &Input,
+    const calls::Call &Call, framework::Duration Timeout) const {
+  if (IsStopped_ || !canEndBeforeStop(Call, Timeout))
     return calls::EndingReason::InstanceStopping;
   if (!View_.mayAccept(Context.now()))
     return calls::EndingReason::ViewTooOld;
@@ -144,6 +145,15 @@
   return std::nullopt;
 }
 
+bool CallReceiver::canEndBeforeStop(const calls::Call &Call,
+                                    framework::Duration Timeout) const {
+  if (!Core_.StopEndsAt_)
+    return true;
+  const auto Usual =
+      Core_.ServiceStats_.latency(Call.Request_.Kind_).quantile();
+  return Timeout >= Usual.value_or(Call.Request_.LatencyObjective_);
+}
+
 void CallReceiver::handle(const EventContext &Context,
                           const CallerGone &Input) {
   calls::Call *Call = Core_.Calls_.find(Input.Call_);
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -112,6 +112,10 @@
   /// for services.
   capacity::DemandTable Demand_;
 
+  /// When the last calls of a stopping instance must have ended; unset while it
+  /// does not stop, or may take as long as it needs.
+  std::optional<framework::Instant> StopEndsAt_;
+
   calls::CallTable Calls_;
   calls::ConnectionPool Connections_;
   calls::RequestQuarantine Quarantine_;
--- a/src/decision/internal/stopsequence.cpp
+++ b/src/decision/internal/stopsequence.cpp
@@ -1,23 +1,55 @@
 #include "decision/internal/stopsequence.h"
 
+#include <vector>
+
 namespace cranberryspool::decision {
 
+namespace {
+
+/// Of the grace period, the share that is left for writing the last answers.
+constexpr int StopMarginDivisor = 10;
+
+} // namespace
+
 void StopSequence::request(const EventContext &Context) {
   if (RequestedAt_)
     return;
   RequestedAt_ = Context.now();
+  const framework::Duration Grace = Core_.Settings_.StopGracePeriod_;
+  if (Grace < framework::Duration::max())
+    limitCalls(Context.now() + Grace - Grace / StopMarginDivisor);
   Core_.Fleet_.handleStopRequest(Context.Now_, Core_.FleetOutput_);
   Context.Output_.push_back(
       ReportChange{ChangeKind::StopStarted, Core_.Settings_.Self_.value()});
 }
 
+void StopSequence::limitCalls(framework::Instant End) {
+  Core_.StopEndsAt_ = End;
+  std::vector<framework::CallId> Overlong;
+  for (const auto &[Id, Call] : Core_.Calls_.calls())
+    if (Call.Request_.Deadline_ > End)
+      Overlong.push_back(Id);
+  for (const framework::CallId Id : Overlong) {
+    Core_.Calls_.find(Id)->Request_.Deadline_ = End;
+    Core_.DeadlineTimers_.set(Id, End);
+  }
+}
+
+bool StopSequence::areCallsEnded(framework::Instant Now) const {
+  if (!Core_.Calls_.calls().empty())
+    return false;
+  // The rest are attempts whose callers have their answer or have gone.
+  const bool IsOver = Core_.StopEndsAt_ && Now >= *Core_.StopEndsAt_;
+  return Core_.Calls_.attempts().empty() || IsOver;
+}
+
 void StopSequence::advance(const EventContext &Context) {
   if (!RequestedAt_ || IsFinished_)
     return;
   if (Context.now() < *RequestedAt_ + Core_.Settings_.StopLinger_)
     return;
   Receiver_.stopAccepting();
-  if (!Core_.Calls_.calls().empty() || !Core_.Calls_.attempts().empty())
+  if (!areCallsEnded(Context.now()))
     return;
   // Without the platform's instance list the key handover may never complete.
   const bool IsOverdue =
--- a/src/decision/internal/stopsequence.h
+++ b/src/decision/internal/stopsequence.h
@@ -24,6 +24,13 @@
   void advance(const EventContext &Context);
 
 private:
+  /// Brings the deadlines of all calls forward to the end of the stop, so that
+  /// each caller gets an answer before the process is killed.
+  void limitCalls(framework::Instant End);
+  /// Returns true when nothing holds the stop any more: no call is in progress,
+  /// and no attempt, unless its time is over.
+  bool areCallsEnded(framework::Instant Now) const;
+
   CoreState &Core_;
   CallReceiver &Receiver_;
   std::optional<framework::Instant> RequestedAt_;
--- a/src/decision/tests/corefixture.cpp
+++ b/src/decision/tests/corefixture.cpp
@@ -22,7 +22,11 @@
        "idempotent": true, "urgency": "urgent", "deadline": "500ms",
        "hedging": true},
       {"name": "issue", "method": "POST", "path": "/certificates",
-       "idempotent": false, "urgency": "ordinary", "deadline": "2s"}
+       "idempotent": false, "urgency": "ordinary", "deadline": "2s"},
+      {"name": "report", "method": "GET", "path": "/reports/*",
+       "idempotent": true, "urgency": "ordinary", "deadline": "30s"},
+      {"name": "survey", "method": "POST", "path": "/surveys",
+       "idempotent": false, "urgency": "ordinary", "deadline": "30s"}
     ],
     "objectives": []
   }]
@@ -41,11 +45,12 @@
 
 } // namespace
 
-CoreFixture::CoreFixture()
+CoreFixture::CoreFixture(framework::Duration StopGracePeriod)
     : Core_(CoreSettings{.Self_ = framework::InstanceName("entry-1"),
                          .Incarnation_ = framework::Incarnation(1),
                          .Zone_ = framework::ZoneName("ikeja"),
-                         .PeerAddress_ = "127.0.0.1:7000"},
+                         .PeerAddress_ = "127.0.0.1:7000",
+                         .StopGracePeriod_ = StopGracePeriod},
             framework::Random(1)) {}
 
 void CoreFixture::startUp() {
@@ -117,6 +122,12 @@
   return deliver(Instances_);
 }
 
+CallArrived CoreFixture::makeLongCall(std::uint64_t Id, bool IsIdempotent) {
+  CallArrived Arrival = makeCall(Id, IsIdempotent);
+  Arrival.Path_ = IsIdempotent ? "/reports/1" : "/surveys";
+  return Arrival;
+}
+
 CallArrived CoreFixture::makeCall(std::uint64_t Id, bool IsIdempotent) {
   CallArrived Arrival;
   Arrival.Call_ = framework::CallId(Id);
--- a/src/decision/tests/corefixture.h
+++ b/src/decision/tests/corefixture.h
@@ -16,7 +16,8 @@
 /// answers probes. The test answers attempts.
 class CoreFixture {
 public:
-  CoreFixture();
+  explicit CoreFixture(
+      framework::Duration StopGracePeriod = framework::Duration::max());
 
   /// Publishes the document and two warm targets and advances time until the
   /// core is ready.
@@ -50,6 +51,9 @@
   /// Returns a call of an idempotent or a non-idempotent kind.
   static CallArrived makeCall(std::uint64_t Id, bool IsIdempotent = true);
 
+  /// Returns a call with a deadline of 30 s.
+  static CallArrived makeLongCall(std::uint64_t Id, bool IsIdempotent);
+
   /// Returns a target's answer to an attempt.
   static AttemptAnswered makeAnswer(const SendAttempt &Sent,
                                     std::uint32_t Status = 200);
--- a/src/decision/tests/leaving_test.cpp
+++ b/src/decision/tests/leaving_test.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr framework::Duration GracePeriod = seconds(6);
+
 SendAttempt startCall(CoreFixture &Fixture, const CallArrived &Arrival) {
   auto Actions = Fixture.deliver(Arrival);
   const auto Later = Fixture.pass(milliseconds(2));
@@ -180,3 +182,48 @@
   CHECK(CoreFixture::actionsOf<FinishStop>(Fixture.pass(seconds(4))).size() ==
         1);
 }
+
+TEST_CASE("a call that cannot end before the process is killed is answered "
+          "before that",
+          "[decision]") {
+  const bool IsIdempotent = GENERATE(true, false);
+  CoreFixture Fixture(GracePeriod);
+  Fixture.startUp();
+  startCall(Fixture, CoreFixture::makeLongCall(1, IsIdempotent));
+  Fixture.deliver(StopRequested{});
+  startCall(Fixture, CoreFixture::makeLongCall(2, IsIdempotent));
+  const auto Actions = Fixture.pass(GracePeriod - milliseconds(200));
+  const auto Refused = CoreFixture::actionsOf<RefuseCall>(Actions);
+  REQUIRE(Refused.size() == 2);
+  CHECK(Refused[0].Ending_ == calls::Ending::Unknown);
+  CHECK(Refused[1].Ending_ == calls::Ending::Unknown);
+  // The targets still work on both.
+  CHECK(CoreFixture::actionsOf<FinishStop>(Actions).size() == 1);
+}
+
+TEST_CASE("a target is not given more time than a stopping instance has",
+          "[decision]") {
+  CoreFixture Fixture(GracePeriod);
+  Fixture.startUp();
+  Fixture.deliver(StopRequested{});
+  const auto Sent = startCall(Fixture, CoreFixture::makeLongCall(1, false));
+  CHECK(Sent.Timeout_ < GracePeriod);
+}
+
+TEST_CASE("a stopping instance refuses a call that takes longer than it has",
+          "[decision]") {
+  CoreFixture Fixture(GracePeriod);
+  Fixture.startUp();
+  // Calls of this kind take four seconds.
+  for (std::uint64_t Id = 1; Id <= 60; ++Id) {
+    const auto Sent = startCall(Fixture, CoreFixture::makeLongCall(Id, false));
+    Fixture.pass(seconds(4));
+    Fixture.deliver(CoreFixture::makeAnswer(Sent));
+  }
+  Fixture.deliver(StopRequested{});
+  Fixture.pass(milliseconds(2'900));
+  const auto Refused = CoreFixture::actionsOf<RefuseCall>(
+      Fixture.deliver(CoreFixture::makeLongCall(100, false)));
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Ending_ == calls::Ending::NotRun);
+}
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -38,6 +38,9 @@
   /// How long a stopping instance goes on accepting calls, so that the load
   /// balancer in front of it sees the failing readiness check first.
   framework::Duration StopLinger_ = std::chrono::seconds(3);
+  /// The time from the request to stop after which the process may be killed;
+  /// unlimited by default.
+  framework::Duration StopGracePeriod_ = framework::Duration::max();
   HttpProfile HttpProfile_ = defaultHttpProfile();
   admission::AdmissionSettings Admission_ = {};
   /// Whether instances divide the slots of a short service by the demand of
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -288,6 +288,7 @@
   Settings.Self_ = Settings_.Name_;
   Settings.Zone_ = Settings_.Zone_;
   Settings.StopLinger_ = Settings_.StopLinger_;
+  Settings.StopGracePeriod_ = Settings_.StopGracePeriod_;
   Settings.PeerAddress_ = textOf(endpointOf(PeerListener_));
   Settings.Incarnation_ = Incarnation_;
   if (ForwardListener_.is_open())
--- a/src/entry/tests/entryinstance_test.cpp
+++ b/src/entry/tests/entryinstance_test.cpp
@@ -35,14 +35,15 @@
 /// The platform and one target, run on a thread of their own.
 class DeploymentFixture {
 public:
-  DeploymentFixture()
-      : Deployment_(Io_, settings(), framework::Random(1)),
+  explicit DeploymentFixture(framework::Duration ServiceTime = 1ms)
+      : Deployment_(Io_, settings(ServiceTime), framework::Random(1)),
         Thread_([this] { Io_.run(); }) {}
 
   ~DeploymentFixture() { Io_.stop(); }
 
 private:
-  static standins::DeploymentSettings settings() {
+  static standins::DeploymentSettings
+  settings(framework::Duration ServiceTime) {
     standins::DeploymentSettings Settings;
     Settings.PlatformAddress_ = "127.93.0.1:7000";
     Settings.Document_ = DocumentText;
@@ -52,7 +53,7 @@
     Target.Zone_ = framework::ZoneName("yaba");
     Target.Address_ = "127.93.0.2:9000";
     Target.Slots_ = 4;
-    Target.MeanServiceTime_ = 1ms;
+    Target.MeanServiceTime_ = ServiceTime;
     Settings.Targets_ = {Target};
     document::PublishedInstance Instance;
     Instance.Name_ = framework::InstanceName("entry-1");
@@ -143,3 +144,19 @@
   REQUIRE_FALSE(Started);
   CHECK(Started.error().Endpoint_ == Settings.PeerListen_);
 }
+
+TEST_CASE("a caller whose request outlasts a stop gets an answer before the "
+          "process is killed",
+          "[entry]") {
+  const DeploymentFixture Deployment(10min);
+  EntrySettings Settings = instanceSettings();
+  Settings.StopGracePeriod_ = 2s;
+  EntryInstance Instance(Settings);
+  REQUIRE(Instance.start());
+  awaitReady(Instance);
+  Instance.requestStop();
+  // The target works on this request until the process is killed.
+  CHECK_THAT(get(Instance.callerEndpoint(), "/records/7"),
+             StartsWith("HTTP/1.1 50"));
+  CHECK(Instance.waitUntilStopped() == ExitCode::Stopped);
+}
