--- a/src/entry/tests/callerserver_test.cpp
+++ b/src/entry/tests/callerserver_test.cpp
@@ -254,7 +254,7 @@
   const auto Response = std::make_shared<TargetResponse>();
   Response->Status_ = 200;
   // More than the buffers of the connection hold.
-  Response->Body_ = std::string(16'000'000, 'x');
+  Response->Body_.resize(16'000'000, 'x');
   Fixture.sendCommand(SendResponse{Fixture.lastCall(), Response});
   std::this_thread::sleep_for(std::chrono::milliseconds(200));
   Client.send(getRequest("/b"));
