Log why a request was repeated or refused, and how a leaving target became known

attempt-sent names for a repeat the result of the attempt before, and how much of the service's budget is used, by how many calls it grows and which share of the slack the instance holds. request-ended is written for each refusal with its status and the version in force; refusals by 404 and 400 and those of a connection that never became a call (400, 408, 413, 431, 503) were not logged at all. They are counted by status and reason (cranberryspool_requests_refused_total). target-draining names the source of the first record that states that a target leaves.

No decision changes.

--- a/src/calls/internal/windowbudget.cpp
+++ b/src/calls/internal/windowbudget.cpp
@@ -22,6 +22,11 @@
   ExtraAttempts_.push_back(Now);
 }
 
+BudgetUse WindowBudget::use(double Slack, framework::Instant Now) {
+  removeExpired(Now);
+  return {Calls_.size(), ExtraAttempts_.size() + Reserved_, Slack};
+}
+
 void WindowBudget::removeExpired(framework::Instant Now) {
   while (!Calls_.empty() && Calls_.front() + Window_ <= Now)
     Calls_.pop_front();
--- a/src/calls/windowbudget.h
+++ b/src/calls/windowbudget.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_CALLS_WINDOWBUDGET_H
 #define CRANBERRYSPOOL_CALLS_WINDOWBUDGET_H
 
+#include "calls/types/budgetuse.h"
 #include "framework/time.h"
 
 #include <cstddef>
@@ -25,6 +26,9 @@
   void recordSent(framework::Instant Now);
   /// Gives back a reservation whose attempt will not be sent.
   void release() { --Reserved_; }
+  /// Returns the calls and the extra attempts, reserved ones included, in the
+  /// window. `Slack` is reported as given.
+  BudgetUse use(double Slack, framework::Instant Now);
 
 private:
   void removeExpired(framework::Instant Now);
--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -55,6 +55,13 @@
   Report.Waited_ = Context.now() - Reported.StartedAt_;
   Report.SentAttempts_ = Call.SentAttempts_;
   Report.MaxAttempts_ = Call.Request_.MaxAttempts_;
+  const bool IsExtra = Reported.Kind_ == calls::AttemptKind::Retry ||
+                       Reported.Kind_ == calls::AttemptKind::Hedge;
+  if (IsExtra)
+    Report.Budget_ =
+        Core_.ServiceStats_.budgetUse(Reported.Service_, Context.now());
+  if (Reported.Kind_ == calls::AttemptKind::Retry)
+    Report.Previous_ = Call.LastResult_;
   if (Reported.Kind_ != calls::AttemptKind::Forward)
     addTargetState(Context, Reported.Target_, Report);
   Context.Output_.push_back(std::move(Report));
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -24,6 +24,8 @@
     return ChangeKind::StoreAvailable;
   case fleet::ViewEvent::StoreReadSlow:
     return ChangeKind::StoreReadSlow;
+  case fleet::ViewEvent::TargetDraining:
+    return ChangeKind::TargetDraining;
   case fleet::ViewEvent::TargetRemoved:
     return ChangeKind::TargetRemoved;
   case fleet::ViewEvent::RemovalDeferred:
--- a/src/decision/internal/servicestatistics.h
+++ b/src/decision/internal/servicestatistics.h
@@ -65,6 +65,15 @@
       windowBudget(Call.Request_.Service_).release();
   }
 
+  /// Returns how much of its budget a service has used, or nothing where no
+  /// window applies.
+  std::optional<calls::BudgetUse> budgetUse(framework::ServiceId Service,
+                                            framework::Instant Now) {
+    if (!Settings_.WindowLimit_)
+      return std::nullopt;
+    return windowBudget(Service).use(Settings_.WindowLimit_->Slack_, Now);
+  }
+
   /// Records the latency of an answer of a request kind.
   void recordLatency(calls::KindId Kind, framework::Duration Elapsed) {
     latency(Kind).record(Elapsed);
--- a/src/decision/tests/attemptlimit_test.cpp
+++ b/src/decision/tests/attemptlimit_test.cpp
@@ -130,6 +130,27 @@
   CHECK(Reports[0].Waited_ >= milliseconds(20));
 }
 
+TEST_CASE(
+    "a repeat is reported with what caused it and the budget that it uses",
+    "[attempts]") {
+  CoreSettings Settings = StoreFixture::settings();
+  Settings.ReportsAttempts_ = true;
+  StoreFixture Fixture = makeWarmFixture(milliseconds(1), std::move(Settings));
+  Fixture.sendCall(1, "/a/x");
+  const auto First =
+      StoreFixture::actionsOf<SendAttempt>(Fixture.pass(milliseconds(2)));
+  REQUIRE(First.size() == 1);
+  Fixture.deliver(StoreFixture::makeReset(First[0]));
+  const auto Reports =
+      StoreFixture::actionsOf<ReportAttempt>(Fixture.pass(milliseconds(2)));
+  REQUIRE(Reports.size() == 1);
+  CHECK(Reports[0].Kind_ == calls::AttemptKind::Retry);
+  CHECK(Reports[0].Previous_ == routing::AttemptResult::ConnectionFailed);
+  REQUIRE(Reports[0].Budget_);
+  CHECK(Reports[0].Budget_->Extras_ == 1);
+  CHECK(Reports[0].Budget_->Calls_ >= 11);
+}
+
 TEST_CASE("a hedge is not sent beyond the route's attempts while a retry waits "
           "for its connection",
           "[attempts]") {
--- a/src/decision/types/actions/reportattempt.h
+++ b/src/decision/types/actions/reportattempt.h
@@ -2,8 +2,10 @@
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPT_H
 
 #include "calls/types/attemptkind.h"
+#include "calls/types/budgetuse.h"
 #include "framework/ids.h"
 #include "framework/time.h"
+#include "routing/types/attemptresult.h"
 #include "routing/types/loadreport.h"
 
 #include <cstdint>
@@ -35,6 +37,10 @@
   routing::RequestRate RequestLimit_ = routing::RequestRate::unlimited();
   /// The attempts of this instance in flight at the target before this one.
   std::uint32_t InFlight_ = 0;
+  /// How the attempt before a retry ended.
+  std::optional<routing::AttemptResult> Previous_ = std::nullopt;
+  /// The budget of extra attempts, this one included; for a retry or a hedge.
+  std::optional<calls::BudgetUse> Budget_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -32,6 +32,7 @@
   StoreUnavailable,
   StoreAvailable,
   StoreReadSlow,
+  TargetDraining,
   TargetRemoved,
   TargetRemovalDeferred,
   ViewLost,
--- a/src/entry/internal/callerserver.cpp
+++ b/src/entry/internal/callerserver.cpp
@@ -65,6 +65,13 @@
   Dispatch_.send(std::move(Input));
 }
 
+void CallerServer::reportRefused(RefusedRequest Refused) {
+  DispatchInput Input;
+  Input.Refused_ = std::move(Refused);
+  if (Dispatch_.pending() == 0)
+    Mailboxes_.Dispatch_.tryPush(Input);
+}
+
 void CallerServer::remove(std::uint64_t Session) {
   Sessions_.erase(Session);
   reportClosedIfDone();
--- a/src/entry/internal/callerserver.h
+++ b/src/entry/internal/callerserver.h
@@ -36,6 +36,9 @@
                                           CallerRequest Request);
   /// Reports to the dispatch worker that the caller closed its connection.
   void reportCallerGone(framework::CallId Call);
+  /// Reports a refused request to the dispatch worker, for log and metrics.
+  /// Dropped when the worker's mailbox is full.
+  void reportRefused(RefusedRequest Refused);
   void remove(std::uint64_t Session);
 
   const EntryLimits &limits() const { return Limits_; }
--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -371,6 +371,7 @@
   Parser_.reset();
   const std::string AttemptId = Request_.AttemptId_;
   Request_ = CallerRequest();
+  Server_.reportRefused({Status, std::string(Reason), AttemptId});
   const HttpProfile &Profile = Server_.state().HttpProfile_;
   Response Message = startResponse(Status);
   if (Kind_ == CallerKind::Peer)
--- a/src/entry/internal/callstatistics.cpp
+++ b/src/entry/internal/callstatistics.cpp
@@ -30,6 +30,10 @@
                      .Name("cranberryspool_call_duration_seconds")
                      .Help("From the arrival of the request to the answer")
                      .Register(Registry_)),
+      Refusals_(prometheus::BuildCounter()
+                    .Name("cranberryspool_requests_refused_total")
+                    .Help("Requests refused by this instance")
+                    .Register(Registry_)),
       Workspaces_(Registry_) {}
 
 void CallStatistics::setObjectives(
@@ -51,6 +55,13 @@
     BurnCounters_.record(Key, isGood(Key, Call), Now);
 }
 
+void CallStatistics::recordRefusal(unsigned Status, std::string_view Reason) {
+  Refusals_
+      .Add(
+          {{"status", std::to_string(Status)}, {"reason", std::string(Reason)}})
+      .Increment();
+}
+
 bool CallStatistics::isGood(const report::ObjectiveKey &Key,
                             const decision::EndedCall &Call) const {
   if (Call.Ending_ != calls::Ending::Answered ||
--- a/src/entry/internal/callstatistics.h
+++ b/src/entry/internal/callstatistics.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace cranberryspool::document {
@@ -32,6 +33,9 @@
   /// Counts one ended call.
   void record(const decision::EndedCall &Call, framework::WallTime Now);
 
+  /// Counts a request that was refused with a status of this instance.
+  void recordRefusal(unsigned Status, std::string_view Reason);
+
   std::vector<prometheus::MetricFamily> collect() const;
   const report::CallCounters &burnCounters() const { return BurnCounters_; }
   const std::map<report::ObjectiveKey, document::Objective> &
@@ -55,6 +59,7 @@
   prometheus::Registry Registry_;
   prometheus::Family<prometheus::Counter> &Calls_;
   prometheus::Family<prometheus::Histogram> &Durations_;
+  prometheus::Family<prometheus::Counter> &Refusals_;
   WorkspaceStatistics Workspaces_;
   std::map<EndingKey, prometheus::Counter *> Counters_;
   std::map<report::ObjectiveKey, prometheus::Histogram *> Histograms_;
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -16,10 +16,6 @@
 
 namespace {
 
-constexpr unsigned Unauthorized = 401;
-constexpr unsigned TooManyRequests = 429;
-constexpr unsigned ServiceUnavailable = 503;
-
 std::string_view nameOf(calls::AttemptKind Kind) {
   switch (Kind) {
   case calls::AttemptKind::First:
@@ -61,7 +57,10 @@
   const decision::ViewStatus Status = View.view();
   Line.number("version", static_cast<std::int64_t>(Status.Document_.value()));
   Line.number("revision", static_cast<std::int64_t>(Status.Revision_.value()));
-  Line.millis("view_age_ms", Status.Age_);
+  if (Status.Age_ == framework::Duration::max())
+    Line.unknown("view_age_ms");
+  else
+    Line.millis("view_age_ms", Status.Age_);
 }
 
 } // namespace
@@ -99,6 +98,16 @@
   Line.text("kind", nameOf(Report.Kind_));
   Line.number("sent", Report.SentAttempts_);
   Line.number("max_attempts", Report.MaxAttempts_);
+  if (Report.Previous_)
+    Line.text("previous", nameOf(*Report.Previous_));
+  if (Report.Budget_) {
+    Line.number("budget_used",
+                static_cast<std::int64_t>(Report.Budget_->Extras_));
+    Line.number("budget_calls",
+                static_cast<std::int64_t>(Report.Budget_->Calls_));
+    Line.number("budget_slack_thousandths",
+                static_cast<std::int64_t>(Report.Budget_->Slack_ * 1000));
+  }
   if (Report.Waited_ > framework::Duration::zero())
     Line.millis("waited_ms", Report.Waited_);
   Line.text("target", Report.Target_.value());
@@ -165,16 +174,29 @@
                              const decision::Core &View) const {
   if (!Writer_ || !IsRequestLogEnabled_)
     return;
-  const unsigned Status = statusOf(Refusal.Ending_, Refusal.Reason_);
-  if (Status != Unauthorized && Status != TooManyRequests &&
-      Status != ServiceUnavailable)
-    return;
+  writeRefusal(RequestId, calls::nameOf(Refusal.Ending_),
+               calls::nameOf(Refusal.Reason_),
+               statusOf(Refusal.Ending_, Refusal.Reason_), View);
+}
+
+void DecisionLog::logRefusal(const RefusedRequest &Refusal,
+                             const decision::Core &View) const {
+  if (Writer_ && IsRequestLogEnabled_)
+    writeRefusal(Refusal.RequestId_, calls::nameOf(calls::Ending::NotRun),
+                 Refusal.Reason_, Refusal.Status_, View);
+}
+
+void DecisionLog::writeRefusal(std::string_view RequestId,
+                               std::string_view Ending, std::string_view Reason,
+                               unsigned Status,
+                               const decision::Core &View) const {
   // Routine, since callers without a valid key could otherwise use up the
   // budget of the other lines.
   LogLine Line("request-ended", LogImportance::Routine);
   Line.text("request", RequestId);
-  Line.text("ending", calls::nameOf(Refusal.Ending_));
-  Line.text("reason", calls::nameOf(Refusal.Reason_));
+  Line.text("ending", Ending);
+  Line.text("reason", Reason);
+  Line.number("status", Status);
   addView(Line, View);
   Writer_->write(Line);
 }
--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -7,6 +7,7 @@
 #include "decision/types/actions/reportattemptend.h"
 #include "decision/types/changekind.h"
 #include "decision/types/endedcall.h"
+#include "entry/types/refusedrequest.h"
 
 #include <string>
 #include <string_view>
@@ -40,6 +41,9 @@
   /// status 401, 429 or 503 are logged.
   void logRefusal(const decision::RefuseCall &Refusal,
                   std::string_view RequestId, const decision::Core &View) const;
+  /// Logs a request that a caller's connection has refused.
+  void logRefusal(const RefusedRequest &Refusal,
+                  const decision::Core &View) const;
 
   /// Logs the failure of a worker; its supervisor decides whether it is
   /// restarted.
@@ -51,6 +55,10 @@
   void logRestartLimitReached(const std::string &Worker) const;
 
 private:
+  void writeRefusal(std::string_view RequestId, std::string_view Ending,
+                    std::string_view Reason, unsigned Status,
+                    const decision::Core &View) const;
+
   framework::LogWriter *Writer_;
   bool IsRequestLogEnabled_;
 };
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "entry/internal/dispatcher.h"
 
+#include "calls/endingnames.h"
+#include "entry/internal/endingstatus.h"
 #include "framework/runtime/clocks.h"
 
 #include <algorithm>
@@ -29,6 +31,11 @@
     Input.Inspect_(Core_, Statistics_);
     return;
   }
+  if (Input.Refused_) {
+    Log_.logRefusal(*Input.Refused_, Core_);
+    Statistics_.recordRefusal(Input.Refused_->Status_, Input.Refused_->Reason_);
+    return;
+  }
   holdMessages(Input);
   if (std::holds_alternative<decision::StopRequested>(Input.Event_))
     Callers_.send(DrainCallers{});
@@ -95,9 +102,12 @@
   std::unordered_set<framework::CallId> ReportedCalls;
   for (const decision::EndedCall &Call : Reported)
     ReportedCalls.insert(Call.Call_);
-  for (const decision::RefuseCall &Refusal : Refusals_)
+  for (const decision::RefuseCall &Refusal : Refusals_) {
+    Statistics_.recordRefusal(statusOf(Refusal.Ending_, Refusal.Reason_),
+                              calls::nameOf(Refusal.Reason_));
     if (!ReportedCalls.contains(Refusal.Call_))
       Log_.logRefusal(Refusal, requestId(Refusal.Call_), Core_);
+  }
   Refusals_.clear();
 }
 
--- a/src/entry/tests/callerfixture.cpp
+++ b/src/entry/tests/callerfixture.cpp
@@ -119,7 +119,19 @@
   StateChanged_.wait(Lock, [this] { return IsClosed_; });
 }
 
+RefusedRequest CallerFixture::awaitRefused() {
+  std::unique_lock Lock(Mutex_);
+  StateChanged_.wait(Lock, [this] { return Refused_.has_value(); });
+  return *std::exchange(Refused_, std::nullopt);
+}
+
 void CallerFixture::onInput(DispatchInput &Input) {
+  if (Input.Refused_) {
+    const std::lock_guard Lock(Mutex_);
+    Refused_ = Input.Refused_;
+    StateChanged_.notify_all();
+    return;
+  }
   if (const auto *Arrived = std::get_if<decision::CallArrived>(&Input.Event_)) {
     handleCall(*Arrived, Input.Request_);
   } else if (const auto *Gone =
--- a/src/entry/tests/callerfixture.h
+++ b/src/entry/tests/callerfixture.h
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace cranberryspool::entry {
@@ -35,6 +36,8 @@
   void setWorkspacesInForce(bool AreInForce);
   void awaitCallerGone(framework::CallId Call);
   void awaitClosed();
+  /// Waits for the next refused request that is reported.
+  RefusedRequest awaitRefused();
   std::size_t requestBytesInUse() const { return State_.RequestBytes_.used(); }
 
 private:
@@ -53,6 +56,7 @@
   decision::CallArrived LastArrival_;
   framework::CallId AbandonedCall_;
   bool IsClosed_ = false;
+  std::optional<RefusedRequest> Refused_;
   std::shared_ptr<const CallerRequest> LastRequest_;
   boost::asio::io_context ServerIo_{1};
   boost::asio::io_context DispatchIo_{1};
--- a/src/entry/tests/callerserver_test.cpp
+++ b/src/entry/tests/callerserver_test.cpp
@@ -115,6 +115,18 @@
   CHECK(Fixture.callCount() == 0);
 }
 
+TEST_CASE("a request that is refused before it became a call is reported with "
+          "status and reason",
+          "[entry]") {
+  CallerFixture Fixture(smallLimits());
+  RawClient Client = Fixture.connect();
+  Client.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 65\r\n\r\n");
+  CHECK_THAT(Client.receiveResponse(), StartsWith("HTTP/1.1 413 "));
+  const RefusedRequest Refused = Fixture.awaitRefused();
+  CHECK(Refused.Status_ == 413);
+  CHECK(Refused.Reason_ == "body-too-large");
+}
+
 TEST_CASE("a truncated request is not forwarded", "[entry]") {
   CallerFixture Fixture;
   {
--- a/src/entry/types/dispatchinput.h
+++ b/src/entry/types/dispatchinput.h
@@ -4,9 +4,11 @@
 #include "decision/event.h"
 #include "entry/types/callerrequest.h"
 #include "entry/types/inspection.h"
+#include "entry/types/refusedrequest.h"
 #include "entry/types/targetresponse.h"
 
 #include <memory>
+#include <optional>
 
 namespace cranberryspool::entry {
 
@@ -20,6 +22,9 @@
   std::shared_ptr<const TargetResponse> Response_;
   /// A function that is called, when set, instead of handling the event.
   Inspection Inspect_;
+  /// A request that never became a call; logged and counted, when set, instead
+  /// of handling the event.
+  std::optional<RefusedRequest> Refused_;
 };
 
 } // namespace cranberryspool::entry
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -331,6 +331,8 @@
 void StoreReplicator::reportChanges(const StoreView::Changes &Changed,
                                     const std::string &Source,
                                     OutputList &Output) const {
+  for (const std::string &Key : Changed.Draining_)
+    Output.push_back(ViewChanged{ViewEvent::TargetDraining, Key, Source});
   for (const std::string &Key : Changed.Removed_)
     Output.push_back(ViewChanged{ViewEvent::TargetRemoved, Key, Source});
   for (const std::string &Key : Changed.Deferred_)
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -214,6 +214,8 @@
     Zones_.clear();
   Zones_[Target.Name_] = Target.Zone_;
   TargetEntry &Entry = Targets_[Key];
+  if (Target.IsDraining_ && !Entry.Target_.IsDraining_)
+    Result.Draining_.push_back(Key);
   Result.AreTargetsChanged_ = true;
   Entry = TargetEntry{std::move(Target), std::nullopt};
 }
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -27,6 +27,9 @@
   struct Changes {
     bool IsDocumentChanged_ = false;
     bool AreTargetsChanged_ = false;
+    /// The keys of targets whose records state for the first time that they
+    /// leave.
+    std::vector<std::string> Draining_;
     /// The keys of targets whose records were deleted.
     std::vector<std::string> Removed_;
     /// The keys of targets whose records are missing and that are used until
--- a/src/fleet/types/viewevent.h
+++ b/src/fleet/types/viewevent.h
@@ -15,6 +15,8 @@
   StoreAvailable,
   /// A read of the store took long, or its answer was large.
   StoreReadSlow,
+  /// The record of a target states that it leaves.
+  TargetDraining,
   /// The record of a target was deleted; the target is no longer used.
   TargetRemoved,
   /// The record of a target was deleted, perhaps in an outage of the store; the
--- a/src/framework/log/internal/logline.cpp
+++ b/src/framework/log/internal/logline.cpp
@@ -77,6 +77,12 @@
   return *this;
 }
 
+LogLine &LogLine::unknown(std::string_view Name) {
+  appendName(Name);
+  Members_ += "null";
+  return *this;
+}
+
 LogLine &LogLine::flag(std::string_view Name, bool Value) {
   appendName(Name);
   Members_ += Value ? "true" : "false";
--- a/src/framework/log/logline.h
+++ b/src/framework/log/logline.h
@@ -21,6 +21,8 @@
   /// Appends the duration in milliseconds with three decimals.
   LogLine &millis(std::string_view Name, Duration Value);
   LogLine &flag(std::string_view Name, bool Value);
+  /// Appends `null`, for a value that is not known.
+  LogLine &unknown(std::string_view Name);
 
   /// Returns the members of the JSON object, without braces.
   const std::string &members() const { return Members_; }
