Let parts of the fleet and new processes add nothing to the retry slack

Cause: an instance held the slack divided by the members that it had heard in 40 s. Parts of the fleet that do not hear each other each used all of it; and a new process had a share of its own while the retries of the one before it still counted. Class: a bound on the sum over all instances that is worked out from those that one hears.

Now a part uses the fraction of the slack that it reaches of the seeds, which all instances have in common, so that the parts cannot add up to more than the whole. An instance uses at most 4, for parts that have seeds of their own, and none for the first retry window of its process. The part of the budget that grows with the calls of an instance is as before. Ruled out by reading, not by a run: repeats that are not charged (attempts of which nothing was written reach no target; every other one after the first is granted first).

--- a/src/decision/internal/environmentupdater.cpp
+++ b/src/decision/internal/environmentupdater.cpp
@@ -19,8 +19,6 @@
 /// is a margin, because instances see the boundaries of a window at different
 /// times.
 constexpr double RetryBoundUtilization = 0.8;
-/// Extra attempts per window of an instance that knows no other instance.
-constexpr double SingleInstanceSlack = 1;
 /// The share of a cold target's tolerance above its stated rate that is used.
 constexpr double ColdOverageUtilization = 0.4;
 /// The number of targets of a service in its availability zone that an instance
@@ -62,7 +60,7 @@
 }
 
 void EnvironmentUpdater::applyShares(const EventContext &Context) {
-  updateExtraAttemptLimit();
+  updateExtraAttemptLimit(Context.now());
   updateQueueCapacities();
   updateServiceSlots();
   GroupPosition_ = Core_.Fleet_.groupPosition(Context.now());
@@ -112,18 +110,14 @@
   return Bounds;
 }
 
-void EnvironmentUpdater::updateExtraAttemptLimit() {
+void EnvironmentUpdater::updateExtraAttemptLimit(framework::Instant Now) {
   const fleet::FleetBounds *Limits = Core_.Fleet_.bounds();
   if (!Limits || !Core_.CallSettings_.WindowLimit_)
     return;
-  const auto FleetSize = static_cast<double>(Core_.Fleet_.fleetSize());
-  // An instance that knows no other may be one of many that have just started.
-  const double Slack = FleetSize > 1
-                           ? Limits->RetrySlack_ / FleetSize
-                           : std::min(Limits->RetrySlack_, SingleInstanceSlack);
   Core_.CallSettings_.WindowLimit_->Ratio_ =
       Limits->RetryRatio_ * RetryBoundUtilization;
-  Core_.CallSettings_.WindowLimit_->Slack_ = Slack * RetryBoundUtilization;
+  Core_.CallSettings_.WindowLimit_->Slack_ =
+      Core_.Fleet_.retrySlack(Now) * RetryBoundUtilization;
 }
 
 fleet::ZonePosition EnvironmentUpdater::ownPosition() const {
--- a/src/decision/internal/environmentupdater.h
+++ b/src/decision/internal/environmentupdater.h
@@ -49,7 +49,7 @@
   void updateQueueCapacities();
   routing::TargetLimits computeBounds(const EventContext &Context,
                                       const routing::TargetDescription &Target);
-  void updateExtraAttemptLimit();
+  void updateExtraAttemptLimit(framework::Instant Now);
   /// Returns the position of this instance among those of its zone.
   fleet::ZonePosition ownPosition() const;
   void updateRingDistances();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -168,6 +168,9 @@
   /// Returns limits for the sum over all instances; null where the document
   /// sets these limits.
   const FleetBounds *bounds() const;
+  /// Returns this instance's share of the retry slack, in retries per window;
+  /// zero where the document sets the limits.
+  double retrySlack(framework::Instant Now) const;
   /// Returns the age of this instance's copy of the metadata store; zero where
   /// the platform publishes a list of instances instead.
   framework::Duration viewAge(framework::Instant Now) const;
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -282,6 +282,10 @@
   return Seeded_ ? &Seeded_->bounds() : nullptr;
 }
 
+double Fleet::retrySlack(framework::Instant Now) const {
+  return Seeded_ ? Seeded_->retrySlack(Now) : 0;
+}
+
 framework::Duration Fleet::viewAge(framework::Instant Now) const {
   if (!Seeded_)
     return {};
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -44,6 +44,9 @@
 /// Requests per second to a cold target by an instance that knows no other
 /// member.
 constexpr double ColdRateWhileAlone = 1;
+/// An instance uses at most this much of the retry slack. One that hears few
+/// others may be in a part of the fleet that has seeds of its own.
+constexpr double MaxRetrySlack = 4;
 /// The interval at which the responsible instance of a target's zone probes it.
 /// The platform allows 60 probes per second and target; most of them are left
 /// for instances that take over the probing.
@@ -120,8 +123,36 @@
   return Now >= StartedAt_ + DiscoveryTime;
 }
 
+bool SeededFleet::isRetryWindowOver(Instant Now) const {
+  return Now >= StartedAt_ + Seeds_.Bounds_.RetryWindow_;
+}
+
+std::size_t SeededFleet::countReachedSeeds() const {
+  const auto IsReached = [this](const std::string &Seed) {
+    const auto HasAddress = [&Seed](const auto &Each) {
+      return Each.second.Info_.Address_ == Seed;
+    };
+    const auto &Members = Membership_.members();
+    return Seed == Membership_.self().Address_ ||
+           std::any_of(Members.begin(), Members.end(), HasAddress);
+  };
+  return static_cast<std::size_t>(std::count_if(
+      Seeds_.Addresses_.begin(), Seeds_.Addresses_.end(), IsReached));
+}
+
+double SeededFleet::retrySlack(Instant Now) const {
+  if (!isRetryWindowOver(Now) || Seeds_.Addresses_.empty())
+    return 0;
+  const double ReachedSeeds = static_cast<double>(countReachedSeeds()) /
+                              static_cast<double>(Seeds_.Addresses_.size());
+  const double Share = Seeds_.Bounds_.RetrySlack_ * ReachedSeeds /
+                       static_cast<double>(Membership_.knownCount());
+  return std::min(Share, MaxRetrySlack);
+}
+
 void SeededFleet::notifySharesChanged(Instant Now, OutputList &Output) {
-  const ShareInputs Inputs{Membership_.version(), isDiscoveryComplete(Now)};
+  const ShareInputs Inputs{Membership_.version(), isDiscoveryComplete(Now),
+                           isRetryWindowOver(Now)};
   if (Inputs == NotifiedInputs_)
     return;
   NotifiedInputs_ = Inputs;
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -102,6 +102,12 @@
   /// target, out of `FleetRate` for all instances together.
   double coldRate(const framework::TargetName &Target, double FleetRate,
                   framework::Instant Now) const;
+  /// Returns this instance's share of the retry slack. The shares of all
+  /// instances add up to at most the slack, also while parts of the fleet do
+  /// not hear each other: a part uses the fraction of the slack that it reaches
+  /// of the seeds. A new process uses none for the length of a retry window,
+  /// since retries of the one before it may still count.
+  double retrySlack(framework::Instant Now) const;
   /// Returns the rank of this instance among the running ones by rendezvous
   /// hashing; nothing until its discovery of the others is complete.
   std::optional<routing::SenderRank>
@@ -118,6 +124,7 @@
   struct ShareInputs {
     std::uint64_t MembershipVersion_ = 0;
     bool IsDiscoveryComplete_ = false;
+    bool IsRetryWindowOver_ = false;
 
     bool operator==(const ShareInputs &) const = default;
   };
@@ -129,6 +136,11 @@
   /// Returns true once this instance has run for long enough to know most
   /// others.
   bool isDiscoveryComplete(framework::Instant Now) const;
+  /// Returns true once no retry of an earlier process of this instance counts
+  /// any more.
+  bool isRetryWindowOver(framework::Instant Now) const;
+  /// Returns the number of seeds that are this instance or a known member.
+  std::size_t countReachedSeeds() const;
   /// Emits `SharesChanged` when the inputs of the shares have changed: at most
   /// once per tick, however many members have joined.
   void notifySharesChanged(framework::Instant Now, OutputList &Output);
