Read all records when the answer to a read of changes is late

Cause: the read that an instance makes when its view is too old is one of changes, as the watch before it was. Where the store answers those late, each was given up 0.6 s later and tried again, although a read of all records is answered at once. And the waits added up to the bound: members read at an age of 1.5 to 1.7 s, so that one read without an answer made it 2.3 s. Class: a second try that depends on what has just failed.

Both tests failed before (12 s, the whole length of the test).

An instance whose view is too old now reads all records when a read of changes has had no answer for 0.3 s besides its wait, and does so at once for 10 s after that. Members read at an age of 1.3 to 1.5 s. The sum of all waits is 1.9 s. Answers to the read that was replaced are ignored, since they would look younger than they are. While all reads fail, the two kinds take turns. A connection that has gone silent is met in the same way. In steady state the reads are as many as before (the tests of their number pass unchanged).

--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -127,8 +127,8 @@
 
 void FleetAdapter::handle(const EventContext &Context,
                           const RecordsUnavailable &Input) {
-  Core_.Fleet_.handleRecordsUnavailable(Input.Reason_, Context.Now_,
-                                        Core_.FleetOutput_);
+  Core_.Fleet_.handleRecordsUnavailable({Input.Reason_, Input.IsTimeout_},
+                                        Context.Now_, Core_.FleetOutput_);
 }
 
 void FleetAdapter::handle(const EventContext &, const SeedsChanged &Input) {
--- a/src/decision/types/events/recordsunavailable.h
+++ b/src/decision/types/events/recordsunavailable.h
@@ -9,6 +9,9 @@
 struct RecordsUnavailable {
   /// What failed, for the log.
   std::string Reason_{};
+  /// True when the store has neither answered nor closed the connection in
+  /// time.
+  bool IsTimeout_ = false;
 };
 
 } // namespace cranberryspool::decision
--- a/src/entry/httpgetclient.h
+++ b/src/entry/httpgetclient.h
@@ -65,6 +65,8 @@
   /// Returns true when the last response was not read because its body exceeds
   /// the maximum size.
   bool wasTooLarge() const { return WasTooLarge_; }
+  /// Returns true when the last response did not come within its time limit.
+  bool hasTimedOut() const { return HasTimedOut_; }
   /// Closes the connection and cancels a request in progress without calling
   /// its handler.
   void close();
@@ -120,6 +122,7 @@
   boost::asio::steady_timer::time_point StartedAt_;
   boost::asio::steady_timer::time_point LastUsedAt_;
   bool WasTooLarge_ = false;
+  bool HasTimedOut_ = false;
 };
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/httpgetclient.cpp
+++ b/src/entry/internal/httpgetclient.cpp
@@ -33,6 +33,7 @@
   Request_ = std::move(Request);
   OnResponse_ = std::move(OnResponse);
   WasTooLarge_ = false;
+  HasTimedOut_ = false;
   StartedAt_ = net::steady_timer::clock_type::now();
   startTimer(Request_.Timeout_);
   const bool HasRested = StartedAt_ > LastUsedAt_ + Request_.MaxRest_;
@@ -51,6 +52,7 @@
                      RequestNumber = RequestNumber_](const error_code &Error) {
     if (Error || RequestNumber != Self->RequestNumber_ || !Self->OnResponse_)
       return;
+    Self->HasTimedOut_ = true;
     Self->finish(std::nullopt);
   });
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,6 +12,7 @@
 #include "fleet/types/groupposition.h"
 #include "fleet/types/memberinfo.h"
 #include "fleet/types/publishedtarget.h"
+#include "fleet/types/readfailure.h"
 #include "fleet/types/sectionreply.h"
 #include "fleet/types/sectionrequest.h"
 #include "fleet/types/storedrecord.h"
@@ -80,7 +81,7 @@
   /// Handles the beginning of a large answer of the metadata store.
   void handleRecordsArriving(framework::Moment Now, OutputList &Output);
   /// Handles a failed read of the metadata store; `Reason` says what failed.
-  void handleRecordsUnavailable(const std::string &Reason,
+  void handleRecordsUnavailable(const ReadFailure &Failure,
                                 framework::Moment Now, OutputList &Output);
   /// Replaces the addresses of the seeds.
   void setSeeds(std::vector<std::string> Addresses);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -87,11 +87,11 @@
     Seeded_->handleRecordsArriving(Now, Output);
 }
 
-void Fleet::handleRecordsUnavailable(const std::string &Reason,
+void Fleet::handleRecordsUnavailable(const ReadFailure &Failure,
                                      framework::Moment Now,
                                      OutputList &Output) {
   if (Seeded_)
-    Seeded_->handleRecordsUnavailable(Reason, Now, Output);
+    Seeded_->handleRecordsUnavailable(Failure, Now, Output);
 }
 
 void Fleet::setSeeds(std::vector<std::string> Addresses) {
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -235,10 +235,10 @@
   Replicator_.handleAnswerArriving(makeContext(Now, Output));
 }
 
-void SeededFleet::handleRecordsUnavailable(const std::string &Reason,
+void SeededFleet::handleRecordsUnavailable(const ReadFailure &Failure,
                                            framework::Moment Now,
                                            OutputList &Output) {
-  Replicator_.handleReadFailure(Reason, makeContext(Now, Output));
+  Replicator_.handleReadFailure(Failure, makeContext(Now, Output));
 }
 
 void SeededFleet::handleStopRequest(framework::Moment Now, OutputList &Output) {
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -11,6 +11,7 @@
 #include "fleet/output.h"
 #include "fleet/types/crashnoticerecipients.h"
 #include "fleet/types/groupposition.h"
+#include "fleet/types/readfailure.h"
 #include "framework/moment.h"
 #include "framework/random.h"
 #include "routing/types/senderrank.h"
@@ -74,7 +75,7 @@
   /// requested revision.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
   void handleRecordsArriving(framework::Moment Now, OutputList &Output);
-  void handleRecordsUnavailable(const std::string &Reason,
+  void handleRecordsUnavailable(const ReadFailure &Failure,
                                 framework::Moment Now, OutputList &Output);
 
   void handleStopRequest(framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -35,11 +35,18 @@
 constexpr Duration LeaderStartupWait = milliseconds(300);
 constexpr Duration MemberStartupWait = milliseconds(600);
 /// The store is read when the view is older than this: longer than a watch plus
-/// the delivery of an update, and well below the time within which changes must
+/// the delivery of an update. A read of changes whose answer is late and the
+/// read of all records after it still end within the time in which changes must
 /// take effect.
-constexpr Duration LeaderMaxViewAge = milliseconds(1300);
-constexpr Duration MemberMaxViewAge = milliseconds(1500);
+constexpr Duration MaxViewAge = milliseconds(1300);
+/// Added for members of a group.
 constexpr Duration MaxReadJitter = milliseconds(200);
+/// The answer to a read of changes is late when it takes longer than this
+/// besides the wait of a watch.
+constexpr Duration LateAnswerTime = milliseconds(300);
+/// After a late answer an instance whose view is too old reads all records for
+/// this long.
+constexpr Duration FullReadPeriod = milliseconds(10'000);
 /// Messages that were sent together may arrive reordered within this time.
 constexpr Duration ReorderTolerance = milliseconds(100);
 /// What is missing is read from the store when other instances have neither
@@ -89,6 +96,7 @@
   reportChanges(View_.expireMissing(Context.Now_), StoreSource,
                 Context.Output_);
   reportProgress(AnnouncedBy_.value(), Context);
+  replaceLateRead(Context);
   readIfDue(Context);
   requestIfDue(Context);
   if (Context.Now_ >= NextUpdateAt_ && Context.isGroupLeader())
@@ -147,7 +155,30 @@
   if (!Age)
     return Context.Now_ >=
            StartedAt_ + (IsLeader ? LeaderStartupWait : MemberStartupWait);
-  return *Age > (IsLeader ? LeaderMaxViewAge : MemberMaxViewAge + ReadJitter_);
+  return *Age > (IsLeader ? MaxViewAge : MaxViewAge + ReadJitter_);
+}
+
+void StoreReplicator::startFullRead(const EventContext &Context) {
+  // The first read may return stale records, since later changes follow from a
+  // watch or from other instances.
+  IsFullReadStale_ = !View_.isLoaded() && Failures_ == 0;
+  IsReading_ = true;
+  IsFullRead_ = true;
+  ReadStartedAt_ = Context.Now_;
+  ReadWait_ = Duration{};
+  Context.Output_.push_back(
+      ReadRecords{std::nullopt, Duration{}, IsFullReadStale_});
+}
+
+void StoreReplicator::replaceLateRead(const EventContext &Context) {
+  const bool IsLate =
+      Context.Now_ >= ReadStartedAt_ + ReadWait_ + LateAnswerTime;
+  if (!IsReading_ || IsFullRead_ || IsAnswerArriving_ || !IsLate ||
+      !isReadNeeded(Context))
+    return;
+  reportSlowRead("no answer to a read of changes", 0, Context);
+  FullReadsUntil_ = Context.Now_ + FullReadPeriod;
+  startFullRead(Context);
 }
 
 void StoreReplicator::readIfDue(const EventContext &Context) {
@@ -155,14 +186,7 @@
   if (IsReading_ || Now < NextReadAt_)
     return;
   if (IsFullReadNeeded_ || !View_.isLoaded()) {
-    // The first read may return stale records, since later changes follow from
-    // a watch or from other instances.
-    IsFullReadStale_ = !View_.isLoaded() && Failures_ == 0;
-    IsReading_ = true;
-    ReadStartedAt_ = Now;
-    ReadWait_ = Duration{};
-    Context.Output_.push_back(
-        ReadRecords{std::nullopt, Duration{}, IsFullReadStale_});
+    startFullRead(Context);
     return;
   }
   // After a failure the store must answer at once, so that the view is
@@ -172,7 +196,12 @@
       isDiscoveryComplete(Now) && IsWaitAllowed && Context.isZoneLeader();
   if (!IsWatch && !isReadNeeded(Context))
     return;
+  if (!IsWatch && Now < FullReadsUntil_ && !IsFullReadFailed_) {
+    startFullRead(Context);
+    return;
+  }
   IsReading_ = true;
+  IsFullRead_ = false;
   ReadStartedAt_ = Now;
   // The age of the view includes the pause after changes, so the pause does not
   // make other instances wait longer for an update.
@@ -186,6 +215,7 @@
                                        const EventContext &Context) {
   endRead();
   IsFullReadNeeded_ = false;
+  IsFullReadFailed_ = false;
   reportSlowRead(Records, Context);
   recordReadSuccess(Context);
   const Instant AnsweredAt = answeredAt(false, Context.Now_);
@@ -221,6 +251,9 @@
 void StoreReplicator::handleChangedRecords(
     const std::vector<StoredRecord> &Records, Revision AsOf,
     const EventContext &Context) {
+  // The answer to a read that was replaced is older than it looks now.
+  if (IsReading_ && IsFullRead_)
+    return;
   const bool WasBehind = isBehind(Context.Now_);
   endRead();
   reportSlowRead(Records, Context);
@@ -300,10 +333,16 @@
   Context.Output_.push_back(std::move(Report));
 }
 
-void StoreReplicator::handleReadFailure(const std::string &Reason,
+void StoreReplicator::handleReadFailure(const ReadFailure &Failure,
                                         const EventContext &Context) {
+  const std::string &Reason = Failure.Reason_;
   endRead();
   reportSlowRead(Reason, 0, Context);
+  if (Failure.IsTimeout_ && !IsFullRead_)
+    FullReadsUntil_ = Context.Now_ + FullReadPeriod;
+  // While all reads fail, those of changes are tried in turn: their answers are
+  // smaller.
+  IsFullReadFailed_ = IsFullRead_;
   if (Failures_ == 0)
     FailingSince_ = Context.Now_;
   if (Failures_ + 1 == FailuresOfUnavailableStore)
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -6,6 +6,7 @@
 #include "fleet/internal/seeded/recordreassembler.h"
 #include "fleet/internal/seeded/storeview.h"
 #include "fleet/recorddecoder.h"
+#include "fleet/types/readfailure.h"
 #include "fleet/types/recordpart.h"
 #include "fleet/types/recordrequest.h"
 #include "fleet/types/recordupdate.h"
@@ -53,8 +54,7 @@
   /// Handles the beginning of a large answer, whose end may take long. Other
   /// instances are told that more follows, so that they do not read the same.
   void handleAnswerArriving(const EventContext &Context);
-  /// Handles a failed read; `Reason` says what failed.
-  void handleReadFailure(const std::string &Reason,
+  void handleReadFailure(const ReadFailure &Failure,
                          const EventContext &Context);
 
   void handle(const RecordUpdate &Message, const EventContext &Context);
@@ -72,6 +72,11 @@
   /// record that are sent without a request.
   static constexpr std::size_t MaxMessagesAtOnce = 32;
 
+  /// Starts a read of all records.
+  void startFullRead(const EventContext &Context);
+  /// Reads all records in place of a read of changes whose answer is late while
+  /// the view is too old.
+  void replaceLateRead(const EventContext &Context);
   /// Starts a read or watch of the store unless one is under way, not needed or
   /// not due yet.
   void readIfDue(const EventContext &Context);
@@ -210,6 +215,12 @@
   /// Whether a large answer to the read that is under way has begun to arrive.
   bool IsAnswerArriving_ = false;
   bool IsFullReadNeeded_ = true;
+  /// Whether the last read that was started is one of all records.
+  bool IsFullRead_ = false;
+  /// Whether the last read was one of all records and has failed.
+  bool IsFullReadFailed_ = false;
+  /// Until then, an instance whose view is too old reads all records.
+  framework::Instant FullReadsUntil_{};
   /// Whether the store may answer the full read that is under way with stale
   /// records.
   bool IsFullReadStale_ = false;
--- /dev/null
+++ b/src/fleet/tests/latechanges_test.cpp
@@ -0,0 +1,68 @@
+#include "fleet/tests/seededsimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryspool;
+using namespace cranberryspool::fleet;
+using framework::Duration;
+using framework::Instant;
+
+namespace {
+
+constexpr int Instances = 13;
+constexpr int Targets = 40;
+constexpr Duration LeaveInterval = milliseconds(370);
+constexpr Duration CheckInterval = milliseconds(10);
+
+/// Returns the longest time for which an instance uses a target after the store
+/// has acknowledged that it leaves or is gone.
+Duration longestUse(SeededSimulation &Fleet, Duration Length) {
+  std::map<std::string, Instant> LeftAt;
+  Duration Longest{};
+  const Instant End = Fleet.Now_.Monotonic_ + Length;
+  Instant NextLeave = Fleet.Now_.Monotonic_;
+  while (Fleet.Now_.Monotonic_ < End) {
+    const Instant Now = Fleet.Now_.Monotonic_;
+    if (Now >= NextLeave && LeftAt.size() < Targets) {
+      const std::string Target = "t" + std::to_string(LeftAt.size());
+      if (LeftAt.size() % 2 == 0)
+        Fleet.change(Target, "target a draining");
+      else
+        Fleet.remove(Target);
+      LeftAt[Target] = Now;
+      NextLeave = Now + LeaveInterval;
+    }
+    Fleet.pass(CheckInterval);
+    for (const SeededFleet &Each : Fleet.Instances_)
+      for (const PublishedTarget &Target : Each.view().targets()) {
+        const auto Left = LeftAt.find(Target.Name_.value());
+        if (Left != LeftAt.end() && !Target.IsDraining_)
+          Longest = std::max(Longest, Fleet.Now_.Monotonic_ - Left->second);
+      }
+  }
+  return Longest;
+}
+
+} // namespace
+
+TEST_CASE(
+    "a target that leaves is not used on while the store answers reads of "
+    "changes late",
+    "[latechanges]") {
+  SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4));
+  Fleet.delayChanges();
+  CHECK(longestUse(Fleet, seconds(12)) < MaxChangeDelay);
+}
+
+TEST_CASE(
+    "an instance that hears no other does not use a target on that leaves "
+    "while the store answers reads of changes late",
+    "[latechanges]") {
+  SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4));
+  for (std::size_t Each = 0; Each < Instances; ++Each)
+    Fleet.Isolated_.insert(Each);
+  Fleet.delayChanges();
+  CHECK(longestUse(Fleet, seconds(12)) < MaxChangeDelay);
+}
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -201,9 +201,13 @@
 
   void answer(std::size_t Instance, const ReadRecords &Request) {
     ++ReadCount_;
+    // A new read takes the place of the one under way.
+    TimeOuts_.erase(Instance);
     OutputList Output;
     if (isStoreDownFor(Instance))
-      Instances_[Instance].handleRecordsUnavailable("down", Now_, Output);
+      Instances_[Instance].handleRecordsUnavailable({"down"}, Now_, Output);
+    else if (Request.After_ && AreChangesLate_)
+      TimeOuts_[Instance] = Now_.Monotonic_ + Request.Wait_ + ReadTimeout;
     else if (!Request.After_)
       transmit({Now_.Monotonic_, Instance,
                 recordsAt(Request.IsStaleAllowed_ ? StaleRevision_ : Revision_),
@@ -280,7 +284,7 @@
       if (Watches_.erase(Each) == 0)
         continue;
       OutputList Output;
-      Instances_[Each].handleRecordsUnavailable("down", Now_, Output);
+      Instances_[Each].handleRecordsUnavailable({"down"}, Now_, Output);
       process(Each, Output);
     }
   }
@@ -320,6 +324,7 @@
                                  LastIncarnation_),
                     framework::Random(LastIncarnation_));
     Watches_.erase(Index);
+    TimeOuts_.erase(Index);
     std::erase_if(Arriving_, [&](const ArrivingAnswer &Each) {
       return Each.Instance_ == Index;
     });
@@ -360,6 +365,14 @@
       transmit({Now_.Monotonic_, Index, {Changes_.back()}, Revision_, false});
   }
 
+  /// From now on, reads of changes are answered later than instances wait for
+  /// an answer; reads of all records are answered at once.
+  void delayChanges() {
+    AreChangesLate_ = true;
+    for (const auto &[Index, Until] : std::exchange(Watches_, {}))
+      TimeOuts_[Index] = Until + ReadTimeout;
+  }
+
   /// Counts the instances that have not reached the store's revision or its
   /// configuration.
   std::size_t staleCount() const {
@@ -387,10 +400,16 @@
         if (Watch != Watches_.end() && Watch->second <= Now_.Monotonic_) {
           Watches_.erase(Watch);
           if (isStoreDownFor(Index))
-            Instances_[Index].handleRecordsUnavailable("down", Now_, Output);
+            Instances_[Index].handleRecordsUnavailable({"down"}, Now_, Output);
           else
             Instances_[Index].handleChangedRecords({}, Revision_, Now_, Output);
         }
+        const auto TimeOut = TimeOuts_.find(Index);
+        if (TimeOut != TimeOuts_.end() && TimeOut->second <= Now_.Monotonic_) {
+          TimeOuts_.erase(TimeOut);
+          Instances_[Index].handleRecordsUnavailable({"no answer", true}, Now_,
+                                                     Output);
+        }
         if (Instances_[Index].nextWakeUp() <= Now_.Monotonic_)
           Instances_[Index].tick(Now_, Output);
         process(Index, Output);
@@ -407,6 +426,11 @@
   std::map<std::string, std::size_t> IndexByAddress_;
   /// The open watches of instances, with the times at which they end.
   std::map<std::size_t, framework::Instant> Watches_;
+  bool AreChangesLate_ = false;
+  static constexpr framework::Duration ReadTimeout = milliseconds(600);
+  /// The reads of instances that get no answer, with the times at which they
+  /// are given up.
+  std::map<std::size_t, framework::Instant> TimeOuts_;
   /// The answers of the store that pass the links of their instances.
   std::vector<ArrivingAnswer> Arriving_;
   /// The load reports that were forwarded to each instance.
