Test the paths beside the stale read in pages

Tests now cover: a zone taken out and a target removed between the pages of a stale and of a full read, a full read whose first page is older than another instance's update, and a new process whose stale read is older than the history of the store. All pass without a change of logic.

--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -122,6 +122,23 @@
   CHECK(Next[0].After_ == Revision(8));
 }
 
+TEST_CASE(
+    "a new process whose stale first read is older than the history of the "
+    "store reads all records again",
+    "[catchup]") {
+  SeededSimulation Fleet(6, {"a"}, 3);
+  Fleet.pass(seconds(3));
+  Fleet.StaleRevision_ = Fleet.Revision_;
+  Fleet.change("t0", "target a draining");
+  Fleet.remove("t1");
+  Fleet.changeConfiguration("new");
+  Fleet.forgetHistory();
+  Fleet.restart(2);
+  Fleet.pass(MaxChangeDelay);
+  CHECK(Fleet.staleCount() == 0);
+  CHECK(Fleet.Instances_[2].view().targets().size() == 2);
+}
+
 TEST_CASE("a target whose record was deleted is not used on while the leader "
           "of the zone cannot read the store",
           "[catchup]") {
--- a/src/fleet/tests/storeview_test.cpp
+++ b/src/fleet/tests/storeview_test.cpp
@@ -147,6 +147,55 @@
   CHECK(Targets.front().IsDraining_);
 }
 
+TEST_CASE("a zone that is taken out and a target that is removed between the "
+          "pages of a stale read are not missed",
+          "[store]") {
+  StoreView View(decode, FleetBounds{});
+  // The first page, with the document, is of revision 6, the second of 20.
+  View.replaceAllStale({put("c", "version 7", 6), put("t1", "target 50 3", 5),
+                        put("t2", "target 50 3", 20)},
+                       Revision(6), at({}));
+  CHECK(View.revision() == Revision(6));
+  View.apply(
+      {put("z", "zone", 8), deleted("t1", 9), put("t2", "target 50 3", 20)},
+      Revision(20), at(milliseconds(10)));
+  REQUIRE(View.targets().size() == 1);
+  CHECK(View.targets()[0].Name_ == framework::TargetName("t2"));
+  CHECK(View.targets()[0].IsDraining_);
+}
+
+TEST_CASE("a zone that is taken out and a target that is removed between the "
+          "pages of a full read are not missed",
+          "[store]") {
+  Fixture Test;
+  // The revision is that of the first page; the second one is newer.
+  Test.View_.replaceAll({put("c", "version 7", 6), put("t1", "target 50 3", 5),
+                         put("t2", "target 50 3", 20)},
+                        Revision(7), at(milliseconds(10)));
+  CHECK(Test.View_.revision() == Revision(7));
+  Test.View_.apply(
+      {put("z", "zone", 8), deleted("t1", 9), put("t2", "target 50 3", 20)},
+      Revision(20), at(milliseconds(20)));
+  REQUIRE(Test.View_.targets().size() == 1);
+  CHECK(Test.View_.targets()[0].Name_ == framework::TargetName("t2"));
+  CHECK(Test.View_.targets()[0].IsDraining_);
+}
+
+TEST_CASE("a full read whose first page is older than an update of another "
+          "instance does not undo the update",
+          "[store]") {
+  Fixture Test;
+  Test.View_.apply({put("c", "version 9", 30), deleted("t1", 31)}, Revision(31),
+                   at(milliseconds(10)));
+  Test.View_.replaceAll({put("c", "version 7", 6), put("t1", "target 50 3", 5),
+                         put("t2", "target 50 3", 40)},
+                        Revision(12), at(milliseconds(20)));
+  CHECK(Test.View_.configuration().Version_ == 9);
+  REQUIRE(Test.View_.targets().size() == 1);
+  CHECK(Test.View_.targets()[0].Name_ == framework::TargetName("t2"));
+  CHECK(Test.View_.revision() == Revision(31));
+}
+
 TEST_CASE("targets of an evacuated zone count as draining", "[store]") {
   Fixture Test;
   Test.View_.apply({put("z", "zone", 7)}, Revision(7), at(milliseconds(10)));
