Leave one retry of the slack to a new process and to a lone instance

With no slack at all, an instance repeated nothing before it had about six calls to a service: five tests of attempts and routes, which have one call, failed on.

--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -47,6 +47,8 @@
 /// An instance uses at most this much of the retry slack. One that hears few
 /// others may be in a part of the fleet that has seeds of its own.
 constexpr double MaxRetrySlack = 4;
+/// The most that an instance uses that knows no other, or whose process is new.
+constexpr double SmallRetrySlack = 1;
 /// The interval at which the responsible instance of a target's zone probes it.
 /// The platform allows 60 probes per second and target; most of them are left
 /// for instances that take over the probing.
@@ -141,13 +143,16 @@
 }
 
 double SeededFleet::retrySlack(Instant Now) const {
-  if (!isRetryWindowOver(Now) || Seeds_.Addresses_.empty())
-    return 0;
+  const double Slack = Seeds_.Bounds_.RetrySlack_;
+  const double SmallSlack = std::min(Slack, SmallRetrySlack);
+  // An instance that knows no other may be one of many that have just started.
+  if (Membership_.knownCount() == 1 || Seeds_.Addresses_.empty())
+    return SmallSlack;
   const double ReachedSeeds = static_cast<double>(countReachedSeeds()) /
                               static_cast<double>(Seeds_.Addresses_.size());
-  const double Share = Seeds_.Bounds_.RetrySlack_ * ReachedSeeds /
-                       static_cast<double>(Membership_.knownCount());
-  return std::min(Share, MaxRetrySlack);
+  const double Share =
+      Slack * ReachedSeeds / static_cast<double>(Membership_.knownCount());
+  return std::min(Share, isRetryWindowOver(Now) ? MaxRetrySlack : SmallSlack);
 }
 
 void SeededFleet::notifySharesChanged(Instant Now, OutputList &Output) {
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -106,8 +106,8 @@
   /// Returns this instance's share of the retry slack. The shares of all
   /// instances add up to at most the slack, also while parts of the fleet do
   /// not hear each other: a part uses the fraction of the slack that it reaches
-  /// of the seeds. A new process uses none for the length of a retry window,
-  /// since retries of the one before it may still count.
+  /// of the seeds. A new process uses at most one for the length of a retry
+  /// window, since retries of the one before it may still count.
   double retrySlack(framework::Instant Now) const;
   /// Returns the rank of this instance among the running ones by rendezvous
   /// hashing; nothing until its discovery of the others is complete.
