Use the late answer to a read that a full read has replaced, from its own request on

An answer that was already on its way when the full read began was dropped, though it says what has changed. It is now applied, with the time of its own request, so that the view does not look younger than it is.

--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -178,6 +178,7 @@
     return;
   reportSlowRead("no answer to a read of changes", 0, Context);
   FullReadsUntil_ = Context.Now_ + FullReadPeriod;
+  ReplacedReadStartedAt_ = ReadStartedAt_;
   startFullRead(Context);
 }
 
@@ -251,24 +252,28 @@
 void StoreReplicator::handleChangedRecords(
     const std::vector<StoredRecord> &Records, Revision AsOf,
     const EventContext &Context) {
-  // The answer to a read that was replaced is older than it looks now.
-  if (IsReading_ && IsFullRead_)
-    return;
   const bool WasBehind = isBehind(Context.Now_);
-  endRead();
-  reportSlowRead(Records, Context);
+  // The answer to a read that was replaced counts from its own request.
+  const bool IsReplaced = IsReading_ && IsFullRead_;
+  const Instant StartedAt =
+      IsReplaced ? ReplacedReadStartedAt_ : ReadStartedAt_;
+  const Instant AnsweredAt =
+      IsReplaced ? StartedAt : answeredAt(!Records.empty(), Context.Now_);
+  if (!IsReplaced) {
+    endRead();
+    reportSlowRead(Records, Context);
+  }
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
-  const Instant AnsweredAt = answeredAt(!Records.empty(), Context.Now_);
   AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(View_.apply(Records, AsOf, AnsweredAt), StoreSource,
                 Context.Output_);
   // A read that began after the last announcement has returned what was
   // announced, one that began earlier only what was announced until then.
-  if (ReadStartedAt_ > AnnouncedAt_)
+  if (StartedAt > AnnouncedAt_)
     AnnouncedRevision_.reset();
   else
-    GapSince_ = std::max(GapSince_, ReadStartedAt_);
+    GapSince_ = std::max(GapSince_, StartedAt);
   forgetReachedAnnouncement();
   reportProgress(StoreSource, Context);
   if (!Records.empty())
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -227,6 +227,8 @@
   std::uint32_t Failures_ = 0;
   framework::Instant FailingSince_{};
   framework::Instant ReadStartedAt_{};
+  /// When the last read of changes began that a full read has replaced.
+  framework::Instant ReplacedReadStartedAt_{};
   /// How long the store may hold the read that is under way.
   framework::Duration ReadWait_{};
   framework::Instant NextReadAt_{};
