Write the status of a refusal before its ending

'the log names the workspace of a call and the reason for a refusal' reads reason and version side by side; readers of logs may do so as well.

--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -194,9 +194,9 @@
   // budget of the other lines.
   LogLine Line("request-ended", LogImportance::Routine);
   Line.text("request", RequestId);
+  Line.number("status", Status);
   Line.text("ending", Ending);
   Line.text("reason", Reason);
-  Line.number("status", Status);
   addView(Line, View);
   Writer_->write(Line);
 }
