--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -18,6 +18,10 @@
 SERVES_ON_SECONDS = 4.0
 
 
+class NotReady(Exception):
+    """Some processes did not become ready in time."""
+
+
 class Fleet:
     def __init__(self, deployment, seed, program, parts):
         self.deployment = deployment
@@ -105,7 +109,7 @@
         deadline = time.monotonic() + 30
         while not all(each.is_ready for each in self.instances):
             if time.monotonic() > deadline:
-                raise RuntimeError("some instances did not become ready: " + ", ".join(
+                raise NotReady("some instances did not become ready: " + ", ".join(
                     each.name for each in self.instances if not each.is_ready))
             await asyncio.sleep(0.1)
         await asyncio.sleep(self.deployment.seconds("contact"))
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -50,6 +50,19 @@
             chosen = self.rng.sample(self.fleet.instances, count)
             await asyncio.gather(*(each.restart(pause) for each in chosen))
 
+    async def count_reads_of_restart(self, instances, settle, wait):
+        """Counts the calls of the store in the time after some instances are killed, less those
+        of as long a time before."""
+        await asyncio.sleep(settle)
+        calls = self.fleet.store.calls
+        before = dict(calls)
+        await asyncio.sleep(wait)
+        begin = dict(calls)
+        await asyncio.gather(*(each.restart(0.1) for each in instances))
+        await asyncio.sleep(wait)
+        self.fleet.record.notes["reads of the restart"] = {
+            name: calls[name] - 2 * begin[name] + before[name] for name in calls}
+
     async def kill_in_turn(self, gap):
         for instance in itertools.cycle(self.rng.sample(self.fleet.instances,
                                                         len(self.fleet.instances))):
@@ -127,6 +140,22 @@
             faults.reset_targets(0.6, 0.5, 3.0, 5.0), faults.interrupt_store(20.0, 4.5)]
 
 
+def _restart(faults, instances):
+    store = faults.fleet.store
+    store.put_foreign_entries(600)
+    store.history_length = 20.0
+    store.page_age = lambda after: faults.rng.uniform(0.0, 3.0)
+    return [faults.count_reads_of_restart(instances, settle=22.0, wait=6.0)]
+
+
+def _restart_one(faults):
+    return _restart(faults, faults.fleet.instances[:1])
+
+
+def _restart_all(faults):
+    return _restart(faults, faults.fleet.instances)
+
+
 PLANS = {
     "quiet": (1, None, _quiet),
     "parts-4": (4, None, _parts),
@@ -137,6 +166,8 @@
     "restarts-in-one-window": (1, 5, _restarts_in_one_window),
     "leaving": (1, None, _leaving),
     "stale-pages": (1, None, _stale_pages),
+    "restart-one": (1, None, _restart_one),
+    "restart-all": (1, None, _restart_all),
     "stops": (1, None, _stops),
     "mixed": (1, None, _mixed),
 }
--- a/experiments/realfleet/record.py
+++ b/experiments/realfleet/record.py
@@ -12,6 +12,8 @@
         self.arrivals = []  # (time, id, target, service)
         self.leaving = {}  # target -> time at which the store acknowledged that it leaves
         self.worst_lag = 0.0
+        # What a plan has measured, by name.
+        self.notes = {}
 
     def sent(self, attempt, kind, instance, path):
         self.requests[attempt] = {"sent": time.monotonic(), "kind": kind.name,
--- /dev/null
+++ b/experiments/realfleet/test_judges.py
@@ -0,0 +1,103 @@
+"""Each judge with a recorded trace that breaks its rule and one that is allowed."""
+
+import types
+import unittest
+
+from realfleet import judges
+from realfleet.deployment import DEPLOYMENTS
+from realfleet.record import Record
+from realfleet.routes import Routes
+
+DEPLOYMENT = DEPLOYMENTS["small"]
+KIND = DEPLOYMENT.kinds[0]
+ATTEMPTS_ALLOWED = 56
+
+
+class Undisturbed:
+    name = "edge-a-1"
+
+    def was_disturbed(self, _begin, _end):
+        return False
+
+
+class Restarted(Undisturbed):
+    def was_disturbed(self, _begin, _end):
+        return True
+
+
+class JudgesTest(unittest.TestCase):
+    def setUp(self):
+        self.record = Record(DEPLOYMENT)
+        self.routes = Routes(DEPLOYMENT, None)
+        self.routes.versions = [(0.0, dict(self.routes.services))]
+
+    def add_request(self, attempt, sent, path="/handset-lookup/1", status=200, is_own=False):
+        self.record.requests[attempt] = {
+            "sent": sent, "kind": KIND.name, "service": KIND.service, "instance": Undisturbed.name,
+            "path": path, "status": status, "is_own": is_own, "ended": sent}
+
+    def arrive(self, attempt, when, target="i-1", service=KIND.service):
+        self.record.arrivals.append((when, attempt, target, service))
+
+    def judge_budget(self, repeats, seconds):
+        for index in range(repeats):
+            self.add_request(f"a{index}", -100.0)
+            self.arrive(f"a{index}", 50.0)
+            self.arrive(f"a{index}", 50.0 + index * seconds / repeats)
+        return judges.judge_budget(self.record, DEPLOYMENT, self.routes)
+
+    def test_repeats_beyond_the_budget_in_one_window_are_broken(self):
+        self.assertTrue(self.judge_budget(ATTEMPTS_ALLOWED + 1, 5).is_broken)
+
+    def test_repeats_spread_over_windows_are_allowed(self):
+        self.assertFalse(self.judge_budget(ATTEMPTS_ALLOWED + 1, 11).is_broken)
+
+    def test_requests_enlarge_the_budget(self):
+        for index in range(10):
+            self.add_request(f"b{index}", 51.0)
+        self.assertFalse(self.judge_budget(ATTEMPTS_ALLOWED + 2, 5).is_broken)
+
+    def judge_drain(self, arrival, instance):
+        self.record.target_left("i-1", 10.0)
+        self.add_request("a", arrival - 0.01)
+        self.arrive("a", arrival)
+        return judges.judge_drain(self.record, DEPLOYMENT, [instance], Undisturbed())
+
+    def test_a_late_request_to_a_leaving_target_is_broken(self):
+        self.assertTrue(self.judge_drain(12.1, Undisturbed()).is_broken)
+
+    def test_a_request_within_the_bound_is_allowed(self):
+        self.assertFalse(self.judge_drain(11.9, Undisturbed()).is_broken)
+
+    def test_a_request_of_an_instance_that_has_just_started_is_allowed(self):
+        self.assertFalse(self.judge_drain(12.1, Restarted()).is_broken)
+
+    def judge_denied(self, status, is_own):
+        for index in range(6):
+            self.add_request(f"a{index}", 1.0, status=status, is_own=is_own)
+        return judges.judge_denied(self.record, DEPLOYMENT)
+
+    def test_own_refusals_as_unknown_are_broken(self):
+        self.assertTrue(self.judge_denied(404, True).is_broken)
+
+    def test_answers_of_targets_and_promises_are_allowed(self):
+        self.assertFalse(self.judge_denied(404, False).is_broken)
+        self.assertFalse(self.judge_denied(429, True).is_broken)
+
+    def judge_configuration(self, sent, service):
+        self.routes.versions.append((10.0, dict(self.routes.services, **{KIND.name: "enrolment"})))
+        self.add_request("a", sent)
+        self.arrive("a", sent + 0.01, service=service)
+        return judges.judge_configuration(self.record, DEPLOYMENT, [Undisturbed()], self.routes,
+                                          types.SimpleNamespace(was_disturbed=lambda *_: False))
+
+    def test_a_late_request_by_an_old_version_is_broken(self):
+        self.assertTrue(self.judge_configuration(12.1, "records").is_broken)
+
+    def test_a_request_by_the_present_version_is_allowed(self):
+        self.assertFalse(self.judge_configuration(12.1, "enrolment").is_broken)
+        self.assertFalse(self.judge_configuration(11.9, "records").is_broken)
+
+
+if __name__ == "__main__":
+    unittest.main()
