Wait longer for a store that is slow, instead of asking it again and again

The reads that were given up kept the store slow. When one came through, the view was so old that removals were put off for another 2.2 s. Class: a time limit below the time of the answer, repeated for ever.

An answer to a read of changes is late, so that all records are read in its place, only when it takes more than twice as long as the last answer, and not after a read of all records that has failed.

Ruled out: processes without processor time (no pause-detected in 13 logs).

--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -42,8 +42,10 @@
 /// Added for members of a group.
 constexpr Duration MaxReadJitter = milliseconds(200);
 /// The answer to a read of changes is late when it takes longer than this
-/// besides the wait of a watch.
-constexpr Duration LateAnswerTime = milliseconds(300);
+/// besides the wait of a watch, and than a multiple of the last answer: a store
+/// that is slow throughout is not asked twice.
+constexpr Duration MinLateAnswerTime = milliseconds(300);
+constexpr int LateAnswerFactor = 2;
 /// After a late answer an instance whose view is too old reads all records for
 /// this long.
 constexpr Duration FullReadPeriod = milliseconds(10'000);
@@ -171,9 +173,13 @@
 }
 
 void StoreReplicator::replaceLateRead(const EventContext &Context) {
+  const Duration LateAnswerTime =
+      std::max(MinLateAnswerTime, LateAnswerFactor * LastAnswerTime_);
   const bool IsLate =
       Context.Now_ >= ReadStartedAt_ + ReadWait_ + LateAnswerTime;
-  if (!IsReading_ || IsFullRead_ || IsAnswerArriving_ || !IsLate ||
+  const bool IsReadingChanges =
+      IsReading_ && !IsFullRead_ && !IsAnswerArriving_;
+  if (!IsReadingChanges || !IsLate || IsFullReadFailed_ ||
       !isReadNeeded(Context))
     return;
   reportSlowRead("no answer to a read of changes", 0, Context);
@@ -217,6 +223,7 @@
   endRead();
   IsFullReadNeeded_ = false;
   IsFullReadFailed_ = false;
+  LastAnswerTime_ = Context.Now_ - ReadStartedAt_;
   reportSlowRead(Records, Context);
   recordReadSuccess(Context);
   const Instant AnsweredAt = answeredAt(false, Context.Now_);
@@ -262,6 +269,8 @@
   if (!IsReplaced) {
     endRead();
     reportSlowRead(Records, Context);
+    LastAnswerTime_ =
+        std::max(Context.Now_ - ReadStartedAt_ - ReadWait_, Duration{});
   }
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
