--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -107,6 +107,11 @@
     return [faults.replace_targets(0.4), faults.change_configuration(4.0)]
 
 
+def _slow_store(faults):
+    faults.fleet.store.answer_time = (0.7, 0.9)
+    return [faults.replace_targets(0.4), faults.change_configuration(4.0)]
+
+
 def _kills(faults):
     return [faults.kill_in_turn(0.5), faults.reset_targets(0.9, 0.7, 1.0, 6.0)]
 
@@ -162,6 +167,8 @@
     "parts-6": (6, None, _parts),
     "late-watches": (1, None, _late_watches),
     "late-watches-alone": (0, None, _late_watches),
+    # The pages excuse a slow store; its ratios show whether instances keep reading it.
+    "slow-store": (1, None, _slow_store),
     "kills": (1, None, _kills),
     "restarts-in-one-window": (1, 5, _restarts_in_one_window),
     "leaving": (1, None, _leaving),
--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -10,7 +10,6 @@
 
 PAGE_ITEMS = 500
 PAGE_BYTES = 1000 * 1000
-ANSWER_SECONDS = 0.004
 
 
 class Store:
@@ -23,7 +22,9 @@
         self.history = []  # (time, revision, key, value or None), oldest first
         self.changed = asyncio.Event()
         self.runner = None
-        # The range of seconds by which answers to watches are late.
+        # The range of seconds that each answer takes.
+        self.answer_time = (0.004, 0.004)
+        # The range of seconds by which answers to watches are late besides.
         self.watch_delay = (0.0, 0.0)
         # Returns the age in seconds of a page that may be stale; `after` is the key before it.
         self.page_age = lambda after: 0.0
@@ -118,7 +119,7 @@
         refused = await self._answer_outage(request)
         if refused:
             return refused
-        await asyncio.sleep(ANSWER_SECONDS)
+        await asyncio.sleep(self.rng.uniform(*self.answer_time))
         after, prefix = request.query.get("after", ""), request.query.get("prefix", "")
         age = self.page_age(after) if is_stale_allowed else 0.0
         found, size, is_truncated = [], 0, False
@@ -138,7 +139,7 @@
         refused = await self._answer_outage(request)
         if refused:
             return refused
-        await asyncio.sleep(ANSWER_SECONDS)
+        await asyncio.sleep(self.rng.uniform(*self.answer_time))
         after = int(request.query.get("after", 0))
         if after < self._oldest_revision():
             self.calls["history lost"] += 1
