--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -61,8 +61,6 @@
 constexpr Duration MaxPromiseTime = milliseconds(1300);
 /// The longest time in which parts of what is missing may arrive.
 constexpr Duration MaxHelpTime = milliseconds(2000);
-/// A group leader sends an update to its group at least this often.
-constexpr Duration UpdateInterval = milliseconds(200);
 /// Watches are interrupted in normal operation, so that a single failure does
 /// not mean that the store is unavailable.
 constexpr std::uint32_t FailuresOfUnavailableStore = 2;
@@ -72,8 +70,6 @@
 constexpr Duration SlowReadTime = milliseconds(250);
 constexpr std::size_t LargeReadBytes = 100'000;
 
-/// How long a change is sent repeatedly.
-constexpr Duration RetransmitPeriod = milliseconds(1500);
 std::vector<StoredRecord>
 storedRecords(const std::vector<ReplicatedRecord> &Records) {
   std::vector<StoredRecord> Stored;
@@ -242,20 +238,6 @@
   readIfDue(Context);
 }
 
-void StoreReplicator::shareAnswer(Revision Before, bool WasBehind,
-                                  const EventContext &Context) {
-  recordAdvance(Before, Context.Now_);
-  // The view is as fresh as possible now, so it is sent on. An instance that
-  // read the store only because it missed a message does not send what the
-  // others already have.
-  if (WasBehind && !Context.isGroupLeader()) {
-    SentRevision_ = View_.revision();
-    return;
-  }
-  sendNewChanges(Context);
-  sendRecentChanges(Context);
-}
-
 void StoreReplicator::handleChangedRecords(
     const std::vector<StoredRecord> &Records, Revision AsOf,
     const EventContext &Context) {
@@ -414,55 +396,6 @@
   Context.Output_.push_back(std::move(Report));
 }
 
-void StoreReplicator::recordAdvance(Revision Before, Instant Now) {
-  if (View_.revision() > Before)
-    Advances_.push_back({Before, Now});
-  while (!Advances_.empty() && Now - Advances_.front().At_ > RetransmitPeriod)
-    Advances_.pop_front();
-}
-
-void StoreReplicator::sendRecentChanges(const EventContext &Context) {
-  if (!View_.age(Context.Now_))
-    return;
-  NextUpdateAt_ = Context.Now_ + UpdateInterval;
-  recordAdvance(View_.revision(), Context.Now_);
-  RecordUpdate Update = View_.records().lastUpdate(
-      Advances_.empty() ? View_.revision() : Advances_.front().Before_,
-      View_.revision());
-  stamp(Update, Context);
-  Update.Incarnation_ = Context.self().Incarnation_;
-  send(Update, Context);
-}
-
-void StoreReplicator::sendNewChanges(const EventContext &Context) {
-  const Revision After = std::exchange(SentRevision_, View_.revision());
-  for (RecordUpdate &Update :
-       View_.records().updatesAfter(After, View_.revision())) {
-    stamp(Update, Context);
-    Update.Incarnation_ = Context.self().Incarnation_;
-    if (RecordTable::fitsInMessage(Update)) {
-      send(Update, Context);
-      continue;
-    }
-    // The others request a larger record, so that nobody's link is filled.
-    const CompressedRecord *Large = compress(Update.Records_.front());
-    if (!Large || Large->partCount() > MaxMessagesAtOnce)
-      continue;
-    for (std::uint32_t Index = 0; Index < Large->partCount(); ++Index) {
-      RecordPart Part = Large->makePart(Update, Index);
-      stamp(Part, Context);
-      send(Part, Context);
-    }
-  }
-}
-
-void StoreReplicator::send(const PeerMessage &Message,
-                           const EventContext &Context) const {
-  Context.sendToGroup(Message);
-  if (Context.isZoneLeader())
-    Context.sendTo(Context.Group_.groupRelays(), Message);
-}
-
 void StoreReplicator::handle(const RecordUpdate &Message,
                              const EventContext &Context) {
   const Revision Before = View_.revision();
@@ -519,18 +452,4 @@
   recordGap(Revision(Message.ToRevision_.value() + 1), Message.From_, Now);
 }
 
-void StoreReplicator::passOn(const RecordUpdate &Message,
-                             const EventContext &Context) {
-  // An update from outside the group is passed on by each relay that receives
-  // it, since one of them may be slow. An answer to a request is not.
-  const bool IsAnswer = Asked_ && Asked_->Name_ == Message.From_;
-  const bool IsForGroup = !IsAnswer && !Context.Group_.isInGroup(Message.From_);
-  if (IsForGroup || Context.isGroupLeader())
-    sendNewChanges(Context);
-  else
-    SentRevision_ = View_.revision();
-  if (IsForGroup && Context.Now_ >= NextUpdateAt_)
-    sendRecentChanges(Context);
-}
-
 } // namespace cranberryspool::fleet
