--- a/src/fleet/internal/seeded/retryslack.cpp
+++ b/src/fleet/internal/seeded/retryslack.cpp
@@ -12,7 +12,7 @@
 
 /// An instance uses at most this much of the retry slack. One that hears few
 /// others may be in a part of the fleet that has seeds of its own.
-constexpr double MaxRetrySlack = 4;
+constexpr double MaxRetrySlack = 4.3;
 /// The most that an instance uses that knows no other, or whose process is new.
 constexpr double SmallRetrySlack = 1;
 
