Play stops, cuts from the store and small shares of a core with real processes

Callers of kept connections now go on using them whether or not the instance says that it is ready, up to its end; until now each request of a stopping instance came from a caller that had asked for readiness first. The store gives each instance a port of its own, so that the links of single instances can be cut; the former list of turned away readers named addresses that all instances share. New plans: stops that overlap beside slow targets, with and without changes; a share of 0.3 of each tenth of a second for every process; single instances cut from the store; a store without history whose first answers are old.

In the larger deployment 3 of 100 requests take seven times as long, as its sheet says; it has fewer targets than before, since 48 processes and 108 targets need more descriptors than one process may open here.

Not played yet: messages lost one way, pipelines.

--- a/experiments/realfleet/callers.py
+++ b/experiments/realfleet/callers.py
@@ -15,6 +15,9 @@
         self.deployment, self.instances, self.routes = deployment, instances, routes
         self.record, self.rng, self.rate, self.repeats = record, rng, rate, repeats
         self.tasks = set()
+        # Instances that keep a connection of these callers open. They get requests on it
+        # whether or not they say that they are ready.
+        self.connected = set()
 
     async def run(self, seconds):
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=12)
@@ -33,21 +36,24 @@
         while due < end:
             due += self.rng.expovariate(kind.per_second * self.rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            task = asyncio.ensure_future(self._call(kind, sessions[self.rng.randrange(2)]))
+            task = asyncio.ensure_future(self._call(kind, sessions))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    def _choose_instance(self, excluded):
-        ready = [each for each in self.instances if each.is_ready and each is not excluded]
-        return self.rng.choice(ready or self.instances)
+    def _choose_instance(self, excluded, is_kept):
+        usable = [each for each in self.instances if each is not excluded
+                  and (each.is_ready or is_kept and each in self.connected)]
+        return self.rng.choice(usable or self.instances)
 
-    async def _call(self, kind, session):
+    async def _call(self, kind, sessions):
         deadline = time.monotonic() + kind.deadline
         instance = None
+        is_kept = self.rng.random() < 0.5
+        session = sessions[0 if is_kept else 1]
         repeats = kind.repeats if self.repeats is None else self.repeats
         for _ in range(1 + repeats):
-            instance = self._choose_instance(instance)
-            status, pause = await self._send(kind, session, instance, deadline)
+            instance = self._choose_instance(instance, is_kept)
+            status, pause = await self._send(kind, session, instance, deadline, is_kept)
             may_repeat = status is None and kind.is_idempotent or status in PROMISES or (
                 kind.is_idempotent and status is not None and status >= 500)
             left = deadline - time.monotonic()
@@ -56,12 +62,13 @@
             if pause and pause <= left / 3:
                 await asyncio.sleep(pause)
 
-    async def _send(self, kind, session, instance, deadline):
+    async def _send(self, kind, session, instance, deadline, is_kept):
         attempt = f"{self.rng.getrandbits(64):016x}"
         host, path = self.routes.choose(kind, self.rng)
         left = deadline - time.monotonic()
         self.record.sent(attempt, kind, instance, path)
         url = f"http://{instance.ip}:{instance.ports['front']}{path}"
+        self.record.requests[attempt]["limit"] = min(left, kind.timeout)
         headers = {"Host": host, "X-Attempt-Id": attempt,
                    "X-Timeout-Ms": str(max(1, int(left * 1000)))}
         body = b"b" * kind.body_bytes if kind.body_bytes else None
@@ -72,7 +79,20 @@
                 await answer.read()
                 is_own = "X-Response-Signature" not in answer.headers
                 self.record.answered(attempt, answer.status, is_own)
+                if is_kept:
+                    self._remember(instance, answer.headers.get("Connection") != "close")
                 return answer.status, float(answer.headers.get("Retry-After", 0))
+        except aiohttp.ClientConnectorError:
+            self._remember(instance, False)
+            self.record.not_connected(attempt)
+            return None, 0.0
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+            self._remember(instance, False)
             self.record.answered(attempt, None, True)
             return None, 0.0
+
+    def _remember(self, instance, is_connected):
+        if is_connected:
+            self.connected.add(instance)
+        else:
+            self.connected.discard(instance)
--- a/experiments/realfleet/deployment.py
+++ b/experiments/realfleet/deployment.py
@@ -32,6 +32,9 @@
     kinds: tuple
     bounds: dict
     resets_when_full: bool = True
+    # The share of requests that take `tail_factor` times as long as others.
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
 
     def seconds(self, name):
         """Returns a bound that is a duration, in seconds."""
@@ -64,8 +67,9 @@
         )),
     "medium": Deployment(
         zones=("recife", "fortaleza", "salvador", "natal"), instances=48,
-        targets={"guia": 60, "entrega": 48}, slots=6, queue=24,
+        targets={"guia": 24, "entrega": 20}, slots=6, queue=24,
         bounds=_bounds("2500ms", "190"), resets_when_full=False,
+        tail_share=0.03, tail_factor=7.0,
         kinds=(
             RequestKind("next-turn", "guia", "GET", True, 120, 0.19, 5.0, 2.5, 2),
             RequestKind("stop-assign", "guia", "POST", False, 36, 0.25, 6.0, 3.0, 2, 4000),
--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -32,7 +32,7 @@
         first = own.randint(20000, 28000)
         self.ports = {"front": first, "readiness": first + 1, "control": first + 2,
                       "internal": first + 16}
-        self.next_port = first + 100
+        self.next_port = first + 200
         self.record = Record(deployment)
         self.store = Store(random.Random(f"{seed}/store"))
         self.routes = Routes(deployment, self.rng)
@@ -46,9 +46,9 @@
     def ip(self, host):
         return f"{self.network}.{host}"
 
-    @property
-    def store_address(self):
-        return self.ip(STORE_HOST), self.ports["front"] + 3
+    def store_port(self, instance):
+        """Each instance reaches the store at a port of its own."""
+        return self.ports["front"] + 40 + self.instances.index(instance)
 
     def _write_settings(self, parts):
         """Instances of different parts never hear each other: of the three seeds, each part
@@ -64,7 +64,8 @@
             else:
                 # Parts without one of the common seeds have seeds of their own, too.
                 reached = [self.instances[part].control_address, unreachable, unreachable]
-            instance.write_settings(self.deployment, self.store_address, reached)
+            store_address = self.ip(STORE_HOST), self.store_port(instance)
+            instance.write_settings(self.deployment, store_address, reached)
 
     def new_address(self):
         while True:
@@ -95,7 +96,8 @@
         await target.stop()
 
     async def start(self):
-        await self.store.start(self.store_address)
+        await self.store.start(self.ip(STORE_HOST),
+                               [self.store_port(each) for each in self.instances])
         names = (f"i-{number}" for number in range(1, 1000))
         for service, count in self.deployment.targets.items():
             for index in range(count):
--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -20,6 +20,7 @@
         self.process = None
         self.is_ready = False
         self.disturbances = []  # [begin, end or None]
+        self.stops = []  # times of SIGTERM
 
     @property
     def control_address(self):
@@ -81,6 +82,7 @@
 
     async def stop_and_start(self, grace):
         self.begin_disturbance()
+        self.stops.append(time.monotonic())
         self.process.send_signal(signal.SIGTERM)
         deadline = time.monotonic() + grace
         while self.process.poll() is None and time.monotonic() < deadline:
@@ -95,6 +97,17 @@
         self.process.send_signal(signal.SIGCONT)
         self.end_disturbance()
 
+    async def run_in_slices(self, share, period=0.1):
+        """Gives the process a share of each period, as a quota of the processor does."""
+        while True:
+            process = self.process
+            if process.poll() is None:
+                process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(period * (1 - share))
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(period * share)
+
     async def watch_readiness(self):
         """Asks for readiness once a second, as the platform's balancer does."""
         misses = 2
--- a/experiments/realfleet/judges.py
+++ b/experiments/realfleet/judges.py
@@ -116,3 +116,39 @@
         if late > bound:
             cases.append((request["sent"], instance.name, attempt, service, round(late, 3)))
     return Verdict("CONFIG", worst, cases)
+
+
+def judge_lost(record, deployment, instances):
+    """"Around planned work, [...] a process has read a whole request and the connection ends without
+    a complete answer, either once it has been passed on to a server, or later than `loss_slack`
+    after its last byte was sent"; "After a SIGTERM it is the same if you break off a request at
+    which its server is at work and give an answer of your own in its place"."""
+    grace, slack = deployment.seconds("grace"), deployment.seconds("loss_slack")
+    by_name = {each.name: each for each in instances}
+    passed_on = {attempt for _, attempt, _, _ in record.arrivals}
+    cases = []
+    for attempt, request in record.requests.items():
+        ended = request["ended"]
+        if ended is None or request["is_refused"] or not request["is_own"]:
+            continue
+        stop = max((each for each in by_name[request["instance"]].stops if each <= ended),
+                   default=None)
+        # "a SIGTERM of the machine that took the request from the client, until 1 s after `grace`"
+        if stop is None or ended > stop + grace + 1:
+            continue
+        # "the deadline or the route's timeout was reached"
+        if ended - request["sent"] >= request["limit"]:
+            continue
+        is_at_work = any(begin <= ended and (end is None or end > ended)
+                         for begin, end in record.runs.get(attempt, ()))
+        # "the server was still at work in the last sixth of `grace` on a request that was sent no
+        # later than 3 s after the SIGTERM"
+        if is_at_work and ended >= stop + grace * 5 / 6 and request["sent"] <= stop + 3:
+            continue
+        is_cut = request["status"] is None and (
+            attempt in passed_on or ended - request["sent"] > slack)
+        if is_at_work or is_cut:
+            cases.append((ended, request["kind"], attempt, request["instance"],
+                          f"status {request['status']}, sent {request['sent'] - stop:.3f} s and "
+                          f"ended {ended - stop:.3f} s after the SIGTERM"))
+    return Verdict("LOST", 1.0 + len(cases) if cases else 0.0, sorted(cases))
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -75,6 +75,47 @@
             await asyncio.sleep(gap)
             await instance.stop_and_start(grace)
 
+    async def stop_overlapping(self, gap, share):
+        """Stops one process after the other, up to a share of them at the same time."""
+        fleet = self.fleet
+        stopping = {}
+        for instance in itertools.cycle(fleet.instances):
+            await asyncio.sleep(gap)
+            stopping = {name: task for name, task in stopping.items() if not task.done()}
+            if instance.name not in stopping and len(stopping) < share * len(fleet.instances):
+                stopping[instance.name] = asyncio.ensure_future(
+                    instance.stop_and_start(fleet.deployment.seconds("grace")))
+
+    async def slow_targets(self, share, factor, every, length):
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.3, every))
+            targets = self.fleet.targets
+            chosen = self.rng.sample(targets, max(1, int(len(targets) * share)))
+            for target in chosen:
+                target.slowness = factor
+            await asyncio.sleep(length)
+            for target in chosen:
+                target.slowness = 1.0
+
+    async def cut_from_store(self, count, gap, length):
+        """Cuts the links of some instances to the store. "A machine is in touch [if] it had a path
+        in both directions to the platform"."""
+        fleet = self.fleet
+        while True:
+            await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
+            chosen = self.rng.sample(fleet.instances, count)
+            ports = {fleet.store_port(each) for each in chosen}
+            for instance in chosen:
+                instance.begin_disturbance()
+            fleet.store.cut_ports |= ports
+            await asyncio.sleep(length)
+            fleet.store.cut_ports -= ports
+            for instance in chosen:
+                instance.end_disturbance()
+
+    def share_processor(self, share):
+        return [each.run_in_slices(share) for each in self.fleet.instances]
+
     async def freeze(self, gap, longest):
         while True:
             await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
@@ -139,6 +180,35 @@
             faults.reset_targets(0.5, 0.5, 2.0, 4.0)]
 
 
+def _overlapping_stops(faults):
+    return [faults.stop_overlapping(0.7, 0.4), faults.slow_targets(0.16, 5.0, 3.0, 6.0)]
+
+
+def _overlapping_stops_and_changes(faults):
+    return _overlapping_stops(faults) + [
+        faults.replace_targets(0.5), faults.change_configuration(2.0, added=400),
+        faults.reset_targets(0.5, 0.3, 2.0, 4.0)]
+
+
+def _small_share(faults):
+    return faults.share_processor(0.3) + [
+        faults.replace_targets(0.4), faults.change_configuration(1.0, added=400),
+        faults.reset_targets(0.6, 0.5, 2.0, 4.0)]
+
+
+def _cut_from_store(faults):
+    return [faults.cut_from_store(4, 2.0, 9.0), faults.replace_targets(0.4),
+            faults.change_configuration(1.5, added=400), faults.compact_store(5.0)]
+
+
+def _stale_without_history(faults):
+    """A store that forgets its history again and again and answers new processes with old pages."""
+    store = faults.fleet.store
+    store.page_age = lambda after: faults.rng.uniform(0.0, 6.0)
+    return [faults.compact_store(0.5), faults.kill(0.4, 2.5), faults.replace_targets(0.4),
+            faults.change_configuration(1.5, added=400)]
+
+
 def _mixed(faults):
     return [faults.kill_in_turn(3.0), faults.freeze(3.0, 3.0), faults.replace_targets(0.5),
             faults.change_configuration(3.0, added=400), faults.compact_store(5.0),
@@ -176,5 +246,10 @@
     "restart-one": (1, None, _restart_one),
     "restart-all": (1, None, _restart_all),
     "stops": (1, None, _stops),
+    "overlapping-stops": (1, None, _overlapping_stops),
+    "overlapping-stops-and-changes": (1, None, _overlapping_stops_and_changes),
+    "small-share": (1, None, _small_share),
+    "cut-from-store": (1, None, _cut_from_store),
+    "stale-without-history": (1, None, _stale_without_history),
     "mixed": (1, None, _mixed),
 }
--- a/experiments/realfleet/record.py
+++ b/experiments/realfleet/record.py
@@ -10,6 +10,7 @@
         self.work_by_kind = {kind.name: kind.work for kind in deployment.kinds}
         self.requests = {}  # id -> dict
         self.arrivals = []  # (time, id, target, service)
+        self.runs = {}  # id -> [[begin, end or None]]
         self.leaving = {}  # target -> time at which the store acknowledged that it leaves
         self.worst_lag = 0.0
         # What a plan has measured, by name.
@@ -18,14 +19,24 @@
     def sent(self, attempt, kind, instance, path):
         self.requests[attempt] = {"sent": time.monotonic(), "kind": kind.name,
                                   "service": kind.service, "instance": instance.name,
-                                  "path": path, "status": None, "is_own": False, "ended": None}
+                                  "path": path, "status": None, "is_own": False, "ended": None,
+                                  "is_refused": False}
 
     def answered(self, attempt, status, is_own):
         self.requests[attempt].update(status=status, is_own=is_own, ended=time.monotonic())
 
+    def not_connected(self, attempt):
+        """No connection was opened, so that no instance has read the request."""
+        self.requests[attempt].update(ended=time.monotonic(), is_refused=True)
+
     def arrived(self, attempt, target, service):
         self.arrivals.append((time.monotonic(), attempt, target, service))
 
+    def run_began(self, attempt):
+        run = [time.monotonic(), None]
+        self.runs.setdefault(attempt, []).append(run)
+        return run
+
     def target_left(self, target, acknowledged):
         self.leaving.setdefault(target, acknowledged)
 
--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -28,23 +28,25 @@
         self.watch_delay = (0.0, 0.0)
         # Returns the age in seconds of a page that may be stale; `after` is the key before it.
         self.page_age = lambda after: 0.0
-        # None, "refuse" or "silent", for all readers or those in `turned_away`.
+        # None, "refuse" or "silent", for all readers.
         self.outage = None
-        self.turned_away = set()
+        # The ports of the readers that get no answer. Each reader has a port of its own.
+        self.cut_ports = set()
         self.outages = []  # [begin, end or None]
         # How long the store keeps its history, in seconds.
         self.history_length = float("inf")
         # "page" and "stale page" count pages of reads of all records.
         self.calls = {"page": 0, "stale page": 0, "watch": 0, "history lost": 0, "refused": 0}
 
-    async def start(self, address):
+    async def start(self, host, ports):
         app = web.Application()
         app.router.add_get("/kv-range", self.on_range)
         app.router.add_get("/kv-watch", self.on_watch)
         app.router.add_get("/kv-key", self.on_key)
         self.runner = web.AppRunner(app, access_log=None)
         await self.runner.setup()
-        await web.TCPSite(self.runner, *address, backlog=512).start()
+        for port in ports:
+            await web.TCPSite(self.runner, host, port, backlog=512).start()
 
     def put(self, key, value):
         """Writes a value, or deletes the key when it is None. Returns the time of the
@@ -70,8 +72,8 @@
         """Forgets the history up to the present."""
         self.oldest_revision = self.revision
 
-    def begin_outage(self, mode, readers=()):
-        self.outage, self.turned_away = mode, set(readers)
+    def begin_outage(self, mode):
+        self.outage = mode
         self.outages.append([time.monotonic(), None])
 
     def end_outage(self):
@@ -106,10 +108,11 @@
         return max(self.oldest_revision, last)
 
     async def _answer_outage(self, request):
-        if self.outage is None or (self.turned_away and request.remote not in self.turned_away):
+        is_cut = request.transport.get_extra_info("sockname")[1] in self.cut_ports
+        if self.outage is None and not is_cut:
             return None
         self.calls["refused"] += 1
-        if self.outage == "silent":
+        if is_cut or self.outage == "silent":
             await asyncio.sleep(3600)
         return web.json_response({}, status=503)
 
--- a/experiments/realfleet/target.py
+++ b/experiments/realfleet/target.py
@@ -84,10 +84,13 @@
         finally:
             self.queued -= 1
         self.running += 1
+        run = self.record.run_began(attempt)
         try:
+            is_long = self.rng.random() < self.deployment.tail_share
             work = self.record.work(attempt) * self.rng.lognormvariate(0, 0.3) * self.slowness
-            await asyncio.sleep(work)
+            await asyncio.sleep(work * (self.deployment.tail_factor if is_long else 1.0))
         finally:
+            run[1] = time.monotonic()
             self.running -= 1
             self.slots.release()
         body = b"x" * 400
--- a/experiments/realfleet/test_judges.py
+++ b/experiments/realfleet/test_judges.py
@@ -98,6 +98,27 @@
         self.assertFalse(self.judge_configuration(12.1, "enrolment").is_broken)
         self.assertFalse(self.judge_configuration(11.9, "records").is_broken)
 
+    def judge_stop(self, sent, ended, status, run):
+        self.add_request("a", sent, status=status, is_own=True)
+        self.record.requests["a"].update(ended=ended, limit=5.0, is_refused=False)
+        self.arrive("a", sent + 0.01)
+        self.record.runs["a"] = [run]
+        instance = Undisturbed()
+        instance.stops = [10.0]
+        return judges.judge_lost(self.record, DEPLOYMENT, [instance])
+
+    def test_a_request_given_up_after_a_stop_while_its_target_works_is_lost(self):
+        self.assertTrue(self.judge_stop(11.0, 14.0, 502, [11.1, None]).is_broken)
+        self.assertTrue(self.judge_stop(13.1, 15.4, 502, [13.2, 15.9]).is_broken)
+        self.assertTrue(self.judge_stop(11.0, 14.0, None, [11.1, 12.0]).is_broken)
+
+    def test_a_request_cut_off_at_the_end_of_a_stop_is_allowed(self):
+        self.assertFalse(self.judge_stop(12.9, 15.4, 502, [13.0, None]).is_broken)
+
+    def test_a_request_that_failed_at_its_target_or_reached_its_limit_is_allowed(self):
+        self.assertFalse(self.judge_stop(11.0, 12.0, 502, [11.1, 11.9]).is_broken)
+        self.assertFalse(self.judge_stop(9.0, 14.0, 502, [9.1, None]).is_broken)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -46,7 +46,8 @@
                     judges.judge_drain(fleet.record, deployment, fleet.instances, fleet.store),
                     judges.judge_denied(fleet.record, deployment),
                     judges.judge_configuration(fleet.record, deployment, fleet.instances,
-                                               fleet.routes, fleet.store)]
+                                               fleet.routes, fleet.store),
+                    judges.judge_lost(fleet.record, deployment, fleet.instances)]
         return report(options, seed, fleet, verdicts, begin)
     finally:
         await fleet.stop()
