Log for each call of a stop how long the instance had been stopping, and whether an attempt was at a target

An operator could not tell from `request-ended` whether a call that the instance answered itself was given up while its target worked, nor whether it had come before or after the end of acceptance. While the instance stops, the line now has `stopping_ms` and `at_target`; the reason of the ending was there already. The time of the stop request is kept in the state of the core in place of the stop sequence, and `CallTable::isAtTarget` replaces a loop of `CallFinisher`.

--- a/src/calls/calltable.h
+++ b/src/calls/calltable.h
@@ -29,6 +29,8 @@
   /// Returns true when the call's limit permits one more attempt. Attempts that
   /// wait for a connection count as well, since they will be sent.
   bool mayStartAttempt(const Call &Owner) const;
+  /// Returns true when an attempt of the call may be running at a target.
+  bool isAtTarget(const Call &Owner) const;
 
   const std::map<framework::CallId, Call> &calls() const { return Calls_; }
   const std::map<framework::AttemptId, Attempt> &attempts() const {
--- a/src/calls/internal/calltable.cpp
+++ b/src/calls/internal/calltable.cpp
@@ -48,6 +48,13 @@
   Attempts_.erase(Position);
 }
 
+bool CallTable::isAtTarget(const Call &Owner) const {
+  return std::any_of(Owner.LiveAttempts_.begin(), Owner.LiveAttempts_.end(),
+                     [this](framework::AttemptId Id) {
+                       return Attempts_.at(Id).State_ == AttemptState::Sent;
+                     });
+}
+
 bool CallTable::mayStartAttempt(const Call &Owner) const {
   const auto Waiting = std::count_if(
       Owner.LiveAttempts_.begin(), Owner.LiveAttempts_.end(),
--- a/src/decision/internal/callfinisher.cpp
+++ b/src/decision/internal/callfinisher.cpp
@@ -60,9 +60,8 @@
                                             calls::EndingReason Reason) const {
   if (Call.MayHaveRun_)
     return calls::Ending::Unknown;
-  for (const framework::AttemptId Id : Call.LiveAttempts_)
-    if (Core_.Calls_.attempts().at(Id).State_ == calls::AttemptState::Sent)
-      return calls::Ending::Unknown;
+  if (Core_.Calls_.isAtTarget(Call))
+    return calls::Ending::Unknown;
   // An earlier call with the same key may have run.
   if (Call.State_ == calls::CallState::AwaitingKey ||
       Call.State_ == calls::CallState::FetchingAnswer)
@@ -130,7 +129,12 @@
       .Fingerprint_ = Request.Fingerprint_,
       .Workspace_ = Request.Workspace_
                         ? Core_.Environment_.workspaceName(*Request.Workspace_)
-                        : framework::WorkspaceName()});
+                        : framework::WorkspaceName(),
+      .StoppingFor_ =
+          Core_.StopRequestedAt_
+              ? std::optional(Context.now() - *Core_.StopRequestedAt_)
+              : std::nullopt,
+      .IsAtTarget_ = Core_.Calls_.isAtTarget(Call)});
   const bool HasNotRun = Ending == calls::Ending::NotRun ||
                          Ending == calls::Ending::DeadlinePassed;
   if (Call.HoldsQuotaCredit_ && HasNotRun)
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -112,6 +112,8 @@
   /// for services.
   capacity::DemandTable Demand_;
 
+  /// When the stop was requested; unset before.
+  std::optional<framework::Instant> StopRequestedAt_;
   /// When the last calls of a stopping instance must have ended; unset while it
   /// does not stop, or may take as long as it needs.
   std::optional<framework::Instant> StopEndsAt_;
--- a/src/decision/internal/stopsequence.cpp
+++ b/src/decision/internal/stopsequence.cpp
@@ -12,9 +12,9 @@
 } // namespace
 
 void StopSequence::request(const EventContext &Context) {
-  if (RequestedAt_)
+  if (isRequested())
     return;
-  RequestedAt_ = Context.now();
+  Core_.StopRequestedAt_ = Context.now();
   const framework::Duration Grace = Core_.Settings_.StopGracePeriod_;
   if (Grace < framework::Duration::max())
     limitCalls(Context.now() + Grace - Grace / StopMarginDivisor);
@@ -44,16 +44,17 @@
 }
 
 void StopSequence::advance(const EventContext &Context) {
-  if (!RequestedAt_ || IsFinished_)
+  if (!isRequested() || IsFinished_)
     return;
-  if (Context.now() < *RequestedAt_ + Core_.Settings_.StopLinger_)
+  const framework::Instant RequestedAt = *Core_.StopRequestedAt_;
+  if (Context.now() < RequestedAt + Core_.Settings_.StopLinger_)
     return;
   Receiver_.stopAccepting();
   if (!areCallsEnded(Context.now()))
     return;
   // Without the platform's instance list the key handover may never complete.
   const bool IsOverdue =
-      Context.now() >= *RequestedAt_ + 2 * Core_.Settings_.StopLinger_;
+      Context.now() >= RequestedAt + 2 * Core_.Settings_.StopLinger_;
   if (!Core_.Fleet_.isHandoverDone() && !IsOverdue)
     return;
   IsFinished_ = true;
--- a/src/decision/internal/stopsequence.h
+++ b/src/decision/internal/stopsequence.h
@@ -5,8 +5,6 @@
 #include "decision/internal/corestate.h"
 #include "decision/internal/eventcontext.h"
 
-#include <optional>
-
 namespace cranberryspool::decision {
 
 /// Stops the instance gracefully: first it reports that it is not ready, then
@@ -18,7 +16,7 @@
       : Core_(Core), Receiver_(Receiver) {}
 
   void request(const EventContext &Context);
-  bool isRequested() const { return RequestedAt_.has_value(); }
+  bool isRequested() const { return Core_.StopRequestedAt_.has_value(); }
   bool isFinished() const { return IsFinished_; }
   /// Performs the steps that are due.
   void advance(const EventContext &Context);
@@ -33,7 +31,6 @@
 
   CoreState &Core_;
   CallReceiver &Receiver_;
-  std::optional<framework::Instant> RequestedAt_;
   bool IsFinished_ = false;
 };
 
--- a/src/decision/types/endedcall.h
+++ b/src/decision/types/endedcall.h
@@ -9,6 +9,7 @@
 #include "framework/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace cranberryspool::decision {
 
@@ -30,6 +31,10 @@
   calls::RequestFingerprint Fingerprint_ = {};
   /// Empty when the call belongs to no workspace.
   framework::WorkspaceName Workspace_ = {};
+  /// How long the instance had been stopping; unset when it was not.
+  std::optional<framework::Duration> StoppingFor_ = std::nullopt;
+  /// True if an attempt might still have been running at a target.
+  bool IsAtTarget_ = false;
 };
 
 } // namespace cranberryspool::decision
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -165,6 +165,10 @@
   Line.millis("elapsed_ms", Call.Elapsed_);
   if (!IsRoutine)
     Line.text("fingerprint", calls::toText(Call.Fingerprint_));
+  if (Call.StoppingFor_) {
+    Line.millis("stopping_ms", *Call.StoppingFor_);
+    Line.flag("at_target", Call.IsAtTarget_);
+  }
   addView(Line, View);
   Writer_->write(Line);
 }
