Refuse a call that comes late in a stop if the stop may cut it off

Cause: a stopping instance accepts calls for 3 s from the moment at which it handled the signal, and up to a tick longer, if calls of the kind usually end in the time that is left. A call that takes seven times as long as usual, as 3 of 100 do there, is cut at 5.4 s. One sent later than 3 s after the signal, on a connection that was idle since, is accepted when the signal was handled late, and nothing excuses its end.

Evidence: `a call that arrives late in a stop is refused if the stop may cut it off at its target` (2.95 s after the stop, both kinds of requests) failed before: the call was sent to a target.

In the last quarter of the time in which calls are accepted only those are whose own time limit ends before the stop does; the others are refused as not run, and their callers repeat them at another instance. By then the load balancer, which needs two checks of a second each, sends no new callers, so that only connections that were kept idle are concerned. A margin of 0.75 s is left for a signal that is handled late.

--- a/src/decision/internal/callreceiver.cpp
+++ b/src/decision/internal/callreceiver.cpp
@@ -49,10 +49,12 @@
                           const MatchedKind &Matched,
                           std::optional<framework::WorkspaceId> Workspace) {
   const MatchedKind Kind = applyWorkspacePriority(Matched, Workspace);
-  framework::Duration Timeout =
+  const framework::Duration TimeLimit =
       std::min(Input.Timeout_.value_or(Kind.Deadline_), Kind.LongestWait_);
-  if (Core_.StopEndsAt_)
-    Timeout = std::min(Timeout, *Core_.StopEndsAt_ - Context.now());
+  const framework::Duration Timeout =
+      Core_.StopEndsAt_
+          ? std::min(TimeLimit, *Core_.StopEndsAt_ - Context.now())
+          : TimeLimit;
   calls::Call &Call = Core_.Calls_.accept(calls::CallRequest{
       .Call_ = Input.Call_,
       .Service_ = Kind.Service_,
@@ -76,7 +78,9 @@
       .IsFromPeer_ = Input.ForwardedBy_.has_value()});
   ++Core_.Counters_.CallsAccepted_;
   Core_.Counters_.CallsFromPeers_ += Input.ForwardedBy_ ? 1 : 0;
-  if (const auto Reason = findRefusalReason(Context, Input, Call, Timeout)) {
+  const bool IsCutByStop = Timeout < TimeLimit;
+  if (const auto Reason =
+          findRefusalReason(Context, Input, Call, Timeout, IsCutByStop)) {
     Core_.Counters_.CallsFromPeersRefused_ += Input.ForwardedBy_ ? 1 : 0;
     Finisher_.fail(Context, Call, *Reason);
     return;
@@ -130,8 +134,10 @@
 
 std::optional<calls::EndingReason> CallReceiver::findRefusalReason(
     const EventContext &Context, const CallArrived &Input,
-    const calls::Call &Call, framework::Duration Timeout) const {
-  if (IsStopped_ || !canEndBeforeStop(Call, Timeout))
+    const calls::Call &Call, framework::Duration Timeout,
+    bool IsCutByStop) const {
+  const bool IsLate = IsCutByStop && Context.now() >= Core_.LateStopFrom_;
+  if (IsStopped_ || IsLate || !canEndBeforeStop(Call, Timeout))
     return calls::EndingReason::InstanceStopping;
   if (!View_.mayAccept(Context.now()))
     return calls::EndingReason::ViewTooOld;
--- a/src/decision/internal/callreceiver.h
+++ b/src/decision/internal/callreceiver.h
@@ -55,7 +55,8 @@
   /// Returns why a call is refused before it is queued.
   std::optional<calls::EndingReason>
   findRefusalReason(const EventContext &Context, const CallArrived &Input,
-                    const calls::Call &Call, framework::Duration Timeout) const;
+                    const calls::Call &Call, framework::Duration Timeout,
+                    bool IsCutByStop) const;
   /// Returns false while the instance stops and a call of this kind usually
   /// takes longer than `Timeout`, the time that is left.
   bool canEndBeforeStop(const calls::Call &Call,
--- a/src/decision/internal/corestate.h
+++ b/src/decision/internal/corestate.h
@@ -117,6 +117,9 @@
   /// When the last calls of a stopping instance must have ended; unset while it
   /// does not stop, or may take as long as it needs.
   std::optional<framework::Instant> StopEndsAt_;
+  /// From then on, a stopping instance accepts only calls whose time limit ends
+  /// before `StopEndsAt_`.
+  framework::Instant LateStopFrom_ = framework::Instant::max();
 
   calls::CallTable Calls_;
   calls::ConnectionPool Connections_;
--- a/src/decision/internal/stopsequence.cpp
+++ b/src/decision/internal/stopsequence.cpp
@@ -8,6 +8,9 @@
 
 /// Of the grace period, the share that is left for writing the last answers.
 constexpr int StopMarginDivisor = 10;
+/// Of the time in which calls are accepted, the share in which only those are
+/// that end before the stop does. The load balancer sends no callers by then.
+constexpr int LateStopDivisor = 4;
 
 } // namespace
 
@@ -16,8 +19,11 @@
     return;
   Core_.StopRequestedAt_ = Context.now();
   const framework::Duration Grace = Core_.Settings_.StopGracePeriod_;
-  if (Grace < framework::Duration::max())
+  if (Grace < framework::Duration::max()) {
     limitCalls(Context.now() + Grace - Grace / StopMarginDivisor);
+    Core_.LateStopFrom_ = Context.now() + Core_.Settings_.StopLinger_ -
+                          Core_.Settings_.StopLinger_ / LateStopDivisor;
+  }
   Core_.Fleet_.handleStopRequest(Context.Now_, Core_.FleetOutput_);
   Context.Output_.push_back(
       ReportChange{ChangeKind::StopStarted, Core_.Settings_.Self_.value()});
--- a/src/decision/tests/leaving_test.cpp
+++ b/src/decision/tests/leaving_test.cpp
@@ -210,6 +210,20 @@
   CHECK(Sent.Timeout_ < GracePeriod);
 }
 
+TEST_CASE("a call that arrives late in a stop is refused if the stop may cut "
+          "it off at its target",
+          "[decision]") {
+  CoreFixture Fixture(GracePeriod);
+  Fixture.startUp();
+  Fixture.deliver(StopRequested{});
+  Fixture.pass(milliseconds(2'950));
+  const auto Refused = CoreFixture::actionsOf<RefuseCall>(
+      Fixture.deliver(CoreFixture::makeLongCall(1, GENERATE(true, false))));
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Ending_ == calls::Ending::NotRun);
+  startCall(Fixture, CoreFixture::makeCall(2));
+}
+
 TEST_CASE("a stopping instance refuses a call that takes longer than it has",
           "[decision]") {
   CoreFixture Fixture(GracePeriod);
