Do not give up a call for the silence of its connection while the instance stops

Cause: an attempt ends when 4 later ones of its kind (16 of those that must not run twice) were answered by the same target and it has taken 4 (10) times as long as the slowest of them. A target at work on a long request looks the same as a silent connection. Without a budget for a repeat, and always for a request that must not run twice, the caller got an answer of the instance in place of the target's.

Evidence: `a stopping instance does not give up a call at whose target later calls are answered first` failed before for both kinds of requests: the answers of the targets, 1.7 s after the calls, found no call to answer.

While the instance stops, such a call waits for its answer up to its deadline, which the stop limits; safe calls are still hedged. A connection that is really silent delays its call's end by at most the rest of the stop. Outside of a stop nothing changes.

--- a/src/decision/internal/transporteventhandler.cpp
+++ b/src/decision/internal/transporteventhandler.cpp
@@ -331,7 +331,9 @@
 void TransportEventHandler::failSilentConnections(const EventContext &Context) {
   while (const auto Id = Core_.SilenceDetector_.takeSilent(Context.now())) {
     const calls::Attempt *Found = Core_.Calls_.findAttempt(*Id);
-    if (!Found)
+    // The target may be at work all the same. While the instance stops, a call
+    // waits for its answer up to its deadline.
+    if (!Found || Core_.StopEndsAt_)
       continue;
     const calls::Attempt Lost = *Found;
     const framework::Instant LastAlive =
--- a/src/decision/tests/leaving_test.cpp
+++ b/src/decision/tests/leaving_test.cpp
@@ -224,6 +224,35 @@
   startCall(Fixture, CoreFixture::makeCall(2));
 }
 
+TEST_CASE("a stopping instance does not give up a call at whose target later "
+          "calls are answered first",
+          "[decision]") {
+  const bool IsIdempotent = GENERATE(true, false);
+  CoreFixture Fixture(GracePeriod);
+  Fixture.startUp();
+  Fixture.deliver(StopRequested{});
+  // One at each of the two targets.
+  std::vector<SendAttempt> Slow;
+  for (std::uint64_t Id = 1; Id <= 2; ++Id)
+    Slow.push_back(
+        startCall(Fixture, CoreFixture::makeLongCall(Id, IsIdempotent)));
+  ActionList Actions;
+  for (std::uint64_t Id = 3; Id <= 60; ++Id) {
+    const auto Sent =
+        startCall(Fixture, CoreFixture::makeLongCall(Id, IsIdempotent));
+    const auto Later = Fixture.pass(milliseconds(20));
+    Actions.insert(Actions.end(), Later.begin(), Later.end());
+    Fixture.deliver(CoreFixture::makeAnswer(Sent));
+  }
+  const auto Later = Fixture.pass(milliseconds(500));
+  Actions.insert(Actions.end(), Later.begin(), Later.end());
+  CHECK(CoreFixture::actionsOf<RefuseCall>(Actions).empty());
+  for (const SendAttempt &Each : Slow)
+    CHECK(CoreFixture::actionsOf<AnswerCall>(
+              Fixture.deliver(CoreFixture::makeAnswer(Each)))
+              .size() == 1);
+}
+
 TEST_CASE("a stopping instance refuses a call that takes longer than it has",
           "[decision]") {
   CoreFixture Fixture(GracePeriod);
