Do not let late answers to watches delay the read that replaces the next one

Cause: a read of changes whose answer is late is replaced by a read of all records after twice the time of the last answer, so that a store that is slow throughout is not asked twice. A watch answer that came 0.9 s late raised that limit from 0.3 to 1.8 s for the next one, although reads of all records were answered at once. Class: a limit for one way that follows the fault of another.

With constant delays the old code held, so that the former tests did not show it.

The limit now follows the faster of both kinds of reads: a store that is slow throughout still slows both. A watch that returns changes before its wait is over no longer counts as answered at once, since it is not known how long the store held it.

--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -42,8 +42,8 @@
 /// Added for members of a group.
 constexpr Duration MaxReadJitter = milliseconds(200);
 /// The answer to a read of changes is late when it takes longer than this
-/// besides the wait of a watch, and than a multiple of the last answer: a store
-/// that is slow throughout is not asked twice.
+/// besides the wait of a watch, and than a multiple of the last answer of
+/// either kind of read: a store that is slow throughout is not asked twice.
 constexpr Duration MinLateAnswerTime = milliseconds(300);
 constexpr int LateAnswerFactor = 2;
 /// After a late answer an instance whose view is too old reads all records for
@@ -169,8 +169,10 @@
 }
 
 void StoreReplicator::replaceLateRead(const EventContext &Context) {
+  const Duration LastAnswerTime =
+      std::min(LastFullReadTime_, LastChangesTime_.value_or(LastFullReadTime_));
   const Duration LateAnswerTime =
-      std::max(MinLateAnswerTime, LateAnswerFactor * LastAnswerTime_);
+      std::max(MinLateAnswerTime, LateAnswerFactor * LastAnswerTime);
   const bool IsLate =
       Context.Now_ >= ReadStartedAt_ + ReadWait_ + LateAnswerTime;
   const bool IsReadingChanges =
@@ -219,7 +221,7 @@
   endRead();
   IsFullReadNeeded_ = false;
   IsFullReadFailed_ = false;
-  LastAnswerTime_ = Context.Now_ - ReadStartedAt_;
+  LastFullReadTime_ = Context.Now_ - ReadStartedAt_;
   reportSlowRead(Records, Context);
   recordReadSuccess(Context);
   const Instant AnsweredAt = answeredAt(false, Context.Now_);
@@ -251,8 +253,10 @@
   if (!IsReplaced) {
     endRead();
     reportSlowRead(Records, Context);
-    LastAnswerTime_ =
-        std::max(Context.Now_ - ReadStartedAt_ - ReadWait_, Duration{});
+    // How long the store held a watch that returns changes is not known.
+    if (Records.empty() || ReadWait_ == Duration{})
+      LastChangesTime_ =
+          std::max(Context.Now_ - ReadStartedAt_ - ReadWait_, Duration{});
   }
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -219,8 +219,10 @@
   bool IsFullRead_ = false;
   /// Whether the last read was one of all records and has failed.
   bool IsFullReadFailed_ = false;
-  /// How long the last answer of the store took, without the wait of a watch.
-  framework::Duration LastAnswerTime_{};
+  /// How long the last answer to a read of all records took, and that to a read
+  /// of changes, without the wait of a watch.
+  framework::Duration LastFullReadTime_{};
+  std::optional<framework::Duration> LastChangesTime_;
   /// Until then, an instance whose view is too old reads all records.
   framework::Instant FullReadsUntil_{};
   /// Whether the store may answer the full read that is under way with stale
--- a/src/fleet/tests/latechanges_test.cpp
+++ b/src/fleet/tests/latechanges_test.cpp
@@ -55,6 +55,24 @@
   CHECK(longestUse(Fleet, seconds(12)) < MaxChangeDelay);
 }
 
+TEST_CASE(
+    "an instance that hears no other does not use a target on that leaves "
+    "while answers to reads of changes come late by varying times",
+    "[latechanges]") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    framework::Random Rng(Seed);
+    SeededSimulation Fleet(3, {"a", "b", "c"}, Targets);
+    Fleet.pass(seconds(4));
+    for (std::size_t Each = 0; Each < Fleet.Instances_.size(); ++Each)
+      Fleet.Isolated_.insert(Each);
+    Fleet.ChangesDelay_ = [&Rng] {
+      return milliseconds(500 + Rng.index(1'000));
+    };
+    CHECK(longestUse(Fleet, seconds(15)) < MaxChangeDelay);
+  }
+}
+
 TEST_CASE(
     "an instance that hears no other does not use a target on that leaves "
     "while the store answers reads of changes late",
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -203,6 +203,12 @@
     ++ReadCount_;
     // A new read takes the place of the one under way.
     TimeOuts_.erase(Instance);
+    if (ChangesDelay_) {
+      Watches_.erase(Instance);
+      std::erase_if(Arriving_, [&](const ArrivingAnswer &Each) {
+        return Each.Instance_ == Instance;
+      });
+    }
     OutputList Output;
     if (isStoreDownFor(Instance))
       Instances_[Instance].handleRecordsUnavailable({"down"}, Now_, Output);
@@ -218,16 +224,24 @@
              *Request.After_ == Revision_)
       Watches_[Instance] = Now_.Monotonic_ + Request.Wait_;
     else
-      transmit({Now_.Monotonic_, Instance, changesAfter(*Request.After_),
+      transmit({changesArriveAt(), Instance, changesAfter(*Request.After_),
                 Revision_, false});
     process(Instance, Output);
   }
 
+  framework::Instant changesArriveAt() const {
+    return Now_.Monotonic_ +
+           (ChangesDelay_ ? ChangesDelay_() : framework::Duration{});
+  }
+
   /// Hands an answer over once its bytes have passed the link of the instance.
   void transmit(ArrivingAnswer Answer) {
     const auto Link = LinkBytesPerMs_.find(Answer.Instance_);
     if (Link == LinkBytesPerMs_.end()) {
-      receive(Answer);
+      if (Answer.At_ > Now_.Monotonic_)
+        Arriving_.push_back(Answer);
+      else
+        receive(Answer);
       return;
     }
     std::size_t Bytes = 0;
@@ -267,10 +281,12 @@
   }
 
   bool isLinkFull(std::size_t Instance) const {
-    return std::any_of(
-        Arriving_.begin(), Arriving_.end(), [&](const ArrivingAnswer &Each) {
-          return Each.Instance_ == Instance && Each.At_ > Now_.Monotonic_;
-        });
+    return LinkBytesPerMs_.contains(Instance) &&
+           std::any_of(Arriving_.begin(), Arriving_.end(),
+                       [&](const ArrivingAnswer &Each) {
+                         return Each.Instance_ == Instance &&
+                                Each.At_ > Now_.Monotonic_;
+                       });
   }
 
   bool isStoreDownFor(std::size_t Instance) const {
@@ -362,7 +378,7 @@
     Changes_.push_back(std::move(Record));
     const auto Pending = std::exchange(Watches_, {});
     for (const auto &[Index, Until] : Pending)
-      transmit({Now_.Monotonic_, Index, {Changes_.back()}, Revision_, false});
+      transmit({changesArriveAt(), Index, {Changes_.back()}, Revision_, false});
   }
 
   /// From now on, reads of changes are answered later than instances wait for
@@ -401,6 +417,8 @@
           Watches_.erase(Watch);
           if (isStoreDownFor(Index))
             Instances_[Index].handleRecordsUnavailable({"down"}, Now_, Output);
+          else if (ChangesDelay_)
+            transmit({changesArriveAt(), Index, {}, Revision_, false});
           else
             Instances_[Index].handleChangedRecords({}, Revision_, Now_, Output);
         }
@@ -427,6 +445,9 @@
   /// The open watches of instances, with the times at which they end.
   std::map<std::size_t, framework::Instant> Watches_;
   bool AreChangesLate_ = false;
+  /// Returns the time by which the answer to a read of changes is late; unset
+  /// while they are answered in time.
+  std::function<framework::Duration()> ChangesDelay_;
   static constexpr framework::Duration ReadTimeout = milliseconds(600);
   /// The reads of instances that get no answer, with the times at which they
   /// are given up.
