Do not reuse a connection whose response ended with it

What callers could see: a request that must not run twice ends as unknown, or a safe one uses up a repeat, since it was sent on a connection that its target had closed.

Cause: a response without a length ends with its connection, but as its head has no `Connection: close` the connection was reported as reusable; the end of the connection followed as an event of its own. Between the two the connection counted as idle, and a request written to it may have been sent.

Evidence: `no request is sent on a connection whose response ends with it` failed before.

The parser, which knows how the message was framed, now says whether the connection is kept.

--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -270,6 +270,8 @@
 }
 
 void TargetConnection::finishResponse() {
+  // False for a response that ends with its connection.
+  const bool IsKeptAlive = Parser_->keep_alive();
   auto Message = Parser_->release();
   Parser_.reset();
   const std::vector<HeaderField> Fields = std::move(Fields_);
@@ -300,8 +302,7 @@
   Event.Report_ = Metadata.Report_;
   if (Event.Report_)
     Event.Report_->RequestLimit_ = Event.RequestLimit_;
-  Event.IsReusable_ =
-      Message.keep_alive() && IsRequestWritten_ && Input_.size() == 0;
+  Event.IsReusable_ = IsKeptAlive && IsRequestWritten_ && Input_.size() == 0;
   if (Event.IsReusable_) {
     Attempt_.reset();
     Serializer_.reset();
--- a/src/entry/tests/targetconnectionpool_test.cpp
+++ b/src/entry/tests/targetconnectionpool_test.cpp
@@ -202,6 +202,19 @@
         framework::AttemptId(3));
 }
 
+TEST_CASE("no request is sent on a connection whose response ends with it",
+          "[entry]") {
+  TargetFixture Fixture(EntryLimits(), callerIdProfile());
+  tcp::socket Target = Fixture.open(1);
+  Fixture.send(1, 1, "GET", std::nullopt, "/a", "id");
+  readHead(Target);
+  writeAll(Target,
+           "HTTP/1.1 200 OK\r\nAttempt-Id: id\r\nSignature: s\r\n\r\nx");
+  Target.close();
+  Fixture.expect<decision::AnswerBegan>();
+  CHECK_FALSE(Fixture.expect<AttemptAnswered>().IsReusable_);
+}
+
 TEST_CASE("a target that closes instead of answering may have run the request",
           "[entry]") {
   TargetFixture Fixture;
