Bound what the instance keeps of the messages that it exchanges on its own behalf

Cause: the parser limits the fields of a head and the decoded bytes of a body. A line between them has no limit of its own, and the buffers it was read into had no maximum. Class: a limit on what was understood, none on what was read.

The limits of a head and of bodies held already.

--- a/src/entry/httpgetclient.h
+++ b/src/entry/httpgetclient.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_ENTRY_HTTPGETCLIENT_H
 #define CRANBERRYSPOOL_ENTRY_HTTPGETCLIENT_H
 
+#include "entry/framinglimit.h"
 #include "entry/types/endpoint.h"
 #include "framework/time.h"
 
@@ -79,12 +80,13 @@
   /// operation holds a reference, since it may complete after its request was
   /// cancelled.
   struct Connection {
-    explicit Connection(boost::asio::io_context &Io) : Socket_(Io) {}
+    explicit Connection(boost::asio::io_context &Io);
 
     boost::asio::ip::tcp::socket Socket_;
     boost::beast::http::request<boost::beast::http::empty_body> Output_;
     boost::beast::flat_buffer Input_;
     std::optional<ResponseParser> Parser_;
+    FramingLimit Framing_;
   };
 
   void connect();
@@ -92,7 +94,7 @@
   void onConnected(const boost::system::error_code &Error);
   void onWritten(const boost::system::error_code &Error);
   void readSome();
-  void onRead(const boost::system::error_code &Error);
+  void onRead(const boost::system::error_code &Error, std::size_t Bytes);
   void startTimer(framework::Duration SinceStart);
   /// Calls `OnLargeBody_` when the head of such a response has arrived.
   void reportLargeBody();
--- a/src/entry/internal/httpgetclient.cpp
+++ b/src/entry/internal/httpgetclient.cpp
@@ -1,6 +1,7 @@
 #include "entry/httpgetclient.h"
 
 #include "entry/endpointtext.h"
+#include "entry/internal/inputlimits.h"
 #include "entry/internal/listen.h"
 
 #include <boost/beast/http/read.hpp>
@@ -15,6 +16,9 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+HttpGetClient::Connection::Connection(net::io_context &Io)
+    : Socket_(Io), Input_(MaxOwnInputBytes) {}
+
 HttpGetClient::HttpGetClient(net::io_context &Io) : Io_(Io), Timer_(Io) {}
 
 template <typename Method> auto HttpGetClient::ifCurrent(Method Handle) {
@@ -129,23 +133,41 @@
     return;
   }
   auto &Parser = Connection_->Parser_.emplace();
+  Connection_->Input_.max_size(
+      std::clamp(Request_.BodyBytes_, 2 * MaxOwnHeadBytes, MaxOwnInputBytes));
+  Connection_->Framing_ = FramingLimit(MaxOwnHeadBytes);
+  Parser.header_limit(MaxOwnHeadBytes);
   Parser.body_limit(Request_.BodyBytes_);
   Parser.eager(true);
   readSome();
 }
 
 void HttpGetClient::readSome() {
-  http::async_read_some(Connection_->Socket_, Connection_->Input_,
-                        *Connection_->Parser_,
-                        ifCurrent(&HttpGetClient::onRead));
-}
-
-void HttpGetClient::onRead(const error_code &Error) {
+  http::async_read_some(
+      Connection_->Socket_, Connection_->Input_, *Connection_->Parser_,
+      [Self = shared_from_this(), HeldConnection = Connection_,
+       RequestNumber = RequestNumber_](const error_code &Error,
+                                       std::size_t Bytes) {
+        if (RequestNumber == Self->RequestNumber_)
+          Self->onRead(Error, Bytes);
+      });
+}
+
+void HttpGetClient::onRead(const error_code &Error, std::size_t Bytes) {
+  Connection_->Framing_.add(Bytes);
   if (Error) {
-    WasTooLarge_ = Error == http::error::body_limit;
+    WasTooLarge_ = Error == http::error::body_limit ||
+                   Error == http::error::header_limit ||
+                   Error == http::error::buffer_overflow;
     retryOrFail();
     return;
   }
+  if (Connection_->Framing_.isExceeded(
+          Connection_->Parser_->get().body().size())) {
+    WasTooLarge_ = true;
+    finish(std::nullopt);
+    return;
+  }
   if (!Connection_->Parser_->is_done()) {
     reportLargeBody();
     extendTimer();
--- a/src/entry/internal/httppost.cpp
+++ b/src/entry/internal/httppost.cpp
@@ -1,5 +1,7 @@
 #include "entry/internal/httppost.h"
 
+#include "entry/framinglimit.h"
+#include "entry/internal/inputlimits.h"
 #include "entry/internal/listen.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,7 +24,7 @@
 public:
   PostOperation(net::io_context &Io, const PostRequest &Request,
                 const std::string &Body)
-      : Request_(Request), Socket_(Io) {
+      : Request_(Request), Socket_(Io), Input_(MaxOwnInputBytes) {
     Message_.version(11);
     Message_.method(http::verb::post);
     Message_.target(Request.Path_);
@@ -31,7 +33,9 @@
     Message_.keep_alive(false);
     Message_.body() = Body;
     Message_.prepare_payload();
+    Response_.header_limit(MaxOwnHeadBytes);
     Response_.body_limit(Request.MaxResponseBytes_);
+    Response_.eager(true);
   }
 
   void start() {
@@ -66,9 +70,19 @@
   }
 
   void read() {
-    http::async_read(
-        Socket_, Input_, Response_,
-        [this](const error_code &Error, std::size_t) { IsComplete_ = !Error; });
+    http::async_read_some(Socket_, Input_, Response_,
+                          [this](const error_code &Error, std::size_t Bytes) {
+                            onRead(Error, Bytes);
+                          });
+  }
+
+  void onRead(const error_code &Error, std::size_t Bytes) {
+    Framing_.add(Bytes);
+    if (Error || Framing_.isExceeded(Response_.get().body().size()))
+      return;
+    IsComplete_ = Response_.is_done();
+    if (!IsComplete_)
+      read();
   }
 
   const PostRequest &Request_;
@@ -76,6 +90,7 @@
   http::request<http::string_body> Message_;
   boost::beast::flat_buffer Input_;
   http::response_parser<http::string_body> Response_;
+  FramingLimit Framing_{MaxOwnHeadBytes};
   bool IsComplete_ = false;
 };
 
--- a/src/entry/internal/httpservicesession.cpp
+++ b/src/entry/internal/httpservicesession.cpp
@@ -1,6 +1,8 @@
 #include "entry/internal/httpservicesession.h"
 
 #include "entry/internal/httpservice.h"
+#include "entry/internal/inputlimits.h"
+#include "framework/runtime/clocks.h"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -13,40 +15,52 @@
 namespace {
 
 constexpr std::chrono::seconds ExchangeTimeout{30};
-constexpr std::size_t MaxHeadBytes = 8 * 1024;
 
 } // namespace
 
 HttpServiceSession::HttpServiceSession(boost::asio::ip::tcp::socket Socket,
+                                       std::uint64_t Number,
                                        HttpService &Service)
-    : Socket_(std::move(Socket)), Service_(Service),
-      Timer_(Socket_.get_executor()) {
+    : Socket_(std::move(Socket)), Number_(Number), Service_(Service),
+      Timer_(Socket_.get_executor()), Input_(MaxOwnInputBytes) {
   error_code Ignored;
   Socket_.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
 }
 
 void HttpServiceSession::readNext() {
   Parser_.emplace();
-  Parser_->header_limit(MaxHeadBytes);
+  Parser_->header_limit(MaxOwnHeadBytes);
   Parser_->body_limit(Service_.maxBodyBytes());
+  Parser_->eager(true);
+  Framing_ = FramingLimit(MaxOwnHeadBytes);
+  WaitingSince_ = framework::readMoment().Monotonic_;
   Timer_.expires_after(ExchangeTimeout);
   Timer_.async_wait([Self = shared_from_this()](const error_code &Error) {
-    error_code Ignored;
     if (!Error)
-      Self->Socket_.close(Ignored);
+      Self->close();
   });
-  http::async_read(
+  readSome();
+}
+
+void HttpServiceSession::readSome() {
+  http::async_read_some(
       Socket_, Input_, *Parser_,
-      [Self = shared_from_this()](const error_code &Error, std::size_t) {
-        Self->onRead(Error);
+      [Self = shared_from_this()](const error_code &Error, std::size_t Bytes) {
+        Self->onRead(Error, Bytes);
       });
 }
 
-void HttpServiceSession::onRead(const error_code &Error) {
-  if (Error) {
-    Timer_.cancel();
-    return;
-  }
+void HttpServiceSession::onRead(const error_code &Error, std::size_t Bytes) {
+  Framing_.add(Bytes);
+  if (Error || Framing_.isExceeded(Parser_->get().body().size()))
+    close();
+  else if (Parser_->is_done())
+    respond();
+  else
+    readSome();
+}
+
+void HttpServiceSession::respond() {
   auto Request = Parser_->release();
   ServiceResponse Result = Service_.handle(
       {std::string(Request.method_string()), std::string(Request.target()),
@@ -69,6 +83,15 @@
   Timer_.cancel();
   if (!Error && Output_.keep_alive())
     readNext();
+  else
+    close();
+}
+
+void HttpServiceSession::close() {
+  Timer_.cancel();
+  error_code Ignored;
+  Socket_.close(Ignored);
+  Service_.remove(Number_);
 }
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/httpservicesession.h
+++ b/src/entry/internal/httpservicesession.h
@@ -1,12 +1,16 @@
 #ifndef CRANBERRYSPOOL_ENTRY_INTERNAL_HTTPSERVICESESSION_H
 #define CRANBERRYSPOOL_ENTRY_INTERNAL_HTTPSERVICESESSION_H
 
+#include "entry/framinglimit.h"
+#include "framework/time.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -18,9 +22,13 @@
 class HttpServiceSession
     : public std::enable_shared_from_this<HttpServiceSession> {
 public:
-  HttpServiceSession(boost::asio::ip::tcp::socket Socket, HttpService &Service);
+  HttpServiceSession(boost::asio::ip::tcp::socket Socket, std::uint64_t Number,
+                     HttpService &Service);
 
   void readNext();
+  void close();
+  /// Returns since when the session waits for the end of a request.
+  framework::Instant waitingSince() const { return WaitingSince_; }
 
 private:
   using Parser =
@@ -28,14 +36,19 @@
   using Response =
       boost::beast::http::response<boost::beast::http::string_body>;
 
-  void onRead(const boost::system::error_code &Error);
+  void readSome();
+  void onRead(const boost::system::error_code &Error, std::size_t Bytes);
+  void respond();
   void onWritten(const boost::system::error_code &Error);
 
   boost::asio::ip::tcp::socket Socket_;
+  const std::uint64_t Number_;
   HttpService &Service_;
   boost::asio::steady_timer Timer_;
   boost::beast::flat_buffer Input_;
   std::optional<Parser> Parser_;
+  FramingLimit Framing_;
+  framework::Instant WaitingSince_{};
   Response Output_;
 };
 
--- /dev/null
+++ b/src/entry/tests/endlessinput_test.cpp
@@ -0,0 +1,153 @@
+#include "entry/httpgetclient.h"
+#include "entry/internal/httpservice.h"
+#include "entry/internal/listen.h"
+#include "entry/tests/callerfixture.h"
+#include "entry/tests/targetfixture.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace cranberryspool;
+using namespace cranberryspool::entry;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using calls::AttemptFailure;
+using Catch::Matchers::StartsWith;
+using decision::AttemptAnswered;
+using decision::AttemptFailed;
+
+namespace {
+
+/// What a faulty sender writes: a beginning, and then the same part without
+/// end.
+struct EndlessInput {
+  std::string Begin_;
+  std::string Part_;
+};
+
+/// "Without end" for the tests: more than any limit, socket buffers included.
+constexpr std::size_t EndlessBytes = 24 * 1024 * 1024;
+
+const std::string ChunkedResponse =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string ChunkedRequest =
+    "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string Text(1000, 'a');
+const std::string SmallChunk = "1;a=" + std::string(40, 'b') + "\r\nx\r\n";
+
+/// Writes until the other side closes. Returns false when it never did.
+bool writeWithoutEnd(tcp::socket &Socket, const EndlessInput &Input) {
+  std::string Block = Input.Begin_;
+  std::size_t Written = 0;
+  error_code Error;
+  while (Written < EndlessBytes) {
+    while (Block.size() < 64 * 1024)
+      Block += Input.Part_;
+    Written += boost::asio::write(Socket, boost::asio::buffer(Block), Error);
+    if (Error)
+      return true;
+    Block.clear();
+  }
+  Socket.shutdown(tcp::socket::shutdown_send, Error);
+  return false;
+}
+
+HttpProfile closeDelimitedProfile() {
+  HttpProfile Profile = defaultHttpProfile();
+  Profile.IsCloseDelimitedBodyAllowed_ = true;
+  return Profile;
+}
+
+/// A service of the instance itself on its own thread.
+struct ServiceFixture {
+  boost::asio::io_context Io_{1};
+  Endpoint Endpoint_;
+  std::optional<HttpService> Service_;
+  std::jthread Thread_;
+
+  ServiceFixture() {
+    tcp::acceptor Acceptor = std::move(listen(Io_, {"127.0.0.1", 0}).value());
+    Endpoint_ = {"127.0.0.1", Acceptor.local_endpoint().port()};
+    Service_.emplace(Io_, std::move(Acceptor), 1024,
+                     [](const ServiceRequest &) { return ServiceResponse{}; });
+    Thread_ = std::jthread([this] { Io_.run(); });
+  }
+
+  ~ServiceFixture() {
+    Io_.stop();
+    Thread_.join();
+  }
+};
+
+} // namespace
+
+TEST_CASE("a response to a probe or of the store without end is not kept",
+          "[entry][endless]") {
+  const auto Input =
+      GENERATE(EndlessInput{"HTTP/1.1 200 OK\r\nA: ", Text},
+               EndlessInput{ChunkedResponse + "1;", Text},
+               EndlessInput{ChunkedResponse, SmallChunk},
+               EndlessInput{ChunkedResponse + "0\r\n", "A: " + Text + "\r\n"},
+               EndlessInput{"HTTP/1.1 200 OK\r\n\r\n", Text});
+  CAPTURE(Input.Begin_, Input.Part_);
+  boost::asio::io_context Io;
+  tcp::acceptor Acceptor = std::move(listen(Io, {"127.0.0.1", 0}).value());
+  bool HasClosed = false;
+  std::jthread Server([&] {
+    tcp::socket Connection = Acceptor.accept();
+    readHead(Connection);
+    HasClosed = writeWithoutEnd(Connection, Input);
+  });
+  const auto Client = std::make_shared<HttpGetClient>(Io);
+  HttpGetRequest Request;
+  Request.Server_ = {"127.0.0.1", Acceptor.local_endpoint().port()};
+  Request.Target_ = "/";
+  Request.Timeout_ = std::chrono::seconds(60);
+  Request.BodyBytes_ = 4'000'000;
+  std::optional<bool> HasResponse;
+  Client->get(std::move(Request), [&](const auto &Response) {
+    HasResponse = Response.has_value();
+  });
+  while (!HasResponse)
+    Io.run_one();
+  Server.join();
+  CHECK_FALSE(*HasResponse);
+  CHECK(HasClosed);
+  CHECK(Client->wasTooLarge());
+}
+
+TEST_CASE("a request to a service of the instance without end is not kept",
+          "[entry][endless]") {
+  const auto Input =
+      GENERATE(EndlessInput{"GET / HTTP/1.1\r\nA: ", Text},
+               EndlessInput{ChunkedRequest + "1;", Text},
+               EndlessInput{ChunkedRequest, SmallChunk},
+               EndlessInput{ChunkedRequest, "0"},
+               EndlessInput{ChunkedRequest + "0\r\n", "A: " + Text + "\r\n"});
+  CAPTURE(Input.Begin_, Input.Part_);
+  ServiceFixture Fixture;
+  boost::asio::io_context Io;
+  tcp::socket Socket(Io);
+  Socket.connect(toTcp(Fixture.Endpoint_));
+  CHECK(writeWithoutEnd(Socket, Input));
+}
+
+TEST_CASE("a service of the instance responds while others hold connections "
+          "open without end",
+          "[entry][endless]") {
+  ServiceFixture Fixture;
+  std::deque<RawClient> Idle;
+  for (int Count = 0; Count < 80; ++Count) {
+    Idle.emplace_back(Fixture.Endpoint_);
+    Idle.back().send("GET / HT");
+  }
+  RawClient Client(Fixture.Endpoint_);
+  Client.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK_THAT(Client.receiveResponse(), StartsWith("HTTP/1.1 200 "));
+  // The oldest one was closed.
+  CHECK(Idle.front().receiveAll().empty());
+}
+
