Read no byte of a target's answer without room for it, whatever its framing

Cause: room was reserved by framing. A length reserved its bytes and a chunked answer the largest body, both at once; an answer that ends with its connection reserved nothing. Four answers that hung held the whole budget. Nothing counted bytes that are not body.

Room is now reserved as a body arrives, one read ahead, for all framings, so that an answer that hangs holds only what has come. When there is none, the connection stops reading; the one that has waited longest may use a quarter of the budget that others leave free, so that one answer can always be completed. Interim responses and chunk headers are limited like those of the instance's own messages.

--- a/src/entry/internal/instancestate.h
+++ b/src/entry/internal/instancestate.h
@@ -20,13 +20,14 @@
                 HttpProfile Profile = defaultHttpProfile())
       : HttpProfile_(std::move(Profile)), CallerLimits_(Limits),
         RequestBytes_(Limits.RequestBytes_),
-        ResponseBytes_(Limits.ResponseBytes_),
+        ResponseBytes_(Limits.ResponseBytes_), InputBytes_(Limits.InputBytes_),
         StoredResponses_(Limits.StoredResponseBytes_), Sections_(Mailboxes) {}
 
   const HttpProfile HttpProfile_;
   EffectiveCallerLimits CallerLimits_;
   framework::ByteBudget RequestBytes_;
   framework::ByteBudget ResponseBytes_;
+  framework::ByteBudget InputBytes_;
   StoredResponses StoredResponses_;
   PendingSections Sections_;
   std::atomic<bool> IsReady_{false};
--- a/src/entry/internal/targetconnection.cpp
+++ b/src/entry/internal/targetconnection.cpp
@@ -13,6 +13,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace cranberryspool::entry {
 
 namespace net = boost::asio;
@@ -24,9 +27,8 @@
 
 namespace {
 
-/// The limit of the input buffer. It leaves room for body bytes behind the
-/// head; the limit of the head itself is set on the parser.
-constexpr std::size_t InputBufferBytes = 128 * 1024;
+/// The input that a connection may hold without a reservation.
+constexpr std::size_t SmallInputBytes = 4 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
@@ -36,7 +38,7 @@
 TargetConnection::TargetConnection(const decision::OpenConnection &Command,
                                    TargetConnectionPool &Pool)
     : OpenCommand_(Command), Pool_(Pool), Socket_(Pool.io()),
-      ConnectStartedAt_(Pool.now()), Input_(InputBufferBytes) {}
+      ConnectStartedAt_(Pool.now()), Input_(SmallInputBytes) {}
 
 void TargetConnection::connect(const tcp::endpoint &Remote) {
   Socket_.async_connect(Remote,
@@ -87,7 +89,10 @@
   if (Phase_ == Phase::Closed)
     return;
   if (Phase_ == Phase::Busy && !Error) {
-    readHead();
+    Framing_ = FramingLimit(Pool_.limits().HeadBytes_);
+    Pool_.postEvent(decision::AnswerBegan{Attempt_->Attempt_.Attempt_,
+                                          OpenCommand_.Connection_});
+    startHead();
     return;
   }
   const bool WasBusy = Phase_ == Phase::Busy;
@@ -193,34 +198,47 @@
   fail(classifyError(Error));
 }
 
-void TargetConnection::readHead() {
-  const bool IsFirstHead = !Parser_.has_value();
+void TargetConnection::startHead() {
   Parser_.emplace();
   Parser_->header_limit(static_cast<std::uint32_t>(Pool_.limits().HeadBytes_));
   Parser_->body_limit(Pool_.limits().BodyBytes_);
   Parser_->skip(Attempt_->Request_->Method_ == "HEAD");
-  if (IsFirstHead)
-    Pool_.postEvent(decision::AnswerBegan{Attempt_->Attempt_.Attempt_,
-                                          OpenCommand_.Connection_});
+  readHead();
+}
+
+void TargetConnection::readHead() {
   http::async_read_header(
       Socket_, Input_, *Parser_,
-      [Self = shared_from_this()](const error_code &Error, std::size_t) {
-        Self->onHeadRead(Error);
+      [Self = shared_from_this()](const error_code &Error, std::size_t Bytes) {
+        Self->onHeadRead(Error, Bytes);
       });
 }
 
-void TargetConnection::onHeadRead(const error_code &Error) {
+void TargetConnection::onHeadRead(const error_code &Error, std::size_t Bytes) {
   if (Phase_ != Phase::Busy)
     return;
+  Framing_.add(Bytes);
+  if (Error == http::error::buffer_overflow && !isInputEnlarged()) {
+    if (tryEnlargeInput())
+      readHead();
+    else
+      awaitRoom();
+    return;
+  }
   if (Error) {
     fail(classifyError(Error));
     return;
   }
+  if (Parser_->get().result_int() >= FirstFinalStatus)
+    acceptHead();
+  else if (Framing_.isExceeded(0))
+    fail(AttemptFailure::AnswerTooLarge);
+  else
+    startHead();
+}
+
+void TargetConnection::acceptHead() {
   const auto &Head = Parser_->get();
-  if (Head.result_int() < FirstFinalStatus) {
-    readHead();
-    return;
-  }
   // Copied before the body is read, since the parser adds trailer fields to the
   // same list; trailers must not become header fields.
   Fields_ = copyFields(Head);
@@ -234,42 +252,94 @@
     fail(AttemptFailure::Malformed);
     return;
   }
+  Framing_ = FramingLimit(Pool_.limits().HeadBytes_);
+  Parser_->eager(true);
   readBody();
 }
 
 void TargetConnection::readBody() {
-  std::size_t Bytes = 0;
-  if (Parser_->chunked())
-    Bytes = Pool_.limits().BodyBytes_;
-  else if (Parser_->content_length() && !Parser_->is_done())
-    Bytes = *Parser_->content_length();
-  if (!Reservation_.tryReserve(Pool_.state().ResponseBytes_, Bytes)) {
-    Pool_.awaitBudget(OpenCommand_.Connection_);
+  if (Parser_->is_done()) {
+    finishResponse();
+    return;
+  }
+  const std::size_t Bytes = bodyBytesAfterRead();
+  // Without room for more input the body is read in smaller parts.
+  if (Bytes > SmallInputBytes)
+    tryEnlargeInput();
+  if (!Pool_.tryReserveBody(OpenCommand_.Connection_, Reservation_, Bytes)) {
+    awaitRoom();
     return;
   }
-  http::async_read(
+  http::async_read_some(
       Socket_, Input_, *Parser_,
-      [Self = shared_from_this()](const error_code &Error, std::size_t) {
-        Self->onBodyRead(Error);
+      [Self = shared_from_this()](const error_code &Error, std::size_t Read) {
+        Self->onBodyRead(Error, Read);
       });
 }
 
-void TargetConnection::retryReadBody() {
-  if (Phase_ == Phase::Busy)
-    readBody();
+std::size_t TargetConnection::bodyBytesAfterRead() const {
+  const std::size_t LargestRead = Pool_.limits().HeadBytes_ + SmallInputBytes;
+  const std::size_t Bytes = Parser_->get().body().size() + LargestRead;
+  const std::size_t Most =
+      Parser_->chunked() || !Parser_->content_length()
+          ? Pool_.limits().BodyBytes_
+          : static_cast<std::size_t>(*Parser_->content_length());
+  return std::min(Bytes, Most);
 }
 
-void TargetConnection::onBodyRead(const error_code &Error) {
+void TargetConnection::onBodyRead(const error_code &Error, std::size_t Bytes) {
   if (Phase_ != Phase::Busy)
     return;
-  if (Error) {
-    fail(classifyError(Error));
+  Framing_.add(Bytes);
+  const bool IsInputFull =
+      Error == http::error::buffer_overflow && !isInputEnlarged();
+  if (IsInputFull && !tryEnlargeInput()) {
+    awaitRoom();
     return;
   }
-  finishResponse();
+  if (Error && !IsInputFull)
+    fail(classifyError(Error));
+  else if (Framing_.isExceeded(Parser_->get().body().size()))
+    fail(AttemptFailure::AnswerTooLarge);
+  else
+    readBody();
+}
+
+bool TargetConnection::isInputEnlarged() const {
+  return Input_.max_size() > SmallInputBytes;
+}
+
+bool TargetConnection::tryEnlargeInput() {
+  const std::size_t Bytes = Pool_.limits().HeadBytes_ + SmallInputBytes;
+  if (!InputReservation_.tryGrow(Pool_.state().InputBytes_, Bytes))
+    return false;
+  Input_.max_size(Bytes);
+  return true;
+}
+
+void TargetConnection::resetInput() {
+  Input_ = boost::beast::flat_buffer(SmallInputBytes);
+  InputReservation_ = framework::ByteReservation();
+}
+
+void TargetConnection::awaitRoom() {
+  IsAwaitingRoom_ = true;
+  Pool_.awaitBudget(OpenCommand_.Connection_);
+}
+
+void TargetConnection::retryRead() {
+  if (Phase_ != Phase::Busy || !std::exchange(IsAwaitingRoom_, false))
+    return;
+  if (Parser_->is_header_done())
+    readBody();
+  else if (isInputEnlarged() || tryEnlargeInput())
+    readHead();
+  else
+    awaitRoom();
 }
 
 void TargetConnection::finishResponse() {
+  Pool_.stopWaiting(OpenCommand_.Connection_);
   // False for a response that ends with its connection.
   const bool IsKeptAlive = Parser_->keep_alive();
   auto Message = Parser_->release();
@@ -307,6 +377,8 @@
     Attempt_.reset();
     Serializer_.reset();
     Output_.reset();
+    if (isInputEnlarged())
+      resetInput();
     Phase_ = Phase::Idle;
     awaitReadable();
   } else {
@@ -350,6 +422,7 @@
     return;
   Phase_ = Phase::Closed;
   Reservation_ = framework::ByteReservation();
+  InputReservation_ = framework::ByteReservation();
   error_code Ignored;
   Socket_.close(Ignored);
   Pool_.remove(OpenCommand_.Connection_);
--- a/src/entry/internal/targetconnection.h
+++ b/src/entry/internal/targetconnection.h
@@ -3,6 +3,7 @@
 
 #include "calls/types/attemptfailure.h"
 #include "calls/types/writestate.h"
+#include "entry/framinglimit.h"
 #include "entry/types/entrylimits.h"
 #include "entry/types/headerfield.h"
 #include "entry/types/responsemetadata.h"
@@ -40,8 +41,8 @@
   /// Closes a connection that was not established within the connect timeout.
   void closeIfTimedOut(framework::Instant Now);
 
-  /// Continues to read a response that waited for the response byte budget.
-  void retryReadBody();
+  /// Continues to read a response if it waits for room in a byte budget.
+  void retryRead();
 
 private:
   enum class Phase { Connecting, Idle, Busy, Closed };
@@ -61,10 +62,21 @@
   bool isMisdirected(unsigned Status) const;
   void writeRequest();
   void onWritten(const boost::system::error_code &Error, std::size_t Bytes);
+  void startHead();
   void readHead();
-  void onHeadRead(const boost::system::error_code &Error);
+  void onHeadRead(const boost::system::error_code &Error, std::size_t Bytes);
+  void acceptHead();
   void readBody();
-  void onBodyRead(const boost::system::error_code &Error);
+  void onBodyRead(const boost::system::error_code &Error, std::size_t Bytes);
+  /// Returns the number of body bytes that there must be room for before the
+  /// next read.
+  std::size_t bodyBytesAfterRead() const;
+  /// Allows the input to grow to its maximum size. Returns false when there is
+  /// no room for that at present.
+  bool tryEnlargeInput();
+  bool isInputEnlarged() const;
+  void resetInput();
+  void awaitRoom();
   void finishResponse();
   void fail(calls::AttemptFailure Failure);
   void close();
@@ -83,9 +95,12 @@
   std::optional<Request> Output_;
   std::optional<Serializer> Serializer_;
   boost::beast::flat_buffer Input_;
+  framework::ByteReservation InputReservation_;
   std::optional<ResponseParser> Parser_;
+  FramingLimit Framing_;
   std::vector<HeaderField> Fields_;
   framework::ByteReservation Reservation_;
+  bool IsAwaitingRoom_ = false;
 };
 
 } // namespace cranberryspool::entry
--- a/src/entry/internal/targetconnectionpool.cpp
+++ b/src/entry/internal/targetconnectionpool.cpp
@@ -4,6 +4,9 @@
 #include "entry/internal/probeconnection.h"
 #include "framework/runtime/clocks.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cranberryspool::entry {
 
 namespace net = boost::asio;
@@ -14,6 +17,9 @@
 
 constexpr std::chrono::milliseconds SweepInterval{100};
 constexpr std::chrono::milliseconds BudgetRetryInterval{5};
+/// The largest part of the budget of responses that is kept free for the
+/// connection that has waited longest.
+constexpr std::size_t KeptFreeDivisor = 4;
 
 } // namespace
 
@@ -44,12 +50,32 @@
 }
 
 void TargetConnectionPool::remove(ConnectionId Connection) {
+  stopWaiting(Connection);
   Connections_.erase(Connection);
 }
 
+bool TargetConnectionPool::tryReserveBody(
+    ConnectionId Connection, framework::ByteReservation &Reservation,
+    std::size_t Bytes) {
+  const bool IsFirst =
+      !WaitingForBudget_.empty() && WaitingForBudget_.front() == Connection;
+  const std::size_t KeptFree = std::min(
+      Limits_.BodyBytes_, State_.ResponseBytes_.limit() / KeptFreeDivisor);
+  if (Reservation.tryGrow(State_.ResponseBytes_, Bytes, IsFirst ? 0 : KeptFree))
+    return true;
+  awaitBudget(Connection);
+  return false;
+}
+
+void TargetConnectionPool::stopWaiting(ConnectionId Connection) {
+  std::erase(WaitingForBudget_, Connection);
+}
+
 void TargetConnectionPool::awaitBudget(ConnectionId Connection) {
-  WaitingForBudget_.push_back(Connection);
-  if (WaitingForBudget_.size() > 1)
+  if (std::find(WaitingForBudget_.begin(), WaitingForBudget_.end(),
+                Connection) == WaitingForBudget_.end())
+    WaitingForBudget_.push_back(Connection);
+  if (std::exchange(IsRetryScheduled_, true))
     return;
   BudgetRetryTimer_.expires_after(BudgetRetryInterval);
   BudgetRetryTimer_.async_wait([this](const error_code &Error) {
@@ -59,13 +85,14 @@
 }
 
 void TargetConnectionPool::retryWaitingConnections() {
-  for (const ConnectionId Waiting :
-       std::exchange(WaitingForBudget_, std::vector<ConnectionId>())) {
-    const auto Found = Connections_.find(Waiting);
+  IsRetryScheduled_ = false;
+  const std::vector<ConnectionId> Waiting = WaitingForBudget_;
+  for (const ConnectionId Each : Waiting) {
+    const auto Found = Connections_.find(Each);
     if (Found == Connections_.end())
       continue;
     const auto Connection = Found->second;
-    Connection->retryReadBody();
+    Connection->retryRead();
   }
 }
 
--- a/src/entry/internal/targetconnectionpool.h
+++ b/src/entry/internal/targetconnectionpool.h
@@ -34,9 +34,17 @@
   void postEvent(decision::Event Event,
                  std::shared_ptr<const TargetResponse> Response = nullptr);
   void remove(framework::ConnectionId Connection);
-  /// Schedules a call of `retryReadBody` for a connection whose response does
-  /// not fit into the byte budget at present.
+  /// Reserves room for the body of a response until `Bytes` are held. Returns
+  /// false when there is none at present; `retryRead` is then called later.
+  /// The connection that has waited longest may use the part of the budget that
+  /// is kept free for it, so that one response can always be completed.
+  bool tryReserveBody(framework::ConnectionId Connection,
+                      framework::ByteReservation &Reservation,
+                      std::size_t Bytes);
+  /// Schedules a call of `retryRead` for a connection that waits for room.
   void awaitBudget(framework::ConnectionId Connection);
+  /// The response of a connection needs no more room.
+  void stopWaiting(framework::ConnectionId Connection);
 
 private:
   void onCommand(TargetCommand &Command);
@@ -55,7 +63,10 @@
   framework::Outbox<DispatchInput> Dispatch_;
   boost::asio::steady_timer SweepTimer_;
   boost::asio::steady_timer BudgetRetryTimer_;
+  /// Connections whose responses have waited for room and are not complete, in
+  /// the order in which they began to wait.
   std::vector<framework::ConnectionId> WaitingForBudget_;
+  bool IsRetryScheduled_ = false;
   std::unordered_map<framework::ConnectionId, std::shared_ptr<TargetConnection>>
       Connections_;
   std::unordered_map<framework::TargetId, std::shared_ptr<ProbeConnection>>
--- a/src/entry/tests/endlessinput_test.cpp
+++ b/src/entry/tests/endlessinput_test.cpp
@@ -84,6 +84,85 @@
 
 } // namespace
 
+TEST_CASE("a target that sends bytes without end fails its attempt and leaves "
+          "no memory in use",
+          "[entry][endless]") {
+  const auto Input =
+      GENERATE(EndlessInput{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+               EndlessInput{"HTTP/1.1 200 OK\r\nA: ", Text},
+               EndlessInput{"HTTP/1.1 200 OK\r\n", "A: " + Text + "\r\n"},
+               EndlessInput{ChunkedResponse + "1;", Text},
+               EndlessInput{ChunkedResponse, SmallChunk},
+               EndlessInput{ChunkedResponse + "0\r\n", "A: " + Text + "\r\n"},
+               EndlessInput{ChunkedResponse, "3e8\r\n" + Text + "\r\n"},
+               EndlessInput{"HTTP/1.1 200 OK\r\n\r\n", Text});
+  CAPTURE(Input.Begin_, Input.Part_);
+  TargetFixture Fixture(EntryLimits(), closeDelimitedProfile());
+  tcp::socket Target = Fixture.open(1);
+  Fixture.send(1, 1);
+  readHead(Target);
+  CHECK(writeWithoutEnd(Target, Input));
+  Fixture.expect<decision::AnswerBegan>();
+  CHECK(Fixture.expect<AttemptFailed>().Failure_ ==
+        AttemptFailure::AnswerTooLarge);
+  CHECK(Fixture.responseBytesInUse() == 0);
+}
+
+TEST_CASE("responses without a length wait until the byte budget has room",
+          "[entry][endless]") {
+  EntryLimits Limits;
+  Limits.ResponseBytes_ = 100'000;
+  Limits.BodyBytes_ = 60'000;
+  TargetFixture Fixture(Limits, closeDelimitedProfile());
+  const std::string Response =
+      "HTTP/1.1 200 OK\r\n\r\n" + std::string(60'000, 'x');
+  std::vector<DispatchInput> Held;
+  for (std::uint64_t Number = 1; Number <= 2; ++Number) {
+    tcp::socket Target = Fixture.open(Number);
+    Fixture.send(Number, Number);
+    readHead(Target);
+    writeAll(Target, Response);
+    Target.close();
+    Fixture.expect<decision::AnswerBegan>();
+    if (Number == 1)
+      Held.push_back(Fixture.next());
+  }
+  CHECK(Held[0].Response_->Body_.size() == 60'000);
+  CHECK(Fixture.responseBytesInUse() >= 60'000);
+  CHECK(Fixture.responseBytesInUse() <= 100'000);
+  CHECK_FALSE(Fixture.hasNext(std::chrono::milliseconds(100)));
+  Held.clear();
+  CHECK(Fixture.next().Response_->Body_.size() == 60'000);
+}
+
+TEST_CASE("responses that hang hold only the room of what has arrived",
+          "[entry][endless]") {
+  EntryLimits Limits;
+  Limits.HeadBytes_ = 1024;
+  Limits.ResponseBytes_ = 100'000;
+  Limits.BodyBytes_ = 90'000;
+  TargetFixture Fixture(Limits, closeDelimitedProfile());
+  const auto Begin = GENERATE(
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\nhalf"),
+      ChunkedResponse + "15f90\r\nhalf",
+      std::string("HTTP/1.1 200 OK\r\n\r\nhalf"));
+  std::vector<tcp::socket> Targets;
+  for (std::uint64_t Number = 1; Number <= 4; ++Number) {
+    Targets.push_back(Fixture.open(Number));
+    Fixture.send(Number, Number);
+    readHead(Targets.back());
+    writeAll(Targets.back(), Begin);
+    Fixture.expect<decision::AnswerBegan>();
+  }
+  tcp::socket Target = Fixture.open(5);
+  Fixture.send(5, 5);
+  readHead(Target);
+  writeAll(Target, "HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n" +
+                       std::string(50'000, 'x'));
+  Fixture.expect<decision::AnswerBegan>();
+  CHECK(Fixture.expect<AttemptAnswered>().Attempt_ == framework::AttemptId(5));
+}
+
 TEST_CASE("a response to a probe or of the store without end is not kept",
           "[entry][endless]") {
   const auto Input =
--- a/src/entry/tests/targetfixture.cpp
+++ b/src/entry/tests/targetfixture.cpp
@@ -84,6 +84,12 @@
   return Input;
 }
 
+bool TargetFixture::hasNext(std::chrono::milliseconds Wait) {
+  std::unique_lock Lock(Mutex_);
+  return InputArrived_.wait_for(Lock, Wait,
+                                [this] { return !Inputs_.empty(); });
+}
+
 std::string TargetFixture::address() const {
   const tcp::endpoint Address = Acceptor_.local_endpoint();
   return textOf({Address.address().to_string(), Address.port()});
--- a/src/entry/tests/targetfixture.h
+++ b/src/entry/tests/targetfixture.h
@@ -32,6 +32,8 @@
 
   /// Waits for the next event with its response.
   DispatchInput next();
+  /// Waits for the next event for at most `Wait`.
+  bool hasNext(std::chrono::milliseconds Wait);
   /// Waits for the next event, which must be of the given type.
   template <typename EventType> EventType expect() {
     return std::get<EventType>(next().Event_);
--- a/src/entry/types/entrylimits.h
+++ b/src/entry/types/entrylimits.h
@@ -17,6 +17,10 @@
   std::size_t RequestBytes_ = 48 * 1024 * 1024;
   /// The maximum size of all response bodies held at one time.
   std::size_t ResponseBytes_ = 48 * 1024 * 1024;
+  /// The maximum size of all input held besides bodies: heads of requests in
+  /// progress, and input that is not parsed yet beyond a few kilobytes a
+  /// connection.
+  std::size_t InputBytes_ = 48 * 1024 * 1024;
   /// The maximum number of open caller connections.
   std::size_t CallerConnections_ = 4096;
   /// The time limit from the first byte of a request head to its end.
--- a/src/framework/runtime/bytebudget.h
+++ b/src/framework/runtime/bytebudget.h
@@ -15,11 +15,11 @@
   ByteBudget(const ByteBudget &) = delete;
   ByteBudget &operator=(const ByteBudget &) = delete;
 
-  /// Reserves bytes. Returns false, and reserves none, when the limit would be
-  /// exceeded.
-  bool tryReserve(std::size_t Bytes) {
+  /// Reserves bytes. Returns false, and reserves none, when fewer than
+  /// `KeptFree` bytes of the limit would be left.
+  bool tryReserve(std::size_t Bytes, std::size_t KeptFree = 0) {
     const std::size_t PreviouslyUsed = Used_.fetch_add(Bytes);
-    if (PreviouslyUsed + Bytes <= Limit_)
+    if (PreviouslyUsed + Bytes + KeptFree <= Limit_)
       return true;
     Used_.fetch_sub(Bytes);
     return false;
@@ -27,6 +27,7 @@
 
   void release(std::size_t Bytes) { Used_.fetch_sub(Bytes); }
 
+  std::size_t limit() const { return Limit_; }
   std::size_t used() const { return Used_.load(); }
 
 private:
--- a/src/framework/runtime/bytereservation.h
+++ b/src/framework/runtime/bytereservation.h
@@ -38,6 +38,20 @@
     return true;
   }
 
+  /// Reserves more bytes until the given number is held. Returns false, and
+  /// holds what it held before, when fewer than `KeptFree` bytes of the budget
+  /// would be left.
+  bool tryGrow(ByteBudget &Budget, std::size_t Bytes,
+               std::size_t KeptFree = 0) {
+    if (Bytes <= Bytes_)
+      return true;
+    if (!Budget.tryReserve(Bytes - Bytes_, KeptFree))
+      return false;
+    Budget_ = &Budget;
+    Bytes_ = Bytes;
+    return true;
+  }
+
   /// Releases all but the given number of bytes.
   void shrink(std::size_t Bytes) {
     if (!Budget_ || Bytes >= Bytes_)
