Bound what is held of callers' requests besides their bodies

A chunked body now reserves room as it arrives, and is refused as not run when there is none left. Heads of requests in progress, and unparsed input beyond 8 KB a connection, take from the budget of other input. Chunk headers and trailers are limited to one head and as many bytes as the body has.

--- a/src/entry/internal/callersession.cpp
+++ b/src/entry/internal/callersession.cpp
@@ -33,6 +33,8 @@
 
 constexpr std::size_t ReadSize = 4 * 1024;
 constexpr std::size_t BodyReadSize = 64 * 1024;
+/// The input that a connection may hold without a reservation.
+constexpr std::size_t UnreservedInputBytes = 2 * ReadSize;
 /// The limit for a chunk header with its extensions, and for the trailer
 /// section.
 constexpr std::size_t MaxChunkHeadBytes = 16 * 1024;
@@ -101,8 +103,17 @@
     return;
   if (Input_.size() == 0 && Phase_ != Phase::Body)
     Input_ = beast::flat_buffer();
+  std::size_t Bytes = Phase_ == Phase::Body ? BodyReadSize : ReadSize;
+  if (!tryReserveInput(Input_.size() + Bytes)) {
+    if (Phase_ == Phase::Paused)
+      return;
+    if (Phase_ == Phase::Head) {
+      respondNotRun(503, "overloaded", false);
+      return;
+    }
+    Bytes = ReadSize;
+  }
   IsReading_ = true;
-  const std::size_t Bytes = Phase_ == Phase::Body ? BodyReadSize : ReadSize;
   Socket_.async_read_some(
       Input_.prepare(Bytes),
       [Self = shared_from_this()](const error_code &Error, std::size_t Count) {
@@ -110,6 +121,13 @@
       });
 }
 
+bool CallerSession::tryReserveInput(std::size_t Bytes) {
+  if (Bytes > UnreservedInputBytes)
+    return InputReservation_.tryGrow(Server_.state().InputBytes_, Bytes);
+  InputReservation_ = framework::ByteReservation();
+  return true;
+}
+
 void CallerSession::onRead(const error_code &Error, std::size_t Bytes) {
   IsReading_ = false;
   if (isClosed())
@@ -218,8 +236,9 @@
         Socket_.remote_endpoint(Ignored).address().to_string();
   }
   Input_.consume(ConsumedBytes);
-  if (!reserveBody())
+  if (!reserveRequest(ConsumedBytes))
     return;
+  Framing_ = FramingLimit(Server_.limits().HeadBytes_);
   Phase_ = Phase::Body;
   setDeadline(Server_.limits().BodyTimeout_);
   if (beast::iequals(Message[http::field::expect], "100-continue") &&
@@ -230,27 +249,44 @@
   continueBody();
 }
 
-bool CallerSession::reserveBody() {
-  std::size_t Bytes = 0;
-  if (Parser_->chunked())
-    Bytes = Server_.callerLimits().bodyBytes();
-  else if (Parser_->content_length())
-    Bytes = *Parser_->content_length();
-  if (Request_.Reservation_.tryReserve(Server_.state().RequestBytes_, Bytes))
+bool CallerSession::reserveRequest(std::size_t HeadBytes) {
+  InstanceState &State = Server_.state();
+  const std::size_t BodyBytes =
+      Parser_->chunked() ? 0 : Parser_->content_length().value_or(0);
+  if (Request_.HeadReservation_.tryReserve(State.InputBytes_, HeadBytes) &&
+      Request_.Reservation_.tryReserve(State.RequestBytes_, BodyBytes))
     return true;
   respondNotRun(503, "overloaded", false);
   return false;
 }
 
+bool CallerSession::tryReserveChunks() {
+  if (!Parser_->chunked())
+    return true;
+  const std::size_t Bytes =
+      std::min(Parser_->get().body().size() + Input_.size(),
+               Server_.callerLimits().bodyBytes());
+  return Request_.Reservation_.tryGrow(Server_.state().RequestBytes_, Bytes);
+}
+
 void CallerSession::continueBody() {
   Parser_->eager(true);
   error_code Error;
   while (!Parser_->is_done() && Input_.size() > 0) {
+    if (!tryReserveChunks()) {
+      respondNotRun(503, "overloaded", false);
+      return;
+    }
     const std::size_t ConsumedBytes = Parser_->put(Input_.data(), Error);
     Input_.consume(ConsumedBytes);
+    Framing_.add(ConsumedBytes);
+    const bool IsFramingTooLarge =
+        Framing_.isExceeded(Parser_->get().body().size());
+    if (!Error && IsFramingTooLarge)
+      Error = http::error::bad_chunk;
     if (Error == http::error::need_more) {
       Error = {};
-      if (Input_.size() > MaxChunkHeadBytes)
+      if (Input_.size() > MaxChunkHeadBytes || IsFramingTooLarge)
         Error = http::error::bad_chunk;
       else
         break;
--- a/src/entry/internal/callersession.h
+++ b/src/entry/internal/callersession.h
@@ -3,6 +3,7 @@
 
 #include "decision/types/actions/refusecall.h"
 #include "decision/types/events/callarrived.h"
+#include "entry/framinglimit.h"
 #include "entry/internal/exchange.h"
 #include "entry/types/callerkind.h"
 #include "entry/types/callerrequest.h"
@@ -71,7 +72,13 @@
   void continueWithInput();
   void continueHead();
   void acceptHead(std::string_view HeadText);
-  bool reserveBody();
+  /// Reserves room for a head of the given size and a body of known length.
+  bool reserveRequest(std::size_t HeadBytes);
+  /// Reserves room for the input that would be held. Returns false when there
+  /// is none.
+  bool tryReserveInput(std::size_t Bytes);
+  /// Reserves room for the part of a chunked body that may be in the input.
+  bool tryReserveChunks();
   void continueBody();
   void dispatchRequest();
   void awaitNextRequest();
@@ -109,8 +116,10 @@
   framework::Instant Deadline_ = framework::Instant::max();
   framework::Instant WriteDeadline_ = framework::Instant::max();
   boost::beast::flat_buffer Input_;
+  framework::ByteReservation InputReservation_;
   std::size_t SearchedBytes_ = 0;
   std::optional<RequestParser> Parser_;
+  FramingLimit Framing_;
   CallerRequest Request_;
   decision::CallArrived Arrival_;
   std::deque<Exchange> Exchanges_;
--- a/src/entry/tests/callerfixture.h
+++ b/src/entry/tests/callerfixture.h
@@ -20,6 +20,7 @@
   ~CallerFixture();
 
   RawClient connect() const { return RawClient(Endpoint_); }
+  const Endpoint &callerEndpoint() const { return Endpoint_; }
   /// Connects like another instance that forwards calls.
   RawClient connectAsPeer() const { return RawClient(PeerEndpoint_); }
   /// Returns the endpoint for instances that forward calls, as `IP:port`.
--- a/src/entry/tests/endlessinput_test.cpp
+++ b/src/entry/tests/endlessinput_test.cpp
@@ -230,3 +230,40 @@
   CHECK(Idle.front().receiveAll().empty());
 }
 
+TEST_CASE("a caller that sends bytes without end is refused",
+          "[entry][endless]") {
+  const auto Input =
+      GENERATE(EndlessInput{"GET / HTTP/1.1\r\nA: ", Text},
+               EndlessInput{ChunkedRequest + "1;", Text},
+               EndlessInput{ChunkedRequest, SmallChunk},
+               EndlessInput{ChunkedRequest + "0\r\n", "A: " + Text + "\r\n"});
+  CAPTURE(Input.Begin_, Input.Part_);
+  EntryLimits Limits;
+  Limits.BodyBytes_ = 8 * 1024 * 1024;
+  CallerFixture Fixture(Limits);
+  RawClient Client = Fixture.connect();
+  std::string Bytes = Input.Begin_;
+  while (Bytes.size() < 1024 * 1024)
+    Bytes += Input.Part_;
+  Client.send(Bytes);
+  CHECK_THAT(Client.receiveAll(), StartsWith("HTTP/1.1 4"));
+  CHECK(Fixture.callCount() == 0);
+  CHECK(Fixture.requestBytesInUse() == 0);
+}
+
+TEST_CASE("chunked uploads that hang hold only the room of what has arrived",
+          "[entry][endless]") {
+  EntryLimits Limits;
+  Limits.RequestBytes_ = 100'000;
+  Limits.BodyBytes_ = 50'000;
+  CallerFixture Fixture(Limits);
+  std::deque<RawClient> Hanging;
+  for (int Count = 0; Count < 4; ++Count) {
+    Hanging.emplace_back(Fixture.callerEndpoint());
+    Hanging.back().send(ChunkedRequest + "9c40\r\nhalf");
+  }
+  RawClient Client = Fixture.connect();
+  Client.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 40000\r\n\r\n" +
+              std::string(40'000, 'x'));
+  CHECK_THAT(Client.receiveResponse(), StartsWith("HTTP/1.1 200 "));
+}
--- a/src/entry/types/callerrequest.h
+++ b/src/entry/types/callerrequest.h
@@ -23,6 +23,8 @@
   /// The attempt id that the caller sent; empty when it sent none.
   std::string AttemptId_;
   std::string Body_;
+  /// The room for the head and for the body, each in its own budget.
+  framework::ByteReservation HeadReservation_;
   framework::ByteReservation Reservation_;
 };
 
