Play senders without end, and judge the memory of the processes

Targets write without end in place of health answers and responses, the store in place of its answers, and others to the ports of the instances: interim responses, head lines and fields, chunk headers, chunks of one byte, trailers, bodies with and without a length, some of them a byte a second. The judge takes the resident memory of each process and its own ends; the platform kills a process that exceeds `memory_mb`.

A plan of stops in which signals are handled late while most requests take seconds is for LOST.

--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -107,6 +107,7 @@
         for instance in self.instances:
             instance.start()
             self.run(instance.watch_readiness())
+            self.run(instance.watch_memory())
         self.run(self._measure_lag())
         deadline = time.monotonic() + 30
         while not all(each.is_ready for each in self.instances):
--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -9,6 +9,9 @@
 import aiohttp
 
 
+MEMORY_MEGABYTES = 260
+
+
 class Instance:
     """Started, signalled and ended by its process id. Remembers when it was disturbed."""
 
@@ -21,6 +24,8 @@
         self.is_ready = False
         self.disturbances = []  # [begin, end or None]
         self.stops = []  # times of SIGTERM
+        self.peak_megabytes = 0.0
+        self.own_ends = []  # (time, exit code) of a process that ended by itself
 
     @property
     def control_address(self):
@@ -31,7 +36,8 @@
             f"self.node={self.name}", "self.role=entry", "self.machine_class=edge",
             "self.serves=edge,control", f"self.ip={self.ip}", f"self.zone={self.zone}",
             "self.region=loopback", "self.in_tolerance=false", "self.bootstrap=false",
-            "self.limits.cpu_share=0.2", "self.limits.cores=1", "self.limits.memory_mb=260",
+            "self.limits.cpu_share=0.2", "self.limits.cores=1",
+            f"self.limits.memory_mb={MEMORY_MEGABYTES}",
             "self.limits.max_fds=4100", "self.limits.link_mbps=1000.0", "self.limits.disk_mb=0",
             f"network.listen.front={self.ip}:{self.ports['front']}",
             f"network.listen.readiness={self.ip}:{self.ports['readiness']}",
@@ -97,6 +103,27 @@
         self.process.send_signal(signal.SIGCONT)
         self.end_disturbance()
 
+    def resident_megabytes(self):
+        with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+            for line in file:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
+    async def watch_memory(self):
+        """Notes the peak of the process's memory, and starts it again when it has ended by
+        itself, as the platform does."""
+        while True:
+            await asyncio.sleep(0.02)
+            if self.process.poll() is None:
+                try:
+                    self.peak_megabytes = max(self.peak_megabytes, self.resident_megabytes())
+                except OSError:
+                    continue
+            elif self.disturbances[-1][1] is not None:
+                self.own_ends.append((time.monotonic(), self.process.returncode))
+                self.start()
+
     async def run_in_slices(self, share, period=0.1):
         """Gives the process a share of each period, as a quota of the processor does."""
         while True:
--- a/experiments/realfleet/judges.py
+++ b/experiments/realfleet/judges.py
@@ -7,6 +7,8 @@
 import collections
 import dataclasses
 
+from realfleet.instance import MEMORY_MEGABYTES
+
 
 @dataclasses.dataclass
 class Verdict:
@@ -152,3 +154,15 @@
                           f"status {request['status']}, sent {request['sent'] - stop:.3f} s and "
                           f"ended {ended - stop:.3f} s after the SIGTERM"))
     return Verdict("LOST", 1.0 + len(cases) if cases else 0.0, sorted(cases))
+
+
+def judge_memory(instances):
+    """"A process that exceeds `memory_mb` is killed"; "processes that end by themselves"."""
+    cases = [(when, "ended by itself", f"exit code {code}", each.name)
+             for each in instances for when, code in each.own_ends]
+    peak = max(each.peak_megabytes for each in instances)
+    ratio = peak / MEMORY_MEGABYTES
+    if ratio > 1:
+        cases += [(0.0, "memory", f"{each.peak_megabytes:.0f} MB", each.name)
+                  for each in instances if each.peak_megabytes > MEMORY_MEGABYTES]
+    return Verdict("MEMORY", max(ratio, 1.0 + len(cases)) if cases else ratio, cases)
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import itertools
+import time
+
+from realfleet import endless
 
 
 class Faults:
@@ -113,6 +116,42 @@
             for instance in chosen:
                 instance.end_disturbance()
 
+    async def answer_without_end(self, share, length):
+        """Targets write without end in place of responses or health answers, each in one way
+        after the other."""
+        kinds = itertools.cycle(endless.RESPONSES)
+        while True:
+            chosen = self.rng.sample(self.fleet.targets, int(len(self.fleet.targets) * share))
+            for index, target in enumerate(chosen):
+                if index % 2:
+                    target.endless_response = (*next(kinds), index % 4 == 3)
+                else:
+                    target.endless_health = (*next(kinds), index % 4 == 2)
+            await asyncio.sleep(length)
+            for target in chosen:
+                target.endless_response = target.endless_health = None
+
+    async def answer_reads_without_end(self, gap, length):
+        store = self.fleet.store
+        for kind in itertools.cycle(endless.RESPONSES):
+            await asyncio.sleep(gap)
+            store.endless_response = kind
+            store.outages.append([time.monotonic(), None])
+            await asyncio.sleep(length)
+            store.endless_response = None
+            store.end_outage()
+
+    async def request_without_end(self, count):
+        """Sends requests without end to the ports of all instances."""
+        kinds = itertools.cycle(endless.REQUESTS)
+        addresses = [(each.ip, each.ports[port]) for each in self.fleet.instances[:3]
+                     for port in ("front", "readiness") for _ in range(count)]
+        while True:
+            await asyncio.gather(*(
+                endless.send(address, *next(kinds), is_slow=index % 5 == 4)
+                for index, address in enumerate(addresses)), return_exceptions=True)
+            await asyncio.sleep(0.2)
+
     def share_processor(self, share):
         return [each.run_in_slices(share) for each in self.fleet.instances]
 
@@ -184,6 +223,12 @@
     return [faults.stop_overlapping(0.7, 0.4), faults.slow_targets(0.16, 5.0, 3.0, 6.0)]
 
 
+def _long_stops(faults):
+    """Stops of processes that handle signals late, while most requests take seconds."""
+    return faults.share_processor(0.4) + [
+        faults.stop_overlapping(0.5, 0.4), faults.slow_targets(0.6, 6.0, 1.0, 8.0)]
+
+
 def _overlapping_stops_and_changes(faults):
     return _overlapping_stops(faults) + [
         faults.replace_targets(0.5), faults.change_configuration(2.0, added=400),
@@ -209,6 +254,15 @@
             faults.change_configuration(1.5, added=400)]
 
 
+def _endless_responses(faults):
+    return [faults.answer_without_end(0.3, 4.0)]
+
+
+def _endless_input(faults):
+    return [faults.answer_without_end(0.3, 4.0), faults.answer_reads_without_end(3.0, 2.0),
+            faults.request_without_end(10)]
+
+
 def _mixed(faults):
     return [faults.kill_in_turn(3.0), faults.freeze(3.0, 3.0), faults.replace_targets(0.5),
             faults.change_configuration(3.0, added=400), faults.compact_store(5.0),
@@ -247,9 +301,12 @@
     "restart-all": (1, None, _restart_all),
     "stops": (1, None, _stops),
     "overlapping-stops": (1, None, _overlapping_stops),
+    "long-stops": (1, None, _long_stops),
     "overlapping-stops-and-changes": (1, None, _overlapping_stops_and_changes),
     "small-share": (1, None, _small_share),
     "cut-from-store": (1, None, _cut_from_store),
     "stale-without-history": (1, None, _stale_without_history),
+    "endless-responses": (1, None, _endless_responses),
+    "endless-input": (1, None, _endless_input),
     "mixed": (1, None, _mixed),
 }
--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -8,6 +8,8 @@
 
 from aiohttp import web
 
+from realfleet import endless
+
 PAGE_ITEMS = 500
 PAGE_BYTES = 1000 * 1000
 
@@ -32,6 +34,8 @@
         self.outage = None
         # The ports of the readers that get no answer. Each reader has a port of its own.
         self.cut_ports = set()
+        # What it writes without end in place of responses; see `endless`.
+        self.endless_response = None
         self.outages = []  # [begin, end or None]
         # How long the store keeps its history, in seconds.
         self.history_length = float("inf")
@@ -108,6 +112,9 @@
         return max(self.oldest_revision, last)
 
     async def _answer_outage(self, request):
+        if self.endless_response:
+            await endless.write(request.transport, *self.endless_response)
+            return web.Response()
         is_cut = request.transport.get_extra_info("sockname")[1] in self.cut_ports
         if self.outage is None and not is_cut:
             return None
--- a/experiments/realfleet/target.py
+++ b/experiments/realfleet/target.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from realfleet import endless
+
 HEARTBEAT_SECONDS = 1.5
 
 
@@ -21,6 +23,8 @@
         # The share of requests whose connections are reset, and the factor of all work.
         self.reset_share = 0.0
         self.slowness = 1.0
+        # What it writes without end in place of health answers and of responses; see `endless`.
+        self.endless_health = self.endless_response = None
         self.runner = None
 
     async def start(self, address):
@@ -60,6 +64,9 @@
         return f"{self.running},{self.queued},{self.deployment.slots},100"
 
     async def on_health(self, request):
+        if self.endless_health:
+            await endless.write(request.transport, *self.endless_health)
+            return web.Response()
         return web.Response(status=503 if self.is_draining else 200, headers={
             "X-Instance-Id": self.name, "X-Server-Load": self.load(), "X-Warmup-Ms": "0"})
 
@@ -69,6 +76,9 @@
         if request.headers.get("X-Expect-Instance", self.name) != self.name:
             return web.Response(status=421, headers=dict(headers, **{"X-Not-Executed": "1"}))
         self.record.arrived(attempt, self.name, self.service)
+        if self.endless_response:
+            await endless.write(request.transport, *self.endless_response)
+            return web.Response()
         if self.rng.random() < self.reset_share:
             request.transport.abort()
             return web.Response()
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -47,7 +47,8 @@
                     judges.judge_denied(fleet.record, deployment),
                     judges.judge_configuration(fleet.record, deployment, fleet.instances,
                                                fleet.routes, fleet.store),
-                    judges.judge_lost(fleet.record, deployment, fleet.instances)]
+                    judges.judge_lost(fleet.record, deployment, fleet.instances),
+                    judges.judge_memory(fleet.instances)]
         return report(options, seed, fleet, verdicts, begin)
     finally:
         await fleet.stop()
@@ -62,6 +63,7 @@
     line = {"plan": options.plan, "seed": seed, "requests": len(statuses), "served": served,
             "worst_lag_ms": round(record.worst_lag * 1000), "store_calls": fleet.store.calls,
             "ratios": {each.rule: round(each.ratio, 2) for each in verdicts}}
+    line["peak_mb"] = round(max(each.peak_megabytes for each in fleet.instances))
     line.update(record.notes)
     is_judged = record.worst_lag <= LONGEST_LAG_SECONDS
     broken = [each for each in verdicts if each.is_broken]
