Add a setting and a gauge for the budget of other input

The budget of heads and unparsed input had a limit of its own on the platform only, and operators could not see its use. `limits/input-bytes` and `cranberryspool_input_bytes` are named like those of the bodies.

--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -205,6 +205,9 @@
            static_cast<double>(Usage.RequestBytes_));
   AddGauge("cranberryspool_answer_bytes", "Bytes held for answer bodies",
            static_cast<double>(Usage.ResponseBytes_));
+  AddGauge("cranberryspool_input_bytes",
+           "Bytes held for request heads and input that is not parsed yet",
+           static_cast<double>(Usage.InputBytes_));
   AddGauge("cranberryspool_kept_answer_bytes", "Bytes of kept answers",
            static_cast<double>(Usage.StoredResponseBytes_));
   Families.push_back(targetsFamily(Status));
--- a/src/entry/internal/operatorpages.cpp
+++ b/src/entry/internal/operatorpages.cpp
@@ -88,10 +88,10 @@
 }
 
 ServiceResponse OperatorPages::metrics() const {
-  const ResourceUsage Usage{State_.RequestBytes_.used(),
-                            State_.ResponseBytes_.used(),
-                            State_.StoredResponses_.usedBytes(),
-                            Settings_.Log_ ? Settings_.Log_->dropped() : 0};
+  const ResourceUsage Usage{
+      State_.RequestBytes_.used(), State_.ResponseBytes_.used(),
+      State_.InputBytes_.used(), State_.StoredResponses_.usedBytes(),
+      Settings_.Log_ ? Settings_.Log_->dropped() : 0};
   return makeResponse(
       queryDispatcher(Mailboxes_,
                       [Usage](const decision::Core &Core,
--- a/src/entry/internal/resourceusage.h
+++ b/src/entry/internal/resourceusage.h
@@ -11,6 +11,7 @@
 struct ResourceUsage {
   std::size_t RequestBytes_ = 0;
   std::size_t ResponseBytes_ = 0;
+  std::size_t InputBytes_ = 0;
   std::size_t StoredResponseBytes_ = 0;
   std::uint64_t LogLinesDropped_ = 0;
 };
--- a/src/entry/internal/settingsfile.cpp
+++ b/src/entry/internal/settingsfile.cpp
@@ -75,6 +75,7 @@
   readSize(Reader, "body-bytes", BodyBytesRange, Limits.BodyBytes_);
   readSize(Reader, "request-bytes", TotalBytesRange, Limits.RequestBytes_);
   readSize(Reader, "answer-bytes", TotalBytesRange, Limits.ResponseBytes_);
+  readSize(Reader, "input-bytes", TotalBytesRange, Limits.InputBytes_);
   readSize(Reader, "kept-answer-bytes", TotalBytesRange,
            Limits.StoredResponseBytes_);
   if (Reader.has("caller-connections"))
--- a/src/entry/tests/settingsfile_test.cpp
+++ b/src/entry/tests/settingsfile_test.cpp
@@ -31,7 +31,8 @@
 
 TEST_CASE("all settings are read", "[entry]") {
   const auto Parsed = parseSettings(settingsWith(
-      R"(, "limits": {"body-bytes": "64KiB", "head-timeout": "250ms"},
+      R"(, "limits": {"body-bytes": "64KiB", "input-bytes": "2MiB",
+                        "head-timeout": "250ms"},
           "stop": {"linger": "1s"})"));
   REQUIRE(Parsed);
   const EntrySettings &Settings = Parsed.value();
@@ -39,6 +40,7 @@
   CHECK(Settings.CallerListen_ == Endpoint{"127.0.1.1", 8080});
   CHECK(Settings.InstanceList_ == Endpoint{"127.0.0.2", 8501});
   CHECK(Settings.Limits_.BodyBytes_ == 65536);
+  CHECK(Settings.Limits_.InputBytes_ == 2 * 1024 * 1024);
   CHECK(Settings.Limits_.HeadTimeout_ == framework::Duration(250ms));
   CHECK(Settings.StopLinger_ == framework::Duration(1s));
 }
