Log what was wrong with the connection or the answer of a failed attempt

`attempt-ended` said `connection-failed` for a reset connection, a truncated answer and one that was cut off at a limit alike, so that the logs did not show which target sent bytes without end. The line now has `failure`.

--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -224,12 +224,13 @@
 
 void AttemptManager::finish(const EventContext &Context,
                             const calls::Attempt &Ended,
-                            routing::AttemptResult Result) {
+                            routing::AttemptResult Result,
+                            std::optional<calls::AttemptFailure> Failure) {
   const calls::Attempt Copy = Ended;
   if (Core_.Settings_.ReportsAttempts_)
     Context.Output_.push_back(ReportAttemptEnd{
         Copy.Call_, Copy.Attempt_, Core_.Environment_.targetName(Copy.Target_),
-        Result, Context.now() - Copy.StartedAt_, Copy.Fingerprint_});
+        Result, Context.now() - Copy.StartedAt_, Copy.Fingerprint_, Failure});
   Core_.SilenceDetector_.stopWatching(Copy);
   Core_.AbandonTimers_.clear(Copy.Attempt_);
   if (calls::Call *Call = Core_.Calls_.find(Copy.Call_))
--- a/src/decision/internal/attemptmanager.h
+++ b/src/decision/internal/attemptmanager.h
@@ -29,7 +29,8 @@
               routing::AttemptResult Result);
   /// Removes an attempt that has ended and records its result for the target.
   void finish(const EventContext &Context, const calls::Attempt &Ended,
-              routing::AttemptResult Result);
+              routing::AttemptResult Result,
+              std::optional<calls::AttemptFailure> Failure = std::nullopt);
   /// Lets a sent attempt continue at its target after its call has ended.
   void abandon(const EventContext &Context, calls::Attempt &Attempt);
   /// Cancels abandoned attempts that have exceeded their time limit.
--- a/src/decision/internal/transporteventhandler.cpp
+++ b/src/decision/internal/transporteventhandler.cpp
@@ -203,7 +203,8 @@
     return;
   const calls::Attempt Ended = *Found;
   Core_.Connections_.remove(Input.Connection_);
-  Attempts_.finish(Context, Ended, routing::AttemptResult::ConnectionFailed);
+  Attempts_.finish(Context, Ended, routing::AttemptResult::ConnectionFailed,
+                   Input.Failure_);
   if (isConnectionClosed(Input.Failure_)) {
     recordClosedByPeer(Context, Ended.Target_, false);
     if (Input.Written_ != calls::WriteState::NothingWritten)
--- a/src/decision/types/actions/reportattemptend.h
+++ b/src/decision/types/actions/reportattemptend.h
@@ -1,11 +1,14 @@
 #ifndef CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPTEND_H
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_REPORTATTEMPTEND_H
 
+#include "calls/types/attemptfailure.h"
 #include "calls/types/requestfingerprint.h"
 #include "framework/ids.h"
 #include "framework/time.h"
 #include "routing/types/attemptresult.h"
 
+#include <optional>
+
 namespace cranberryspool::decision {
 
 /// Log the end of an attempt.
@@ -17,6 +20,8 @@
   /// The time since the attempt was started.
   framework::Duration Elapsed_{};
   calls::RequestFingerprint Fingerprint_ = {};
+  /// Set if the attempt failed in the transport.
+  std::optional<calls::AttemptFailure> Failure_ = std::nullopt;
 };
 
 } // namespace cranberryspool::decision
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -52,6 +52,22 @@
   return "other";
 }
 
+std::string_view nameOf(calls::AttemptFailure Failure) {
+  switch (Failure) {
+  case calls::AttemptFailure::ConnectionClosed:
+    return "connection-closed";
+  case calls::AttemptFailure::ConnectionReset:
+    return "connection-reset";
+  case calls::AttemptFailure::Truncated:
+    return "truncated";
+  case calls::AttemptFailure::Malformed:
+    return "malformed";
+  case calls::AttemptFailure::AnswerTooLarge:
+    return "answer-too-large";
+  }
+  return "other";
+}
+
 /// Adds the version and the age of the view on which a decision was based.
 void addView(LogLine &Line, const decision::Core &View) {
   const decision::ViewStatus Status = View.view();
@@ -137,6 +153,8 @@
   Line.number("attempt", static_cast<std::int64_t>(Ended.Attempt_.value()));
   Line.text("target", Ended.Target_.value());
   Line.text("result", nameOf(Ended.Result_));
+  if (Ended.Failure_)
+    Line.text("failure", nameOf(*Ended.Failure_));
   Line.millis("elapsed_ms", Ended.Elapsed_);
   if (!IsRoutine)
     Line.text("fingerprint", calls::toText(Ended.Fingerprint_));
