--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -110,6 +110,12 @@
                     return int(line.split()[1]) / 1024
         return 0.0
 
+    def processor_seconds(self):
+        """Returns the processor time of the process that runs at present."""
+        with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
+            fields = file.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     async def watch_memory(self):
         """Notes the peak of the process's memory, and starts it again when it has ended by
         itself, as the platform does."""
--- a/experiments/realfleet/test_judges.py
+++ b/experiments/realfleet/test_judges.py
@@ -119,6 +119,17 @@
         self.assertFalse(self.judge_stop(11.0, 12.0, 502, [11.1, 11.9]).is_broken)
         self.assertFalse(self.judge_stop(9.0, 14.0, 502, [9.1, None]).is_broken)
 
+    def judge_memory(self, peak, own_ends=()):
+        instance = types.SimpleNamespace(name="edge-a-1", peak_megabytes=peak, own_ends=own_ends)
+        return judges.judge_memory([instance])
+
+    def test_a_process_beyond_its_memory_or_that_ends_by_itself_is_broken(self):
+        self.assertTrue(self.judge_memory(261.0).is_broken)
+        self.assertTrue(self.judge_memory(30.0, [(1.0, 4)]).is_broken)
+
+    def test_a_process_within_its_memory_is_allowed(self):
+        self.assertFalse(self.judge_memory(259.0).is_broken)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import json
+import logging
 import os
 import pathlib
 import random
@@ -63,6 +64,8 @@
     line = {"plan": options.plan, "seed": seed, "requests": len(statuses), "served": served,
             "worst_lag_ms": round(record.worst_lag * 1000), "store_calls": fleet.store.calls,
             "ratios": {each.rule: round(each.ratio, 2) for each in verdicts}}
+    line["processor_s"] = round(sum(each.processor_seconds() for each in fleet.instances
+                                    if each.process.poll() is None), 1)
     line["peak_mb"] = round(max(each.peak_megabytes for each in fleet.instances))
     line.update(record.notes)
     is_judged = record.worst_lag <= LONGEST_LAG_SECONDS
@@ -92,6 +95,9 @@
     parser.add_argument("--keep", action="store_true", help="keep the logs of all processes")
     parser.add_argument("--program", default=str(ROOT / "target" / "bin" / "cranberryspool"))
     options = parser.parse_args()
+    # The stand-ins' own connections break off on purpose.
+    for name in ("aiohttp.server", "asyncio"):
+        logging.getLogger(name).setLevel(logging.CRITICAL)
     if not os.access(options.program, os.X_OK):
         parser.error(f"{options.program} is missing: run the build of deploy/system.toml first")
     codes = [play(options, seed) for seed in range(options.first, options.first + options.seeds)]
