Check the limits of a message after each read, wherever the read ends

What could be seen: a target that sends chunks of one byte with an extension was read for as long as its chunks did not happen to end where a read ended, and its body grew without room reserved for it.

Cause: `http::async_read_some` of Boost.Beast reads on by itself while the parser needs more, which it does whenever a read ends within a chunk header, also after it has consumed other chunks. The limits were checked when it returned. Ruled out: the limit itself, which counts every consumed byte.

`readPart` reads once, parses, and returns, for responses of targets, of the store, of probes and of other instances, and for the ports of the instance. The new inputs of the tests have chunk headers of 4 KB, within which nearly every read ends. Heads of targets are still read by Beast, whose limit on the head and on the buffer bounds them.

--- a/src/entry/httpgetclient.h
+++ b/src/entry/httpgetclient.h
@@ -94,7 +94,7 @@
   void onConnected(const boost::system::error_code &Error);
   void onWritten(const boost::system::error_code &Error);
   void readSome();
-  void onRead(const boost::system::error_code &Error, std::size_t Bytes);
+  void onRead(const boost::system::error_code &Error);
   void startTimer(framework::Duration SinceStart);
   /// Calls `OnLargeBody_` when the head of such a response has arrived.
   void reportLargeBody();
--- a/src/entry/internal/httpgetclient.cpp
+++ b/src/entry/internal/httpgetclient.cpp
@@ -3,8 +3,8 @@
 #include "entry/endpointtext.h"
 #include "entry/internal/inputlimits.h"
 #include "entry/internal/listen.h"
+#include "entry/internal/readpart.h"
 
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -135,7 +135,7 @@
   auto &Parser = Connection_->Parser_.emplace();
   Connection_->Input_.max_size(
       std::clamp(Request_.BodyBytes_, 2 * MaxOwnHeadBytes, MaxOwnInputBytes));
-  Connection_->Framing_ = FramingLimit(MaxOwnHeadBytes);
+  Connection_->Framing_ = FramingLimit(2 * MaxOwnHeadBytes);
   Parser.header_limit(MaxOwnHeadBytes);
   Parser.body_limit(Request_.BodyBytes_);
   Parser.eager(true);
@@ -143,18 +143,11 @@
 }
 
 void HttpGetClient::readSome() {
-  http::async_read_some(
-      Connection_->Socket_, Connection_->Input_, *Connection_->Parser_,
-      [Self = shared_from_this(), HeldConnection = Connection_,
-       RequestNumber = RequestNumber_](const error_code &Error,
-                                       std::size_t Bytes) {
-        if (RequestNumber == Self->RequestNumber_)
-          Self->onRead(Error, Bytes);
-      });
-}
-
-void HttpGetClient::onRead(const error_code &Error, std::size_t Bytes) {
-  Connection_->Framing_.add(Bytes);
+  readPart(Connection_->Socket_, Connection_->Input_, *Connection_->Parser_,
+           Connection_->Framing_, ifCurrent(&HttpGetClient::onRead));
+}
+
+void HttpGetClient::onRead(const error_code &Error) {
   if (Error) {
     WasTooLarge_ = Error == http::error::body_limit ||
                    Error == http::error::header_limit ||
@@ -162,12 +155,6 @@
     retryOrFail();
     return;
   }
-  if (Connection_->Framing_.isExceeded(
-          Connection_->Parser_->get().body().size())) {
-    WasTooLarge_ = true;
-    finish(std::nullopt);
-    return;
-  }
   if (!Connection_->Parser_->is_done()) {
     reportLargeBody();
     extendTimer();
--- a/src/entry/internal/httppost.cpp
+++ b/src/entry/internal/httppost.cpp
@@ -3,10 +3,11 @@
 #include "entry/framinglimit.h"
 #include "entry/internal/inputlimits.h"
 #include "entry/internal/listen.h"
+#include "entry/internal/readpart.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -70,15 +71,12 @@
   }
 
   void read() {
-    http::async_read_some(Socket_, Input_, Response_,
-                          [this](const error_code &Error, std::size_t Bytes) {
-                            onRead(Error, Bytes);
-                          });
+    readPart(Socket_, Input_, Response_, Framing_,
+             [this](const error_code &Error) { onRead(Error); });
   }
 
-  void onRead(const error_code &Error, std::size_t Bytes) {
-    Framing_.add(Bytes);
-    if (Error || Framing_.isExceeded(Response_.get().body().size()))
+  void onRead(const error_code &Error) {
+    if (Error)
       return;
     IsComplete_ = Response_.is_done();
     if (!IsComplete_)
@@ -90,7 +88,7 @@
   http::request<http::string_body> Message_;
   boost::beast::flat_buffer Input_;
   http::response_parser<http::string_body> Response_;
-  FramingLimit Framing_{MaxOwnHeadBytes};
+  FramingLimit Framing_{2 * MaxOwnHeadBytes};
   bool IsComplete_ = false;
 };
 
--- a/src/entry/internal/httpservicesession.cpp
+++ b/src/entry/internal/httpservicesession.cpp
@@ -2,9 +2,9 @@
 
 #include "entry/internal/httpservice.h"
 #include "entry/internal/inputlimits.h"
+#include "entry/internal/readpart.h"
 #include "framework/runtime/clocks.h"
 
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace cranberryspool::entry {
@@ -32,27 +32,26 @@
   Parser_->header_limit(MaxOwnHeadBytes);
   Parser_->body_limit(Service_.maxBodyBytes());
   Parser_->eager(true);
-  Framing_ = FramingLimit(MaxOwnHeadBytes);
+  Framing_ = FramingLimit(2 * MaxOwnHeadBytes);
   WaitingSince_ = framework::readMoment().Monotonic_;
   Timer_.expires_after(ExchangeTimeout);
   Timer_.async_wait([Self = shared_from_this()](const error_code &Error) {
     if (!Error)
       Self->close();
   });
-  readSome();
+  // A pipelined request may be there already.
+  onRead(parseInput(Input_, *Parser_, Framing_));
 }
 
 void HttpServiceSession::readSome() {
-  http::async_read_some(
-      Socket_, Input_, *Parser_,
-      [Self = shared_from_this()](const error_code &Error, std::size_t Bytes) {
-        Self->onRead(Error, Bytes);
-      });
+  readPart(Socket_, Input_, *Parser_, Framing_,
+           [Self = shared_from_this()](const error_code &Error) {
+             Self->onRead(Error);
+           });
 }
 
-void HttpServiceSession::onRead(const error_code &Error, std::size_t Bytes) {
-  Framing_.add(Bytes);
-  if (Error || Framing_.isExceeded(Parser_->get().body().size()))
+void HttpServiceSession::onRead(const error_code &Error) {
+  if (Error)
     close();
   else if (Parser_->is_done())
     respond();
--- a/src/entry/internal/httpservicesession.h
+++ b/src/entry/internal/httpservicesession.h
@@ -37,7 +37,7 @@
       boost::beast::http::response<boost::beast::http::string_body>;
 
   void readSome();
-  void onRead(const boost::system::error_code &Error, std::size_t Bytes);
+  void onRead(const boost::system::error_code &Error);
   void respond();
   void onWritten(const boost::system::error_code &Error);
 
--- a/src/entry/internal/targetconnection.h
+++ b/src/entry/internal/targetconnection.h
@@ -67,7 +67,7 @@
   void onHeadRead(const boost::system::error_code &Error, std::size_t Bytes);
   void acceptHead();
   void readBody();
-  void onBodyRead(const boost::system::error_code &Error, std::size_t Bytes);
+  void onBodyRead(const boost::system::error_code &Error);
   /// Returns the number of body bytes that there must be room for before the
   /// next read.
   std::size_t bodyBytesAfterRead() const;
--- a/src/entry/tests/endlessinput_test.cpp
+++ b/src/entry/tests/endlessinput_test.cpp
@@ -37,6 +37,9 @@
     "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string Text(1000, 'a');
 const std::string SmallChunk = "1;a=" + std::string(40, 'b') + "\r\nx\r\n";
+/// A read nearly always ends within one of its extensions.
+const std::string LongChunkHeader =
+    "1;a=" + std::string(3990, 'b') + "\r\nx\r\n";
 
 /// Writes until the other side closes. Returns false when it never did.
 bool writeWithoutEnd(tcp::socket &Socket, const EndlessInput &Input) {
@@ -93,6 +96,7 @@
                EndlessInput{"HTTP/1.1 200 OK\r\n", "A: " + Text + "\r\n"},
                EndlessInput{ChunkedResponse + "1;", Text},
                EndlessInput{ChunkedResponse, SmallChunk},
+               EndlessInput{ChunkedResponse, LongChunkHeader},
                EndlessInput{ChunkedResponse + "0\r\n", "A: " + Text + "\r\n"},
                EndlessInput{ChunkedResponse, "3e8\r\n" + Text + "\r\n"},
                EndlessInput{"HTTP/1.1 200 OK\r\n\r\n", Text});
@@ -169,6 +173,7 @@
       GENERATE(EndlessInput{"HTTP/1.1 200 OK\r\nA: ", Text},
                EndlessInput{ChunkedResponse + "1;", Text},
                EndlessInput{ChunkedResponse, SmallChunk},
+               EndlessInput{ChunkedResponse, LongChunkHeader},
                EndlessInput{ChunkedResponse + "0\r\n", "A: " + Text + "\r\n"},
                EndlessInput{"HTTP/1.1 200 OK\r\n\r\n", Text});
   CAPTURE(Input.Begin_, Input.Part_);
@@ -204,6 +209,7 @@
       GENERATE(EndlessInput{"GET / HTTP/1.1\r\nA: ", Text},
                EndlessInput{ChunkedRequest + "1;", Text},
                EndlessInput{ChunkedRequest, SmallChunk},
+               EndlessInput{ChunkedRequest, LongChunkHeader},
                EndlessInput{ChunkedRequest, "0"},
                EndlessInput{ChunkedRequest + "0\r\n", "A: " + Text + "\r\n"});
   CAPTURE(Input.Begin_, Input.Part_);
@@ -236,6 +242,7 @@
       GENERATE(EndlessInput{"GET / HTTP/1.1\r\nA: ", Text},
                EndlessInput{ChunkedRequest + "1;", Text},
                EndlessInput{ChunkedRequest, SmallChunk},
+               EndlessInput{ChunkedRequest, LongChunkHeader},
                EndlessInput{ChunkedRequest + "0\r\n", "A: " + Text + "\r\n"});
   CAPTURE(Input.Begin_, Input.Part_);
   EntryLimits Limits;
