--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -222,7 +222,7 @@
   IsFullReadNeeded_ = false;
   IsFullReadFailed_ = false;
   LastFullReadTime_ = Context.Now_ - ReadStartedAt_;
-  reportSlowRead(Records, Context);
+  reportSlowRead(Records, AsOf, Context);
   recordReadSuccess(Context);
   const Instant AnsweredAt = answeredAt(false, Context.Now_);
   if (!IsFullReadStale_)
@@ -252,7 +252,7 @@
       IsReplaced ? StartedAt : answeredAt(!Records.empty(), Context.Now_);
   if (!IsReplaced) {
     endRead();
-    reportSlowRead(Records, Context);
+    reportSlowRead(Records, AsOf, Context);
     // How long the store held a watch that returns changes is not known.
     if (Records.empty() || ReadWait_ == Duration{})
       LastChangesTime_ =
@@ -306,12 +306,15 @@
 }
 
 void StoreReplicator::reportSlowRead(const std::vector<StoredRecord> &Records,
+                                     Revision AsOf,
                                      const EventContext &Context) const {
   std::size_t Bytes = 0;
   for (const StoredRecord &Each : Records)
     Bytes += Each.Value_.size();
   reportSlowRead(std::to_string(Records.size()) + " records of " +
-                     std::to_string(Bytes) + " bytes",
+                     std::to_string(Bytes) + " bytes, from revision " +
+                     std::to_string(View_.revision().value()) + " to " +
+                     std::to_string(AsOf.value()),
                  Bytes, Context);
 }
 
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -142,6 +142,7 @@
   void reportSlowRead(std::string Result, std::size_t Bytes,
                       const EventContext &Context) const;
   void reportSlowRead(const std::vector<StoredRecord> &Records,
+                      framework::Revision AsOf,
                       const EventContext &Context) const;
   /// Ends a series of failed reads.
   void recordReadSuccess(const EventContext &Context);
