Read on after an answer of changes that the store may have cut

The log of edge-ikeja-24 has 500 records at 12.94 s, revision 1318 to 1818, "view 0.27 s old", the version still 12 though 14 had been acknowledged at 11.672 s; the next read came 1.2 s later.

Cause: the store cuts an answer to a read of changes after about 500 events, and `as_of` is then the revision of the last one. Only ranges were read on. The part was taken for all changes: the view counted as fresh, the announcement of newer revisions was dropped, and others were told the same age. The class is a part taken for the whole, as for stale pages; every kind of state in the store (configuration, targets, evacuated zones, keys) takes this path.

It does not refresh the view's age, others are told that more follows, and the rest is read at once, without a wait. When the rest turns out to be empty, the announcement that more follows is dropped.

Ruled out: a range (those have 719 records and more here, and are read in pages). Processor time and help among instances are hypotheses of their own.

The simulated store cuts answers at 500 changes now, which it never did: that is why no test saw it.

The new line store-read-partial shows each such answer with its revisions.

--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -58,6 +58,8 @@
     return "store-available";
   case ChangeKind::StoreReadSlow:
     return "store-read-slow";
+  case ChangeKind::StoreReadPartial:
+    return "store-read-partial";
   case ChangeKind::TargetDraining:
     return "target-draining";
   case ChangeKind::TargetRemoved:
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -24,6 +24,8 @@
     return ChangeKind::StoreAvailable;
   case fleet::ViewEvent::StoreReadSlow:
     return ChangeKind::StoreReadSlow;
+  case fleet::ViewEvent::StoreReadPartial:
+    return ChangeKind::StoreReadPartial;
   case fleet::ViewEvent::TargetDraining:
     return ChangeKind::TargetDraining;
   case fleet::ViewEvent::TargetRemoved:
@@ -111,8 +113,12 @@
 
 void FleetAdapter::handle(const EventContext &Context,
                           const RecordsChanged &Input) {
-  Core_.Fleet_.handleChangedRecords(Input.Records_, Input.AsOf_, Context.Now_,
-                                    Core_.FleetOutput_);
+  if (Input.IsPart_)
+    Core_.Fleet_.handlePartOfChanges(Input.Records_, Input.AsOf_, Context.Now_,
+                                     Core_.FleetOutput_);
+  else
+    Core_.Fleet_.handleChangedRecords(Input.Records_, Input.AsOf_, Context.Now_,
+                                      Core_.FleetOutput_);
 }
 
 void FleetAdapter::handle(const EventContext &Context,
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -32,6 +32,7 @@
   StoreUnavailable,
   StoreAvailable,
   StoreReadSlow,
+  StoreReadPartial,
   TargetDraining,
   TargetRemoved,
   TargetRemovalDeferred,
--- a/src/decision/types/events/recordschanged.h
+++ b/src/decision/types/events/recordschanged.h
@@ -12,6 +12,9 @@
 struct RecordsChanged {
   std::vector<fleet::StoredRecord> Records_;
   framework::Revision AsOf_;
+  /// Whether the store may have left out later changes: those after `AsOf_`
+  /// must be read before the answer counts as complete.
+  bool IsPart_ = false;
 };
 
 } // namespace cranberryspool::decision
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -75,6 +75,11 @@
   void handleChangedRecords(const std::vector<StoredRecord> &Records,
                             framework::Revision AsOf, framework::Moment Now,
                             OutputList &Output);
+  /// Handles the first changes of a watch, up to revision `UpTo`, of which the
+  /// store may have left out the later ones.
+  void handlePartOfChanges(const std::vector<StoredRecord> &Records,
+                           framework::Revision UpTo, framework::Moment Now,
+                           OutputList &Output);
   /// Handles a watch whose start revision is no longer in the store's change
   /// history.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -77,6 +77,13 @@
     Seeded_->handleChangedRecords(Records, AsOf, Now, Output);
 }
 
+void Fleet::handlePartOfChanges(const std::vector<StoredRecord> &Records,
+                                framework::Revision UpTo, framework::Moment Now,
+                                OutputList &Output) {
+  if (Seeded_)
+    Seeded_->handlePartOfChanges(Records, UpTo, Now, Output);
+}
+
 void Fleet::handleHistoryLost(framework::Moment Now, OutputList &Output) {
   if (Seeded_)
     Seeded_->handleHistoryLost(Now, Output);
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -26,7 +26,7 @@
 bool StoreReplicator::isHelpNeeded(const EventContext &Context) const {
   if (!View_.isLoaded())
     return false;
-  const bool IsBehind = isBehind(Context.Now_);
+  const bool IsBehind = IsRestMissing_ || isBehind(Context.Now_);
   if (!IsBehind && !isViewTooOld(Context))
     return false;
   if (IsReading_)
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -196,6 +196,13 @@
   Replicator_.handleChangedRecords(Records, AsOf, makeContext(Now, Output));
 }
 
+void SeededFleet::handlePartOfChanges(const std::vector<StoredRecord> &Records,
+                                      framework::Revision UpTo,
+                                      framework::Moment Now,
+                                      OutputList &Output) {
+  Replicator_.handlePartOfChanges(Records, UpTo, makeContext(Now, Output));
+}
+
 void SeededFleet::handleHistoryLost(framework::Moment Now, OutputList &Output) {
   Replicator_.handleHistoryLost(makeContext(Now, Output));
 }
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -71,6 +71,9 @@
   void handleChangedRecords(const std::vector<StoredRecord> &Records,
                             framework::Revision AsOf, framework::Moment Now,
                             OutputList &Output);
+  void handlePartOfChanges(const std::vector<StoredRecord> &Records,
+                           framework::Revision UpTo, framework::Moment Now,
+                           OutputList &Output);
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -64,12 +64,6 @@
 /// Watches are interrupted in normal operation, so that a single failure does
 /// not mean that the store is unavailable.
 constexpr std::uint32_t FailuresOfUnavailableStore = 2;
-constexpr const char *StoreSource = "store";
-/// Reads that take longer than this, besides the wait of a watch, and answers
-/// that are larger are reported.
-constexpr Duration SlowReadTime = milliseconds(250);
-constexpr std::size_t LargeReadBytes = 100'000;
-
 std::vector<StoredRecord>
 storedRecords(const std::vector<ReplicatedRecord> &Records) {
   std::vector<StoredRecord> Stored;
@@ -91,7 +85,7 @@
           Rng_.index(static_cast<std::size_t>(MaxReadJitter.count())))) {}
 
 void StoreReplicator::tick(const EventContext &Context) {
-  reportChanges(View_.expireMissing(Context.Now_), StoreSource,
+  reportChanges(View_.expireMissing(Context.Now_), ViewChanged::StoreSource,
                 Context.Output_);
   reportProgress(AnnouncedBy_.value(), Context);
   replaceLateRead(Context);
@@ -196,10 +190,11 @@
   }
   // After a failure the store must answer at once, so that the view is
   // refreshed without the wait of a watch.
-  const bool IsWaitAllowed = Failures_ == 0 && View_.age(Now);
+  const bool IsWaitAllowed =
+      Failures_ == 0 && !IsRestMissing_ && View_.age(Now);
   const bool IsWatch =
       isDiscoveryComplete(Now) && IsWaitAllowed && Context.isZoneLeader();
-  if (!IsWatch && !isReadNeeded(Context))
+  if (!IsWatch && !IsRestMissing_ && !isReadNeeded(Context))
     return;
   if (!IsWatch && Now < FullReadsUntil_ && !IsFullReadFailed_) {
     startFullRead(Context);
@@ -219,6 +214,7 @@
                                        Revision AsOf,
                                        const EventContext &Context) {
   endRead();
+  IsRestMissing_ = false;
   IsFullReadNeeded_ = false;
   IsFullReadFailed_ = false;
   LastFullReadTime_ = Context.Now_ - ReadStartedAt_;
@@ -230,9 +226,9 @@
   reportChanges(IsFullReadStale_
                     ? View_.replaceAllStale(Records, AsOf, Context.Now_)
                     : View_.replaceAll(Records, AsOf, AnsweredAt),
-                StoreSource, Context.Output_);
+                ViewChanged::StoreSource, Context.Output_);
   forgetReachedAnnouncement();
-  reportProgress(StoreSource, Context);
+  reportProgress(ViewChanged::StoreSource, Context);
   // What was deleted before is not known completely, so that others have to
   // read the changes themselves.
   SentRevision_ = View_.revision();
@@ -252,6 +248,7 @@
       IsReplaced ? StartedAt : answeredAt(!Records.empty(), Context.Now_);
   if (!IsReplaced) {
     endRead();
+    IsRestMissing_ = false;
     reportSlowRead(Records, AsOf, Context);
     // How long the store held a watch that returns changes is not known.
     if (Records.empty() || ReadWait_ == Duration{})
@@ -261,8 +258,8 @@
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
   AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
-  reportChanges(View_.apply(Records, AsOf, AnsweredAt), StoreSource,
-                Context.Output_);
+  reportChanges(View_.apply(Records, AsOf, AnsweredAt),
+                ViewChanged::StoreSource, Context.Output_);
   // A read that began after the last announcement has returned what was
   // announced, one that began earlier only what was announced until then.
   if (StartedAt > AnnouncedAt_)
@@ -270,13 +267,33 @@
   else
     GapSince_ = std::max(GapSince_, StartedAt);
   forgetReachedAnnouncement();
-  reportProgress(StoreSource, Context);
+  reportProgress(ViewChanged::StoreSource, Context);
   if (!Records.empty())
     NextReadAt_ = Context.Now_ + watchPause(Context.Now_ - AnsweredAt, Context);
   shareAnswer(Before, WasBehind, Context);
   readIfDue(Context);
 }
 
+void StoreReplicator::handlePartOfChanges(
+    const std::vector<StoredRecord> &Records, Revision UpTo,
+    const EventContext &Context) {
+  const bool WasBehind = isBehind(Context.Now_);
+  const bool IsReplaced = IsReading_ && IsFullRead_;
+  if (!IsReplaced) {
+    endRead();
+    IsRestMissing_ = true;
+    reportPartialRead(Records, UpTo, Context);
+  }
+  recordReadSuccess(Context);
+  const Revision Before = View_.revision();
+  reportChanges(View_.applyPart(Records, UpTo, Context.Now_),
+                ViewChanged::StoreSource, Context.Output_);
+  forgetReachedAnnouncement();
+  NextReadAt_ = Context.Now_;
+  shareAnswer(Before, WasBehind, Context);
+  readIfDue(Context);
+}
+
 Duration StoreReplicator::watchPause(Duration Age,
                                      const EventContext &Context) const {
   const Duration Pause =
@@ -305,33 +322,11 @@
   return std::min(Now, ReadStartedAt_ + Wait);
 }
 
-void StoreReplicator::reportSlowRead(const std::vector<StoredRecord> &Records,
-                                     Revision AsOf,
-                                     const EventContext &Context) const {
-  std::size_t Bytes = 0;
-  for (const StoredRecord &Each : Records)
-    Bytes += Each.Value_.size();
-  reportSlowRead(std::to_string(Records.size()) + " records of " +
-                     std::to_string(Bytes) + " bytes, from revision " +
-                     std::to_string(View_.revision().value()) + " to " +
-                     std::to_string(AsOf.value()),
-                 Bytes, Context);
-}
-
-void StoreReplicator::reportSlowRead(std::string Result, std::size_t Bytes,
-                                     const EventContext &Context) const {
-  const Duration Elapsed = Context.Now_ - ReadStartedAt_;
-  if (Elapsed <= ReadWait_ + SlowReadTime && Bytes <= LargeReadBytes)
-    return;
-  ViewChanged Report{ViewEvent::StoreReadSlow, std::move(Result), StoreSource};
-  Report.Elapsed_ = Elapsed;
-  Context.Output_.push_back(std::move(Report));
-}
-
 void StoreReplicator::recordReadSuccess(const EventContext &Context) {
   if (std::exchange(Failures_, 0) < FailuresOfUnavailableStore)
     return;
-  ViewChanged Report{ViewEvent::StoreAvailable, StoreSource, StoreSource};
+  ViewChanged Report{ViewEvent::StoreAvailable, ViewChanged::StoreSource,
+                     ViewChanged::StoreSource};
   Report.Elapsed_ = Context.Now_ - FailingSince_;
   Context.Output_.push_back(std::move(Report));
 }
@@ -349,8 +344,8 @@
   if (Failures_ == 0)
     FailingSince_ = Context.Now_;
   if (Failures_ + 1 == FailuresOfUnavailableStore)
-    Context.Output_.push_back(
-        ViewChanged{ViewEvent::StoreUnavailable, Reason, StoreSource});
+    Context.Output_.push_back(ViewChanged{ViewEvent::StoreUnavailable, Reason,
+                                          ViewChanged::StoreSource});
   const Duration MaxDelay =
       Context.isGroupLeader() || isAnnouncedMissing()
           ? MaxUrgentRetryDelay
@@ -370,39 +365,6 @@
   readIfDue(Context);
 }
 
-void StoreReplicator::reportChanges(const StoreView::Changes &Changed,
-                                    const std::string &Source,
-                                    OutputList &Output) const {
-  for (const std::string &Key : Changed.Draining_)
-    Output.push_back(ViewChanged{ViewEvent::TargetDraining, Key, Source});
-  for (const std::string &Key : Changed.Removed_)
-    Output.push_back(ViewChanged{ViewEvent::TargetRemoved, Key, Source});
-  for (const std::string &Key : Changed.Deferred_)
-    Output.push_back(ViewChanged{ViewEvent::RemovalDeferred, Key, Source});
-  for (const auto &[Key, Reason] : Changed.Rejected_)
-    Output.push_back(RecordRejected{Key, Reason});
-  if (Changed.IsDocumentChanged_)
-    Output.push_back(
-        DocumentApplied{Revision(View_.configuration().Version_), Source});
-  if (Changed.AreTargetsChanged_)
-    Output.push_back(TargetsChanged{});
-}
-
-void StoreReplicator::reportProgress(const std::string &Source,
-                                     const EventContext &Context) {
-  const bool IsBehindNow = isBehind(Context.Now_);
-  if (IsBehindNow == IsBehindReported_)
-    return;
-  IsBehindReported_ = IsBehindNow;
-  ViewChanged Report{IsBehindNow ? ViewEvent::Behind : ViewEvent::CaughtUp,
-                     Context.self().Name_.value(), Source};
-  if (IsBehindNow)
-    Report.Announced_ = AnnouncedRevision_;
-  else
-    Report.Elapsed_ = Context.Now_ - GapSince_;
-  Context.Output_.push_back(std::move(Report));
-}
-
 void StoreReplicator::handle(const RecordUpdate &Message,
                              const EventContext &Context) {
   const Revision Before = View_.revision();
@@ -445,11 +407,19 @@
       std::max(Message.Age_, Context.Wall_ - Message.AnsweredAt_);
   const auto Changed =
       View_.apply(Records, Message.ToRevision_, Context.Now_ - Age);
+  IsRestMissing_ = false;
+  forgetAnnouncementOfMore(Message);
   if (View_.age(Context.Now_) == Age)
     AnsweredWallTime_ = Message.AnsweredAt_;
   return Changed;
 }
 
+void StoreReplicator::forgetAnnouncementOfMore(const RecordUpdate &Message) {
+  const Revision Next(Message.ToRevision_.value() + 1);
+  if (Message.From_ == AnnouncedBy_ && AnnouncedRevision_ == Next)
+    AnnouncedRevision_.reset();
+}
+
 void StoreReplicator::recordPromise(const RecordUpdate &Message, Instant Now) {
   // The store has just stated the opposite: the sender may not know yet.
   const auto Age = View_.age(Now);
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -48,6 +48,11 @@
   void handleChangedRecords(const std::vector<StoredRecord> &Records,
                             framework::Revision AsOf,
                             const EventContext &Context);
+  /// Handles an answer that may lack the changes after `UpTo`: the view is not
+  /// as fresh as its request, and the rest is read at once.
+  void handlePartOfChanges(const std::vector<StoredRecord> &Records,
+                           framework::Revision UpTo,
+                           const EventContext &Context);
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(const EventContext &Context);
@@ -90,7 +95,7 @@
   bool isHelpExpected(framework::Instant Now) const;
   /// Returns true when this instance knows that newer changes exist.
   bool areChangesMissing() const {
-    return IsAnswerArriving_ || isAnnouncedMissing();
+    return IsAnswerArriving_ || IsRestMissing_ || isAnnouncedMissing();
   }
   /// Handles the statement of an instance that newer changes are on their way
   /// to it.
@@ -113,6 +118,9 @@
   void recordGap(framework::Revision Announced,
                  const framework::InstanceName &By, framework::Instant Now);
   void forgetReachedAnnouncement();
+  /// Forgets that the sender announced more changes, which turned out to be
+  /// none.
+  void forgetAnnouncementOfMore(const RecordUpdate &Message);
   /// Applies an update that leads on from the view's revision.
   StoreView::Changes applyNext(const RecordUpdate &Message,
                                const EventContext &Context);
@@ -141,9 +149,14 @@
   /// behind it.
   void reportSlowRead(std::string Result, std::size_t Bytes,
                       const EventContext &Context) const;
+  std::string describeAnswer(const std::vector<StoredRecord> &Records,
+                             framework::Revision AsOf) const;
   void reportSlowRead(const std::vector<StoredRecord> &Records,
                       framework::Revision AsOf,
                       const EventContext &Context) const;
+  void reportPartialRead(const std::vector<StoredRecord> &Records,
+                         framework::Revision UpTo,
+                         const EventContext &Context) const;
   /// Ends a series of failed reads.
   void recordReadSuccess(const EventContext &Context);
   /// Sends on what the store has answered to this instance.
@@ -215,6 +228,8 @@
   bool IsReading_ = false;
   /// Whether a large answer to the read that is under way has begun to arrive.
   bool IsAnswerArriving_ = false;
+  /// Whether the last answer may lack later changes.
+  bool IsRestMissing_ = false;
   bool IsFullReadNeeded_ = true;
   /// Whether the last read that was started is one of all records.
   bool IsFullRead_ = false;
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -67,6 +67,7 @@
   std::vector<StoredRecord> Records_;
   framework::Revision AsOf_;
   bool IsFullRead_ = false;
+  bool IsPart_ = false;
 };
 
 /// Simulates several instances and a metadata store in virtual time. Messages
@@ -80,6 +81,8 @@
   std::uint64_t Version_ = 3;
   std::vector<StoredRecord> Targets_;
   std::vector<StoredRecord> Changes_;
+  /// The store cuts an answer with more changes than this.
+  static constexpr std::size_t MaxAnswerRecords = 500;
   int ReadCount_ = 0;
   std::size_t LargestMessage_ = 0;
   /// Instances whose messages are all lost, in both directions.
@@ -224,11 +227,24 @@
              *Request.After_ == Revision_)
       Watches_[Instance] = Now_.Monotonic_ + Request.Wait_;
     else
-      transmit({changesArriveAt(), Instance, changesAfter(*Request.After_),
-                Revision_, false});
+      transmit(answerWithChanges(Instance, *Request.After_));
     process(Instance, Output);
   }
 
+  /// Answers with the first changes after a revision, as many as an answer
+  /// holds.
+  ArrivingAnswer answerWithChanges(std::size_t Instance,
+                                   framework::Revision After) const {
+    ArrivingAnswer Answer{changesArriveAt(), Instance, changesAfter(After),
+                          Revision_, false};
+    if (Answer.Records_.size() <= MaxAnswerRecords)
+      return Answer;
+    Answer.Records_.resize(MaxAnswerRecords);
+    Answer.AsOf_ = Answer.Records_.back().Revision_;
+    Answer.IsPart_ = true;
+    return Answer;
+  }
+
   framework::Instant changesArriveAt() const {
     return Now_.Monotonic_ +
            (ChangesDelay_ ? ChangesDelay_() : framework::Duration{});
@@ -262,6 +278,8 @@
     SeededFleet &Receiver = Instances_[Answer.Instance_];
     if (Answer.IsFullRead_)
       Receiver.handleAllRecords(Answer.Records_, Answer.AsOf_, Now_, Output);
+    else if (Answer.IsPart_)
+      Receiver.handlePartOfChanges(Answer.Records_, Answer.AsOf_, Now_, Output);
     else
       Receiver.handleChangedRecords(Answer.Records_, Answer.AsOf_, Now_,
                                     Output);
--- a/src/fleet/types/outputs/viewchanged.h
+++ b/src/fleet/types/outputs/viewchanged.h
@@ -12,6 +12,9 @@
 
 /// Reports an event in the replication of the platform's metadata store.
 struct ViewChanged {
+  /// The source of news that the platform's metadata store has answered.
+  static constexpr const char *StoreSource = "store";
+
   ViewEvent Event_{};
   /// The affected target, the reason for which the store is unavailable, or
   /// what a read returned.
--- a/src/fleet/types/viewevent.h
+++ b/src/fleet/types/viewevent.h
@@ -15,6 +15,9 @@
   StoreAvailable,
   /// A read of the store took long, or its answer was large.
   StoreReadSlow,
+  /// The store may have left out later changes of an answer; they are read at
+  /// once.
+  StoreReadPartial,
   /// The record of a target states that it leaves.
   TargetDraining,
   /// The record of a target was deleted; the target is no longer used.
--- a/src/session/internal/eventjson.cpp
+++ b/src/session/internal/eventjson.cpp
@@ -110,7 +110,9 @@
 }
 
 json::object toJson(const RecordsChanged &Event) {
-  return {{"event", "records-changed"}, {"as-of", Event.AsOf_.value()}};
+  return {{"event", "records-changed"},
+          {"as-of", Event.AsOf_.value()},
+          {"is-part", Event.IsPart_}};
 }
 
 json::object toJson(const RecordHistoryLost &) {
