Put changed targets in force together instead of one message at a time

Cause: each message with a changed target rebuilt the whole list of 719 targets with their positions on the ring, their slots and the shares of the limits (719 targets times the members of the fleet). The number of such messages grows with the targets, the cost of each with targets times members: processor time grows with the square of the deployment and more. News of the store wait in the same thread. The class is work for the whole list on each single change; a change of the membership took the same path.

Now changes are put in force at most once in 150 us for each listed target and at most 100 ms later: 6 ms at 39 targets, 100 ms at 719. The first change after a pause takes effect at once. Ring positions and slots are recomputed only when a target was added, has left or has moved. Names are no longer copied for each target.

The counter cranberryspool_target_updates_total shows the updates.

--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -53,6 +53,9 @@
   std::uint64_t CallsFromPeers_ = 0;
   std::uint64_t CallsFromPeersRefused_ = 0;
 
+  /// Times at which changed targets or shares were put in force.
+  std::uint64_t TargetUpdates_ = 0;
+
   std::uint64_t ProbesSent_ = 0;
   std::uint64_t ProbesFailed_ = 0;
 
--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -59,6 +59,7 @@
   ConsiderDeadline(Core_.Targets_.nextWakeUp());
   ConsiderDeadline(Core_.Queue_.nextWakeUp());
   ConsiderDeadline(Core_.Fleet_.nextWakeUp());
+  ConsiderDeadline(FleetAdapter_.nextWakeUp());
   ConsiderDeadline(Crashes_.nextWakeUp());
   ConsiderDeadline(Quota_.nextWakeUp());
   return Next;
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -144,7 +144,7 @@
   return ServicesById_.at(Position->Service_)->HealthPath_;
 }
 
-framework::TargetName
+const framework::TargetName &
 Environment::targetName(framework::TargetId Target) const {
   return TargetNames_.name(Target);
 }
--- a/src/decision/internal/environment.h
+++ b/src/decision/internal/environment.h
@@ -66,7 +66,7 @@
   /// Returns the path of the target's health check, or an empty string for the
   /// default.
   std::string healthPath(framework::TargetId Target) const;
-  framework::TargetName targetName(framework::TargetId Target) const;
+  const framework::TargetName &targetName(framework::TargetId Target) const;
   std::optional<framework::TargetId>
   findTarget(const framework::TargetName &Name) const;
   const framework::KindName &kindName(calls::KindId Kind) const;
--- a/src/decision/internal/environmentupdater.cpp
+++ b/src/decision/internal/environmentupdater.cpp
@@ -48,7 +48,7 @@
   if (!Core_.Environment_.hasDocument() || !Core_.Environment_.hasInstances())
     return;
   Core_.Targets_.setTargets(Core_.Environment_.targets(), Context.now());
-  updateRingDistances();
+  updatePlacements();
   applyShares(Context);
   Transport_.requeueUnsent(Context);
 }
@@ -59,10 +59,22 @@
   applyToAll(Context);
 }
 
+void EnvironmentUpdater::updatePlacements() {
+  std::vector<Placement> Placements;
+  Placements.reserve(Core_.Environment_.targets().size());
+  for (const routing::TargetDescription &Target : Core_.Environment_.targets())
+    Placements.push_back({Target.Target_, Target.Service_, Target.Zone_,
+                          Target.Slots_, Target.IsLeaving_});
+  if (Placements == Placements_)
+    return;
+  Placements_ = std::move(Placements);
+  updateRingDistances();
+  updateServiceSlots();
+}
+
 void EnvironmentUpdater::applyShares(const EventContext &Context) {
   updateExtraAttemptLimit(Context.now());
   updateQueueCapacities();
-  updateServiceSlots();
   GroupPosition_ = Core_.Fleet_.groupPosition(Context.now());
   for (const auto &[Service, Share] : std::exchange(SlotShares_, {}))
     Core_.Queue_.setShare(Service, std::nullopt);
@@ -87,14 +99,15 @@
                                   const routing::TargetDescription &Target) {
   const document::Service &Service =
       *Core_.Environment_.service(Target.Service_);
-  const framework::TargetName Name =
+  const framework::TargetName &Name =
       Core_.Environment_.targetName(Target.Target_);
+  const RingPlace &Place = RingPlaces_[Target.Target_];
   routing::TargetLimits Bounds{
       .MaxColdInFlight_ = Core_.Fleet_.coldShare(Name, Context.now()),
       .MaxConnections_ = Core_.Fleet_.connectionShare(Name),
       .WarmupDuration_ = Service.ColdStart_.Warmup_,
-      .RingDistance_ = RingPlaces_[Target.Target_].Distance_,
-      .IsPreferred_ = RingPlaces_[Target.Target_].IsPreferred_};
+      .RingDistance_ = Place.Distance_,
+      .IsPreferred_ = Place.IsPreferred_};
   const fleet::FleetBounds *Limits = Core_.Fleet_.bounds();
   if (!Limits)
     return Bounds;
--- a/src/decision/internal/environmentupdater.h
+++ b/src/decision/internal/environmentupdater.h
@@ -44,7 +44,21 @@
   std::size_t countUsableServices(framework::Instant Now) const;
 
 private:
+  /// What the positions of targets on the ring and the order in which their
+  /// slots are divided depend on.
+  struct Placement {
+    framework::TargetId Target_;
+    framework::ServiceId Service_;
+    framework::ZoneId Zone_;
+    std::uint32_t Slots_ = 0;
+    bool IsLeaving_ = false;
+
+    bool operator==(const Placement &) const = default;
+  };
+
   void applyToAll(const EventContext &Context);
+  /// Recomputes what depends on the placements when one of them has changed.
+  void updatePlacements();
   std::uint32_t instanceCount() const;
   void updateQueueCapacities();
   routing::TargetLimits computeBounds(const EventContext &Context,
@@ -74,6 +88,7 @@
 
   CoreState &Core_;
   TransportEventHandler &Transport_;
+  std::vector<Placement> Placements_;
   fleet::ZonePosition RingPosition_;
   std::map<framework::TargetId, RingPlace> RingPlaces_;
   std::optional<fleet::GroupPosition> GroupPosition_;
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -1,5 +1,7 @@
 #include "decision/internal/fleetadapter.h"
 
+#include <algorithm>
+#include <chrono>
 #include <string>
 #include <utility>
 #include <variant>
@@ -12,6 +14,14 @@
 /// Of rejected messages at most one is logged in this time; all are counted.
 constexpr framework::Duration RejectionLogInterval = std::chrono::seconds(1);
 
+/// Changed targets and shares are applied at most once in this time for each
+/// listed target, since that takes time for all of them: the processor time of
+/// a large deployment does not grow with its changes as well.
+constexpr framework::Duration ApplicationIntervalPerTarget =
+    std::chrono::microseconds(150);
+constexpr framework::Duration MaxApplicationInterval =
+    std::chrono::milliseconds(100);
+
 ChangeKind changeKindOf(fleet::ViewEvent Event) {
   switch (Event) {
   case fleet::ViewEvent::Behind:
@@ -147,6 +157,31 @@
     for (const fleet::Output &Output : Outputs)
       std::visit([&](const auto &Each) { apply(Context, Each); }, Output);
   }
+  applyChanges(Context);
+}
+
+void FleetAdapter::applyChanges(const EventContext &Context) {
+  const bool IsChanged = AreTargetsChanged_ || AreSharesChanged_;
+  if (!IsChanged || Context.now() < NextApplication_)
+    return;
+  ++Core_.Counters_.TargetUpdates_;
+  AreSharesChanged_ = false;
+  // New targets receive the present shares.
+  if (std::exchange(AreTargetsChanged_, false))
+    EnvironmentUpdater_.setStoredTargets(Context, Core_.Fleet_.storedTargets());
+  else
+    EnvironmentUpdater_.applyShares(Context);
+  NextApplication_ =
+      Context.now() + std::min(MaxApplicationInterval,
+                               ApplicationIntervalPerTarget *
+                                   static_cast<std::int64_t>(
+                                       Core_.Environment_.targets().size()));
+}
+
+std::optional<framework::Instant> FleetAdapter::nextWakeUp() const {
+  if (AreTargetsChanged_ || AreSharesChanged_)
+    return NextApplication_;
+  return std::nullopt;
 }
 
 void FleetAdapter::apply(const EventContext &Context,
@@ -227,9 +262,8 @@
   EnvironmentUpdater_.setInstances(Context, std::move(All));
 }
 
-void FleetAdapter::apply(const EventContext &Context,
-                         const fleet::SharesChanged &) {
-  EnvironmentUpdater_.applyShares(Context);
+void FleetAdapter::apply(const EventContext &, const fleet::SharesChanged &) {
+  AreSharesChanged_ = true;
   Quota_.updateMembers();
 }
 
@@ -274,9 +308,8 @@
          Output.Key_ + ": " + Output.Reason_);
 }
 
-void FleetAdapter::apply(const EventContext &Context,
-                         const fleet::TargetsChanged &) {
-  EnvironmentUpdater_.setStoredTargets(Context, Core_.Fleet_.storedTargets());
+void FleetAdapter::apply(const EventContext &, const fleet::TargetsChanged &) {
+  AreTargetsChanged_ = true;
 }
 
 void FleetAdapter::apply(const EventContext &Context,
--- a/src/decision/internal/fleetadapter.h
+++ b/src/decision/internal/fleetadapter.h
@@ -60,6 +60,9 @@
 
   /// Processes all pending outputs of the fleet module.
   void processOutputs(const EventContext &Context);
+  /// Returns when changes that were put off are applied; nothing when there are
+  /// none.
+  std::optional<framework::Instant> nextWakeUp() const;
 
 private:
   void apply(const EventContext &Context, const fleet::DocumentApplied &Output);
@@ -95,6 +98,9 @@
              const fleet::CrashNoticesReceived &Output);
   void apply(const EventContext &Context,
              const fleet::PeerMessageRejected &Output);
+  /// Applies changed targets and shares, unless the last application was so
+  /// recent that they are put off.
+  void applyChanges(const EventContext &Context);
   void reportRejectedMessage(const EventContext &Context, std::string Subject);
   void report(const EventContext &Context, ChangeKind Kind,
               std::string Subject);
@@ -106,6 +112,10 @@
   CrashGuard &Crashes_;
   AccessGuard &Access_;
   QuotaGuard &Quota_;
+  bool AreTargetsChanged_ = false;
+  bool AreSharesChanged_ = false;
+  /// Before this time, changed targets and shares are put off.
+  framework::Instant NextApplication_{};
   /// When a rejected message was last logged.
   std::optional<framework::Instant> RejectionLoggedAt_;
 };
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 29> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 30> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
@@ -80,6 +80,9 @@
     {"cranberryspool_calls_from_peers_refused_total",
      "Calls that other instances forwarded and that were not taken",
      &CoreCounters::CallsFromPeersRefused_},
+    {"cranberryspool_target_updates_total",
+     "Times at which changed targets or shares were put in force",
+     &CoreCounters::TargetUpdates_},
     {"cranberryspool_probes_total", "Probes sent", &CoreCounters::ProbesSent_},
     {"cranberryspool_pauses_total", "Pauses of the process that were noticed",
      &CoreCounters::Pauses_},
--- a/src/framework/interner.h
+++ b/src/framework/interner.h
@@ -3,9 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <vector>
 
 namespace cranberryspool::framework {
 
@@ -30,14 +30,15 @@
     return Entry->second;
   }
 
-  /// Returns the name for an id that `intern` returned.
+  /// Returns the name for an id that `intern` returned. The reference stays
+  /// valid.
   const Name &name(Id NameId) const { return Names_.at(NameId.value()); }
 
   std::size_t size() const { return Names_.size(); }
 
 private:
   std::map<Name, Id> Ids_;
-  std::vector<Name> Names_;
+  std::deque<Name> Names_;
 };
 
 } // namespace cranberryspool::framework
