Allow for the report interval of large zones before probing their targets

Cause: the leader of a zone sends the health of its targets to other zones every 4 ms for each target, 576 ms with 144 of them; with the other hops a report is 1.2 s old at worst. Reports older than 600 ms were dropped on their way, and without a report for 800 ms the responsible instance of each group in each other zone probes the target itself, twice a second: 28 groups, 56 probes a second and target. The class is a fixed limit for a time that grows with the deployment: the reports were sent by all and used by none.

Now reports are passed on up to an age of 1.5 s, and the timeout is the time of the hops plus the interval at which the zone of the target reports: 850 ms up to 37 targets in a zone (800 before), 1.28 s with 144.

--- a/src/fleet/internal/seeded/loadreportexchange.cpp
+++ b/src/fleet/internal/seeded/loadreportexchange.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// The speed of targets changes many times a second, so older reports are not
-/// worth sending.
-constexpr framework::Duration MaxReportAge = std::chrono::milliseconds(600);
+/// Older reports are not worth sending. Those of a zone with many targets are
+/// sent to other zones less often and pass several instances on their way.
+constexpr framework::Duration MaxReportAge = std::chrono::milliseconds(1'500);
 /// For this long after the last report of a request limit, reports that there
 /// is none any more are sent to all instances.
 constexpr framework::Duration LimitEndPeriod = std::chrono::seconds(3);
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -124,6 +124,10 @@
   const FleetBounds &bounds() const { return Seeds_.Bounds_; }
 
 private:
+  /// The time after its start within which an instance may not know most others
+  /// yet.
+  static constexpr framework::Duration DiscoveryTime = std::chrono::seconds(1);
+
   /// The state from which the shares of fleet-wide bounds are computed.
   struct ShareInputs {
     std::uint64_t MembershipVersion_ = 0;
@@ -148,6 +152,10 @@
   /// Emits `SharesChanged` when the inputs of the shares have changed: at most
   /// once per tick, however many members have joined.
   void notifySharesChanged(framework::Instant Now, OutputList &Output);
+  /// Returns after which time without a health report a target of another zone
+  /// is probed.
+  framework::Duration
+  crossZoneHealthTimeout(const framework::TargetName &Target) const;
   EventContext makeContext(framework::Moment Now, OutputList &Output) const;
   void sendLoads(const EventContext &Context);
   void sendDemand(const EventContext &Context);
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -109,12 +109,13 @@
   Changes Result;
   if (isRecovering(Now) || !AnsweredAt_ || Now - *AnsweredAt_ > LossyOutage_)
     return Result;
-  std::erase_if(Targets_, [&](const auto &Each) {
-    const bool IsMissing = Each.second.MissingSince_.has_value();
-    if (IsMissing)
-      Result.Removed_.push_back(Each.first);
-    return IsMissing;
-  });
+  for (auto Each = Targets_.begin(); Each != Targets_.end();) {
+    const auto Position = Each++;
+    if (!Position->second.MissingSince_)
+      continue;
+    Result.Removed_.push_back(Position->first);
+    eraseTarget(Position);
+  }
   Result.AreTargetsChanged_ = !Result.Removed_.empty();
   return Result;
 }
@@ -132,6 +133,17 @@
   return Found == Zones_.end() ? nullptr : &Found->second;
 }
 
+std::size_t StoreView::countTargets(const framework::ZoneName &Zone) const {
+  const auto Found = TargetCounts_.find(Zone);
+  return Found == TargetCounts_.end() ? 0 : Found->second;
+}
+
+void StoreView::eraseTarget(
+    std::map<std::string, TargetEntry>::iterator Position) {
+  --TargetCounts_[Position->second.Target_.Zone_];
+  Targets_.erase(Position);
+}
+
 std::vector<PublishedTarget> StoreView::targets() const {
   std::vector<PublishedTarget> Found;
   Found.reserve(Targets_.size());
@@ -166,7 +178,11 @@
     return;
   // The value of a record that is not used is not kept.
   Records_.put({Record.Key_, "", Record.Revision_, false});
-  Result.AreTargetsChanged_ |= Targets_.erase(Record.Key_) > 0;
+  const auto Position = Targets_.find(Record.Key_);
+  if (Position == Targets_.end())
+    return;
+  eraseTarget(Position);
+  Result.AreTargetsChanged_ = true;
 }
 
 void StoreView::putConfiguration(const StoredRecord &Record,
@@ -213,6 +229,10 @@
   if (Zones_.size() >= MaxRememberedKeys)
     Zones_.clear();
   Zones_[Target.Name_] = Target.Zone_;
+  const auto Known = Targets_.find(Key);
+  if (Known != Targets_.end())
+    --TargetCounts_[Known->second.Target_.Zone_];
+  ++TargetCounts_[Target.Zone_];
   TargetEntry &Entry = Targets_[Key];
   if (Target.IsDraining_ && !Entry.Target_.IsDraining_)
     Result.Draining_.push_back(Key);
@@ -231,7 +251,7 @@
     Result.Deferred_.push_back(Key);
     return;
   }
-  Targets_.erase(Position);
+  eraseTarget(Position);
   Result.Removed_.push_back(Key);
   Result.AreTargetsChanged_ = true;
 }
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -79,6 +79,9 @@
   /// Returns the availability zone of a target, or null when it is unknown.
   const framework::ZoneName *zoneOf(const framework::TargetName &Target) const;
 
+  /// Returns the number of targets in an availability zone.
+  std::size_t countTargets(const framework::ZoneName &Zone) const;
+
   /// Returns the targets; those in evacuated zones are marked as draining.
   std::vector<PublishedTarget> targets() const;
 
@@ -111,6 +114,7 @@
   void putTarget(const StoredRecord &Record, PublishedTarget Target,
                  Changes &Result);
   void remove(const std::string &Key, framework::Instant Now, Changes &Result);
+  void eraseTarget(std::map<std::string, TargetEntry>::iterator Position);
   bool isRecovering(framework::Instant Now) const {
     return Now < RecoveryEndsAt_;
   }
@@ -130,6 +134,7 @@
   std::string ConfigurationKey_;
   /// The targets by the keys of their records.
   std::map<std::string, TargetEntry> Targets_;
+  std::map<framework::ZoneName, std::size_t> TargetCounts_;
   /// The zones of all targets that were ever known, including removed ones: a
   /// target name stays in its zone.
   std::map<framework::TargetName, framework::ZoneName> Zones_;
