Answer instances that are behind also after a full read of the store

Cause: when the store loses its history, the instances that it answers read all records. They then know the changes completely only from that read on, and refused to answer whoever was behind before it, although they hold every record. An instance that the store turned away then had nobody to ask, until the store answered it again. The class is help that is refused whole where it could be given in part.

Now such a request is answered with all known changes after its revision, newest first, which the receiver applies ahead of its revision, as it does with single changes that arrive early: configurations, leaving and removed targets, evacuated zones and keys take effect. It still knows that it is behind. Changes of a key keep their order by revision, so that nothing goes back. A key that was added and deleted while it was not known here is unknown to the receiver as well, unless it had it ahead from someone else.

--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -97,10 +97,12 @@
   const bool HasNews = View_.revision() > Message.After_ ||
                        (Age && *Age + MinAgeGain < Message.Age_ &&
                         View_.revision() == Message.After_);
-  if (!Age || !HasNews || Message.After_ < View_.records().completeSince())
+  if (!Age || !HasNews)
     return;
   std::vector<RecordUpdate> Updates =
-      View_.records().updatesAfter(Message.After_, View_.revision());
+      Message.After_ < View_.records().completeSince()
+          ? makeUpdatesAhead(Message.After_)
+          : View_.records().updatesAfter(Message.After_, View_.revision());
   if (Updates.empty()) {
     RecordUpdate &Statement = Updates.emplace_back();
     Statement.FromRevision_ = Message.After_;
@@ -126,6 +128,19 @@
   }
 }
 
+std::vector<RecordUpdate>
+StoreReplicator::makeUpdatesAhead(Revision After) const {
+  std::vector<RecordUpdate> Updates =
+      View_.records().updatesAfter(After, View_.revision());
+  // The newest changes first, in case not all are sent.
+  std::reverse(Updates.begin(), Updates.end());
+  for (RecordUpdate &Each : Updates) {
+    Each.FromRevision_ = View_.revision();
+    Each.ToRevision_ = View_.revision();
+  }
+  return Updates;
+}
+
 std::optional<std::size_t>
 StoreReplicator::sendParts(const RecordUpdate &Update,
                            const RecordRequest &Request,
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -175,6 +175,9 @@
   /// Compresses a large record, unless the last one that was compressed or
   /// received is the same. Returns null when it is too large.
   const CompressedRecord *compress(const ReplicatedRecord &Record);
+  /// Returns the known changes after a revision, though others may be missing:
+  /// the receiver applies them, and its revision stays.
+  std::vector<RecordUpdate> makeUpdatesAhead(framework::Revision After) const;
   /// Sends the parts of an update's only record that the request asks for.
   /// Returns the number of messages, or nothing when parts are left.
   std::optional<std::size_t> sendParts(const RecordUpdate &Update,
--- a/src/fleet/tests/catchup_test.cpp
+++ b/src/fleet/tests/catchup_test.cpp
@@ -97,6 +97,33 @@
   CHECK(Fleet.staleCount() == 0);
 }
 
+TEST_CASE("an instance that the store turns away gets what others know after "
+          "the store has lost its history",
+          "[catchup]") {
+  const int Instances = GENERATE(48, 129, 312);
+  SeededSimulation Fleet(Instances, {"a", "b", "c", "d", "e"}, 100);
+  Fleet.pass(seconds(4));
+  const std::set<std::size_t> Away = thirdOf(Fleet);
+  Fleet.turnAway(Away);
+  Fleet.Isolated_ = Away;
+  Fleet.changeConfiguration(GENERATE(std::string("small"), Configuration));
+  Fleet.change("t0", "target a draining");
+  Fleet.remove("t1");
+  Fleet.forgetHistory();
+  Fleet.pass(seconds(2));
+  Fleet.Isolated_.clear();
+  Fleet.pass(MaxChangeDelay);
+  for (const std::size_t Each : Away) {
+    const StoreView &View = Fleet.Instances_[Each].view();
+    CAPTURE(Instances, Each);
+    CHECK(View.configuration().Version_ == Fleet.Version_);
+    for (const PublishedTarget &Target : View.targets()) {
+      CHECK(Target.Name_.value() != "t1");
+      CHECK((Target.IsDraining_ || Target.Name_.value() != "t0"));
+    }
+  }
+}
+
 TEST_CASE("a change that is missing from a stale first read is read afterwards",
           "[catchup]") {
   SeededFleet Restarted(makeSettings(1), framework::Random(1));
