Test that an answer that turns out to be whole costs no reads

An answer of half of the largest size counts as a part, also when nothing is missing. Others are told that more follows and must not read the store for it. The simulated store marks such answers as the adapter does.

--- a/src/fleet/tests/manychanges_test.cpp
+++ b/src/fleet/tests/manychanges_test.cpp
@@ -101,3 +101,19 @@
   CHECK(Store.falseAges() == 0);
   CHECK(Store.countUsers("t1") == 0);
 }
+
+TEST_CASE("an answer that turns out to be whole does not make other instances "
+          "read the store",
+          "[manychanges]") {
+  const int Instances = GENERATE(48, 129, 312);
+  BusyStore Store(Instances);
+  Store.Fleet_.pass(seconds(3));
+  for (std::size_t Each = 0; Each < 400; ++Each)
+    Store.writeStatus();
+  const int Before = Store.Fleet_.ReadCount_;
+  Store.Fleet_.pass(seconds(1));
+  CAPTURE(Instances);
+  CHECK(Store.Fleet_.staleCount() == 0);
+  // The leaders of the zones read on, and watch again.
+  CHECK(Store.Fleet_.ReadCount_ - Before <= 5 * static_cast<int>(Zones.size()));
+}
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -81,7 +81,8 @@
   std::uint64_t Version_ = 3;
   std::vector<StoredRecord> Targets_;
   std::vector<StoredRecord> Changes_;
-  /// The store cuts an answer with more changes than this.
+  /// The store cuts an answer with more changes than this; one of half that
+  /// size counts as a part.
   static constexpr std::size_t MaxAnswerRecords = 500;
   int ReadCount_ = 0;
   std::size_t LargestMessage_ = 0;
@@ -237,11 +238,11 @@
                                    framework::Revision After) const {
     ArrivingAnswer Answer{changesArriveAt(), Instance, changesAfter(After),
                           Revision_, false};
-    if (Answer.Records_.size() <= MaxAnswerRecords)
+    Answer.IsPart_ = Answer.Records_.size() >= MaxAnswerRecords / 2;
+    if (!Answer.IsPart_)
       return Answer;
-    Answer.Records_.resize(MaxAnswerRecords);
+    Answer.Records_.resize(std::min(Answer.Records_.size(), MaxAnswerRecords));
     Answer.AsOf_ = Answer.Records_.back().Revision_;
-    Answer.IsPart_ = true;
     return Answer;
   }
 
