--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -15,8 +15,8 @@
 constexpr framework::Duration RejectionLogInterval = std::chrono::seconds(1);
 
 /// Changed targets and shares are applied at most once in this time for each
-/// listed target, since that takes time for all of them: the processor time of
-/// a large deployment does not grow with its changes as well.
+/// listed target: applying them takes processor time for every target, however
+/// few have changed.
 constexpr framework::Duration ApplicationIntervalPerTarget =
     std::chrono::microseconds(150);
 constexpr framework::Duration MaxApplicationInterval =
