--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -27,8 +27,9 @@
             for target in chosen:
                 target.reset_share = 0.0
 
-    async def replace_targets(self, gap):
-        """Targets leave one after the other, stated or not, and new ones take their place."""
+    async def replace_targets(self, gap, stated=0.6):
+        """Targets leave one after the other, new ones take their place. A share of them states
+        first that it leaves."""
         while True:
             await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
             ready = [each for each in self.fleet.targets if not each.is_draining
@@ -36,7 +37,7 @@
             target = self.rng.choice(ready)
             await self.fleet.add_target(f"i-{next(self.numbers)}", target.service, target.zone)
             asyncio.ensure_future(self.fleet.remove_target(
-                target, is_stated=self.rng.random() < 0.6))
+                target, is_stated=self.rng.random() < stated))
 
     async def change_configuration(self, gap, added=0):
         while True:
@@ -167,6 +168,16 @@
             await asyncio.sleep(length)
             self.fleet.store.end_outage()
 
+    async def slow_store(self, answer_time, every, length):
+        """All answers of the store take longer for a while."""
+        store = self.fleet.store
+        usual = store.answer_time
+        while True:
+            store.answer_time = answer_time
+            await asyncio.sleep(length)
+            store.answer_time = usual
+            await asyncio.sleep(every - length)
+
     async def compact_store(self, gap):
         while True:
             await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
@@ -192,6 +203,13 @@
     return [faults.replace_targets(0.4), faults.change_configuration(4.0)]
 
 
+def _slow_answers(faults):
+    """Reads of all records are no quick way around late watches: they are slow at times, too."""
+    faults.fleet.store.watch_delay = (0.5, 1.5)
+    return [faults.slow_store((0.5, 1.0), every=4.0, length=2.0),
+            faults.replace_targets(0.2, stated=0.0), faults.change_configuration(2.0)]
+
+
 def _kills(faults):
     return [faults.kill_in_turn(0.5), faults.reset_targets(0.9, 0.7, 1.0, 6.0)]
 
@@ -293,6 +311,7 @@
     "late-watches-alone": (0, None, _late_watches),
     # The pages excuse a slow store; its ratios show whether instances keep reading it.
     "slow-store": (1, None, _slow_store),
+    "slow-answers": (1, None, _slow_answers),
     "kills": (1, None, _kills),
     "restarts-in-one-window": (1, 5, _restarts_in_one_window),
     "leaving": (1, None, _leaving),
