Let a late read of the store go on while another one is made beside it

Cause: an instance had one connection to the store and one read at a time. A read that was late was given up after 0.6 s, the next one after 1.2 s, and nothing was left of either wait; and it began at an age of 1.3 to 1.5 s whatever the bound is. The age of a view at its worst was the sum of the limits of failed reads. Class: a wait that is spent instead of used, against a bound that it does not know.

Now a read of all records and one of changes are under way side by side, each on its own connection; neither ends the other, and what arrives first counts. A late read is no longer the only way: after `ReadTiming::LateAnswerTime_` the other kind is read beside it, and while changes come late, all records are read first and earlier. Time limits follow from the core, no longer from the platform's client, which only translates.

The calm case costs no reads: watches and ages are as before with bounds of 2 s and more.

Ruled out: only longer limits (a silent connection then costs as much), more than two reads at once (a second read of all records costs an instance of a tenth of a core a second), shorter retry delays of members that the store turns away (its load in an outage then grows with the fleet; the test of that failed and the delay stays).

The simulated store keeps reads of both kinds apart, with the limits that the instances state.

--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -137,14 +137,16 @@
 }
 
 void FleetAdapter::handle(const EventContext &Context,
-                          const RecordsArriving &) {
-  Core_.Fleet_.handleRecordsArriving(Context.Now_, Core_.FleetOutput_);
+                          const RecordsArriving &Input) {
+  Core_.Fleet_.handleRecordsArriving(Input.Kind_, Context.Now_,
+                                     Core_.FleetOutput_);
 }
 
 void FleetAdapter::handle(const EventContext &Context,
                           const RecordsUnavailable &Input) {
-  Core_.Fleet_.handleRecordsUnavailable({Input.Reason_, Input.IsTimeout_},
-                                        Context.Now_, Core_.FleetOutput_);
+  Core_.Fleet_.handleRecordsUnavailable(
+      {Input.Reason_, Input.IsTimeout_, Input.Kind_}, Context.Now_,
+      Core_.FleetOutput_);
 }
 
 void FleetAdapter::handle(const EventContext &, const SeedsChanged &Input) {
@@ -298,8 +300,8 @@
 
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::ReadRecords &Output) {
-  Context.Output_.push_back(
-      ReadRecords{Output.After_, Output.Wait_, Output.IsStaleAllowed_});
+  Context.Output_.push_back(ReadRecords{
+      Output.After_, Output.Wait_, Output.TimeLimit_, Output.IsStaleAllowed_});
 }
 
 void FleetAdapter::apply(const EventContext &Context,
--- a/src/decision/types/events/recordsunavailable.h
+++ b/src/decision/types/events/recordsunavailable.h
@@ -1,6 +1,8 @@
 #ifndef CRANBERRYSPOOL_DECISION_TYPES_EVENTS_RECORDSUNAVAILABLE_H
 #define CRANBERRYSPOOL_DECISION_TYPES_EVENTS_RECORDSUNAVAILABLE_H
 
+#include "fleet/types/readkind.h"
+
 #include <string>
 
 namespace cranberryspool::decision {
@@ -12,6 +14,7 @@
   /// True when the store has neither answered nor closed the connection in
   /// time.
   bool IsTimeout_ = false;
+  fleet::ReadKind Kind_ = fleet::ReadKind::Changes;
 };
 
 } // namespace cranberryspool::decision
--- a/src/entry/tests/workspacefixture.cpp
+++ b/src/entry/tests/workspacefixture.cpp
@@ -104,7 +104,9 @@
             Fixture_.PublishedKey_,
         AsOf, false};
     if (!Fixture_.IsStoreAvailable_.load())
-      OnEvent_(decision::RecordsUnavailable{});
+      OnEvent_(decision::RecordsUnavailable{
+          .Kind_ = Command.After_ ? fleet::ReadKind::Changes
+                                  : fleet::ReadKind::AllRecords});
     else if (!Command.After_)
       OnEvent_(
           decision::RecordsRead{{Configuration,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -84,7 +84,8 @@
   /// history.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
   /// Handles the beginning of a large answer of the metadata store.
-  void handleRecordsArriving(framework::Moment Now, OutputList &Output);
+  void handleRecordsArriving(ReadKind Kind, framework::Moment Now,
+                             OutputList &Output);
   /// Handles a failed read of the metadata store; `Reason` says what failed.
   void handleRecordsUnavailable(const ReadFailure &Failure,
                                 framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -89,9 +89,10 @@
     Seeded_->handleHistoryLost(Now, Output);
 }
 
-void Fleet::handleRecordsArriving(framework::Moment Now, OutputList &Output) {
+void Fleet::handleRecordsArriving(ReadKind Kind, framework::Moment Now,
+                                  OutputList &Output) {
   if (Seeded_)
-    Seeded_->handleRecordsArriving(Now, Output);
+    Seeded_->handleRecordsArriving(Kind, Now, Output);
 }
 
 void Fleet::handleRecordsUnavailable(const ReadFailure &Failure,
--- a/src/fleet/internal/seeded/recordreports.cpp
+++ b/src/fleet/internal/seeded/recordreports.cpp
@@ -35,16 +35,19 @@
          std::to_string(AsOf.value());
 }
 
-void StoreReplicator::reportSlowRead(const std::vector<StoredRecord> &Records,
+void StoreReplicator::reportSlowRead(const PendingRead &Read,
+                                     const std::vector<StoredRecord> &Records,
                                      Revision AsOf,
                                      const EventContext &Context) const {
-  reportSlowRead(describeAnswer(Records, AsOf), countBytes(Records), Context);
+  reportSlowRead(Read, describeAnswer(Records, AsOf), countBytes(Records),
+                 Context);
 }
 
-void StoreReplicator::reportSlowRead(std::string Result, std::size_t Bytes,
-                                     const EventContext &Context) const {
-  const Duration Elapsed = Context.Now_ - ReadStartedAt_;
-  if (Elapsed <= ReadWait_ + SlowReadTime && Bytes <= LargeReadBytes)
+void StoreReplicator::reportSlowRead(const PendingRead &Read,
+                                     std::string Result, std::size_t Bytes,
+                                     const EventContext &Context) {
+  const Duration Elapsed = Context.Now_ - Read.StartedAt_;
+  if (Elapsed <= Read.Wait_ + SlowReadTime && Bytes <= LargeReadBytes)
     return;
   ViewChanged Report{ViewEvent::StoreReadSlow, std::move(Result),
                      ViewChanged::StoreSource};
@@ -53,11 +56,11 @@
 }
 
 void StoreReplicator::reportPartialRead(
-    const std::vector<StoredRecord> &Records, Revision UpTo,
-    const EventContext &Context) const {
+    const PendingRead &Read, const std::vector<StoredRecord> &Records,
+    Revision UpTo, const EventContext &Context) const {
   ViewChanged Report{ViewEvent::StoreReadPartial, describeAnswer(Records, UpTo),
                      ViewChanged::StoreSource};
-  Report.Elapsed_ = Context.Now_ - ReadStartedAt_;
+  Report.Elapsed_ = Context.Now_ - Read.StartedAt_;
   Context.Output_.push_back(std::move(Report));
 }
 
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -29,8 +29,8 @@
   const bool IsBehind = IsRestMissing_ || isBehind(Context.Now_);
   if (!IsBehind && !isViewTooOld(Context))
     return false;
-  if (IsReading_)
-    return Context.Now_ >= ReadStartedAt_ + ReadPatience;
+  if (const auto Oldest = Reads_.oldestStart())
+    return Context.Now_ >= *Oldest + ReadPatience;
   return IsBehind || Context.Now_ < NextReadAt_;
 }
 
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -179,9 +179,9 @@
   Replicator_.handleHistoryLost(makeContext(Now, Output));
 }
 
-void SeededFleet::handleRecordsArriving(framework::Moment Now,
+void SeededFleet::handleRecordsArriving(ReadKind Kind, framework::Moment Now,
                                         OutputList &Output) {
-  Replicator_.handleAnswerArriving(makeContext(Now, Output));
+  Replicator_.handleAnswerArriving(Kind, makeContext(Now, Output));
 }
 
 void SeededFleet::handleRecordsUnavailable(const ReadFailure &Failure,
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -77,7 +77,8 @@
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
-  void handleRecordsArriving(framework::Moment Now, OutputList &Output);
+  void handleRecordsArriving(ReadKind Kind, framework::Moment Now,
+                             OutputList &Output);
   void handleRecordsUnavailable(const ReadFailure &Failure,
                                 framework::Moment Now, OutputList &Output);
 
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -12,9 +12,6 @@
 using framework::Revision;
 using std::chrono::milliseconds;
 
-/// The longest time for which the store may hold a watch open, which bounds the
-/// age of the view.
-constexpr Duration MaxWatchWait = milliseconds(1000);
 constexpr Duration MinWatchWait = milliseconds(200);
 /// The pause between a watch that returned changes and the next one. It grows
 /// with the fleet, so that a store with many changes is not read for each one.
@@ -34,21 +31,9 @@
 /// The leader of a group reads first, the other members wait for its update.
 constexpr Duration LeaderStartupWait = milliseconds(300);
 constexpr Duration MemberStartupWait = milliseconds(600);
-/// The store is read when the view is older than this: longer than a watch plus
-/// the delivery of an update. A read of changes whose answer is late and the
-/// read of all records after it still end within the time in which changes must
-/// take effect.
-constexpr Duration MaxViewAge = milliseconds(1300);
-/// Added for members of a group.
-constexpr Duration MaxReadJitter = milliseconds(200);
-/// The answer to a read of changes is late when it takes longer than this
-/// besides the wait of a watch, and than a multiple of the last answer of
-/// either kind of read: a store that is slow throughout is not asked twice.
-constexpr Duration MinLateAnswerTime = milliseconds(300);
-constexpr int LateAnswerFactor = 2;
-/// After a late answer an instance whose view is too old reads all records for
-/// this long.
-constexpr Duration FullReadPeriod = milliseconds(10'000);
+/// After a late answer to a read of changes, reads of all records come first
+/// for this long.
+constexpr Duration LateChangesPeriod = milliseconds(10'000);
 /// Messages that were sent together may arrive reordered within this time.
 constexpr Duration ReorderTolerance = milliseconds(100);
 /// What is missing is read from the store when other instances have neither
@@ -59,8 +44,6 @@
 /// The longest time for which a statement is relied on: that of an answer of
 /// the largest size on a link of 10 Mbit/s.
 constexpr Duration MaxPromiseTime = milliseconds(1300);
-/// The longest time in which parts of what is missing may arrive.
-constexpr Duration MaxHelpTime = milliseconds(2000);
 /// Watches are interrupted in normal operation, so that a single failure does
 /// not mean that the store is unavailable.
 constexpr std::uint32_t FailuresOfUnavailableStore = 2;
@@ -80,15 +63,15 @@
 StoreReplicator::StoreReplicator(RecordDecoder Decode,
                                  const FleetBounds &Bounds,
                                  framework::Random Rng)
-    : View_(std::move(Decode), Bounds), Rng_(Rng),
-      ReadJitter_(static_cast<Duration::rep>(
-          Rng_.index(static_cast<std::size_t>(MaxReadJitter.count())))) {}
+    : Timing_(Bounds.ChangeTime_), Reads_(Timing_),
+      View_(std::move(Decode), Bounds), Rng_(Rng),
+      ReadJitter_(static_cast<Duration::rep>(Rng_.index(
+          static_cast<std::size_t>(ReadTiming::MaxReadJitter.count())))) {}
 
 void StoreReplicator::tick(const EventContext &Context) {
   reportChanges(View_.expireMissing(Context.Now_), ViewChanged::StoreSource,
                 Context.Output_);
   reportProgress(AnnouncedBy_.value(), Context);
-  replaceLateRead(Context);
   readIfDue(Context);
   requestIfDue(Context);
   if (Context.Now_ >= NextUpdateAt_ && Context.isGroupLeader())
@@ -127,9 +110,10 @@
   if (!isAnnouncedMissing())
     return false;
   const bool IsArriving =
-      Now < HelpedAt_ + PeerPatience && Now < GapSince_ + MaxHelpTime;
+      Now < HelpedAt_ + PeerPatience && Now < GapSince_ + Timing_.MaxHelpTime_;
   const bool IsPromised =
-      Now < PromisedAt_ + PeerPatience && Now < GapSince_ + MaxPromiseTime;
+      Now < PromisedAt_ + PeerPatience &&
+      Now < GapSince_ + std::min(MaxPromiseTime, Timing_.MaxHelpTime_);
   return IsArriving || IsPromised;
 }
 
@@ -147,43 +131,44 @@
   if (!Age)
     return Context.Now_ >=
            StartedAt_ + (IsLeader ? LeaderStartupWait : MemberStartupWait);
-  return *Age > (IsLeader ? MaxViewAge : MaxViewAge + ReadJitter_);
+  const Duration MaxAge = areChangesLate(Context.Now_)
+                              ? Timing_.MaxViewAgeWhileLate_
+                              : Timing_.MaxViewAge_;
+  return *Age > (IsLeader ? MaxAge : MaxAge + ReadJitter_);
 }
 
 void StoreReplicator::startFullRead(const EventContext &Context) {
   // The first read may return stale records, since later changes follow from a
   // watch or from other instances.
-  IsFullReadStale_ = !View_.isLoaded() && Failures_ == 0;
-  IsReading_ = true;
-  IsFullRead_ = true;
-  ReadStartedAt_ = Context.Now_;
-  ReadWait_ = Duration{};
+  const bool IsStaleAllowed = !View_.isLoaded() && Failures_ == 0;
+  Reads_.start(ReadKind::AllRecords,
+               {.StartedAt_ = Context.Now_, .IsStaleAllowed_ = IsStaleAllowed});
+  Context.Output_.push_back(ReadRecords{
+      .After_ = std::nullopt,
+      .TimeLimit_ = Reads_.timeLimit(ReadKind::AllRecords, View_.isLoaded()),
+      .IsStaleAllowed_ = IsStaleAllowed});
+}
+
+void StoreReplicator::startReadOfChanges(Duration Wait,
+                                         const EventContext &Context) {
+  Reads_.start(ReadKind::Changes, {.StartedAt_ = Context.Now_, .Wait_ = Wait});
   Context.Output_.push_back(
-      ReadRecords{std::nullopt, Duration{}, IsFullReadStale_});
+      ReadRecords{.After_ = View_.revision(),
+                  .Wait_ = Wait,
+                  .TimeLimit_ = Reads_.timeLimit(ReadKind::Changes, true)});
 }
 
-void StoreReplicator::replaceLateRead(const EventContext &Context) {
-  const Duration LastAnswerTime =
-      std::min(LastFullReadTime_, LastChangesTime_.value_or(LastFullReadTime_));
-  const Duration LateAnswerTime =
-      std::max(MinLateAnswerTime, LateAnswerFactor * LastAnswerTime);
-  const bool IsLate =
-      Context.Now_ >= ReadStartedAt_ + ReadWait_ + LateAnswerTime;
-  const bool IsReadingChanges =
-      IsReading_ && !IsFullRead_ && !IsAnswerArriving_;
-  if (!IsReadingChanges || !IsLate || IsFullReadFailed_ ||
-      !isReadNeeded(Context))
+void StoreReplicator::readIfDue(const EventContext &Context) {
+  if (Context.Now_ < NextReadAt_)
     return;
-  reportSlowRead("no answer to a read of changes", 0, Context);
-  FullReadsUntil_ = Context.Now_ + FullReadPeriod;
-  ReplacedReadStartedAt_ = ReadStartedAt_;
-  startFullRead(Context);
+  if (Reads_.isIdle())
+    startFirstRead(Context);
+  else
+    startReadBeside(Context);
 }
 
-void StoreReplicator::readIfDue(const EventContext &Context) {
+void StoreReplicator::startFirstRead(const EventContext &Context) {
   const Instant Now = Context.Now_;
-  if (IsReading_ || Now < NextReadAt_)
-    return;
   if (IsFullReadNeeded_ || !View_.isLoaded()) {
     startFullRead(Context);
     return;
@@ -196,34 +181,58 @@
       isDiscoveryComplete(Now) && IsWaitAllowed && Context.isZoneLeader();
   if (!IsWatch && !IsRestMissing_ && !isReadNeeded(Context))
     return;
-  if (!IsWatch && Now < FullReadsUntil_ && !IsFullReadFailed_) {
+  if (!IsWatch && areChangesLate(Now) && !IsFullReadFailed_) {
     startFullRead(Context);
     return;
   }
-  IsReading_ = true;
-  IsFullRead_ = false;
-  ReadStartedAt_ = Now;
   // The age of the view includes the pause after changes, so the pause does not
   // make other instances wait longer for an update.
-  ReadWait_ = IsWatch ? std::max(MinWatchWait, MaxWatchWait - *View_.age(Now))
-                      : Duration{};
-  Context.Output_.push_back(ReadRecords{View_.revision(), ReadWait_});
+  const bool IsLong = IsWatch && !areChangesLate(Now);
+  startReadOfChanges(
+      IsLong ? std::max(MinWatchWait, Timing_.MaxWatchWait_ - *View_.age(Now))
+      : IsWatch ? MinWatchWait
+                : Duration{},
+      Context);
+}
+
+void StoreReplicator::startReadBeside(const EventContext &Context) {
+  const bool IsChangesUnderWay = Reads_.isUnderWay(ReadKind::Changes);
+  if (IsRestMissing_ && !IsChangesUnderWay) {
+    startReadOfChanges(Duration{}, Context);
+    return;
+  }
+  const bool IsFullUnderWay = Reads_.isUnderWay(ReadKind::AllRecords);
+  if (IsFullReadNeeded_ && !IsFullUnderWay) {
+    startFullRead(Context);
+    return;
+  }
+  const bool IsLate = Reads_.areLate(Context.Now_);
+  const bool IsExpectedLate = IsChangesUnderWay && areChangesLate(Context.Now_);
+  if ((!IsLate && !IsExpectedLate) || !isReadNeeded(Context))
+    return;
+  if (!IsFullUnderWay) {
+    if (IsLate)
+      ChangesLateUntil_ = Context.Now_ + LateChangesPeriod;
+    startFullRead(Context);
+  } else if (!IsChangesUnderWay && View_.isLoaded()) {
+    startReadOfChanges(Duration{}, Context);
+  }
 }
 
 void StoreReplicator::handleAllRecords(const std::vector<StoredRecord> &Records,
                                        Revision AsOf,
                                        const EventContext &Context) {
-  endRead();
+  const PendingRead Read = Reads_.end(ReadKind::AllRecords, Context.Now_);
   IsRestMissing_ = false;
   IsFullReadNeeded_ = false;
   IsFullReadFailed_ = false;
-  LastFullReadTime_ = Context.Now_ - ReadStartedAt_;
-  reportSlowRead(Records, AsOf, Context);
+  Reads_.recordAnswer(ReadKind::AllRecords, Context.Now_ - Read.StartedAt_);
+  reportSlowRead(Read, Records, AsOf, Context);
   recordReadSuccess(Context);
-  const Instant AnsweredAt = answeredAt(false, Context.Now_);
-  if (!IsFullReadStale_)
+  const Instant AnsweredAt = answeredAt(Read, false, Context.Now_);
+  if (!Read.IsStaleAllowed_)
     AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
-  reportChanges(IsFullReadStale_
+  reportChanges(Read.IsStaleAllowed_
                     ? View_.replaceAllStale(Records, AsOf, Context.Now_)
                     : View_.replaceAll(Records, AsOf, AnsweredAt),
                 ViewChanged::StoreSource, Context.Output_);
@@ -240,21 +249,14 @@
     const std::vector<StoredRecord> &Records, Revision AsOf,
     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
-  // The answer to a read that was replaced counts from its own request.
-  const bool IsReplaced = IsReading_ && IsFullRead_;
-  const Instant StartedAt =
-      IsReplaced ? ReplacedReadStartedAt_ : ReadStartedAt_;
-  const Instant AnsweredAt =
-      IsReplaced ? StartedAt : answeredAt(!Records.empty(), Context.Now_);
-  if (!IsReplaced) {
-    endRead();
-    IsRestMissing_ = false;
-    reportSlowRead(Records, AsOf, Context);
-    // How long the store held a watch that returns changes is not known.
-    if (Records.empty() || ReadWait_ == Duration{})
-      LastChangesTime_ =
-          std::max(Context.Now_ - ReadStartedAt_ - ReadWait_, Duration{});
-  }
+  const PendingRead Read = Reads_.end(ReadKind::Changes, Context.Now_);
+  const Instant AnsweredAt = answeredAt(Read, !Records.empty(), Context.Now_);
+  IsRestMissing_ = false;
+  reportSlowRead(Read, Records, AsOf, Context);
+  // How long the store held a watch that returns changes is not known.
+  if (Records.empty() || Read.Wait_ == Duration{})
+    Reads_.recordAnswer(ReadKind::Changes,
+                        Context.Now_ - Read.StartedAt_ - Read.Wait_);
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
   AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
@@ -262,10 +264,10 @@
                 ViewChanged::StoreSource, Context.Output_);
   // A read that began after the last announcement has returned what was
   // announced, one that began earlier only what was announced until then.
-  if (StartedAt > AnnouncedAt_)
+  if (Read.StartedAt_ > AnnouncedAt_)
     AnnouncedRevision_.reset();
   else
-    GapSince_ = std::max(GapSince_, StartedAt);
+    GapSince_ = std::max(GapSince_, Read.StartedAt_);
   forgetReachedAnnouncement();
   reportProgress(ViewChanged::StoreSource, Context);
   if (!Records.empty())
@@ -278,12 +280,9 @@
     const std::vector<StoredRecord> &Records, Revision UpTo,
     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
-  const bool IsReplaced = IsReading_ && IsFullRead_;
-  if (!IsReplaced) {
-    endRead();
-    IsRestMissing_ = true;
-    reportPartialRead(Records, UpTo, Context);
-  }
+  const PendingRead Read = Reads_.end(ReadKind::Changes, Context.Now_);
+  IsRestMissing_ = true;
+  reportPartialRead(Read, Records, UpTo, Context);
   recordReadSuccess(Context);
   const Revision Before = View_.revision();
   reportChanges(View_.applyPart(Records, UpTo, Context.Now_),
@@ -303,26 +302,29 @@
   return std::clamp(MaxAgeAfterPause - Age, Duration{}, Pause);
 }
 
-void StoreReplicator::handleAnswerArriving(const EventContext &Context) {
-  IsAnswerArriving_ = IsReading_;
+void StoreReplicator::handleAnswerArriving(ReadKind Kind,
+                                           const EventContext &Context) {
+  Reads_.markArriving(Kind);
   if (Context.isGroupLeader())
     sendRecentChanges(Context);
 }
 
 void StoreReplicator::handleHistoryLost(const EventContext &Context) {
-  endRead();
+  Reads_.end(ReadKind::Changes, Context.Now_);
   IsFullReadNeeded_ = true;
   readIfDue(Context);
 }
 
-Instant StoreReplicator::answeredAt(bool HasChanges, Instant Now) const {
+Instant StoreReplicator::answeredAt(const PendingRead &Read, bool HasChanges,
+                                    Instant Now) {
   // A watch without changes is answered when its wait is over. One with changes
   // may have been answered at any time, and held up on its way.
-  const Duration Wait = HasChanges ? Duration{} : ReadWait_;
-  return std::min(Now, ReadStartedAt_ + Wait);
+  const Duration Wait = HasChanges ? Duration{} : Read.Wait_;
+  return std::min(Now, Read.StartedAt_ + Wait);
 }
 
 void StoreReplicator::recordReadSuccess(const EventContext &Context) {
+  AnswerReceivedAt_ = Context.Now_;
   if (std::exchange(Failures_, 0) < FailuresOfUnavailableStore)
     return;
   ViewChanged Report{ViewEvent::StoreAvailable, ViewChanged::StoreSource,
@@ -334,13 +336,20 @@
 void StoreReplicator::handleReadFailure(const ReadFailure &Failure,
                                         const EventContext &Context) {
   const std::string &Reason = Failure.Reason_;
-  endRead();
-  reportSlowRead(Reason, 0, Context);
-  if (Failure.IsTimeout_ && !IsFullRead_)
-    FullReadsUntil_ = Context.Now_ + FullReadPeriod;
+  const PendingRead Read = Reads_.end(Failure.Kind_, Context.Now_);
+  reportSlowRead(Read, Reason, 0, Context);
+  if (Failure.IsTimeout_)
+    Reads_.recordTimeout(Failure.Kind_);
+  if (Failure.IsTimeout_ && Failure.Kind_ == ReadKind::Changes)
+    ChangesLateUntil_ = Context.Now_ + LateChangesPeriod;
+  // The store has answered another read in the meantime.
+  if (AnswerReceivedAt_ > Read.StartedAt_) {
+    readIfDue(Context);
+    return;
+  }
   // While all reads fail, those of changes are tried in turn: their answers are
   // smaller.
-  IsFullReadFailed_ = IsFullRead_;
+  IsFullReadFailed_ = Failure.Kind_ == ReadKind::AllRecords;
   if (Failures_ == 0)
     FailingSince_ = Context.Now_;
   if (Failures_ + 1 == FailuresOfUnavailableStore)
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -3,7 +3,9 @@
 
 #include "fleet/internal/seeded/compressedrecord.h"
 #include "fleet/internal/seeded/eventcontext.h"
+#include "fleet/internal/seeded/readtiming.h"
 #include "fleet/internal/seeded/recordreassembler.h"
+#include "fleet/internal/seeded/storereads.h"
 #include "fleet/internal/seeded/storeview.h"
 #include "fleet/recorddecoder.h"
 #include "fleet/types/readfailure.h"
@@ -58,7 +60,7 @@
   void handleHistoryLost(const EventContext &Context);
   /// Handles the beginning of a large answer, whose end may take long. Other
   /// instances are told that more follows, so that they do not read the same.
-  void handleAnswerArriving(const EventContext &Context);
+  void handleAnswerArriving(ReadKind Kind, const EventContext &Context);
   void handleReadFailure(const ReadFailure &Failure,
                          const EventContext &Context);
 
@@ -77,14 +79,19 @@
   /// record that are sent without a request.
   static constexpr std::size_t MaxMessagesAtOnce = 32;
 
-  /// Starts a read of all records.
   void startFullRead(const EventContext &Context);
-  /// Reads all records in place of a read of changes whose answer is late while
-  /// the view is too old.
-  void replaceLateRead(const EventContext &Context);
-  /// Starts a read or watch of the store unless one is under way, not needed or
-  /// not due yet.
+  /// Starts a read of changes. The store may hold it for `Wait`.
+  void startReadOfChanges(framework::Duration Wait,
+                          const EventContext &Context);
+  /// Starts a read or watch of the store when one is needed and due: beside one
+  /// that is late, if it is of the other kind.
   void readIfDue(const EventContext &Context);
+  void startFirstRead(const EventContext &Context);
+  void startReadBeside(const EventContext &Context);
+  /// Returns true when answers to reads of changes have come late recently.
+  bool areChangesLate(framework::Instant Now) const {
+    return Now < ChangesLateUntil_;
+  }
   /// Returns true when this instance must read the store because other
   /// instances have not updated it in time.
   bool isReadNeeded(const EventContext &Context) const;
@@ -95,7 +102,7 @@
   bool isHelpExpected(framework::Instant Now) const;
   /// Returns true when this instance knows that newer changes exist.
   bool areChangesMissing() const {
-    return IsAnswerArriving_ || IsRestMissing_ || isAnnouncedMissing();
+    return Reads_.isAnswerArriving() || IsRestMissing_ || isAnnouncedMissing();
   }
   /// Handles the statement of an instance that newer changes are on their way
   /// to it.
@@ -133,28 +140,26 @@
                      const std::string &Source, OutputList &Output) const;
   /// Reports when this instance starts or stops to be behind others.
   void reportProgress(const std::string &Source, const EventContext &Context);
-  /// The read under way has ended, with or without an answer.
-  void endRead() {
-    IsReading_ = false;
-    IsAnswerArriving_ = false;
-  }
-  /// Returns the time for which the answer of the read that has ended certainly
+  /// Returns the time for which the answer of a read that has ended certainly
   /// holds: it may have waited on its way, or while this process did not run.
-  framework::Instant answeredAt(bool HasChanges, framework::Instant Now) const;
+  static framework::Instant answeredAt(const PendingRead &Read, bool HasChanges,
+                                       framework::Instant Now);
   /// Returns the pause before the next watch, after one that has returned
   /// changes; `Age` is the age of the view.
   framework::Duration watchPause(framework::Duration Age,
                                  const EventContext &Context) const;
   /// Reports a read that took long or returned much, since other changes wait
   /// behind it.
-  void reportSlowRead(std::string Result, std::size_t Bytes,
-                      const EventContext &Context) const;
+  static void reportSlowRead(const PendingRead &Read, std::string Result,
+                             std::size_t Bytes, const EventContext &Context);
   std::string describeAnswer(const std::vector<StoredRecord> &Records,
                              framework::Revision AsOf) const;
-  void reportSlowRead(const std::vector<StoredRecord> &Records,
+  void reportSlowRead(const PendingRead &Read,
+                      const std::vector<StoredRecord> &Records,
                       framework::Revision AsOf,
                       const EventContext &Context) const;
-  void reportPartialRead(const std::vector<StoredRecord> &Records,
+  void reportPartialRead(const PendingRead &Read,
+                         const std::vector<StoredRecord> &Records,
                          framework::Revision UpTo,
                          const EventContext &Context) const;
   /// Ends a series of failed reads.
@@ -196,6 +201,8 @@
     framework::Instant At_{};
   };
 
+  ReadTiming Timing_;
+  StoreReads Reads_;
   StoreView View_;
   /// The advances whose changes are still sent repeatedly, oldest first.
   std::deque<Advance> Advances_;
@@ -228,32 +235,17 @@
   /// it.
   framework::Instant PromisedAt_{};
   bool IsBehindReported_ = false;
-  bool IsReading_ = false;
-  /// Whether a large answer to the read that is under way has begun to arrive.
-  bool IsAnswerArriving_ = false;
   /// Whether the last answer may lack later changes.
   bool IsRestMissing_ = false;
   bool IsFullReadNeeded_ = true;
-  /// Whether the last read that was started is one of all records.
-  bool IsFullRead_ = false;
-  /// Whether the last read was one of all records and has failed.
+  /// Whether the last read that ended was one of all records and has failed.
   bool IsFullReadFailed_ = false;
-  /// How long the last answer to a read of all records took, and that to a read
-  /// of changes, without the wait of a watch.
-  framework::Duration LastFullReadTime_{};
-  std::optional<framework::Duration> LastChangesTime_;
   /// Until then, an instance whose view is too old reads all records.
-  framework::Instant FullReadsUntil_{};
-  /// Whether the store may answer the full read that is under way with stale
-  /// records.
-  bool IsFullReadStale_ = false;
+  framework::Instant ChangesLateUntil_{};
+  /// When the store last answered a read of this instance.
+  framework::Instant AnswerReceivedAt_{};
   std::uint32_t Failures_ = 0;
   framework::Instant FailingSince_{};
-  framework::Instant ReadStartedAt_{};
-  /// When the last read of changes began that a full read has replaced.
-  framework::Instant ReplacedReadStartedAt_{};
-  /// How long the store may hold the read that is under way.
-  framework::Duration ReadWait_{};
   framework::Instant NextReadAt_{};
   framework::Instant NextUpdateAt_{};
   /// The wall-clock time at which the store gave the answer that the view is
--- a/src/fleet/tests/latechanges_test.cpp
+++ b/src/fleet/tests/latechanges_test.cpp
@@ -13,6 +13,31 @@
 constexpr int Targets = 40;
 constexpr Duration LeaveInterval = milliseconds(370);
 constexpr Duration CheckInterval = milliseconds(10);
+constexpr Duration RemovalInterval = milliseconds(200);
+
+/// Makes answers to reads of changes late, and all answers slow besides in two
+/// of each four seconds.
+void slowDown(SeededSimulation &Fleet, framework::Random &Rng) {
+  const auto SlowTime = [&Fleet, &Rng] {
+    const auto Phase = Fleet.Now_.Monotonic_.time_since_epoch() % seconds(4);
+    return Phase < seconds(2) ? Duration(milliseconds(400 + Rng.index(400)))
+                              : Duration(milliseconds(4));
+  };
+  Fleet.FullReadDelay_ = SlowTime;
+  Fleet.ChangesDelay_ = [&Rng, SlowTime] {
+    return SlowTime() + milliseconds(500 + Rng.index(1'000));
+  };
+}
+
+/// Returns the number of views that list a target.
+std::size_t countUsers(const SeededSimulation &Fleet,
+                       const std::string &Target) {
+  std::size_t Count = 0;
+  for (const SeededFleet &Each : Fleet.Instances_)
+    for (const PublishedTarget &Listed : Each.view().targets())
+      Count += Listed.Name_.value() == Target ? 1U : 0U;
+  return Count;
+}
 
 /// Returns the longest time for which an instance uses a target after the store
 /// has acknowledged that it leaves or is gone.
@@ -84,3 +109,30 @@
   Fleet.delayChanges();
   CHECK(longestUse(Fleet, seconds(12)) < MaxChangeDelay);
 }
+
+TEST_CASE("a target that is gone is not used on while the store answers slowly "
+          "and reads of changes late",
+          "[latechanges]") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    framework::Random Rng(Seed);
+    SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+    Fleet.pass(seconds(4));
+    slowDown(Fleet, Rng);
+    std::map<std::string, Instant> RemovedAt;
+    Duration Longest{};
+    for (int Number = 0; Number < Targets; ++Number) {
+      const std::string Target = "t" + std::to_string(Number);
+      Fleet.remove(Target);
+      RemovedAt[Target] = Fleet.Now_.Monotonic_;
+      const Instant Next = Fleet.Now_.Monotonic_ + RemovalInterval;
+      while (Fleet.Now_.Monotonic_ < Next) {
+        Fleet.pass(CheckInterval);
+        for (const auto &[Gone, At] : RemovedAt)
+          if (countUsers(Fleet, Gone) > 0)
+            Longest = std::max(Longest, Fleet.Now_.Monotonic_ - At);
+      }
+    }
+    CHECK(Longest < MaxChangeDelay);
+  }
+}
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -205,33 +205,54 @@
 
   void answer(std::size_t Instance, const ReadRecords &Request) {
     ++ReadCount_;
-    // A new read takes the place of the one under way.
-    TimeOuts_.erase(Instance);
-    if (ChangesDelay_) {
-      Watches_.erase(Instance);
-      std::erase_if(Arriving_, [&](const ArrivingAnswer &Each) {
-        return Each.Instance_ == Instance;
-      });
-    }
+    const ReadKind Kind =
+        Request.After_ ? ReadKind::Changes : ReadKind::AllRecords;
+    // A new read takes the place of the one of its kind.
+    endRead(Instance, Kind);
+    TimeLimits_[{Instance, Kind}] =
+        Now_.Monotonic_ + Request.Wait_ + Request.TimeLimit_;
     OutputList Output;
     if (isStoreDownFor(Instance))
-      Instances_[Instance].handleRecordsUnavailable({"down"}, Now_, Output);
+      refuse(Instance, Kind, Output);
     else if (Request.After_ && AreChangesLate_)
-      TimeOuts_[Instance] = Now_.Monotonic_ + Request.Wait_ + ReadTimeout;
+      return;
     else if (!Request.After_)
-      transmit({Now_.Monotonic_, Instance,
-                recordsAt(Request.IsStaleAllowed_ ? StaleRevision_ : Revision_),
-                Revision_, true});
-    else if (*Request.After_ < FirstKept_)
+      transmit(answerWithAll(Instance, Request.IsStaleAllowed_));
+    else if (*Request.After_ < FirstKept_) {
+      endRead(Instance, Kind);
       Instances_[Instance].handleHistoryLost(Now_, Output);
-    else if (Request.Wait_ > framework::Duration::zero() &&
-             *Request.After_ == Revision_)
+    } else if (Request.Wait_ > framework::Duration::zero() &&
+               *Request.After_ == Revision_)
       Watches_[Instance] = Now_.Monotonic_ + Request.Wait_;
     else
       transmit(answerWithChanges(Instance, *Request.After_));
     process(Instance, Output);
   }
 
+  /// Nothing is left of a read that has ended or was replaced.
+  void endRead(std::size_t Instance, ReadKind Kind) {
+    TimeLimits_.erase({Instance, Kind});
+    if (Kind == ReadKind::Changes)
+      Watches_.erase(Instance);
+    std::erase_if(Arriving_, [&](const ArrivingAnswer &Each) {
+      return Each.Instance_ == Instance &&
+             Each.IsFullRead_ == (Kind == ReadKind::AllRecords);
+    });
+  }
+
+  void refuse(std::size_t Instance, ReadKind Kind, OutputList &Output) {
+    endRead(Instance, Kind);
+    Instances_[Instance].handleRecordsUnavailable({"down", false, Kind}, Now_,
+                                                  Output);
+  }
+
+  ArrivingAnswer answerWithAll(std::size_t Instance, bool IsStale) const {
+    const auto Delay =
+        FullReadDelay_ ? FullReadDelay_() : framework::Duration{};
+    return {Now_.Monotonic_ + Delay, Instance,
+            recordsAt(IsStale ? StaleRevision_ : Revision_), Revision_, true};
+  }
+
   /// Answers with the first changes after a revision, as many as an answer
   /// holds.
   ArrivingAnswer answerWithChanges(std::size_t Instance,
@@ -270,12 +291,17 @@
     if (Bytes < LargeAnswerBytes)
       return;
     OutputList Output;
-    Instances_[Answer.Instance_].handleRecordsArriving(Now_, Output);
+    Instances_[Answer.Instance_].handleRecordsArriving(
+        Answer.IsFullRead_ ? ReadKind::AllRecords : ReadKind::Changes, Now_,
+        Output);
     process(Answer.Instance_, Output);
   }
 
   void receive(const ArrivingAnswer &Answer) {
     OutputList Output;
+    TimeLimits_.erase({Answer.Instance_, Answer.IsFullRead_
+                                             ? ReadKind::AllRecords
+                                             : ReadKind::Changes});
     SeededFleet &Receiver = Instances_[Answer.Instance_];
     if (Answer.IsFullRead_)
       Receiver.handleAllRecords(Answer.Records_, Answer.AsOf_, Now_, Output);
@@ -316,10 +342,10 @@
   void turnAway(std::set<std::size_t> Instances) {
     TurnedAway_ = std::move(Instances);
     for (const std::size_t Each : TurnedAway_) {
-      if (Watches_.erase(Each) == 0)
+      if (!Watches_.contains(Each))
         continue;
       OutputList Output;
-      Instances_[Each].handleRecordsUnavailable({"down"}, Now_, Output);
+      refuse(Each, ReadKind::Changes, Output);
       process(Each, Output);
     }
   }
@@ -345,6 +371,7 @@
     FirstKept_ = Revision_;
     for (const auto &[Index, Until] : std::exchange(Watches_, {})) {
       OutputList Output;
+      endRead(Index, ReadKind::Changes);
       Instances_[Index].handleHistoryLost(Now_, Output);
       process(Index, Output);
     }
@@ -358,11 +385,8 @@
         SeededFleet(makeSettings(Number, Zones_[(Index + 1) % Zones_.size()],
                                  LastIncarnation_),
                     framework::Random(LastIncarnation_));
-    Watches_.erase(Index);
-    TimeOuts_.erase(Index);
-    std::erase_if(Arriving_, [&](const ArrivingAnswer &Each) {
-      return Each.Instance_ == Index;
-    });
+    endRead(Index, ReadKind::AllRecords);
+    endRead(Index, ReadKind::Changes);
     OutputList Output;
     Instances_[Index].start(Now_, Output);
     process(Index, Output);
@@ -404,8 +428,7 @@
   /// an answer; reads of all records are answered at once.
   void delayChanges() {
     AreChangesLate_ = true;
-    for (const auto &[Index, Until] : std::exchange(Watches_, {}))
-      TimeOuts_[Index] = Until + ReadTimeout;
+    Watches_.clear();
   }
 
   /// Counts the instances that have not reached the store's revision or its
@@ -435,18 +458,12 @@
         if (Watch != Watches_.end() && Watch->second <= Now_.Monotonic_) {
           Watches_.erase(Watch);
           if (isStoreDownFor(Index))
-            Instances_[Index].handleRecordsUnavailable({"down"}, Now_, Output);
-          else if (ChangesDelay_)
-            transmit({changesArriveAt(), Index, {}, Revision_, false});
+            refuse(Index, ReadKind::Changes, Output);
           else
-            Instances_[Index].handleChangedRecords({}, Revision_, Now_, Output);
-        }
-        const auto TimeOut = TimeOuts_.find(Index);
-        if (TimeOut != TimeOuts_.end() && TimeOut->second <= Now_.Monotonic_) {
-          TimeOuts_.erase(TimeOut);
-          Instances_[Index].handleRecordsUnavailable({"no answer", true}, Now_,
-                                                     Output);
+            transmit({changesArriveAt(), Index, {}, Revision_, false});
         }
+        for (const ReadKind Kind : {ReadKind::AllRecords, ReadKind::Changes})
+          giveUpIfDue(Index, Kind, Output);
         if (Instances_[Index].nextWakeUp() <= Now_.Monotonic_)
           Instances_[Index].tick(Now_, Output);
         process(Index, Output);
@@ -454,6 +471,16 @@
     }
   }
 
+  /// Ends a read that has had no answer within its time limit.
+  void giveUpIfDue(std::size_t Instance, ReadKind Kind, OutputList &Output) {
+    const auto Limit = TimeLimits_.find({Instance, Kind});
+    if (Limit == TimeLimits_.end() || Limit->second > Now_.Monotonic_)
+      return;
+    endRead(Instance, Kind);
+    Instances_[Instance].handleRecordsUnavailable({"no answer", true, Kind},
+                                                  Now_, Output);
+  }
+
   const std::vector<std::string> Zones_;
   std::uint64_t LastIncarnation_ = 1000;
   /// The store has the changes after this revision only.
@@ -467,10 +494,11 @@
   /// Returns the time by which the answer to a read of changes is late; unset
   /// while they are answered in time.
   std::function<framework::Duration()> ChangesDelay_;
-  static constexpr framework::Duration ReadTimeout = milliseconds(600);
-  /// The reads of instances that get no answer, with the times at which they
-  /// are given up.
-  std::map<std::size_t, framework::Instant> TimeOuts_;
+  /// Returns the time that an answer to a read of all records takes; unset
+  /// while they are answered at once.
+  std::function<framework::Duration()> FullReadDelay_;
+  /// The reads under way, with the times at which they are given up.
+  std::map<std::pair<std::size_t, ReadKind>, framework::Instant> TimeLimits_;
   /// The answers of the store that pass the links of their instances.
   std::vector<ArrivingAnswer> Arriving_;
   /// The load reports that were forwarded to each instance.
--- a/src/fleet/types/fleetbounds.h
+++ b/src/fleet/types/fleetbounds.h
@@ -27,6 +27,9 @@
   framework::Duration QuotaWindow_ = std::chrono::seconds(5);
   double QuotaOverage_ = 0.25;
   double QuotaTolerance_ = 20;
+  /// Changes of the metadata store must take effect everywhere within this time
+  /// of their acknowledgement.
+  framework::Duration ChangeTime_ = std::chrono::milliseconds(2000);
   /// How long after an outage of the metadata store targets are kept whose
   /// records it has lost, so that they can be written again.
   framework::Duration RecoveryGrace_ = std::chrono::milliseconds(2200);
--- a/src/fleet/types/readfailure.h
+++ b/src/fleet/types/readfailure.h
@@ -1,6 +1,8 @@
 #ifndef CRANBERRYSPOOL_FLEET_TYPES_READFAILURE_H
 #define CRANBERRYSPOOL_FLEET_TYPES_READFAILURE_H
 
+#include "fleet/types/readkind.h"
+
 #include <string>
 
 namespace cranberryspool::fleet {
@@ -12,6 +14,7 @@
   /// True when the store has neither answered nor closed the connection in
   /// time.
   bool IsTimeout_ = false;
+  ReadKind Kind_ = ReadKind::Changes;
 };
 
 } // namespace cranberryspool::fleet
