Do not take the lateness of one instance for an outage of the store

Cause: an outage in which records may be lost was found by comparing two answers that one instance had applied, from the begin of one read to the begin of the next. It did not count when answers arrived, whether reads had failed, or that others were answered all the while. Class: a conclusion about the store from what one reader lacks.

`OutageDetector` now owns the question. What counts is when the store answered anybody, as far as it is known; a read that is only late is no outage; failed reads count up to the next answer, since a store may hold them and answer after its return. An instance that answers a request for changes says first for how long it has known the store without an outage (new message `StoreAvailability`; older builds drop it as undecodable), which rules an outage out, also after the fact. An entry that lapsed in an outage is kept as before until the recovery grace period ends: tested together with targets that are gone while the store is slow. `target-removal-deferred` now logs how long the outage was.

Ruled out: a field more in `RecordUpdate`, since instances of different builds run side by side and its recorded bytes must stay.

--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -243,6 +243,14 @@
   Visit(Item.MissingParts_);
 }
 
+template <typename Visitor>
+void visitFields(StoreAvailability &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Age_);
+  Visit(Item.AvailableFor_);
+}
+
 template <typename Visitor>
 void visitFields(RecordPart &Item, Visitor &&Visit) {
   Visit(Item.From_);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -131,6 +131,7 @@
                                             capacity::DemandUpdate> ||
                              std::is_same_v<MessageType, RecordUpdate> ||
                              std::is_same_v<MessageType, RecordRequest> ||
+                             std::is_same_v<MessageType, StoreAvailability> ||
                              std::is_same_v<MessageType, RecordPart>) {
           if (Seeded_)
             Seeded_->handle(Item, Now, Output);
--- a/src/fleet/internal/seeded/recordreports.cpp
+++ b/src/fleet/internal/seeded/recordreports.cpp
@@ -71,8 +71,11 @@
     Output.push_back(ViewChanged{ViewEvent::TargetDraining, Key, Source});
   for (const std::string &Key : Changed.Removed_)
     Output.push_back(ViewChanged{ViewEvent::TargetRemoved, Key, Source});
-  for (const std::string &Key : Changed.Deferred_)
-    Output.push_back(ViewChanged{ViewEvent::RemovalDeferred, Key, Source});
+  for (const std::string &Key : Changed.Deferred_) {
+    ViewChanged Report{ViewEvent::RemovalDeferred, Key, Source};
+    Report.Elapsed_ = View_.outages().lastOutage();
+    Output.push_back(std::move(Report));
+  }
   for (const auto &[Key, Reason] : Changed.Rejected_)
     Output.push_back(RecordRejected{Key, Reason});
   if (Changed.IsDocumentChanged_)
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -99,6 +99,13 @@
                         View_.revision() == Message.After_);
   if (!Age || !HasNews)
     return;
+  Context.sendTo(
+      {Address},
+      StoreAvailability{.From_ = Context.self().Name_,
+                        .Incarnation_ = Context.self().Incarnation_,
+                        .Age_ = View_.outages().age(Context.Now_),
+                        .AvailableFor_ =
+                            View_.outages().availableFor(Context.Now_)});
   std::vector<RecordUpdate> Updates =
       Message.After_ < View_.records().completeSince()
           ? makeUpdatesAhead(Message.After_)
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -308,6 +308,12 @@
   Replicator_.handle(Message, makeContext(Now, Output));
 }
 
+void SeededFleet::handle(const StoreAvailability &Message,
+                         framework::Moment Now, OutputList &Output) {
+  Group_.recordActivity(Message.From_, Now.Monotonic_);
+  Replicator_.handle(Message, makeContext(Now, Output));
+}
+
 void SeededFleet::handle(const RecordRequest &Message, framework::Moment Now,
                          OutputList &Output) {
   const auto Sender = Membership_.members().find(Message.From_);
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -45,6 +45,8 @@
               OutputList &Output);
   void handle(const RecordPart &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const StoreAvailability &Message, framework::Moment Now,
+              OutputList &Output);
   void handle(const RecordRequest &Message, framework::Moment Now,
               OutputList &Output);
   void handle(const CrashUpdate &Message, framework::Moment Now,
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -230,6 +230,7 @@
   reportSlowRead(Read, Records, AsOf, Context);
   recordReadSuccess(Context);
   const Instant AnsweredAt = answeredAt(Read, false, Context.Now_);
+  View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   if (!Read.IsStaleAllowed_)
     AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(Read.IsStaleAllowed_
@@ -258,6 +259,7 @@
     Reads_.recordAnswer(ReadKind::Changes,
                         Context.Now_ - Read.StartedAt_ - Read.Wait_);
   recordReadSuccess(Context);
+  View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   const Revision Before = View_.revision();
   AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
   reportChanges(View_.apply(Records, AsOf, AnsweredAt),
@@ -284,6 +286,7 @@
   IsRestMissing_ = true;
   reportPartialRead(Read, Records, UpTo, Context);
   recordReadSuccess(Context);
+  View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   const Revision Before = View_.revision();
   reportChanges(View_.applyPart(Records, UpTo, Context.Now_),
                 ViewChanged::StoreSource, Context.Output_);
@@ -347,6 +350,7 @@
     readIfDue(Context);
     return;
   }
+  View_.outages().recordFailure();
   // While all reads fail, those of changes are tried in turn: their answers are
   // smaller.
   IsFullReadFailed_ = Failure.Kind_ == ReadKind::AllRecords;
@@ -423,6 +427,12 @@
   return Changed;
 }
 
+void StoreReplicator::handle(const StoreAvailability &Message,
+                             const EventContext &Context) {
+  View_.outages().recordAnswerToOther(Context.Now_ - Message.Age_,
+                                      Context.Now_ - Message.AvailableFor_);
+}
+
 void StoreReplicator::forgetAnnouncementOfMore(const RecordUpdate &Message) {
   const Revision Next(Message.ToRevision_.value() + 1);
   if (Message.From_ == AnnouncedBy_ && AnnouncedRevision_ == Next)
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -12,6 +12,7 @@
 #include "fleet/types/recordpart.h"
 #include "fleet/types/recordrequest.h"
 #include "fleet/types/recordupdate.h"
+#include "fleet/types/storeavailability.h"
 #include "fleet/types/storedrecord.h"
 #include "framework/ids.h"
 #include "framework/random.h"
@@ -66,6 +67,7 @@
 
   void handle(const RecordUpdate &Message, const EventContext &Context);
   void handle(const RecordPart &Message, const EventContext &Context);
+  void handle(const StoreAvailability &Message, const EventContext &Context);
   /// Answers the request of the instance at `Address` unless it has all that
   /// this instance knows.
   void answer(const RecordRequest &Message, const std::string &Address,
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -21,8 +21,7 @@
     Revision_ = AsOf;
     return;
   }
-  if (AnsweredAt_ && Now - *AnsweredAt_ > LossyOutage_)
-    RecoveryEndsAt_ = Now + RecoveryGrace_;
+  Outages_.recordAnswerToOther(Now, Now);
   AnsweredAt_ = Now;
   Revision_ = AsOf;
 }
@@ -107,7 +106,8 @@
 
 StoreView::Changes StoreView::expireMissing(framework::Instant Now) {
   Changes Result;
-  if (isRecovering(Now) || !AnsweredAt_ || Now - *AnsweredAt_ > LossyOutage_)
+  if (Outages_.isRecovering(Now) || !AnsweredAt_ ||
+      Now - *AnsweredAt_ > LossyOutage_)
     return Result;
   for (auto Each = Targets_.begin(); Each != Targets_.end();) {
     const auto Position = Each++;
@@ -246,7 +246,7 @@
   const auto Position = Targets_.find(Key);
   if (Position == Targets_.end())
     return;
-  if (isRecovering(Now) && !Position->second.Target_.IsDraining_) {
+  if (Outages_.isRecovering(Now) && !Position->second.Target_.IsDraining_) {
     Position->second.MissingSince_ = Now;
     Result.Deferred_.push_back(Key);
     return;
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -1,6 +1,7 @@
 #ifndef CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_STOREVIEW_H
 #define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_STOREVIEW_H
 
+#include "fleet/internal/seeded/outagedetector.h"
 #include "fleet/internal/seeded/recordtable.h"
 #include "fleet/recorddecoder.h"
 #include "fleet/types/fleetbounds.h"
@@ -41,8 +42,13 @@
 
   /// `Bounds` states how long records may be missing after an outage.
   StoreView(RecordDecoder Decode, const FleetBounds &Bounds)
-      : Decode_(std::move(Decode)), RecoveryGrace_(Bounds.RecoveryGrace_),
-        LossyOutage_(Bounds.LossyOutage_) {}
+      : Decode_(std::move(Decode)), LossyOutage_(Bounds.LossyOutage_),
+        Outages_(Bounds.LossyOutage_, Bounds.RecoveryGrace_) {}
+
+  /// Returns what is known of outages of the store. The caller records there
+  /// what it learns besides the answers that it applies.
+  OutageDetector &outages() { return Outages_; }
+  const OutageDetector &outages() const { return Outages_; }
 
   /// Applies a full read of the store: records that are missing were deleted
   /// until revision `AsOf`. Newer records are kept.
@@ -115,19 +121,13 @@
                  Changes &Result);
   void remove(const std::string &Key, framework::Instant Now, Changes &Result);
   void eraseTarget(std::map<std::string, TargetEntry>::iterator Position);
-  bool isRecovering(framework::Instant Now) const {
-    return Now < RecoveryEndsAt_;
-  }
-
   RecordDecoder Decode_;
-  framework::Duration RecoveryGrace_;
-  /// The store may have lost records when it did not answer for this long. An
-  /// instance that only misses the updates of others reads the store earlier.
+  /// While the view is older than this, the store may still be away.
   framework::Duration LossyOutage_;
+  OutageDetector Outages_;
   bool IsLoaded_ = false;
   framework::Revision Revision_;
   std::optional<framework::Instant> AnsweredAt_;
-  framework::Instant RecoveryEndsAt_{};
   RecordTable Records_;
   PublishedConfiguration Configuration_;
   /// The key of the record that holds the configuration.
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -17,6 +17,7 @@
 #include "fleet/types/recordpart.h"
 #include "fleet/types/recordrequest.h"
 #include "fleet/types/recordupdate.h"
+#include "fleet/types/storeavailability.h"
 #include "quotas/types/quotagrant.h"
 #include "quotas/types/quotarequest.h"
 
@@ -26,12 +27,11 @@
 
 /// A datagram message between instances. The order of the alternatives is part
 /// of the encoding.
-using PeerMessage =
-    std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
-                 KeyEndedAck, KeyHandover, KeyHandoverAck, GossipMessage,
-                 LoadUpdate, RecordUpdate, RecordFragment, CrashUpdate,
-                 quotas::QuotaRequest, quotas::QuotaGrant,
-                 capacity::DemandUpdate, RecordRequest, RecordPart>;
+using PeerMessage = std::variant<
+    Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded, KeyEndedAck,
+    KeyHandover, KeyHandoverAck, GossipMessage, LoadUpdate, RecordUpdate,
+    RecordFragment, CrashUpdate, quotas::QuotaRequest, quotas::QuotaGrant,
+    capacity::DemandUpdate, RecordRequest, RecordPart, StoreAvailability>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/fleet/tests/latechanges_test.cpp
+++ b/src/fleet/tests/latechanges_test.cpp
@@ -13,6 +13,7 @@
 constexpr int Targets = 40;
 constexpr Duration LeaveInterval = milliseconds(370);
 constexpr Duration CheckInterval = milliseconds(10);
+constexpr Duration RecoveryGrace = FleetBounds{}.RecoveryGrace_;
 constexpr Duration RemovalInterval = milliseconds(200);
 
 /// Makes answers to reads of changes late, and all answers slow besides in two
@@ -136,3 +137,33 @@
     CHECK(Longest < MaxChangeDelay);
   }
 }
+
+TEST_CASE(
+    "targets whose records lapsed in an outage are kept until two seconds "
+    "after it, and those that are gone while the store is slow are not",
+    "[latechanges]") {
+  framework::Random Rng(1);
+  SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4));
+  Fleet.IsStoreDown_ = true;
+  Fleet.pass(seconds(5));
+  slowDown(Fleet, Rng);
+  for (int Number = 0; Number < 6; ++Number)
+    Fleet.remove("t" + std::to_string(Number));
+  Fleet.IsStoreDown_ = false;
+  Fleet.pass(milliseconds(1'900));
+  for (int Number = 0; Number < 6; ++Number)
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == Instances);
+  // Half of them reach the store again.
+  for (int Number = 0; Number < 3; ++Number)
+    Fleet.change("t" + std::to_string(Number), "target a");
+  Fleet.pass(RecoveryGrace + MaxChangeDelay);
+  for (int Number = 0; Number < 6; ++Number)
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) ==
+          (Number < 3 ? Instances : 0));
+  for (int Number = 10; Number < 20; ++Number) {
+    Fleet.remove("t" + std::to_string(Number));
+    Fleet.pass(MaxChangeDelay);
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == 0);
+  }
+}
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -145,6 +145,8 @@
                  1,
                  4,
                  {0, 0xff, 'x'}},
+      StoreAvailability{Name, Incarnation, std::chrono::milliseconds(3),
+                        std::chrono::seconds(60)},
   };
 }
 
