Keep targets whose records lapsed also where others tell of the end of an outage

Cause: removals were put off only where an instance had applied an answer after the gap. Those whose own reads still failed were told of the same deletions by others, as changes ahead or as parts of more, and applied them at once, with views 6 to 8 s old.

A missing record now counts as one that may be lost also while the store is not known to have answered anybody for as long as an outage takes, and an update that cannot be applied yet tells of the answer that it is based on.

The regression test "targets whose records lapsed in an outage are kept by instances that hear of the end of the outage from others" covers it in virtual time; it was not run on the code before.

--- a/src/fleet/internal/seeded/outagedetector.h
+++ b/src/fleet/internal/seeded/outagedetector.h
@@ -33,6 +33,11 @@
   bool isRecovering(framework::Instant Now) const {
     return Now < RecoveryEndsAt_;
   }
+  /// Returns true while the store may be away, since it is not known to have
+  /// answered anybody for so long that records may be lost.
+  bool mayBeAway(framework::Instant Now) const {
+    return AnsweredAt_ && age(Now) > LossyOutage_;
+  }
   /// Returns the time since the store last answered anybody.
   framework::Duration age(framework::Instant Now) const {
     return AnsweredAt_ ? Now - *AnsweredAt_ : framework::Duration{};
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -385,6 +385,9 @@
     return;
   if (Message.FromRevision_ > Before) {
     recordGap(Message.ToRevision_, Message.From_, Context.Now_);
+    const Instant AnsweredAt = Context.Now_ - Message.Age_;
+    if (Message.Age_ < RecordUpdate::MoreFollows)
+      View_.outages().recordAnswerToOther(AnsweredAt, AnsweredAt);
     reportChanges(
         View_.applyAhead(storedRecords(Message.Records_), Context.Now_),
         Message.From_.value(), Context.Output_);
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -106,8 +106,7 @@
 
 StoreView::Changes StoreView::expireMissing(framework::Instant Now) {
   Changes Result;
-  if (Outages_.isRecovering(Now) || !AnsweredAt_ ||
-      Now - *AnsweredAt_ > LossyOutage_)
+  if (mayRecordsBeLost(Now))
     return Result;
   for (auto Each = Targets_.begin(); Each != Targets_.end();) {
     const auto Position = Each++;
@@ -246,7 +245,7 @@
   const auto Position = Targets_.find(Key);
   if (Position == Targets_.end())
     return;
-  if (Outages_.isRecovering(Now) && !Position->second.Target_.IsDraining_) {
+  if (mayRecordsBeLost(Now) && !Position->second.Target_.IsDraining_) {
     Position->second.MissingSince_ = Now;
     Result.Deferred_.push_back(Key);
     return;
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -42,7 +42,7 @@
 
   /// `Bounds` states how long records may be missing after an outage.
   StoreView(RecordDecoder Decode, const FleetBounds &Bounds)
-      : Decode_(std::move(Decode)), LossyOutage_(Bounds.LossyOutage_),
+      : Decode_(std::move(Decode)),
         Outages_(Bounds.LossyOutage_, Bounds.RecoveryGrace_) {}
 
   /// Returns what is known of outages of the store. The caller records there
@@ -121,9 +121,14 @@
                  Changes &Result);
   void remove(const std::string &Key, framework::Instant Now, Changes &Result);
   void eraseTarget(std::map<std::string, TargetEntry>::iterator Position);
+  /// Returns true while a missing record may be one that the store has lost:
+  /// in an outage, of which others may know the end first, and for the recovery
+  /// grace period after it.
+  bool mayRecordsBeLost(framework::Instant Now) const {
+    return Outages_.isRecovering(Now) || Outages_.mayBeAway(Now);
+  }
+
   RecordDecoder Decode_;
-  /// While the view is older than this, the store may still be away.
-  framework::Duration LossyOutage_;
   OutageDetector Outages_;
   bool IsLoaded_ = false;
   framework::Revision Revision_;
--- a/src/fleet/tests/latechanges_test.cpp
+++ b/src/fleet/tests/latechanges_test.cpp
@@ -167,3 +167,29 @@
     CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == 0);
   }
 }
+
+TEST_CASE(
+    "targets whose records lapsed in an outage are kept by instances that "
+    "hear of the end of the outage from others",
+    "[latechanges]") {
+  SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4));
+  Fleet.IsStoreDown_ = true;
+  Fleet.pass(seconds(5));
+  for (int Number = 0; Number < 6; ++Number)
+    Fleet.remove("t" + std::to_string(Number));
+  // The store answers one instance of each zone first.
+  std::set<std::size_t> Others;
+  for (std::size_t Each = 3; Each < Instances; ++Each)
+    Others.insert(Each);
+  Fleet.turnAway(Others);
+  Fleet.IsStoreDown_ = false;
+  for (int Check = 0; Check < 19; ++Check) {
+    Fleet.pass(milliseconds(100));
+    for (int Number = 0; Number < 6; ++Number)
+      CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == Instances);
+  }
+  Fleet.pass(RecoveryGrace + MaxChangeDelay);
+  for (int Number = 0; Number < 6; ++Number)
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == 0);
+}
