--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -29,8 +29,8 @@
   const bool IsBehind = IsRestMissing_ || isBehind(Context.Now_);
   if (!IsBehind && !isViewTooOld(Context))
     return false;
-  if (IsReading_)
-    return Context.Now_ >= ReadStartedAt_ + ReadPatience;
+  if (const auto Oldest = Reads_.oldestStart())
+    return Context.Now_ >= *Oldest + ReadPatience;
   return IsBehind || Context.Now_ < NextReadAt_;
 }
 
@@ -99,6 +99,13 @@
                         View_.revision() == Message.After_);
   if (!Age || !HasNews)
     return;
+  Context.sendTo(
+      {Address},
+      StoreAvailability{.From_ = Context.self().Name_,
+                        .Incarnation_ = Context.self().Incarnation_,
+                        .Age_ = View_.outages().age(Context.Now_),
+                        .AvailableFor_ =
+                            View_.outages().availableFor(Context.Now_)});
   std::vector<RecordUpdate> Updates =
       Message.After_ < View_.records().completeSince()
           ? makeUpdatesAhead(Message.After_)
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -45,6 +45,8 @@
               OutputList &Output);
   void handle(const RecordPart &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const StoreAvailability &Message, framework::Moment Now,
+              OutputList &Output);
   void handle(const RecordRequest &Message, framework::Moment Now,
               OutputList &Output);
   void handle(const CrashUpdate &Message, framework::Moment Now,
@@ -77,7 +79,8 @@
   /// Handles a failed watch: the store no longer holds the changes after the
   /// requested revision.
   void handleHistoryLost(framework::Moment Now, OutputList &Output);
-  void handleRecordsArriving(framework::Moment Now, OutputList &Output);
+  void handleRecordsArriving(ReadKind Kind, framework::Moment Now,
+                             OutputList &Output);
   void handleRecordsUnavailable(const ReadFailure &Failure,
                                 framework::Moment Now, OutputList &Output);
 
--- a/src/fleet/tests/latechanges_test.cpp
+++ b/src/fleet/tests/latechanges_test.cpp
@@ -13,6 +13,32 @@
 constexpr int Targets = 40;
 constexpr Duration LeaveInterval = milliseconds(370);
 constexpr Duration CheckInterval = milliseconds(10);
+constexpr Duration RecoveryGrace = FleetBounds{}.RecoveryGrace_;
+constexpr Duration RemovalInterval = milliseconds(200);
+
+/// Makes answers to reads of changes late, and all answers slow besides in two
+/// of each four seconds.
+void slowDown(SeededSimulation &Fleet, framework::Random &Rng) {
+  const auto SlowTime = [&Fleet, &Rng] {
+    const auto Phase = Fleet.Now_.Monotonic_.time_since_epoch() % seconds(4);
+    return Phase < seconds(2) ? Duration(milliseconds(400 + Rng.index(400)))
+                              : Duration(milliseconds(4));
+  };
+  Fleet.FullReadDelay_ = SlowTime;
+  Fleet.ChangesDelay_ = [&Rng, SlowTime] {
+    return SlowTime() + milliseconds(500 + Rng.index(1'000));
+  };
+}
+
+/// Returns the number of views that list a target.
+std::size_t countUsers(const SeededSimulation &Fleet,
+                       const std::string &Target) {
+  std::size_t Count = 0;
+  for (const SeededFleet &Each : Fleet.Instances_)
+    for (const PublishedTarget &Listed : Each.view().targets())
+      Count += Listed.Name_.value() == Target ? 1U : 0U;
+  return Count;
+}
 
 /// Returns the longest time for which an instance uses a target after the store
 /// has acknowledged that it leaves or is gone.
@@ -84,3 +110,86 @@
   Fleet.delayChanges();
   CHECK(longestUse(Fleet, seconds(12)) < MaxChangeDelay);
 }
+
+TEST_CASE("a target that is gone is not used on while the store answers slowly "
+          "and reads of changes late",
+          "[latechanges]") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    framework::Random Rng(Seed);
+    SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+    Fleet.pass(seconds(4));
+    slowDown(Fleet, Rng);
+    std::map<std::string, Instant> RemovedAt;
+    Duration Longest{};
+    for (int Number = 0; Number < Targets; ++Number) {
+      const std::string Target = "t" + std::to_string(Number);
+      Fleet.remove(Target);
+      RemovedAt[Target] = Fleet.Now_.Monotonic_;
+      const Instant Next = Fleet.Now_.Monotonic_ + RemovalInterval;
+      while (Fleet.Now_.Monotonic_ < Next) {
+        Fleet.pass(CheckInterval);
+        for (const auto &[Gone, At] : RemovedAt)
+          if (countUsers(Fleet, Gone) > 0)
+            Longest = std::max(Longest, Fleet.Now_.Monotonic_ - At);
+      }
+    }
+    CHECK(Longest < MaxChangeDelay);
+  }
+}
+
+TEST_CASE(
+    "targets whose records lapsed in an outage are kept until two seconds "
+    "after it, and those that are gone while the store is slow are not",
+    "[latechanges]") {
+  framework::Random Rng(1);
+  SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4));
+  Fleet.IsStoreDown_ = true;
+  Fleet.pass(seconds(5));
+  slowDown(Fleet, Rng);
+  for (int Number = 0; Number < 6; ++Number)
+    Fleet.remove("t" + std::to_string(Number));
+  Fleet.IsStoreDown_ = false;
+  Fleet.pass(milliseconds(1'900));
+  for (int Number = 0; Number < 6; ++Number)
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == Instances);
+  // Half of them reach the store again.
+  for (int Number = 0; Number < 3; ++Number)
+    Fleet.change("t" + std::to_string(Number), "target a");
+  Fleet.pass(RecoveryGrace + MaxChangeDelay);
+  for (int Number = 0; Number < 6; ++Number)
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) ==
+          (Number < 3 ? Instances : 0));
+  for (int Number = 10; Number < 20; ++Number) {
+    Fleet.remove("t" + std::to_string(Number));
+    Fleet.pass(MaxChangeDelay);
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == 0);
+  }
+}
+
+TEST_CASE(
+    "targets whose records lapsed in an outage are kept by instances that "
+    "hear of the end of the outage from others",
+    "[latechanges]") {
+  SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4));
+  Fleet.IsStoreDown_ = true;
+  Fleet.pass(seconds(5));
+  for (int Number = 0; Number < 6; ++Number)
+    Fleet.remove("t" + std::to_string(Number));
+  // The store answers one instance of each zone first.
+  std::set<std::size_t> Others;
+  for (std::size_t Each = 3; Each < Instances; ++Each)
+    Others.insert(Each);
+  Fleet.turnAway(Others);
+  Fleet.IsStoreDown_ = false;
+  for (int Check = 0; Check < 19; ++Check) {
+    Fleet.pass(milliseconds(100));
+    for (int Number = 0; Number < 6; ++Number)
+      CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == Instances);
+  }
+  Fleet.pass(RecoveryGrace + MaxChangeDelay);
+  for (int Number = 0; Number < 6; ++Number)
+    CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == 0);
+}
