Give each process of the rig one owner of its start and end

Cause: `freeze`, `restart`, `stop_and_start` and the watch for own ends each started and ended the process, with one flag for all disturbances. A freeze that ended inside a restart closed the disturbance, so that the watch took the killed process for one that had ended by itself and started it; the restart then started another, and the first was left running on the same addresses. A restart inside a stop did the same, and a stop that was still waiting could start a process after the end of the run. Continuing the slices of a small processor share ended a freeze.

Now faults that keep a process down are counted; nothing starts one meanwhile, and the last of them does. Disturbances are counted too, so that overlapping ones last until the last ends. SIGSTOPs have owners, and the last of them continues the process. A process that is stopping or down gets no second SIGTERM, which would have moved the begin of its grace for the judge of LOST. `end` is final. An own end is now noted at once also while a disturbance is open that does not keep the process down; before, it was noted at the end of the disturbance.

--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -118,7 +118,9 @@
         await asyncio.sleep(self.deployment.seconds("contact"))
 
     def run(self, coroutine):
-        self.tasks.append(asyncio.ensure_future(coroutine))
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.append(task)
+        return task
 
     async def _measure_lag(self):
         while True:
@@ -128,10 +130,9 @@
             self.record.worst_lag = max(self.record.worst_lag, lag)
 
     async def stop(self):
+        for instance in self.instances:
+            instance.end()
         for task in self.tasks:
             task.cancel()
-        for instance in self.instances:
-            if instance.process:
-                instance.kill()
         await asyncio.gather(*(target.stop() for target in self.targets),
                              self.store.runner.cleanup(), return_exceptions=True)
--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -1,6 +1,7 @@
 """One process of the program under test, with the settings of the platform."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
@@ -13,7 +14,11 @@
 
 
 class Instance:
-    """Started, signalled and ended by its process id. Remembers when it was disturbed."""
+    """Started, signalled and ended by its process id. Remembers when it was disturbed.
+
+    Faults may overlap. While any of them keeps the process down, nothing else starts one; the last
+    of them does. A process stays stopped until the last fault that stopped it continues it.
+    """
 
     def __init__(self, name, zone, ip, ports, folder, program):
         self.name, self.zone, self.ip, self.ports = name, zone, ip, ports
@@ -22,7 +27,11 @@
         self.log_path = os.path.join(folder, f"{name}.log")
         self.process = None
         self.is_ready = False
+        self.is_ended = False
+        self.down_count = 0  # faults that keep the process from being started
+        self.freezes = set()  # those that stopped the present process by SIGSTOP
         self.disturbances = []  # [begin, end or None]
+        self.disturbance_count = 0
         self.stops = []  # times of SIGTERM
         self.peak_megabytes = 0.0
         self.own_ends = []  # (time, exit code) of a process that ended by itself
@@ -54,54 +63,101 @@
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
 
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
     def start(self):
+        """Starts a process, unless one runs, a fault keeps it down or the run has ended."""
+        if self.is_ended or self.down_count or self.is_running:
+            return
         environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
         environment["CRANBERRYSPOOL_BOOT"] = self.settings_path
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen([self.program], env=environment, stdout=log,
                                             stdin=subprocess.DEVNULL, stderr=subprocess.STDOUT)
-        self.end_disturbance()
-        self.disturbances.append([time.monotonic(), time.monotonic()])
+        self.freezes.clear()
+        with self.disturbed():
+            pass
+
+    def end(self):
+        """Ends the process; no fault starts one from now on."""
+        self.is_ended = True
+        self.kill()
 
     def begin_disturbance(self):
-        if not self.disturbances or self.disturbances[-1][1] is not None:
+        if not self.disturbance_count:
             self.disturbances.append([time.monotonic(), None])
+        self.disturbance_count += 1
 
     def end_disturbance(self):
-        if self.disturbances and self.disturbances[-1][1] is None:
+        self.disturbance_count -= 1
+        if not self.disturbance_count:
             self.disturbances[-1][1] = time.monotonic()
 
+    @contextlib.contextmanager
+    def disturbed(self):
+        self.begin_disturbance()
+        try:
+            yield
+        finally:
+            self.end_disturbance()
+
+    @contextlib.contextmanager
+    def kept_down(self):
+        with self.disturbed():
+            self.down_count += 1
+            try:
+                yield
+            finally:
+                self.down_count -= 1
+                self.start()
+
+    @contextlib.contextmanager
+    def frozen(self):
+        owner = object()
+        self.freezes.add(owner)
+        self.signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            self.freezes.discard(owner)
+            if not self.freezes:
+                self.signal(signal.SIGCONT)
+
     def was_disturbed(self, begin, end):
         return any(first <= end and (last is None or last >= begin)
                    for first, last in self.disturbances)
 
+    def signal(self, number):
+        if self.is_running:
+            self.process.send_signal(number)
+
     def kill(self):
-        if self.process.poll() is None:
-            self.begin_disturbance()
+        if self.is_running:
             self.process.kill()
             self.process.wait()
 
     async def restart(self, pause):
-        self.kill()
-        await asyncio.sleep(pause)
-        self.start()
+        with self.kept_down():
+            self.kill()
+            await asyncio.sleep(pause)
 
     async def stop_and_start(self, grace):
-        self.begin_disturbance()
-        self.stops.append(time.monotonic())
-        self.process.send_signal(signal.SIGTERM)
-        deadline = time.monotonic() + grace
-        while self.process.poll() is None and time.monotonic() < deadline:
-            await asyncio.sleep(0.05)
-        self.kill()
-        self.start()
+        """Does nothing when the process is stopping already or is not there."""
+        if self.down_count or not self.is_running:
+            return
+        with self.kept_down():
+            self.stops.append(time.monotonic())
+            self.signal(signal.SIGTERM)
+            deadline = time.monotonic() + grace
+            while self.is_running and time.monotonic() < deadline:
+                await asyncio.sleep(0.05)
+            self.kill()
 
     async def freeze(self, seconds):
-        self.begin_disturbance()
-        self.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        self.process.send_signal(signal.SIGCONT)
-        self.end_disturbance()
+        with self.disturbed(), self.frozen():
+            await asyncio.sleep(seconds)
 
     def resident_megabytes(self):
         with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
@@ -121,24 +177,20 @@
         itself, as the platform does."""
         while True:
             await asyncio.sleep(0.02)
-            if self.process.poll() is None:
+            if self.is_running:
                 try:
                     self.peak_megabytes = max(self.peak_megabytes, self.resident_megabytes())
                 except OSError:
                     continue
-            elif self.disturbances[-1][1] is not None:
+            elif not self.down_count and not self.is_ended:
                 self.own_ends.append((time.monotonic(), self.process.returncode))
                 self.start()
 
     async def run_in_slices(self, share, period=0.1):
         """Gives the process a share of each period, as a quota of the processor does."""
         while True:
-            process = self.process
-            if process.poll() is None:
-                process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(period * (1 - share))
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
+            with self.frozen():
+                await asyncio.sleep(period * (1 - share))
             await asyncio.sleep(period * share)
 
     async def watch_readiness(self):
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -36,7 +36,7 @@
                      and each.name not in self.fleet.record.leaving]
             target = self.rng.choice(ready)
             await self.fleet.add_target(f"i-{next(self.numbers)}", target.service, target.zone)
-            asyncio.ensure_future(self.fleet.remove_target(
+            self.fleet.run(self.fleet.remove_target(
                 target, is_stated=self.rng.random() < stated))
 
     async def change_configuration(self, gap, added=0):
@@ -87,7 +87,7 @@
             await asyncio.sleep(gap)
             stopping = {name: task for name, task in stopping.items() if not task.done()}
             if instance.name not in stopping and len(stopping) < share * len(fleet.instances):
-                stopping[instance.name] = asyncio.ensure_future(
+                stopping[instance.name] = fleet.run(
                     instance.stop_and_start(fleet.deployment.seconds("grace")))
 
     async def slow_targets(self, share, factor, every, length):
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -65,7 +65,7 @@
             "worst_lag_ms": round(record.worst_lag * 1000), "store_calls": fleet.store.calls,
             "ratios": {each.rule: round(each.ratio, 2) for each in verdicts}}
     line["processor_s"] = round(sum(each.processor_seconds() for each in fleet.instances
-                                    if each.process.poll() is None), 1)
+                                    if each.is_running), 1)
     line["peak_mb"] = round(max(each.peak_megabytes for each in fleet.instances))
     line.update(record.notes)
     is_judged = record.worst_lag <= LONGEST_LAG_SECONDS
