End every run of the rig within a stated time

Cause: callers stopped when the due time of their last request was reached, not by the clock, and sent one request a turn of the event loop. When a turn takes long, the traffic lasts requests x turns, and itself keeps the loop busy. The loop's own lag, measured by one sleep of 20 ms, does not show it. Nothing else had a limit either: the start beyond readiness, calls without an end, the stop of the stand-ins (60 s for each site of the store), and faults that failed were lost without a word.

Now traffic ends by the clock, and how far callers are behind counts as lag. Start, traffic with its answers, and stop have limits; what is overdue is cancelled and the run is "not judged" with the reason in its line, exit code 2. That holds also for a failed fault, a port in use and a program that cannot be started. A thread ends the processes when even the loop does not get to its limits. The kernel ends the processes with the rig (PR_SET_PDEATHSIG), also when the rig is killed.

Ruled out: the judges (no loop depends on time) and `Fleet.start` (had a limit for readiness).

--- a/experiments/realfleet/callers.py
+++ b/experiments/realfleet/callers.py
@@ -5,7 +5,11 @@
 
 import aiohttp
 
+from realfleet.limits import NotJudged
+
 PROMISES = (408, 421, 429, 503)
+# The longest wait for answers after the traffic, beyond all deadlines of callers.
+ANSWERS_SECONDS = 12
 
 
 class Callers:
@@ -27,15 +31,26 @@
                 aiohttp.ClientSession(connector=fresh, timeout=timeout) as new:
             await asyncio.gather(*(self._generate(kind, (kept, new), seconds)
                                    for kind in self.deployment.kinds))
-            if self.tasks:
-                await asyncio.wait(self.tasks, timeout=12)
+            await self._end_calls()
+
+    async def _end_calls(self):
+        if not self.tasks:
+            return
+        _, overdue = await asyncio.wait(self.tasks, timeout=ANSWERS_SECONDS)
+        for task in overdue:
+            task.cancel()
+        if overdue:
+            raise NotJudged(f"{len(overdue)} calls had not ended {ANSWERS_SECONDS:g} s after "
+                            "the traffic")
 
     async def _generate(self, kind, sessions, seconds):
         end = time.monotonic() + seconds
         due = time.monotonic()
-        while due < end:
+        # A busy event loop must not stretch the traffic, whose requests then keep it busy.
+        while max(due, time.monotonic()) < end:
             due += self.rng.expovariate(kind.per_second * self.rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
+            self.record.worst_lag = max(self.record.worst_lag, time.monotonic() - due)
             task = asyncio.ensure_future(self._call(kind, sessions))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -8,6 +8,7 @@
 import time
 
 from realfleet.instance import Instance
+from realfleet.limits import NotJudged
 from realfleet.record import Record
 from realfleet.routes import Routes
 from realfleet.store import Store
@@ -16,10 +17,8 @@
 STORE_HOST, TARGET_HOST, UNREACHABLE_HOST = 250, 251, 252
 # A target serves for this long after it has left, in addition to the bound.
 SERVES_ON_SECONDS = 4.0
-
-
-class NotReady(Exception):
-    """Some processes did not become ready in time."""
+READY_LIMIT_SECONDS = 30
+STOP_LIMIT_SECONDS = 10
 
 
 class Fleet:
@@ -109,10 +108,10 @@
             self.run(instance.watch_readiness())
             self.run(instance.watch_memory())
         self.run(self._measure_lag())
-        deadline = time.monotonic() + 30
+        deadline = time.monotonic() + READY_LIMIT_SECONDS
         while not all(each.is_ready for each in self.instances):
             if time.monotonic() > deadline:
-                raise NotReady("some instances did not become ready: " + ", ".join(
+                raise NotJudged("some instances did not become ready: " + ", ".join(
                     each.name for each in self.instances if not each.is_ready))
             await asyncio.sleep(0.1)
         await asyncio.sleep(self.deployment.seconds("contact"))
@@ -129,10 +128,20 @@
             lag = time.monotonic() - begin - 0.02
             self.record.worst_lag = max(self.record.worst_lag, lag)
 
-    async def stop(self):
+    def check_tasks(self):
+        """A fault that has failed was not played."""
+        for task in self.tasks:
+            if task.done() and not task.cancelled() and task.exception():
+                raise NotJudged(f"a part of the run failed: {task.exception()!r}")
+
+    def end_processes(self):
         for instance in self.instances:
             instance.end()
+
+    async def stop(self):
+        self.end_processes()
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*(target.stop() for target in self.targets),
-                             self.store.runner.cleanup(), return_exceptions=True)
+        # What is left after that ends with the event loop.
+        await asyncio.wait({asyncio.gather(*(each.stop() for each in (*self.targets, self.store)),
+                                           return_exceptions=True)}, timeout=STOP_LIMIT_SECONDS)
--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import signal
 import subprocess
@@ -11,6 +12,13 @@
 
 
 MEMORY_MEGABYTES = 260
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets the kernel end this process with the one that started it, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class Instance:
@@ -75,7 +83,8 @@
         environment["CRANBERRYSPOOL_BOOT"] = self.settings_path
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen([self.program], env=environment, stdout=log,
-                                            stdin=subprocess.DEVNULL, stderr=subprocess.STDOUT)
+                                            stdin=subprocess.DEVNULL, stderr=subprocess.STDOUT,
+                                            preexec_fn=end_with_parent)
         self.freezes.clear()
         with self.disturbed():
             pass
--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -50,7 +50,11 @@
         self.runner = web.AppRunner(app, access_log=None)
         await self.runner.setup()
         for port in ports:
-            await web.TCPSite(self.runner, host, port, backlog=512).start()
+            await web.TCPSite(self.runner, host, port, backlog=512, shutdown_timeout=0.1).start()
+
+    async def stop(self):
+        if self.runner:
+            await self.runner.cleanup()
 
     def put(self, key, value):
         """Writes a value, or deletes the key when it is None. Returns the time of the
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -3,7 +3,8 @@
 
     experiments/realprocesses.py --plan parts-4 --first 1 --seeds 5 --seconds 40
 
-Exits with 1 if a rule was broken, 2 if a run could not be judged, 0 otherwise.
+Exits with 1 if a rule was broken, 2 if a run could not be judged, 0 otherwise. A run ends within
+the length of its traffic and 100 s; what is overdue then is cancelled, and it is not judged.
 """
 
 import argparse
@@ -15,12 +16,14 @@
 import random
 import shutil
 import sys
+import threading
 import time
 
 from realfleet import judges
 from realfleet.callers import Callers
 from realfleet.deployment import DEPLOYMENTS
-from realfleet.fleet import Fleet, NotReady
+from realfleet.fleet import Fleet
+from realfleet.limits import NotJudged, within
 from realfleet.plans import PLANS, Faults
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -28,36 +31,72 @@
 # Stand-ins that are this late say nothing about the instances.
 LONGEST_LAG_SECONDS = 0.25
 SHOWN_CASES = 5
+# Beside the length of the traffic. With what `Fleet.stop` may take and the judges, they stay
+# within the limit that is stated above.
+START_LIMIT_SECONDS = 45
+ANSWERS_LIMIT_SECONDS = 20
+WATCH_MARGIN_SECONDS = 5
 
 
 async def run_seed(options, seed):
-    deployment = DEPLOYMENTS[options.deployment]
-    parts, repeats, make_faults = PLANS[options.plan]
-    fleet = Fleet(deployment, seed, options.program, parts)
+    fleet = Fleet(DEPLOYMENTS[options.deployment], seed, options.program, PLANS[options.plan][0])
+    # Without the processes nothing keeps the event loop from its other limits.
+    watch = threading.Timer(START_LIMIT_SECONDS + options.seconds + ANSWERS_LIMIT_SECONDS +
+                            WATCH_MARGIN_SECONDS, fleet.end_processes)
+    watch.daemon = True
+    watch.start()
     try:
-        await fleet.start()
-        callers = Callers(deployment, fleet.instances, fleet.routes, fleet.record,
-                          random.Random(f"{seed}/callers"), options.rate, repeats)
-        faults = Faults(fleet, random.Random(f"{seed}/faults"))
-        begin = time.monotonic()
-        for fault in make_faults(faults):
-            fleet.run(fault)
-        await callers.run(options.seconds)
-        verdicts = [judges.judge_budget(fleet.record, deployment, fleet.routes),
-                    judges.judge_drain(fleet.record, deployment, fleet.instances, fleet.store),
-                    judges.judge_denied(fleet.record, deployment),
-                    judges.judge_configuration(fleet.record, deployment, fleet.instances,
-                                               fleet.routes, fleet.store),
-                    judges.judge_lost(fleet.record, deployment, fleet.instances),
-                    judges.judge_memory(fleet.instances)]
-        return report(options, seed, fleet, verdicts, begin)
+        begin, reason = await play(options, seed, fleet)
+        return report(options, seed, fleet, judge(fleet), begin, reason)
     finally:
+        watch.cancel()
         await fleet.stop()
         if not options.keep:
             shutil.rmtree(fleet.folder, ignore_errors=True)
 
 
-def report(options, seed, fleet, verdicts, begin):
+async def play(options, seed, fleet):
+    """Returns when the traffic began, and why the run cannot be judged, or None."""
+    begin = time.monotonic()
+    try:
+        await within(START_LIMIT_SECONDS, "the start", fleet.start())
+        begin = time.monotonic()
+        await within(options.seconds + ANSWERS_LIMIT_SECONDS, "the traffic",
+                     play_traffic(options, seed, fleet))
+        check_stand_ins(fleet)
+    except (NotJudged, OSError) as error:
+        return begin, str(error)
+    return begin, None
+
+
+async def play_traffic(options, seed, fleet):
+    _, repeats, make_faults = PLANS[options.plan]
+    callers = Callers(fleet.deployment, fleet.instances, fleet.routes, fleet.record,
+                      random.Random(f"{seed}/callers"), options.rate, repeats)
+    for fault in make_faults(Faults(fleet, random.Random(f"{seed}/faults"))):
+        fleet.run(fault)
+    await callers.run(options.seconds)
+
+
+def check_stand_ins(fleet):
+    fleet.check_tasks()
+    lag = fleet.record.worst_lag
+    if lag > LONGEST_LAG_SECONDS:
+        raise NotJudged(f"the stand-ins were {lag:.3f} s late")
+
+
+def judge(fleet):
+    record, deployment, instances = fleet.record, fleet.deployment, fleet.instances
+    return [judges.judge_budget(record, deployment, fleet.routes),
+            judges.judge_drain(record, deployment, instances, fleet.store),
+            judges.judge_denied(record, deployment),
+            judges.judge_configuration(record, deployment, instances, fleet.routes, fleet.store),
+            judges.judge_lost(record, deployment, instances),
+            judges.judge_memory(instances)]
+
+
+def report(options, seed, fleet, verdicts, begin, reason):
+    """Prints the line of a run, with the reason if it is not judged."""
     record = fleet.record
     statuses = [each["status"] for each in record.requests.values()]
     served = sum(1 for each in statuses if each == 200)
@@ -68,10 +107,12 @@
                                     if each.is_running), 1)
     line["peak_mb"] = round(max(each.peak_megabytes for each in fleet.instances))
     line.update(record.notes)
-    is_judged = record.worst_lag <= LONGEST_LAG_SECONDS
     broken = [each for each in verdicts if each.is_broken]
-    line["verdict"] = ("not judged" if not is_judged else
-                       "broken: " + ", ".join(each.rule for each in broken) if broken else "held")
+    if reason:
+        line.update(verdict="not judged", reason=reason)
+    else:
+        line["verdict"] = ("broken: " + ", ".join(each.rule for each in broken) if broken
+                           else "held")
     print(json.dumps(line), flush=True)
     for verdict in broken:
         print(f"  {verdict.rule}: {len(verdict.cases)} cases, at "
@@ -81,7 +122,7 @@
     if broken:
         print(f"  again: experiments/realprocesses.py --plan {options.plan} --first {seed} "
               f"--seconds {options.seconds:g}", flush=True)
-    return NOT_JUDGED if not is_judged else BROKEN if broken else HELD
+    return NOT_JUDGED if reason else BROKEN if broken else HELD
 
 
 def main():
@@ -100,17 +141,10 @@
         logging.getLogger(name).setLevel(logging.CRITICAL)
     if not os.access(options.program, os.X_OK):
         parser.error(f"{options.program} is missing: run the build of deploy/system.toml first")
-    codes = [play(options, seed) for seed in range(options.first, options.first + options.seeds)]
+    codes = [asyncio.run(run_seed(options, seed))
+             for seed in range(options.first, options.first + options.seeds)]
     sys.exit(BROKEN if BROKEN in codes else max(codes))
 
 
-def play(options, seed):
-    try:
-        return asyncio.run(run_seed(options, seed))
-    except NotReady as error:
-        print(f"seed {seed}: not judged: {error}", file=sys.stderr)
-        return NOT_JUDGED
-
-
 if __name__ == "__main__":
     main()
