Show how late the rig's store answers, and judge no run in which it is

Cause: that measure is one sleep in the event loop. A read takes several turns of the loop (bytes, handler, pause, answer), each of them as late as the loop, so that a store may be late by a multiple of it.

Now a thread beside the loop reads all records each 0.2 s from a port of its own, at a path that takes no part in faults, delays and counts of the plan, and measures the whole time less the 4 ms that a calm answer takes. The line has it as store_lag_ms; beyond 0.25 s the run is not judged. A read without an answer at the end counts with what it took.

Ruled out: timing inside the handlers, which does not see what a request waits before its handler; a probe inside the loop, which counts its own turns too.

--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -11,7 +11,8 @@
 from realfleet.limits import NotJudged
 from realfleet.record import Record
 from realfleet.routes import Routes
-from realfleet.store import Store
+from realfleet.store import PROBE_SECONDS, Store
+from realfleet.storeprobe import StoreProbe
 from realfleet.target import Target
 
 STORE_HOST, TARGET_HOST, UNREACHABLE_HOST = 250, 251, 252
@@ -34,6 +35,8 @@
         self.next_port = first + 200
         self.record = Record(deployment)
         self.store = Store(random.Random(f"{seed}/store"))
+        self.probe_port = first + 39
+        self.store_probe = StoreProbe(self.ip(STORE_HOST), self.probe_port, PROBE_SECONDS)
         self.routes = Routes(deployment, self.rng)
         self.targets, self.instances, self.tasks = [], [], []
         for index in range(deployment.instances):
@@ -95,8 +98,8 @@
         await target.stop()
 
     async def start(self):
-        await self.store.start(self.ip(STORE_HOST),
-                               [self.store_port(each) for each in self.instances])
+        await self.store.start(self.ip(STORE_HOST), [
+            self.probe_port, *(self.store_port(each) for each in self.instances)])
         names = (f"i-{number}" for number in range(1, 1000))
         for service, count in self.deployment.targets.items():
             for index in range(count):
@@ -114,6 +117,7 @@
                 raise NotJudged("some instances did not become ready: " + ", ".join(
                     each.name for each in self.instances if not each.is_ready))
             await asyncio.sleep(0.1)
+        self.store_probe.start()
         await asyncio.sleep(self.deployment.seconds("contact"))
 
     def run(self, coroutine):
@@ -140,6 +144,7 @@
 
     async def stop(self):
         self.end_processes()
+        self.store_probe.stop()
         for task in self.tasks:
             task.cancel()
         # What is left after that ends with the event loop.
--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -12,6 +12,8 @@
 
 PAGE_ITEMS = 500
 PAGE_BYTES = 1000 * 1000
+# What the stand-in takes for the probe; see `storeprobe`.
+PROBE_SECONDS = 0.004
 
 
 class Store:
@@ -47,6 +49,7 @@
         app.router.add_get("/kv-range", self.on_range)
         app.router.add_get("/kv-watch", self.on_watch)
         app.router.add_get("/kv-key", self.on_key)
+        app.router.add_get("/probe", self.on_probe)
         self.runner = web.AppRunner(app, access_log=None)
         await self.runner.setup()
         for port in ports:
@@ -135,7 +138,14 @@
             return refused
         await asyncio.sleep(self.rng.uniform(*self.answer_time))
         after, prefix = request.query.get("after", ""), request.query.get("prefix", "")
-        age = self.page_age(after) if is_stale_allowed else 0.0
+        return self._page(prefix, after, self.page_age(after) if is_stale_allowed else 0.0)
+
+    async def on_probe(self, _request):
+        """Answers like a quick store with all records, whatever a plan asks for."""
+        await asyncio.sleep(PROBE_SECONDS)
+        return self._page("", "", 0.0)
+
+    def _page(self, prefix, after, age):
         found, size, is_truncated = [], 0, False
         for key, (revision, created, data) in self.items(time.monotonic() - age):
             if key <= after or not key.startswith(prefix):
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -83,6 +83,9 @@
     lag = fleet.record.worst_lag
     if lag > LONGEST_LAG_SECONDS:
         raise NotJudged(f"the stand-ins were {lag:.3f} s late")
+    lag = fleet.store_probe.worst_lag()
+    if lag > LONGEST_LAG_SECONDS:
+        raise NotJudged(f"the stand-in of the store was {lag:.3f} s late")
 
 
 def judge(fleet):
@@ -101,7 +104,9 @@
     statuses = [each["status"] for each in record.requests.values()]
     served = sum(1 for each in statuses if each == 200)
     line = {"plan": options.plan, "seed": seed, "requests": len(statuses), "served": served,
-            "worst_lag_ms": round(record.worst_lag * 1000), "store_calls": fleet.store.calls,
+            "worst_lag_ms": round(record.worst_lag * 1000),
+            "store_lag_ms": round(fleet.store_probe.worst_lag() * 1000),
+            "store_calls": fleet.store.calls,
             "ratios": {each.rule: round(each.ratio, 2) for each in verdicts}}
     line["processor_s"] = round(sum(each.processor_seconds() for each in fleet.instances
                                     if each.is_running), 1)
