Judge EVAC in the rig, with zones evacuated beside slow answers

`evacuate_zones` writes op/evacuate/ZONE for 2 s longer than `evacuate`, one zone after the other; the plan slow-answers-evacuation has it beside the faults of slow-answers. The judge excuses a machine out of touch, and a store that was away in the time of the bound or `contact` before it: what happened to the store earlier excuses nothing. Its ratio is how old the evacuation was at the last request, over the bound.

--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -81,6 +81,7 @@
 
     async def add_target(self, name, service, zone):
         target = Target(name, service, zone, self.deployment, self.record, self.rng)
+        self.record.zones[name] = zone
         await target.start(self.new_address())
         target.register(self.store)
         self.targets.append(target)
@@ -97,6 +98,14 @@
         self.targets.remove(target)
         await target.stop()
 
+    async def evacuate(self, zone, seconds):
+        """Evacuates a zone for a while."""
+        key = f"op/evacuate/{zone}"
+        evacuation = [zone, self.store.put(key, {}), None]
+        self.record.evacuations.append(evacuation)
+        await asyncio.sleep(seconds)
+        evacuation[2] = self.store.put(key, None)
+
     async def start(self):
         await self.store.start(self.ip(STORE_HOST), [
             self.probe_port, *(self.store_port(each) for each in self.instances)])
--- a/experiments/realfleet/judges.py
+++ b/experiments/realfleet/judges.py
@@ -84,6 +84,33 @@
     return Verdict("DRAIN", worst, cases)
 
 
+def judge_evacuation(record, deployment, instances, store):
+    """"A request (not one that gets 421) reaches a server in a zone later than `evacuate` after its
+    evacuation was acknowledged and before it is taken back, from a machine in touch"."""
+    bound, contact = deployment.seconds("evacuate"), deployment.seconds("contact")
+    by_name = {each.name: each for each in instances}
+    worst, cases = 0.0, []
+    for when, attempt, target, _ in record.arrivals:
+        acknowledged = next((begin for zone, begin, end in record.evacuations
+                             if zone == record.zones.get(target) and begin <= when
+                             and (end is None or when < end)), None)
+        if acknowledged is None or attempt not in record.requests:
+            continue
+        late = when - acknowledged
+        request = record.requests[attempt]
+        instance = by_name[request["instance"]]
+        # "A machine is in touch at a moment if for the whole `contact` before it its processes ran"
+        if instance.was_disturbed(request["sent"] - contact, when):
+            continue
+        # "(2) the core was stable", in the time of the bound: who has had all of it must know.
+        if store.was_disturbed(max(acknowledged, when - bound) - contact, when):
+            continue
+        worst = max(worst, late / bound)
+        if late > bound:
+            cases.append((when, target, attempt, instance.name, round(late, 3)))
+    return Verdict("EVAC", worst, cases)
+
+
 def judge_denied(record, _deployment):
     """"More than 5 + one in 500 of all requests are ended with a 3xx or 4xx of your own (other
     than 408, 421, 429)"; "A 401, 403 or 404 for what all configurations of the day allow counts
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -47,6 +47,14 @@
             else:
                 self.fleet.routes.move(self.fleet.store)
 
+    async def evacuate_zones(self, gap, beyond):
+        """Evacuates one zone after the other, for `beyond` longer than the bound."""
+        deployment = self.fleet.deployment
+        zones = self.rng.sample(deployment.zones, len(deployment.zones))
+        for zone in itertools.cycle(zones):
+            await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
+            await self.fleet.evacuate(zone, deployment.seconds("evacuate") + beyond)
+
     async def kill(self, share, gap, pause=0.2):
         while True:
             await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
@@ -210,6 +218,10 @@
             faults.replace_targets(0.2, stated=0.0), faults.change_configuration(2.0)]
 
 
+def _slow_answers_evacuation(faults):
+    return _slow_answers(faults) + [faults.evacuate_zones(1.0, beyond=2.0)]
+
+
 def _kills(faults):
     return [faults.kill_in_turn(0.5), faults.reset_targets(0.9, 0.7, 1.0, 6.0)]
 
@@ -312,6 +324,7 @@
     # The pages excuse a slow store; its ratios show whether instances keep reading it.
     "slow-store": (1, None, _slow_store),
     "slow-answers": (1, None, _slow_answers),
+    "slow-answers-evacuation": (1, None, _slow_answers_evacuation),
     "kills": (1, None, _kills),
     "restarts-in-one-window": (1, 5, _restarts_in_one_window),
     "leaving": (1, None, _leaving),
--- a/experiments/realfleet/record.py
+++ b/experiments/realfleet/record.py
@@ -12,6 +12,8 @@
         self.arrivals = []  # (time, id, target, service)
         self.runs = {}  # id -> [[begin, end or None]]
         self.leaving = {}  # target -> time at which the store acknowledged that it leaves
+        self.zones = {}  # target -> zone
+        self.evacuations = []  # [zone, time of the acknowledgement, when taken back or None]
         self.worst_lag = 0.0
         # What a plan has measured, by name.
         self.notes = {}
--- a/experiments/realfleet/test_judges.py
+++ b/experiments/realfleet/test_judges.py
@@ -7,6 +7,7 @@
 from realfleet.deployment import DEPLOYMENTS
 from realfleet.record import Record
 from realfleet.routes import Routes
+from realfleet.store import Store
 
 DEPLOYMENT = DEPLOYMENTS["small"]
 KIND = DEPLOYMENT.kinds[0]
@@ -72,6 +73,36 @@
     def test_a_request_of_an_instance_that_has_just_started_is_allowed(self):
         self.assertFalse(self.judge_drain(12.1, Restarted()).is_broken)
 
+    def judge_evacuation(self, arrival, taken_back=None, zone="gla", instance=None, store=None):
+        self.record.zones["i-1"] = "gla"
+        self.record.evacuations.append([zone, 10.0, taken_back])
+        self.add_request("a", arrival - 0.01)
+        self.arrive("a", arrival)
+        return judges.judge_evacuation(self.record, DEPLOYMENT, [instance or Undisturbed()],
+                                       store or Undisturbed())
+
+    def test_a_late_request_to_an_evacuated_zone_is_broken(self):
+        verdict = self.judge_evacuation(15.1)
+        self.assertTrue(verdict.is_broken)
+        self.assertEqual([(15.1, "i-1", "a", "edge-a-1", 5.1)], verdict.cases)
+
+    def test_a_late_request_long_after_the_store_was_away_is_broken(self):
+        store = Store(None)
+        store.outages = [[10.5, 12.0]]
+        self.assertFalse(self.judge_evacuation(19.9, store=store).is_broken)
+        self.assertTrue(self.judge_evacuation(20.1, store=store).is_broken)
+
+    def test_a_request_within_the_bound_or_after_the_end_of_an_evacuation_is_allowed(self):
+        self.assertAlmostEqual(0.98, self.judge_evacuation(14.9).ratio)
+        self.record.evacuations.clear()
+        self.assertFalse(self.judge_evacuation(18.0, taken_back=17.9).is_broken)
+
+    def test_a_request_to_another_zone_is_allowed(self):
+        self.assertEqual(0.0, self.judge_evacuation(15.1, zone="edi").ratio)
+
+    def test_a_request_to_an_evacuated_zone_by_an_instance_out_of_touch_is_allowed(self):
+        self.assertFalse(self.judge_evacuation(15.1, instance=Restarted()).is_broken)
+
     def judge_denied(self, status, is_own):
         for index in range(6):
             self.add_request(f"a{index}", 1.0, status=status, is_own=is_own)
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -92,6 +92,7 @@
     record, deployment, instances = fleet.record, fleet.deployment, fleet.instances
     return [judges.judge_budget(record, deployment, fleet.routes),
             judges.judge_drain(record, deployment, instances, fleet.store),
+            judges.judge_evacuation(record, deployment, instances, fleet.store),
             judges.judge_denied(record, deployment),
             judges.judge_configuration(record, deployment, instances, fleet.routes, fleet.store),
             judges.judge_lost(record, deployment, instances),
