Let the rig's store refuse when a plan says so

Seen (with a test of what is answered while the store is away): an outage of the kind "refuse" was answered with 200 and all records.

Cause: an aiohttp response is a mapping and false while it is empty, so `if refused:` took the 503 for none. Outages of the kind "silent" held, since they wait.

Evidence: the test fails before (200 is not 503).

--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -134,7 +134,7 @@
         is_stale_allowed = request.query.get("allow_stale") == "1"
         self.calls["stale page" if is_stale_allowed else "page"] += 1
         refused = await self._answer_outage(request)
-        if refused:
+        if refused is not None:
             return refused
         await asyncio.sleep(self.rng.uniform(*self.answer_time))
         after, prefix = request.query.get("after", ""), request.query.get("prefix", "")
@@ -161,7 +161,7 @@
     async def on_watch(self, request):
         self.calls["watch"] += 1
         refused = await self._answer_outage(request)
-        if refused:
+        if refused is not None:
             return refused
         await asyncio.sleep(self.rng.uniform(*self.answer_time))
         after = int(request.query.get("after", 0))
