Let the rig's store answer nothing from before while it is away

Seen (by reading, for a plan in which records lapse while the store is away): a watch that was waiting, and a read that was slow, were answered in the middle of an outage, so that instances learnt of changes while the store was away.

Cause: handlers asked for an outage at their begin only.

Now they ask again before they answer: refused, or held when the outage is silent or the reader's link is cut.

--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -130,15 +130,28 @@
             await asyncio.sleep(3600)
         return web.json_response({}, status=503)
 
-    async def on_range(self, request):
-        is_stale_allowed = request.query.get("allow_stale") == "1"
-        self.calls["stale page" if is_stale_allowed else "page"] += 1
+    async def _answer(self, request, make_answer):
+        """While the store is away it answers nothing, not even what was asked before."""
         refused = await self._answer_outage(request)
         if refused is not None:
             return refused
+        answer = await make_answer(request)
+        refused = await self._answer_outage(request)
+        return answer if refused is None else refused
+
+    async def on_range(self, request):
+        self.calls["stale page" if self._is_stale_allowed(request) else "page"] += 1
+        return await self._answer(request, self._read)
+
+    @staticmethod
+    def _is_stale_allowed(request):
+        return request.query.get("allow_stale") == "1"
+
+    async def _read(self, request):
         await asyncio.sleep(self.rng.uniform(*self.answer_time))
         after, prefix = request.query.get("after", ""), request.query.get("prefix", "")
-        return self._page(prefix, after, self.page_age(after) if is_stale_allowed else 0.0)
+        age = self.page_age(after) if self._is_stale_allowed(request) else 0.0
+        return self._page(prefix, after, age)
 
     async def on_probe(self, _request):
         """Answers like a quick store with all records, whatever a plan asks for."""
@@ -160,9 +173,9 @@
 
     async def on_watch(self, request):
         self.calls["watch"] += 1
-        refused = await self._answer_outage(request)
-        if refused is not None:
-            return refused
+        return await self._answer(request, self._watch)
+
+    async def _watch(self, request):
         await asyncio.sleep(self.rng.uniform(*self.answer_time))
         after = int(request.query.get("after", 0))
         if after < self._oldest_revision():
