--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -126,19 +126,19 @@
     def frozen(self):
         owner = object()
         self.freezes.add(owner)
-        self.signal(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
         try:
             yield
         finally:
             self.freezes.discard(owner)
             if not self.freezes:
-                self.signal(signal.SIGCONT)
+                self.send_signal(signal.SIGCONT)
 
     def was_disturbed(self, begin, end):
         return any(first <= end and (last is None or last >= begin)
                    for first, last in self.disturbances)
 
-    def signal(self, number):
+    def send_signal(self, number):
         if self.is_running:
             self.process.send_signal(number)
 
@@ -158,7 +158,7 @@
             return
         with self.kept_down():
             self.stops.append(time.monotonic())
-            self.signal(signal.SIGTERM)
+            self.send_signal(signal.SIGTERM)
             deadline = time.monotonic() + grace
             while self.is_running and time.monotonic() < deadline:
                 await asyncio.sleep(0.05)
