--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -8,7 +8,7 @@
 import time
 
 from realfleet.instance import Instance
-from realfleet.limits import NotJudged
+from realfleet.limits import NotJudged, RunFailed
 from realfleet.record import Record
 from realfleet.routes import Routes
 from realfleet.store import PROBE_SECONDS, Store
@@ -145,7 +145,7 @@
         """A fault that has failed was not played."""
         for task in self.tasks:
             if task.done() and not task.cancelled() and task.exception():
-                raise NotJudged(f"a part of the run failed: {task.exception()!r}")
+                raise RunFailed(f"a part of the run failed: {task.exception()!r}")
 
     def end_processes(self):
         for instance in self.instances:
--- a/experiments/realfleet/limits.py
+++ b/experiments/realfleet/limits.py
@@ -7,6 +7,10 @@
     """Nothing can be said about the program, for the reason in the text."""
 
 
+class RunFailed(NotJudged):
+    """The rig could not play the run, which no other machine would change."""
+
+
 async def within(seconds, what, coroutine):
     """Returns the result, or raises NotJudged without waiting for the cancelled rest."""
     task = asyncio.ensure_future(coroutine)
--- a/experiments/realfleet/test_run.py
+++ b/experiments/realfleet/test_run.py
@@ -24,7 +24,7 @@
 from realfleet.routes import Routes
 
 DEPLOYMENT = DEPLOYMENTS["small"]
-NOT_JUDGED = 2
+NOT_JUDGED, FAILED = 2, 3
 # Beyond any limit that the tests set; only a run that never ends reaches it.
 NEVER_SECONDS = 8
 START_AND_WAIT = """
@@ -84,8 +84,8 @@
         self.assertEqual([], [each.name for each in fleets[0].instances if each.is_running])
         return code, json.loads(output.getvalue().splitlines()[0])
 
-    def check_not_judged(self, code, line, reason):
-        self.assertEqual(NOT_JUDGED, code)
+    def check_not_judged(self, code, line, reason, expected=NOT_JUDGED):
+        self.assertEqual(expected, code)
         self.assertEqual("not judged", line["verdict"])
         self.assertIn(reason, line["reason"])
 
@@ -105,11 +105,11 @@
         self.patch(sys.modules[Fleet.__module__].Store, "stop", never)
         self.check_not_judged(*self.play(), "the traffic took longer")
 
-    def test_a_run_with_a_fault_that_fails_is_not_judged(self):
+    def test_a_run_with_a_fault_that_fails_is_a_failure_of_the_rig(self):
         self.patch(Fleet, "start", start_instances)
         self.patch(Callers, "run", lambda *_: asyncio.sleep(0.1))
         with mock.patch.dict(PLANS, {"failing": (1, None, lambda faults: [fail(faults)])}):
-            self.check_not_judged(*self.play(plan="failing"), "a fault that fails")
+            self.check_not_judged(*self.play(plan="failing"), "a fault that fails", FAILED)
 
     def test_a_loop_that_stays_busy_past_all_limits_loses_its_processes(self):
         self.patch(Fleet, "start", start_instances)
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -3,7 +3,7 @@
 
     experiments/realprocesses.py --plan parts-4 --first 1 --seeds 5 --seconds 40
 
-Exits with 1 if a rule was broken, 2 if a run could not be judged, 0 otherwise. A run ends within
+Exits with 3 if the rig failed, 1 if a rule was broken, 2 if a run could not be judged, 0 otherwise. A run ends within
 the length of its traffic and 100 s; what is overdue then is cancelled, and it is not judged.
 """
 
@@ -23,11 +23,11 @@
 from realfleet.callers import Callers
 from realfleet.deployment import DEPLOYMENTS
 from realfleet.fleet import Fleet
-from realfleet.limits import NotJudged, within
+from realfleet.limits import NotJudged, RunFailed, within
 from realfleet.plans import PLANS, Faults
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-HELD, BROKEN, NOT_JUDGED = 0, 1, 2
+HELD, BROKEN, NOT_JUDGED, FAILED = 0, 1, 2, 3
 # Stand-ins that are this late say nothing about the instances.
 LONGEST_LAG_SECONDS = 0.25
 SHOWN_CASES = 5
@@ -46,8 +46,8 @@
     watch.daemon = True
     watch.start()
     try:
-        begin, reason = await play(options, seed, fleet)
-        return report(options, seed, fleet, judge(fleet), begin, reason)
+        begin, error = await play(options, seed, fleet)
+        return report(options, seed, fleet, judge(fleet), begin, error)
     finally:
         watch.cancel()
         await fleet.stop()
@@ -56,7 +56,7 @@
 
 
 async def play(options, seed, fleet):
-    """Returns when the traffic began, and why the run cannot be judged, or None."""
+    """Returns when the traffic began, and the error that keeps the run from a verdict, or None."""
     begin = time.monotonic()
     try:
         await within(START_LIMIT_SECONDS, "the start", fleet.start())
@@ -64,8 +64,10 @@
         await within(options.seconds + ANSWERS_LIMIT_SECONDS, "the traffic",
                      play_traffic(options, seed, fleet))
         check_stand_ins(fleet)
-    except (NotJudged, OSError) as error:
-        return begin, str(error)
+    except NotJudged as error:
+        return begin, error
+    except OSError as error:
+        return begin, RunFailed(str(error))
     return begin, None
 
 
@@ -100,8 +102,8 @@
             judges.judge_memory(instances)]
 
 
-def report(options, seed, fleet, verdicts, begin, reason):
-    """Prints the line of a run, with the reason if it is not judged."""
+def report(options, seed, fleet, verdicts, begin, error):
+    """Prints the line of a run, with the reason if it is not judged. Returns the exit code."""
     record = fleet.record
     statuses = [each["status"] for each in record.requests.values()]
     served = sum(1 for each in statuses if each == 200)
@@ -115,8 +117,8 @@
     line["peak_mb"] = round(max(each.peak_megabytes for each in fleet.instances))
     line.update(record.notes)
     broken = [each for each in verdicts if each.is_broken]
-    if reason:
-        line.update(verdict="not judged", reason=reason)
+    if error:
+        line.update(verdict="not judged", reason=str(error))
     else:
         line["verdict"] = ("broken: " + ", ".join(each.rule for each in broken) if broken
                            else "held")
@@ -129,7 +131,9 @@
     if broken:
         print(f"  again: experiments/realprocesses.py --plan {options.plan} --first {seed} "
               f"--seconds {options.seconds:g}", flush=True)
-    return NOT_JUDGED if reason else BROKEN if broken else HELD
+    if error:
+        return FAILED if isinstance(error, RunFailed) else NOT_JUDGED
+    return BROKEN if broken else HELD
 
 
 def main():
@@ -150,7 +154,7 @@
         parser.error(f"{options.program} is missing: run the build of deploy/system.toml first")
     codes = [asyncio.run(run_seed(options, seed))
              for seed in range(options.first, options.first + options.seeds)]
-    sys.exit(BROKEN if BROKEN in codes else max(codes))
+    sys.exit(next(code for code in (FAILED, BROKEN, NOT_JUDGED, HELD) if code in codes))
 
 
 if __name__ == "__main__":
