State at attempts that the record of their target is missing

The log told of the deferred removal, but not which attempts went to such a target.

StoreView::targets marks a target whose removal is deferred, and the deferral counts as a change of the targets, so that the mark is in force with the next list. Writing the record again ends it. attempt-sent and attempt-waiting state `unconfirmed`, and cranberryspool_attempts_unconfirmed_total counts what was sent.

Evidence: without the mark and the notice of a change the new case of storeview_test failed (no changed targets at the deferral, no mark).

--- a/src/decision/corecounters.h
+++ b/src/decision/corecounters.h
@@ -16,6 +16,8 @@
   std::uint64_t CallersGone_ = 0;
 
   std::uint64_t AttemptsSent_ = 0;
+  /// Of these, attempts at targets whose records were missing from the store.
+  std::uint64_t AttemptsToUnconfirmed_ = 0;
   /// Attempts sent after an earlier attempt of the call had failed.
   std::uint64_t RetriesSent_ = 0;
   /// Attempts sent while an earlier attempt of the call was in flight.
--- a/src/decision/internal/attemptmanager.cpp
+++ b/src/decision/internal/attemptmanager.cpp
@@ -74,6 +74,7 @@
   Report.Zone_ = Core_.Environment_.zoneName(Target.Description_.Zone_);
   Report.LastReport_ = Target.Report_;
   Report.IsCold_ = Core_.Targets_.isCold(Id);
+  Report.IsUnconfirmed_ = Target.Description_.IsUnconfirmed_;
   Report.RequestLimit_ = Core_.Targets_.requestLimit(Id);
   // The attempt itself is not counted.
   Report.InFlight_ = Target.InFlight_ - 1;
@@ -171,6 +172,9 @@
     ++Core_.Counters_.RetriesSent_;
   if (Attempt.Kind_ == calls::AttemptKind::Hedge)
     ++Core_.Counters_.HedgesSent_;
+  if (Attempt.Kind_ != calls::AttemptKind::Forward &&
+      Core_.Targets_.state(Attempt.Target_).Description_.IsUnconfirmed_)
+    ++Core_.Counters_.AttemptsToUnconfirmed_;
   report(Context, Call, Attempt);
   scheduleHedge(Context, Call);
 }
--- a/src/decision/internal/environment.cpp
+++ b/src/decision/internal/environment.cpp
@@ -268,7 +268,8 @@
                .Slots_ = Each.Slots_,
                .IsLeaving_ = Each.IsDraining_,
                .Start_ = Each.Start_,
-               .WarmupLeft_ = Each.WarmupLeft_});
+               .WarmupLeft_ = Each.WarmupLeft_,
+               .IsUnconfirmed_ = Each.IsUnconfirmed_});
   }
 }
 
--- a/src/decision/types/actions/reportattempt.h
+++ b/src/decision/types/actions/reportattempt.h
@@ -33,6 +33,8 @@
   routing::LoadReport LastReport_;
   std::optional<framework::Duration> ReportAge_;
   bool IsCold_ = false;
+  /// True when the record of the target is missing from the store.
+  bool IsUnconfirmed_ = false;
   /// The rate that the target accepts from all instances together.
   routing::RequestRate RequestLimit_ = routing::RequestRate::unlimited();
   /// The attempts of this instance in flight at the target before this one.
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -130,6 +130,8 @@
   Line.text("zone", Report.Zone_.value());
   Line.number("in_flight", Report.InFlight_);
   Line.flag("cold", Report.IsCold_);
+  if (Report.IsUnconfirmed_)
+    Line.flag("unconfirmed", true);
   if (!Report.RequestLimit_.isUnlimited())
     Line.number("limit_millihertz", Report.RequestLimit_.Millihertz_);
   if (Report.ReportAge_) {
--- a/src/entry/internal/metricspage.cpp
+++ b/src/entry/internal/metricspage.cpp
@@ -23,7 +23,7 @@
   std::uint64_t CoreCounters::*Member_;
 };
 
-constexpr std::array<CounterDefinition, 30> CounterDefinitions = {{
+constexpr std::array<CounterDefinition, 31> CounterDefinitions = {{
     {"cranberryspool_calls_accepted_total", "Calls accepted",
      &CoreCounters::CallsAccepted_},
     {"cranberryspool_callers_gone_total", "Callers gone before their answer",
@@ -33,6 +33,9 @@
      &CoreCounters::CallsReplayed_},
     {"cranberryspool_attempts_total", "Attempts sent to targets",
      &CoreCounters::AttemptsSent_},
+    {"cranberryspool_attempts_unconfirmed_total",
+     "Attempts sent to targets whose records were missing from the store",
+     &CoreCounters::AttemptsToUnconfirmed_},
     {"cranberryspool_retries_total", "Attempts after a failed one",
      &CoreCounters::RetriesSent_},
     {"cranberryspool_retries_over_budget_total",
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -149,6 +149,7 @@
   Found.reserve(Targets_.size());
   for (const auto &[Key, Entry] : Targets_) {
     Found.push_back(Entry.Target_);
+    Found.back().IsUnconfirmed_ = Entry.MissingSince_.has_value();
     for (const auto &[ZoneKey, Zone] : EvacuatedZones_)
       if (Zone == Entry.Target_.Zone_)
         Found.back().IsDraining_ = true;
@@ -249,6 +250,7 @@
   if (isRecovering(Now) && !Position->second.Target_.IsDraining_) {
     Position->second.MissingSince_ = Now;
     Result.Deferred_.push_back(Key);
+    Result.AreTargetsChanged_ = true;
     return;
   }
   eraseTarget(Position);
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -82,7 +82,8 @@
   /// Returns the number of targets in an availability zone.
   std::size_t countTargets(const framework::ZoneName &Zone) const;
 
-  /// Returns the targets; those in evacuated zones are marked as draining.
+  /// Returns the targets; those in evacuated zones are marked as draining, and
+  /// those whose records are missing as unconfirmed.
   std::vector<PublishedTarget> targets() const;
 
 private:
--- a/src/fleet/tests/storeview_test.cpp
+++ b/src/fleet/tests/storeview_test.cpp
@@ -132,6 +132,22 @@
   }
 }
 
+TEST_CASE(
+    "a target counts as unconfirmed from when its record is missing until "
+    "it is written again",
+    "[store]") {
+  Fixture Test;
+  CHECK_FALSE(Test.View_.targets().at(0).IsUnconfirmed_);
+  CHECK(Test.View_.apply({deleted("t1", 7)}, Revision(7), at(seconds(5)))
+            .AreTargetsChanged_);
+  CHECK(Test.View_.targets().at(0).IsUnconfirmed_);
+  CHECK(Test.View_
+            .apply({put("t1", "target 50 9", 8)}, Revision(8),
+                   at(milliseconds(5'100)))
+            .AreTargetsChanged_);
+  CHECK_FALSE(Test.View_.targets().at(0).IsUnconfirmed_);
+}
+
 TEST_CASE("a full read that is older than the view does not undo changes",
           "[store]") {
   Fixture Test;
--- a/src/fleet/types/publishedtarget.h
+++ b/src/fleet/types/publishedtarget.h
@@ -24,6 +24,9 @@
   /// with equal starts, the one with the higher sequence number.
   framework::Incarnation Start_;
   std::uint64_t Sequence_ = 0;
+  /// True when its record is missing from the store, which may have lost it in
+  /// an outage.
+  bool IsUnconfirmed_ = false;
 
   friend bool operator==(const PublishedTarget &,
                          const PublishedTarget &) = default;
--- a/src/routing/types/targetdescription.h
+++ b/src/routing/types/targetdescription.h
@@ -23,6 +23,9 @@
   /// How long the target stays cold. When the list provides it, a cold start is
   /// never inferred from connection resets or slow responses.
   std::optional<framework::Duration> WarmupLeft_ = std::nullopt;
+  /// True when the list can't tell whether the target is still there. It
+  /// receives attempts that no other target of its service can take.
+  bool IsUnconfirmed_ = false;
 };
 
 } // namespace cranberryspool::routing
