Prefer targets whose records are not missing

What callers saw: while the removal of a target was deferred, first attempts, queued calls, retries, hedges and calls of other instances went to it as to any other, although others of its service were known to be there.

Cause: a deferred target stayed in the list without a mark, and no part of the choice could tell it from the others.

TargetRegistry keeps the eligible targets of a service in two groups, and TargetTable::choose holds the whole order: untried confirmed, tried confirmed, untried unconfirmed, tried unconfirmed. An optional attempt, a hedge, ends with the first of these. The confirmation of a request limit follows the same groups. The second choice without exclusions has moved there from Dispatcher, so that the order stands in one place. A choice still costs the same for any number of targets: the group is kept with eligibility, also when a target changes between both while eligible.

Evidence: with all targets in the confirmed group (the preference switched off) 6 of the 7 decision cases failed: of three first attempts two went to targets whose records were missing; the queued call and the call of another instance went to s1-2 in place of s1-1 or s1-3; the retry went to s1-3 in place of s1-2, tried before; one hedge was sent in place of none; the target written again got two calls of six in place of three. The seventh, that targets are used when all records of the service are missing, passes either way.

Ruled out: taking unconfirmed targets out of the list. Where all records of a service lapsed in an outage, or the others are full, its calls would be refused although the targets are there.

--- a/src/decision/internal/dispatcher.cpp
+++ b/src/decision/internal/dispatcher.cpp
@@ -25,18 +25,14 @@
 
 std::optional<framework::TargetId>
 Dispatcher::chooseTarget(const EventContext &Context, const calls::Call &Call) {
-  routing::SelectionRequest Request{.Service_ = Call.Request_.Service_,
-                                    .Urgency_ = Call.Request_.Urgency_,
-                                    .Excluded_ = Call.UsedTargets_,
-                                    .IdleConnections_ =
-                                        Core_.Connections_.idleCounts()};
-  const auto Untried = Core_.Targets_.choose(Request, Context.now());
-  if (Untried || Request.Excluded_.empty())
-    return Untried;
-  // If no untried target is available, a target that was tried before is
-  // chosen.
-  Request.Excluded_.clear();
-  return Core_.Targets_.choose(Request, Context.now());
+  return Core_.Targets_.choose(
+      routing::SelectionRequest{.Service_ = Call.Request_.Service_,
+                                .Urgency_ = Call.Request_.Urgency_,
+                                .Excluded_ = Call.UsedTargets_,
+                                .MayRepeat_ = true,
+                                .IdleConnections_ =
+                                    Core_.Connections_.idleCounts()},
+      Context.now());
 }
 
 bool Dispatcher::isHedgeDue(const EventContext &Context,
@@ -75,6 +71,7 @@
         routing::SelectionRequest{.Service_ = Call->Request_.Service_,
                                   .Urgency_ = Call->Request_.Urgency_,
                                   .Excluded_ = Call->UsedTargets_,
+                                  .IsOptional_ = true,
                                   .IdleConnections_ =
                                       Core_.Connections_.idleCounts()},
         Context.now());
--- a/src/routing/internal/targetregistry.cpp
+++ b/src/routing/internal/targetregistry.cpp
@@ -340,11 +340,11 @@
                                           : RequestRate::unlimited();
 }
 
-std::optional<TargetId>
-TargetRegistry::targetToConfirm(const SelectionRequest &Request,
-                                Instant Now) const {
+std::optional<TargetId> TargetRegistry::targetToConfirm(
+    EligibleGroup Group, const SelectionRequest &Request, Instant Now) const {
   for (const TargetId Target : RequestLimits_.limited())
     if (States_[Target.value()].Description_.Service_ == Request.Service_ &&
+        groupOf(Target) == Group &&
         RequestLimits_.of(Target).isConfirmationDue(Now) &&
         isEligible(Target, Now) &&
         std::ranges::find(Request.Excluded_, Target) == Request.Excluded_.end())
--- a/src/routing/internal/targetregistry.h
+++ b/src/routing/internal/targetregistry.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_ROUTING_INTERNAL_TARGETREGISTRY_H
 
 #include "routing/candidates.h"
+#include "routing/internal/eligiblegroup.h"
 #include "routing/internal/requestlimits.h"
 #include "routing/internal/targethealth.h"
 #include "routing/internal/tokenbucket.h"
@@ -9,6 +10,7 @@
 #include "routing/types/targetchange.h"
 #include "routing/types/targetstate.h"
 
+#include <array>
 #include <optional>
 #include <queue>
 #include <span>
@@ -65,11 +67,14 @@
   std::size_t limitedTargetCount() const {
     return RequestLimits_.limited().size();
   }
-  /// Returns an eligible target of the service whose request limit is to be
-  /// confirmed by sending a request to it.
+  /// Returns an eligible target of the service and the group whose request
+  /// limit is to be confirmed by sending a request to it.
   std::optional<framework::TargetId>
-  targetToConfirm(const SelectionRequest &Request,
+  targetToConfirm(EligibleGroup Group, const SelectionRequest &Request,
                   framework::Instant Now) const;
+  /// Returns true when the target is unconfirmed while a confirmed one of its
+  /// service is eligible.
+  bool isAvoided(framework::TargetId Target) const;
   /// Returns the load that the warm targets of the service report.
   ServiceLoad serviceLoad(framework::ServiceId Service,
                           framework::Instant Now) const;
@@ -77,9 +82,9 @@
   double slowdown(framework::TargetId Target, framework::Instant Now) const;
   const TargetState &state(framework::TargetId Target) const;
 
-  /// Returns the eligible targets of one service as the input of a policy.
-  /// `Request` and this object must outlive the result.
-  Candidates candidates(const SelectionRequest &Request,
+  /// Returns one group of the eligible targets of a service as the input of a
+  /// policy. `Request` and this object must outlive the result.
+  Candidates candidates(EligibleGroup Group, const SelectionRequest &Request,
                         framework::Instant Now) const;
 
   /// Appends at most `Max` targets without a recent report, whether with a
@@ -101,7 +106,10 @@
     std::optional<framework::Incarnation> StartId_;
     bool IsListed_ = false;
     bool IsDraining_ = false;
+    /// The position among the eligible targets of the service in
+    /// `EligibleGroup_`.
     std::uint32_t EligibleIndex_ = NotEligible;
+    EligibleGroup EligibleGroup_ = EligibleGroup::Confirmed;
     std::uint32_t ConsecutiveSlowAnswers_ = 0;
     /// The target could not be connected to. It is not selected until this time
     /// unless it reports earlier.
@@ -117,7 +125,16 @@
   };
 
   struct ServiceState {
-    std::vector<framework::TargetId> Eligible_;
+    std::vector<framework::TargetId> &eligible(EligibleGroup Group) {
+      return Eligible_[static_cast<std::size_t>(Group)];
+    }
+    const std::vector<framework::TargetId> &
+    eligible(EligibleGroup Group) const {
+      return Eligible_[static_cast<std::size_t>(Group)];
+    }
+
+    /// Indexed by `EligibleGroup`.
+    std::array<std::vector<framework::TargetId>, 2> Eligible_;
     std::uint32_t ListedCount_ = 0;
     std::uint32_t EjectedCount_ = 0;
     double LatencyMicros_ = 0;
@@ -165,6 +182,9 @@
   void recordLatency(framework::TargetId Target, framework::Duration Elapsed,
                      framework::Instant Now);
   void updateEligibility(framework::TargetId Target, framework::Instant Now);
+  void addEligible(framework::TargetId Target);
+  void removeEligible(framework::TargetId Target);
+  EligibleGroup groupOf(framework::TargetId Target) const;
   bool isEligible(framework::TargetId Target, framework::Instant Now) const;
   /// Returns when a slot of the target is expected to be free, judged by its
   /// last report, by what this instance has sent since, and by the time that
--- a/src/routing/internal/targetselection.cpp
+++ b/src/routing/internal/targetselection.cpp
@@ -74,7 +74,6 @@
 
 void TargetRegistry::updateEligibility(TargetId Target, Instant Now) {
   Record &Entry = Records_[Target.value()];
-  auto &Eligible = serviceOf(Target).Eligible_;
   const bool WasEligible = Entry.EligibleIndex_ != NotEligible;
   const bool IsEligible = isEligible(Target, Now);
   const auto &ColdRate = States_[Target.value()].Limits_.ColdRequestsPerSecond_;
@@ -85,13 +84,31 @@
   if (!IsEligible && Entry.IsListed_)
     if (const auto At = RequestLimits_.of(Target).nextWakeUp(Now))
       scheduleTimer(*At, Target);
-  if (WasEligible == IsEligible)
+  if (WasEligible && IsEligible && Entry.EligibleGroup_ == groupOf(Target))
     return;
-  if (IsEligible) {
-    Entry.EligibleIndex_ = static_cast<std::uint32_t>(Eligible.size());
-    Eligible.push_back(Target);
-    return;
-  }
+  if (WasEligible)
+    removeEligible(Target);
+  if (IsEligible)
+    addEligible(Target);
+}
+
+EligibleGroup TargetRegistry::groupOf(TargetId Target) const {
+  return States_[Target.value()].Description_.IsUnconfirmed_
+             ? EligibleGroup::Unconfirmed
+             : EligibleGroup::Confirmed;
+}
+
+void TargetRegistry::addEligible(TargetId Target) {
+  Record &Entry = Records_[Target.value()];
+  Entry.EligibleGroup_ = groupOf(Target);
+  auto &Eligible = serviceOf(Target).eligible(Entry.EligibleGroup_);
+  Entry.EligibleIndex_ = static_cast<std::uint32_t>(Eligible.size());
+  Eligible.push_back(Target);
+}
+
+void TargetRegistry::removeEligible(TargetId Target) {
+  Record &Entry = Records_[Target.value()];
+  auto &Eligible = serviceOf(Target).eligible(Entry.EligibleGroup_);
   Records_[Eligible.back().value()].EligibleIndex_ = Entry.EligibleIndex_;
   Eligible[Entry.EligibleIndex_] = Eligible.back();
   Eligible.pop_back();
@@ -197,16 +214,24 @@
   return States_.at(Target.value());
 }
 
-Candidates TargetRegistry::candidates(const SelectionRequest &Request,
+bool TargetRegistry::isAvoided(TargetId Target) const {
+  if (!isKnown(Target) || groupOf(Target) == EligibleGroup::Confirmed)
+    return false;
+  const auto Service = States_[Target.value()].Description_.Service_.value();
+  return !Services_[Service].eligible(EligibleGroup::Confirmed).empty();
+}
+
+Candidates TargetRegistry::candidates(EligibleGroup Group,
+                                      const SelectionRequest &Request,
                                       Instant Now) const {
   static const std::vector<TargetId> None;
   const auto Service = Request.Service_.value();
   if (Service >= Services_.size())
     return {States_, None, Request, 0, 1, Now};
-  const ServiceState &Group = Services_[Service];
-  return {States_,         Group.Eligible_,
-          Request,         Group.LatencyMicros_,
-          Group.Slowdown_, Now};
+  const ServiceState &State = Services_[Service];
+  return {States_,         State.eligible(Group),
+          Request,         State.LatencyMicros_,
+          State.Slowdown_, Now};
 }
 
 void TargetRegistry::probeCandidates(std::size_t Max, Instant Now,
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -36,17 +36,22 @@
   }
 
   /// Returns the target for the attempt, or nothing when no target is eligible
-  /// now. When the attempt is sent, `recordSent` must be called.
+  /// now. Any confirmed target comes before all unconfirmed ones, and among
+  /// either a target that is not excluded before one that is. When the attempt
+  /// is sent, `recordSent` must be called.
   std::optional<framework::TargetId> choose(const SelectionRequest &Request,
                                             framework::Instant Now) {
     Registry_.advance(Now);
-    if (const auto Target = Registry_.targetToConfirm(Request, Now))
-      return Target;
-    const Candidates From = Registry_.candidates(Request, Now);
-    const auto Position = Policy_.choose(From, Rng_);
-    if (!Position)
-      return std::nullopt;
-    return From.target(*Position);
+    const auto Confirmed = chooseFrom(EligibleGroup::Confirmed, Request, Now);
+    if (Confirmed || Request.IsOptional_)
+      return Confirmed;
+    return chooseFrom(EligibleGroup::Unconfirmed, Request, Now);
+  }
+
+  /// Returns true when the target is unconfirmed while a confirmed one of its
+  /// service can take an attempt.
+  bool isAvoided(framework::TargetId Target) const {
+    return Registry_.isAvoided(Target);
   }
 
   void recordSent(framework::TargetId Target, framework::Instant Now) {
@@ -180,6 +185,29 @@
   framework::Instant nextWakeUp() const { return Registry_.nextWakeUp(); }
 
 private:
+  std::optional<framework::TargetId> chooseFrom(EligibleGroup Group,
+                                                const SelectionRequest &Request,
+                                                framework::Instant Now) {
+    const auto Untried = chooseAllowed(Group, Request, Now);
+    if (Untried || !Request.MayRepeat_ || Request.Excluded_.empty())
+      return Untried;
+    SelectionRequest Repeat = Request;
+    Repeat.Excluded_.clear();
+    return chooseAllowed(Group, Repeat, Now);
+  }
+
+  std::optional<framework::TargetId>
+  chooseAllowed(EligibleGroup Group, const SelectionRequest &Request,
+                framework::Instant Now) {
+    if (const auto Target = Registry_.targetToConfirm(Group, Request, Now))
+      return Target;
+    const Candidates From = Registry_.candidates(Group, Request, Now);
+    const auto Position = Policy_.choose(From, Rng_);
+    if (!Position)
+      return std::nullopt;
+    return From.target(*Position);
+  }
+
   TargetRegistry Registry_;
   Policy Policy_;
   framework::Random Rng_;
--- a/src/routing/types/selectionrequest.h
+++ b/src/routing/types/selectionrequest.h
@@ -16,6 +16,12 @@
   document::Urgency Urgency_ = document::Urgency::Ordinary;
   /// Targets that earlier attempts of the same call have used.
   std::vector<framework::TargetId> Excluded_ = {};
+  /// True when an excluded target may be chosen if no other one can take the
+  /// attempt.
+  bool MayRepeat_ = false;
+  /// True when the call can do without the attempt, which then goes to no
+  /// unconfirmed target.
+  bool IsOptional_ = false;
   /// The number of idle connections of this instance, indexed by target id.
   /// Targets beyond the end have none.
   std::span<const std::uint32_t> IdleConnections_ = {};
