Move waiting attempts away from targets whose records are missing

What callers saw: a call whose attempt waited for a connection was sent to a target although the process had learned meanwhile that its record was gone. Trials of whether targets can be reached were opened there too.

Cause: only attempts at targets that no longer accept work were withdrawn.

EnvironmentUpdater names the targets that have become unconfirmed with this list, and the unsent attempts there are queued again while a confirmed target is eligible, once, not with each later list. A call that may start no other attempt keeps its own: it would fail without need. A hedge beside another attempt is dropped in any case. Spare connections, their renewal and the trials of CallForwarder pass by such targets while a confirmed one of the service is eligible; waiting attempts still get their connections.

Evidence: with the preference switched off the waiting attempt was not started elsewhere (0 in place of 1), and a trial was opened to the missing target (1 in place of 0). With the withdrawal at each list in place of the transition the section "all records are missing" failed: the attempt moved again with the next list.

Without a test: openSpares and renewSpares. Instances that read the store keep no spares, so that the condition has no effect there today.

--- a/src/decision/internal/callforwarder.cpp
+++ b/src/decision/internal/callforwarder.cpp
@@ -183,7 +183,8 @@
   std::vector<framework::TargetId> Candidates;
   if (Count > 0)
     for (const routing::TargetDescription &Each : Core_.Environment_.targets())
-      if (!Each.IsLeaving_ && !Core_.Connections_.isOpening(Each.Target_))
+      if (!Each.IsLeaving_ && !Core_.Targets_.isAvoided(Each.Target_) &&
+          !Core_.Connections_.isOpening(Each.Target_))
         Candidates.push_back(Each.Target_);
   for (; Count > 0 && !Candidates.empty(); --Count) {
     const std::size_t Chosen = Core_.Rng_.index(Candidates.size());
--- a/src/decision/internal/connectionmanager.cpp
+++ b/src/decision/internal/connectionmanager.cpp
@@ -51,9 +51,12 @@
        Core_.Environment_.targets()) {
     if (Target.IsLeaving_)
       continue;
-    const std::uint32_t Missing = std::min(
-        Remaining, Core_.Connections_.connectionsToOpen(
-                       Target.Target_, Core_.CallSettings_.SpareConnections_));
+    const std::uint32_t Spares = Core_.Targets_.isAvoided(Target.Target_)
+                                     ? 0
+                                     : Core_.CallSettings_.SpareConnections_;
+    const std::uint32_t Missing =
+        std::min(Remaining,
+                 Core_.Connections_.connectionsToOpen(Target.Target_, Spares));
     for (std::uint32_t Count = 0; Count < Missing; ++Count)
       open(Context, Target.Target_);
     Remaining -= Missing;
@@ -69,7 +72,8 @@
   for (const auto &[Target, LastRequestAt] : LastNonIdempotentAt_) {
     if (LastRequestAt + Settings.MaxIdleTime_ < Context.now())
       continue;
-    if (!Core_.Environment_.acceptsWork(Target))
+    if (!Core_.Environment_.acceptsWork(Target) ||
+        Core_.Targets_.isAvoided(Target))
       continue;
     if (Core_.Connections_.mostRecentIdle(Target, ActiveSince) ||
         Core_.Connections_.isOpening(Target))
--- a/src/decision/internal/environmentupdater.cpp
+++ b/src/decision/internal/environmentupdater.cpp
@@ -50,7 +50,21 @@
   Core_.Targets_.setTargets(Core_.Environment_.targets(), Context.now());
   updatePlacements();
   applyShares(Context);
-  Transport_.requeueUnsent(Context);
+  Transport_.requeueUnsent(Context, updateUnconfirmed());
+}
+
+std::set<framework::TargetId> EnvironmentUpdater::updateUnconfirmed() {
+  const std::set<framework::TargetId> Before = std::exchange(Unconfirmed_, {});
+  std::set<framework::TargetId> Added;
+  for (const routing::TargetDescription &Target :
+       Core_.Environment_.targets()) {
+    if (!Target.IsUnconfirmed_)
+      continue;
+    Unconfirmed_.insert(Target.Target_);
+    if (!Before.contains(Target.Target_))
+      Added.insert(Target.Target_);
+  }
+  return Added;
 }
 
 void EnvironmentUpdater::setStoredTargets(
--- a/src/decision/internal/environmentupdater.h
+++ b/src/decision/internal/environmentupdater.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace cranberryspool::decision {
@@ -57,6 +58,8 @@
   };
 
   void applyToAll(const EventContext &Context);
+  /// Returns the targets that have become unconfirmed since the last call.
+  std::set<framework::TargetId> updateUnconfirmed();
   /// Recomputes what depends on the placements when one of them has changed.
   void updatePlacements();
   std::uint32_t instanceCount() const;
@@ -89,6 +92,7 @@
   CoreState &Core_;
   TransportEventHandler &Transport_;
   std::vector<Placement> Placements_;
+  std::set<framework::TargetId> Unconfirmed_;
   fleet::ZonePosition RingPosition_;
   std::map<framework::TargetId, RingPlace> RingPlaces_;
   std::optional<fleet::GroupPosition> GroupPosition_;
--- a/src/decision/internal/transporteventhandler.cpp
+++ b/src/decision/internal/transporteventhandler.cpp
@@ -350,13 +350,19 @@
   }
 }
 
-void TransportEventHandler::requeueUnsent(const EventContext &Context) {
+void TransportEventHandler::requeueUnsent(
+    const EventContext &Context,
+    const std::set<framework::TargetId> &NewlyUnconfirmed) {
   std::vector<calls::Attempt> Unsent;
-  for (const auto &[Id, Live] : Core_.Calls_.attempts())
-    if (Live.State_ == calls::AttemptState::WaitingForConnection &&
-        Live.Kind_ != calls::AttemptKind::Forward &&
-        !Core_.Environment_.acceptsWork(Live.Target_))
+  for (const auto &[Id, Live] : Core_.Calls_.attempts()) {
+    if (Live.State_ != calls::AttemptState::WaitingForConnection ||
+        Live.Kind_ == calls::AttemptKind::Forward)
+      continue;
+    if (!Core_.Environment_.acceptsWork(Live.Target_) ||
+        (NewlyUnconfirmed.contains(Live.Target_) &&
+         shouldLeaveUnconfirmed(Live)))
       Unsent.push_back(Live);
+  }
   for (const calls::Attempt &Attempt : Unsent) {
     Attempts_.cancel(Context, Attempt.Attempt_,
                      routing::AttemptResult::Cancelled);
@@ -364,6 +370,19 @@
   }
 }
 
+bool TransportEventHandler::shouldLeaveUnconfirmed(
+    const calls::Attempt &Unsent) const {
+  const calls::Call *Call = Core_.Calls_.find(Unsent.Call_);
+  if (!Call)
+    return false;
+  if (Unsent.Kind_ == calls::AttemptKind::Hedge &&
+      Call->LiveAttempts_.size() > 1)
+    return true;
+  // A call that may start no other attempt would fail without need.
+  return Core_.Targets_.isAvoided(Unsent.Target_) &&
+         Call->StartedAttempts_ < MaxStartedAttempts;
+}
+
 void TransportEventHandler::failSlowConnects(const EventContext &Context) {
   std::vector<framework::ConnectionId> Overdue;
   for (const auto &[Id, Connection] : Core_.Connections_.connections())
--- a/src/decision/internal/transporteventhandler.h
+++ b/src/decision/internal/transporteventhandler.h
@@ -19,6 +19,7 @@
 #include "decision/types/events/connectionclosed.h"
 #include "decision/types/events/connectionopened.h"
 
+#include <set>
 #include <vector>
 
 namespace cranberryspool::decision {
@@ -46,8 +47,10 @@
   /// lost.
   void failSilentConnections(const EventContext &Context);
   /// Cancels unsent attempts at targets that no longer accept work and queues
-  /// their calls again.
-  void requeueUnsent(const EventContext &Context);
+  /// their calls again. The same happens to those at targets that have become
+  /// unconfirmed while others can take them.
+  void requeueUnsent(const EventContext &Context,
+                     const std::set<framework::TargetId> &NewlyUnconfirmed);
   /// Closes connections that have not opened within the connect timeout.
   void failSlowConnects(const EventContext &Context);
 
@@ -79,6 +82,9 @@
                            const calls::Attempt &Ended,
                            const AttemptAnswered &Input, Correlation Match);
   bool mayRetry(const EventContext &Context, calls::Call &Call);
+  /// Returns true when an unsent attempt at a target that has become
+  /// unconfirmed is given up.
+  bool shouldLeaveUnconfirmed(const calls::Attempt &Unsent) const;
   /// Records that a target closed a connection. If it seems to have closed all
   /// its connections at once, it is taken to have restarted and is marked as
   /// cold.
--- a/src/decision/tests/unconfirmedtargets_test.cpp
+++ b/src/decision/tests/unconfirmedtargets_test.cpp
@@ -9,6 +9,7 @@
 using namespace cranberryspool::decision;
 using framework::Duration;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -21,6 +22,7 @@
 CoreSettings makeSettings() {
   CoreSettings Settings = StoreFixture::settings();
   Settings.ReportsAttempts_ = true;
+  Settings.ForwardPort_ = 7001;
   return Settings;
 }
 
@@ -185,6 +187,29 @@
         std::vector<std::string>{Present});
 }
 
+TEST_CASE("an attempt that waits for a connection to a target is started once "
+          "at another one when the target's record is missing",
+          "[unconfirmed]") {
+  RecoveredStore Test;
+  // Idle connections are too old for a call that must run at most once.
+  Test.Store_.ConnectTime_ = milliseconds(200);
+  const auto First = chosenTargets(Test.Store_.sendCall(1, "/b/x"));
+  REQUIRE(First.size() == 1);
+
+  SECTION("others can take it") {
+    const auto Second = chosenTargets(Test.lose({First[0]}));
+    REQUIRE(Second.size() == 1);
+    CHECK(Second != First);
+    CHECK(chosenTargets(Test.writeAgain({"s2-1"})).empty());
+    CHECK(chosenTargets(Test.Store_.pass(milliseconds(250))) == Second);
+  }
+  SECTION("all records are missing") {
+    CHECK(chosenTargets(Test.lose(AllTargets)).empty());
+    CHECK(chosenTargets(Test.writeAgain(without(First[0]))).empty());
+    CHECK(chosenTargets(Test.Store_.pass(milliseconds(250))) == First);
+  }
+}
+
 TEST_CASE("a repeat goes to a target that was tried before rather than to one "
           "whose record is missing",
           "[unconfirmed]") {
@@ -235,3 +260,17 @@
         std::vector<std::string>{Present});
   CHECK(Test.Store_.Core_.counters().CallsFromPeers_ == 1);
 }
+
+TEST_CASE("whether targets can be reached is not tried at one whose record is "
+          "missing while others can be used",
+          "[unconfirmed]") {
+  RecoveredStore Test;
+  const auto Sent = Test.startCall("/b/x");
+  Test.lose({Sent.TargetName_.value()});
+  // The call is not answered, which makes the instance doubt its network.
+  const auto Opened =
+      StoreFixture::actionsOf<OpenConnection>(Test.Store_.pass(seconds(2)));
+  CHECK_FALSE(Opened.empty());
+  CHECK(std::ranges::count(Opened, Sent.Target_, &OpenConnection::Target_) ==
+        0);
+}
