Ask others whether the store was away, and count no late read as a failure

A read without an answer counts as a failure only after the longest time limit, 2.4 s, which is beyond what a late answer takes. While an instance holds the store for having been away, it asks others, and any statement is news to it. A success of one kind of read ends the delay after a failure of the other, which grows with the fleet. An answer of a watch that returns changes ends a series of time-outs as well. Where answers take up to 0.25 s, a read is late after the time that the sums of docs/PLATFORM.md use, not after twice that of the last answer.

--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -26,6 +26,9 @@
 bool StoreReplicator::isHelpNeeded(const EventContext &Context) const {
   if (!View_.isLoaded())
     return false;
+  // Another instance may know that there was no outage.
+  if (View_.outages().isRecovering(Context.Now_))
+    return true;
   const bool IsBehind = IsRestMissing_ || isBehind(Context.Now_);
   if (!IsBehind && !isViewTooOld(Context))
     return false;
@@ -78,7 +81,11 @@
   Request.From_ = Context.self().Name_;
   Request.Incarnation_ = Context.self().Incarnation_;
   Request.After_ = View_.revision();
-  Request.Age_ = View_.age(Context.Now_).value_or(RecordUpdate::MoreFollows);
+  // While the store may have lost records, any statement of it is news.
+  const auto Age = View_.age(Context.Now_);
+  Request.Age_ = Age && !View_.outages().isRecovering(Context.Now_)
+                     ? *Age
+                     : RecordUpdate::MoreFollows;
   if (Reassembler_.revision() > View_.revision()) {
     Request.LargeRevision_ = Reassembler_.revision();
     Request.MissingParts_ = Reassembler_.listMissing(MaxMessagesAtOnce);
--- a/src/fleet/internal/seeded/storereads.cpp
+++ b/src/fleet/internal/seeded/storereads.cpp
@@ -30,11 +30,14 @@
   return Node ? Node.mapped() : PendingRead{.StartedAt_ = Now};
 }
 
-void StoreReads::recordAnswer(ReadKind Kind, Duration Time) {
-  AnswerTimes_[Kind] = std::max(Time, Duration{});
+void StoreReads::recordAnswer(ReadKind Kind, std::optional<Duration> Time) {
+  if (Time)
+    AnswerTimes_[Kind] = std::max(*Time, Duration{});
   Timeouts_.erase(Kind);
 }
 
+bool StoreReads::isLongest(Duration Time) { return Time >= MaxTimeLimit; }
+
 void StoreReads::markArriving(ReadKind Kind) {
   const auto Found = Pending_.find(Kind);
   if (Found != Pending_.end())
@@ -65,6 +68,8 @@
   }
   if (Fastest == Duration::max())
     return ReadTiming::MaxLateAnswerTime;
+  if (Fastest <= ReadTiming::PromptAnswerTime)
+    return Timing_.LateAnswerTime_;
   return std::clamp(LateAnswerFactor * Fastest, Timing_.LateAnswerTime_,
                     ReadTiming::MaxLateAnswerTime);
 }
--- a/src/fleet/internal/seeded/storereads.h
+++ b/src/fleet/internal/seeded/storereads.h
@@ -23,9 +23,13 @@
   /// Removes the read that has ended. Returns one that began at `Now` when none
   /// was under way.
   PendingRead end(ReadKind Kind, framework::Instant Now);
-  /// Records how long an answer took, without the wait of a watch.
-  void recordAnswer(ReadKind Kind, framework::Duration Time);
+  /// Records an answer and how long it took, without the wait of a watch; that
+  /// of a watch which returns changes is not known.
+  void recordAnswer(ReadKind Kind, std::optional<framework::Duration> Time);
   void recordTimeout(ReadKind Kind) { ++Timeouts_[Kind]; }
+  /// Returns true when a read without an answer took so long that the store may
+  /// be away. A shorter one that ended at its time limit may have been late.
+  static bool isLongest(framework::Duration Time);
   /// A large answer has begun to arrive.
   void markArriving(ReadKind Kind);
 
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -255,9 +255,11 @@
   IsRestMissing_ = false;
   reportSlowRead(Read, Records, AsOf, Context);
   // How long the store held a watch that returns changes is not known.
-  if (Records.empty() || Read.Wait_ == Duration{})
-    Reads_.recordAnswer(ReadKind::Changes,
-                        Context.Now_ - Read.StartedAt_ - Read.Wait_);
+  const bool IsTimeKnown = Records.empty() || Read.Wait_ == Duration{};
+  Reads_.recordAnswer(
+      ReadKind::Changes,
+      IsTimeKnown ? std::optional(Context.Now_ - Read.StartedAt_ - Read.Wait_)
+                  : std::nullopt);
   recordReadSuccess(Context);
   View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   const Revision Before = View_.revision();
@@ -328,6 +330,9 @@
 
 void StoreReplicator::recordReadSuccess(const EventContext &Context) {
   AnswerReceivedAt_ = Context.Now_;
+  // The delay after a failed read of the other kind is over.
+  if (Failures_ > 0)
+    NextReadAt_ = Context.Now_;
   if (std::exchange(Failures_, 0) < FailuresOfUnavailableStore)
     return;
   ViewChanged Report{ViewEvent::StoreAvailable, ViewChanged::StoreSource,
@@ -350,7 +355,9 @@
     readIfDue(Context);
     return;
   }
-  View_.outages().recordFailure();
+  if (!Failure.IsTimeout_ ||
+      StoreReads::isLongest(Context.Now_ - Read.StartedAt_ - Read.Wait_))
+    View_.outages().recordFailure();
   // While all reads fail, those of changes are tried in turn: their answers are
   // smaller.
   IsFullReadFailed_ = Failure.Kind_ == ReadKind::AllRecords;
--- a/src/fleet/tests/latechanges_test.cpp
+++ b/src/fleet/tests/latechanges_test.cpp
@@ -193,3 +193,46 @@
   for (int Number = 0; Number < 6; ++Number)
     CHECK(countUsers(Fleet, "t" + std::to_string(Number)) == 0);
 }
+
+TEST_CASE(
+    "answers that take longer than a time limit are no outage of the store",
+    "[latechanges]") {
+  SeededSimulation Fleet(GENERATE(1, 13), {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4));
+  Fleet.delayChanges();
+  Fleet.FullReadDelay_ = [] { return Duration(milliseconds(1'250)); };
+  Fleet.pass(seconds(20));
+  for (const SeededFleet &Each : Fleet.Instances_)
+    CHECK(Each.view().outages().lastOutage() == Duration{});
+}
+
+TEST_CASE(
+    "an instance that was cut off does not use a target on that others know "
+    "to be gone",
+    "[latechanges]") {
+  const Duration Cut = milliseconds(GENERATE(2'000, 3'000, 5'000));
+  for (std::size_t Index = 0; Index < Instances; ++Index) {
+    CAPTURE(Index, Cut.count());
+    SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+    Fleet.pass(seconds(4));
+    Fleet.turnAway({Index});
+    Fleet.Isolated_ = {Index};
+    Fleet.remove("t0");
+    Fleet.pass(Cut);
+    Fleet.turnAway({});
+    Fleet.Isolated_.clear();
+    Fleet.pass(seconds(1));
+    CHECK(countUsers(Fleet, "t0") == 0);
+  }
+}
+
+TEST_CASE("an instance loads from a store that takes two seconds for an answer",
+          "[latechanges]") {
+  SeededSimulation Fleet(3, {"a"}, 3);
+  Fleet.FullReadDelay_ = [] { return Duration(milliseconds(2'000)); };
+  Fleet.ChangesDelay_ = Fleet.FullReadDelay_;
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    Fleet.restart(Index);
+  Fleet.pass(seconds(8));
+  CHECK(Fleet.staleCount() == 0);
+}
