--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -1,6 +1,7 @@
 """One process of the program under test, with the settings of the platform."""
 
 import asyncio
+import bisect
 import contextlib
 import ctypes
 import os
@@ -28,9 +29,10 @@
     of them does. A process stays stopped until the last fault that stopped it continues it.
     """
 
-    def __init__(self, name, zone, ip, ports, folder, program):
+    def __init__(self, name, zone, ip, ports, folder, program, loss=None):
         self.name, self.zone, self.ip, self.ports = name, zone, ip, ports
         self.program = program
+        self.loss = loss  # of the datagrams that it sends; see `tests.datagramloss`
         self.settings_path = os.path.join(folder, f"{name}.conf")
         self.log_path = os.path.join(folder, f"{name}.log")
         self.process = None
@@ -40,6 +42,7 @@
         self.freezes = set()  # those that stopped the present process by SIGSTOP
         self.disturbances = []  # [begin, end or None]
         self.disturbance_count = 0
+        self.starts = []  # times of the starts of its processes
         self.stops = []  # times of SIGTERM
         self.peak_megabytes = 0.0
         self.own_ends = []  # (time, exit code) of a process that ended by itself
@@ -81,14 +84,21 @@
             return
         environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
         environment["CRANBERRYSPOOL_BOOT"] = self.settings_path
+        if self.loss:
+            environment.update(self.loss.environment(self.name))
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen([self.program], env=environment, stdout=log,
                                             stdin=subprocess.DEVNULL, stderr=subprocess.STDOUT,
                                             preexec_fn=end_with_parent)
         self.freezes.clear()
+        self.starts.append(time.monotonic())
         with self.disturbed():
             pass
 
+    def incarnation(self, when):
+        """Returns the number of the process that ran at a time."""
+        return bisect.bisect_right(self.starts, when)
+
     def end(self):
         """Ends the process; no fault starts one from now on."""
         self.is_ended = True
@@ -114,13 +124,13 @@
 
     @contextlib.contextmanager
     def kept_down(self):
-        with self.disturbed():
-            self.down_count += 1
-            try:
-                yield
-            finally:
-                self.down_count -= 1
-                self.start()
+        """Starts a process at the end. While one still runs, that alone is no disturbance."""
+        self.down_count += 1
+        try:
+            yield
+        finally:
+            self.down_count -= 1
+            self.start()
 
     @contextlib.contextmanager
     def frozen(self):
@@ -148,7 +158,7 @@
             self.process.wait()
 
     async def restart(self, pause):
-        with self.kept_down():
+        with self.disturbed(), self.kept_down():
             self.kill()
             await asyncio.sleep(pause)
 
@@ -157,12 +167,15 @@
         if self.down_count or not self.is_running:
             return
         with self.kept_down():
-            self.stops.append(time.monotonic())
-            self.send_signal(signal.SIGTERM)
+            # "no kill, start by the bench, SIGTERM": in touch again `contact` after the signal.
+            with self.disturbed():
+                self.stops.append(time.monotonic())
+                self.send_signal(signal.SIGTERM)
             deadline = time.monotonic() + grace
             while self.is_running and time.monotonic() < deadline:
                 await asyncio.sleep(0.05)
-            self.kill()
+            with self.disturbed():
+                self.kill()
 
     async def freeze(self, seconds):
         with self.disturbed(), self.frozen():
--- a/experiments/realfleet/test_instance.py
+++ b/experiments/realfleet/test_instance.py
@@ -91,6 +91,15 @@
         self.check_one_runs(started=2)
         self.assertEqual([], self.instance.stops)
 
+    async def test_a_stop_disturbs_at_its_signal_and_at_its_end_not_in_between(self):
+        self.write_program(DEAF_PROGRAM)
+        await self.play(self.instance.stop_and_start(0.5))
+        stop = self.instance.stops[0]
+        self.assertTrue(self.instance.was_disturbed(stop, stop))
+        self.assertFalse(self.instance.was_disturbed(stop + 0.05, stop + 0.4))
+        self.assertTrue(self.instance.was_disturbed(stop + 0.4, stop + 0.7))
+        self.assertEqual(2, self.instance.incarnation(stop + 60))
+
     async def test_a_stop_of_a_frozen_process_ends_with_its_grace(self):
         await self.play(self.instance.freeze(0.6), self.instance.stop_and_start(0.2))
         self.check_one_runs(started=2)
