Play 17 instances on kept and pipelined connections, with datagrams lost from a seed

A small library of the rig's tests drops datagrams that a process sends: a share of them, all in a share of its seconds, or all of one instance in both directions, from the seed and the name of the instance.

--- a/experiments/realfleet/callers.py
+++ b/experiments/realfleet/callers.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from realfleet.limits import NotJudged
+from realfleet.pipeline import Pipelines
 
 PROMISES = (408, 421, 429, 503)
 # The longest wait for answers after the traffic, beyond all deadlines of callers.
@@ -22,6 +23,7 @@
         # Instances that keep a connection of these callers open. They get requests on it
         # whether or not they say that they are ready.
         self.connected = set()
+        self.pipelines = Pipelines(rng)
 
     async def run(self, seconds):
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=12)
@@ -32,6 +34,7 @@
             await asyncio.gather(*(self._generate(kind, (kept, new), seconds)
                                    for kind in self.deployment.kinds))
             await self._end_calls()
+        self.pipelines.close()
 
     async def _end_calls(self):
         if not self.tasks:
@@ -63,8 +66,8 @@
     async def _call(self, kind, sessions):
         deadline = time.monotonic() + kind.deadline
         instance = None
-        is_kept = self.rng.random() < 0.5
-        session = sessions[0 if is_kept else 1]
+        is_kept = kind.is_pipelined or self.rng.random() < self.deployment.kept_share
+        session = self.pipelines if kind.is_pipelined else sessions[0 if is_kept else 1]
         repeats = kind.repeats if self.repeats is None else self.repeats
         for _ in range(1 + repeats):
             instance = self._choose_instance(instance, is_kept)
--- a/experiments/realfleet/deployment.py
+++ b/experiments/realfleet/deployment.py
@@ -17,6 +17,8 @@
     timeout: float
     repeats: int
     body_bytes: int = 0
+    # Whether callers send further requests before the first one is answered.
+    is_pipelined: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,6 +37,8 @@
     # The share of requests that take `tail_factor` times as long as others.
     tail_share: float = 0.0
     tail_factor: float = 1.0
+    # The share of callers that keep their connections open.
+    kept_share: float = 0.5
 
     def seconds(self, name):
         """Returns a bound that is a duration, in seconds."""
@@ -65,6 +69,19 @@
             RequestKind("sim-activate", "activation", "PUT", False, 14, 0.084, 1.0, 1.0, 1, 1200),
             RequestKind("compliance-check", "compliance", "GET", True, 20, 0.048, 0.6, 0.6, 1),
         )),
+    # 0.4 of the traffic of the site whose kinds and bounds it has.
+    "spool": Deployment(
+        zones=("ikeja", "lekki", "yaba"), instances=17,
+        targets={"ledger-read": 16, "certdesk": 11, "assay-pay": 6, "quickcheck": 6},
+        slots=6, queue=24, bounds=_bounds("2000ms", "62"), resets_when_full=False,
+        kept_share=1.0,
+        kinds=(
+            RequestKind("valuation-lookup", "ledger-read", "GET", True, 68, 0.094, 2.0, 1.0, 2),
+            RequestKind("cert-issue", "certdesk", "POST", False, 35, 0.12, 2.5, 1.2, 2, 1200),
+            RequestKind("test-deposit", "assay-pay", "PUT", False, 24, 0.066, 1.2, 1.2, 2, 4000),
+            RequestKind("sale-check", "quickcheck", "GET", True, 24, 0.038, 1.0, 1.0, 2,
+                        is_pipelined=True),
+        )),
     "medium": Deployment(
         zones=("recife", "fortaleza", "salvador", "natal"), instances=48,
         targets={"guia": 24, "entrega": 20}, slots=6, queue=24,
--- a/experiments/realfleet/fleet.py
+++ b/experiments/realfleet/fleet.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 
+from realfleet.tests.datagramloss import DatagramLoss
 from realfleet.instance import Instance
 from realfleet.limits import NotJudged, RunFailed
 from realfleet.record import Record
@@ -23,7 +24,7 @@
 
 
 class Fleet:
-    def __init__(self, deployment, seed, program, parts):
+    def __init__(self, deployment, seed, program, parts, loss=None):
         self.deployment = deployment
         self.rng = random.Random(f"{seed}/fleet")
         self.folder = tempfile.mkdtemp(prefix="cranberry-real-")
@@ -39,10 +40,14 @@
         self.store_probe = StoreProbe(self.ip(STORE_HOST), self.probe_port, PROBE_SECONDS)
         self.routes = Routes(deployment, self.rng)
         self.targets, self.instances, self.tasks = [], [], []
+        datagram_loss = DatagramLoss(loss, seed, self.folder) if loss else None
         for index in range(deployment.instances):
             zone = deployment.zones[index % len(deployment.zones)]
-            self.instances.append(Instance(f"edge-{zone}-{index + 1}", zone, self.ip(index + 1),
-                                           self.ports, self.folder, program))
+            name = f"edge-{zone}-{index // len(deployment.zones) + 1}"
+            self.instances.append(Instance(name, zone, self.ip(index + 1), self.ports, self.folder,
+                                           program, datagram_loss))
+            if loss and index in loss.isolated:
+                datagram_loss.isolated_names.add(name)
         self._write_settings(parts)
 
     def ip(self, host):
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -3,8 +3,14 @@
 import asyncio
 import itertools
 import time
+import typing
 
 from realfleet import endless
+from realfleet.tests.datagramloss import Loss
+from realfleet.store import ANSWER_FAULTS
+
+MOST_ADDED_ROUTES = 4000
+TURN_AWAY_MODES = ("busy", "many", "reset", "silent")
 
 
 class Faults:
@@ -52,6 +58,51 @@
             else:
                 self.fleet.routes.move(self.fleet.store)
 
+    async def change_routes(self, gap, added=100, invalid=0.0):
+        """Moves and splits the first route, and adds, removes and returns others. A share of the
+        configurations is invalid; a valid one follows soon."""
+        routes, store = self.fleet.routes, self.fleet.store
+        while True:
+            await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
+            choice = self.rng.random()
+            if choice < invalid:
+                routes.publish_invalid(store)
+            elif choice < 0.6 or not routes.added and choice > 0.85:
+                routes.move(store)
+            elif choice < 0.85 and routes.added + added <= MOST_ADDED_ROUTES:
+                routes.add_routes(added, store)
+            else:
+                routes.toggle_routes(max(1, added // 4), store)
+
+    async def turn_away(self, share, gap, length, is_counted, first=()):
+        """The store turns a share of the instances away, each in one way, those at the positions
+        `first` among them, and serves the others. If it is not counted, the rules hold as though
+        nothing had happened."""
+        fleet = self.fleet
+        while True:
+            await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
+            count = max(len(first), round(share * len(fleet.instances)))
+            chosen = [fleet.instances[index] for index in first]
+            others = [each for each in fleet.instances if each not in chosen]
+            chosen += self.rng.sample(others, count - len(chosen))
+            fleet.store.turn_away({fleet.store_port(each): self.rng.choice(TURN_AWAY_MODES)
+                                   for each in chosen})
+            fleet.record.notes.setdefault("turned away", []).append(
+                [each.name for each in chosen])
+            await asyncio.sleep(length)
+            fleet.store.serve_all()
+            if not is_counted:
+                fleet.store.refusals.pop()
+
+    async def spoil_answers(self, share, instances, kinds=ANSWER_FAULTS):
+        """A share of the store's answers to some instances is lost, reset, cut or garbled, in all
+        the run, in which the rules hold as though nothing had happened."""
+        fleet = self.fleet
+        chosen = self.rng.sample(fleet.instances, round(instances * len(fleet.instances)))
+        for instance in chosen:
+            fleet.store.answer_faults[fleet.store_port(instance)] = {
+                kind: share / len(kinds) for kind in kinds}
+
     async def evacuate_zones(self, gap, beyond):
         """Evacuates one zone after the other, for `beyond` longer than the bound."""
         deployment = self.fleet.deployment
@@ -236,7 +287,16 @@
             self.fleet.store.compact()
 
 
-# Each plan: (number of parts that cannot hear each other, callers' repeats or None, set-up).
+class Plan(typing.NamedTuple):
+    # The number of parts that cannot hear each other; with 0 each instance is alone.
+    parts: int
+    # How often callers repeat; None for what the deployment says.
+    repeats: int
+    set_up: typing.Callable
+    # Losses of datagrams between instances, or None.
+    loss: Loss = None
+
+
 def _quiet(faults):
     return []
 
@@ -374,32 +434,108 @@
     return _restart(faults, faults.fleet.instances)
 
 
+def _changes(faults, invalid=0.0):
+    return [faults.change_routes(0.7, invalid=invalid), faults.replace_targets(0.3)]
+
+
+def _invalid_configurations(faults):
+    return _changes(faults, invalid=0.25)
+
+
+def _stops_and_changes(faults):
+    return _changes(faults) + [faults.stop_overlapping(0.6, 0.4)]
+
+
+def _long_stops_and_changes(faults):
+    """Stops that last until the grace ends, since some requests take that long."""
+    return _changes(faults) + [faults.stop_overlapping(0.6, 0.4),
+                               faults.slow_targets(0.3, 20.0, 0.5, 8.0)]
+
+
+def _turned_away(faults):
+    return _changes(faults) + [faults.turn_away(0.33, 1.5, 9.0, is_counted=False)]
+
+
+def _turned_away_counted(faults):
+    return _changes(faults) + [faults.turn_away(0.33, 1.5, 9.0, is_counted=True)]
+
+
+def _turned_away_stops(faults):
+    return _turned_away_counted(faults) + [faults.kill_in_turn(1.5)]
+
+
+def _seeds_turned_away(faults):
+    return _changes(faults) + [faults.turn_away(0.18, 1.5, 9.0, is_counted=False, first=(0, 1, 2))]
+
+
+def _first_turned_away(faults):
+    return _changes(faults) + [faults.turn_away(0.05, 1.5, 9.0, is_counted=False, first=(2,))]
+
+
+def _lost_answers(faults):
+    return _changes(faults) + [faults.spoil_answers(0.3, 1.0, ("lost",))]
+
+
+def _spoiled_answers(faults):
+    return _changes(faults) + [faults.spoil_answers(0.3, 0.6)]
+
+
+def _lost_answers_late_watches(faults):
+    faults.fleet.store.watch_delay = (0.5, 1.5)
+    return _lost_answers(faults)
+
+
+HALF_DARK, FIFTH_DARK = Loss(0.05, 0.5), Loss(0.02, 0.2)
+MOST_LOST, SOME_LOST = Loss(0.6, 0.0), Loss(0.3, 0.0)
+
 PLANS = {
-    "quiet": (1, None, _quiet),
-    "parts-4": (4, None, _parts),
-    "parts-6": (6, None, _parts),
-    "late-watches": (1, None, _late_watches),
-    "late-watches-alone": (0, None, _late_watches),
+    "quiet": Plan(1, None, _quiet),
+    "parts-4": Plan(4, None, _parts),
+    "parts-6": Plan(6, None, _parts),
+    "late-watches": Plan(1, None, _late_watches),
+    "late-watches-alone": Plan(0, None, _late_watches),
     # The pages excuse a slow store; its ratios show whether instances keep reading it.
-    "slow-store": (1, None, _slow_store),
-    "slow-answers": (1, None, _slow_answers),
-    "slow-answers-evacuation": (1, None, _slow_answers_evacuation),
-    "lapsed-records": (1, None, _lapsed_records),
-    "lapsed-records-slow-answers": (1, None, _lapsed_records_slow_answers),
-    "kills": (1, None, _kills),
-    "restarts-in-one-window": (1, 5, _restarts_in_one_window),
-    "leaving": (1, None, _leaving),
-    "stale-pages": (1, None, _stale_pages),
-    "restart-one": (1, None, _restart_one),
-    "restart-all": (1, None, _restart_all),
-    "stops": (1, None, _stops),
-    "overlapping-stops": (1, None, _overlapping_stops),
-    "long-stops": (1, None, _long_stops),
-    "overlapping-stops-and-changes": (1, None, _overlapping_stops_and_changes),
-    "small-share": (1, None, _small_share),
-    "cut-from-store": (1, None, _cut_from_store),
-    "stale-without-history": (1, None, _stale_without_history),
-    "endless-responses": (1, None, _endless_responses),
-    "endless-input": (1, None, _endless_input),
-    "mixed": (1, None, _mixed),
+    "slow-store": Plan(1, None, _slow_store),
+    "slow-answers": Plan(1, None, _slow_answers),
+    "slow-answers-evacuation": Plan(1, None, _slow_answers_evacuation),
+    "lapsed-records": Plan(1, None, _lapsed_records),
+    "lapsed-records-slow-answers": Plan(1, None, _lapsed_records_slow_answers),
+    "kills": Plan(1, None, _kills),
+    "restarts-in-one-window": Plan(1, 5, _restarts_in_one_window),
+    "leaving": Plan(1, None, _leaving),
+    "stale-pages": Plan(1, None, _stale_pages),
+    "restart-one": Plan(1, None, _restart_one),
+    "restart-all": Plan(1, None, _restart_all),
+    "stops": Plan(1, None, _stops),
+    "overlapping-stops": Plan(1, None, _overlapping_stops),
+    "long-stops": Plan(1, None, _long_stops),
+    "overlapping-stops-and-changes": Plan(1, None, _overlapping_stops_and_changes),
+    "small-share": Plan(1, None, _small_share),
+    "cut-from-store": Plan(1, None, _cut_from_store),
+    "stale-without-history": Plan(1, None, _stale_without_history),
+    "endless-responses": Plan(1, None, _endless_responses),
+    "endless-input": Plan(1, None, _endless_input),
+    "mixed": Plan(1, None, _mixed),
+    "changes": Plan(1, None, _changes),
+    "invalid-configurations": Plan(1, None, _invalid_configurations),
+    "stops-and-changes": Plan(1, None, _stops_and_changes),
+    "long-stops-and-changes": Plan(1, None, _long_stops_and_changes),
+    # The pages excuse a store that turns some away, but not in all; see `allowed_time`.
+    "turned-away": Plan(1, None, _turned_away),
+    "turned-away-counted": Plan(1, None, _turned_away_counted),
+    "turned-away-counted-kills": Plan(1, None, _turned_away_stops),
+    "seeds-turned-away": Plan(1, None, _seeds_turned_away),
+    "lost-answers": Plan(1, None, _lost_answers),
+    "spoiled-answers": Plan(1, None, _spoiled_answers),
+    "lost-answers-late-watches": Plan(1, None, _lost_answers_late_watches),
+    "lossy-dark": Plan(1, None, _changes, HALF_DARK),
+    "lossy-most": Plan(1, None, _changes, MOST_LOST),
+    "turned-away-lossy": Plan(1, None, _turned_away, SOME_LOST),
+    "turned-away-lossy-most": Plan(1, None, _turned_away, MOST_LOST),
+    "turned-away-lossy-dark": Plan(1, None, _turned_away, HALF_DARK),
+    "turned-away-lossy-fifth": Plan(1, None, _turned_away, FIFTH_DARK),
+    "turned-away-counted-dark": Plan(1, None, _turned_away_counted, HALF_DARK),
+    # One seed that hears no other and that the store turns away.
+    "isolated": Plan(1, None, _changes, Loss(0.0, 0.0, isolated=(2,))),
+    "isolated-turned-away": Plan(1, None, _first_turned_away, Loss(0.0, 0.0, isolated=(2,))),
 }
--- a/experiments/realfleet/test_run.py
+++ b/experiments/realfleet/test_run.py
@@ -19,7 +19,7 @@
 from realfleet.callers import Callers
 from realfleet.deployment import DEPLOYMENTS
 from realfleet.fleet import Fleet
-from realfleet.plans import PLANS
+from realfleet.plans import PLANS, Plan
 from realfleet.record import Record
 from realfleet.routes import Routes
 
@@ -68,7 +68,7 @@
     def play(self, seconds=0.1, plan="quiet"):
         """Returns the exit code and the line of a run that ends."""
         options = argparse.Namespace(deployment="small", plan=plan, program=self.program,
-                                     rate=1.0, seconds=seconds, keep=False)
+                                     rate=1.0, seconds=seconds, keep=False, label=None)
         for limit in ("START_LIMIT_SECONDS", "ANSWERS_LIMIT_SECONDS"):
             self.patch(realprocesses, limit, 0.3)
         fleets = []
@@ -108,7 +108,7 @@
     def test_a_run_with_a_fault_that_fails_is_a_failure_of_the_rig(self):
         self.patch(Fleet, "start", start_instances)
         self.patch(Callers, "run", lambda *_: asyncio.sleep(0.1))
-        with mock.patch.dict(PLANS, {"failing": (1, None, lambda faults: [fail(faults)])}):
+        with mock.patch.dict(PLANS, {"failing": Plan(1, None, lambda faults: [fail(faults)])}):
             self.check_not_judged(*self.play(plan="failing"), "a fault that fails", FAILED)
 
     def test_a_loop_that_stays_busy_past_all_limits_loses_its_processes(self):
@@ -123,7 +123,7 @@
                     return
                 time.sleep(0.02)
 
-        plan = (1, None, lambda faults: [hold_the_loop_while_processes_run(faults)])
+        plan = Plan(1, None, lambda faults: [hold_the_loop_while_processes_run(faults)])
         with mock.patch.dict(PLANS, {"holding": plan}):
             begin = time.monotonic()
             self.check_not_judged(*self.play(plan="holding"), "the traffic took longer")
--- a/experiments/realprocesses.py
+++ b/experiments/realprocesses.py
@@ -39,7 +39,8 @@
 
 
 async def run_seed(options, seed):
-    fleet = Fleet(DEPLOYMENTS[options.deployment], seed, options.program, PLANS[options.plan][0])
+    plan = PLANS[options.plan]
+    fleet = Fleet(DEPLOYMENTS[options.deployment], seed, options.program, plan.parts, plan.loss)
     # Without the processes nothing keeps the event loop from its other limits.
     watch = threading.Timer(START_LIMIT_SECONDS + options.seconds + ANSWERS_LIMIT_SECONDS +
                             WATCH_MARGIN_SECONDS, fleet.end_processes)
@@ -72,10 +73,10 @@
 
 
 async def play_traffic(options, seed, fleet):
-    _, repeats, make_faults = PLANS[options.plan]
+    plan = PLANS[options.plan]
     callers = Callers(fleet.deployment, fleet.instances, fleet.routes, fleet.record,
-                      random.Random(f"{seed}/callers"), options.rate, repeats)
-    for fault in make_faults(Faults(fleet, random.Random(f"{seed}/faults"))):
+                      random.Random(f"{seed}/callers"), options.rate, plan.repeats)
+    for fault in plan.set_up(Faults(fleet, random.Random(f"{seed}/faults"))):
         fleet.run(fault)
     await callers.run(options.seconds)
 
@@ -96,8 +97,9 @@
             judges.judge_drain(record, deployment, instances, fleet.store),
             judges.judge_evacuation(record, deployment, instances, fleet.store),
             judges.judge_lapsed(record, deployment, instances),
-            judges.judge_denied(record, deployment),
+            judges.judge_denied(record, deployment, fleet.routes),
             judges.judge_configuration(record, deployment, instances, fleet.routes, fleet.store),
+            judges.judge_downgrade(record, deployment, instances, fleet.routes),
             judges.judge_lost(record, deployment, instances),
             judges.judge_memory(instances)]
 
@@ -107,7 +109,8 @@
     record = fleet.record
     statuses = [each["status"] for each in record.requests.values()]
     served = sum(1 for each in statuses if each == 200)
-    line = {"plan": options.plan, "seed": seed, "requests": len(statuses), "served": served,
+    line = {"plan": options.plan, "deployment": options.deployment, "seed": seed,
+            "seconds": options.seconds, "program": options.label or options.program, "requests": len(statuses), "served": served,
             "worst_lag_ms": round(record.worst_lag * 1000),
             "store_lag_ms": round(fleet.store_probe.worst_lag() * 1000),
             "store_calls": fleet.store.calls,
@@ -129,8 +132,8 @@
         for case in verdict.cases[:SHOWN_CASES]:
             print("   ", f"+{case[0] - begin:.3f}", *case[1:])
     if broken:
-        print(f"  again: experiments/realprocesses.py --plan {options.plan} --first {seed} "
-              f"--seconds {options.seconds:g}", flush=True)
+        print(f"  again: experiments/realprocesses.py --plan {options.plan} --deployment "
+              f"{options.deployment} --first {seed} --seconds {options.seconds:g}", flush=True)
     if error:
         return FAILED if isinstance(error, RunFailed) else NOT_JUDGED
     return BROKEN if broken else HELD
@@ -145,6 +148,7 @@
     parser.add_argument("--seconds", type=float, default=40, help="the length of the traffic")
     parser.add_argument("--rate", type=float, default=1.0, help="factor of the traffic")
     parser.add_argument("--keep", action="store_true", help="keep the logs of all processes")
+    parser.add_argument("--label", help="names the program in the line of a run")
     parser.add_argument("--program", default=str(ROOT / "target" / "bin" / "cranberryspool"))
     options = parser.parse_args()
     # The stand-ins' own connections break off on purpose.
