Let the rig's store cut answers of changes, and judge stops by the deadline that instances are told

- The store held all changes in one answer; it cuts them now as it cuts pages, after 500 or 1 MB, and states the revision that the answer reaches.
New plans: another writer of 150 changes a second, or large configurations, while instances are turned away for 9 s, so that they catch up on more than one answer.
- judge_lost excuses a request whose deadline was reached.
It compared with the time that the caller had left, while the instance is told whole milliseconds: plan long-stops-and-changes showed 10 to 20 cases on each landing, all of test-deposit, ended 1.199 to 1.200 s after they were sent with a deadline of 1.2 s (1199 ms told).
The limit is what is told.

--- a/experiments/realfleet/callers.py
+++ b/experiments/realfleet/callers.py
@@ -86,9 +86,10 @@
         left = deadline - time.monotonic()
         self.record.sent(attempt, kind, instance, path)
         url = f"http://{instance.ip}:{instance.ports['front']}{path}"
-        self.record.requests[attempt]["limit"] = min(left, kind.timeout)
-        headers = {"Host": host, "X-Attempt-Id": attempt,
-                   "X-Timeout-Ms": str(max(1, int(left * 1000)))}
+        # What the instance is told, which is up to 1 ms less than what is left.
+        milliseconds = max(1, int(left * 1000))
+        self.record.requests[attempt]["limit"] = min(milliseconds / 1000, kind.timeout)
+        headers = {"Host": host, "X-Attempt-Id": attempt, "X-Timeout-Ms": str(milliseconds)}
         body = b"b" * kind.body_bytes if kind.body_bytes else None
         try:
             async with session.request(kind.method, url, headers=headers, data=body,
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -94,6 +94,13 @@
             if not is_counted:
                 fleet.store.refusals.pop()
 
+    async def write_foreign_entries(self, per_second):
+        """Another writer changes its entries all the while."""
+        store = self.fleet.store
+        for number in itertools.count():
+            await asyncio.sleep(self.rng.expovariate(per_second))
+            store.put(f"servers/b-{number % 300}", {"owner": "other", "number": number})
+
     async def spoil_answers(self, share, instances, kinds=ANSWER_FAULTS):
         """A share of the store's answers to some instances is lost, reset, cut or garbled, in all
         the run, in which the rules hold as though nothing had happened."""
@@ -485,6 +492,25 @@
     return _lost_answers(faults)
 
 
+def _busy_store(faults):
+    """More changes than one answer holds, for instances that the store served last 9 s ago."""
+    return _turned_away(faults) + [faults.write_foreign_entries(150.0)]
+
+
+def _busy_store_counted(faults):
+    return _turned_away_counted(faults) + [faults.write_foreign_entries(150.0)]
+
+
+def _large_configurations(faults):
+    """An answer does not hold two of the last configurations."""
+    return [faults.change_routes(0.4, added=400), faults.replace_targets(0.3),
+            faults.turn_away(0.33, 1.5, 9.0, is_counted=False)]
+
+
+def _turned_away_evacuation(faults):
+    return _turned_away(faults) + [faults.evacuate_zones(1.0, beyond=2.0)]
+
+
 HALF_DARK, FIFTH_DARK = Loss(0.05, 0.5), Loss(0.02, 0.2)
 MOST_LOST, SOME_LOST = Loss(0.6, 0.0), Loss(0.3, 0.0)
 
@@ -535,6 +561,10 @@
     "turned-away-lossy-dark": Plan(1, None, _turned_away, HALF_DARK),
     "turned-away-lossy-fifth": Plan(1, None, _turned_away, FIFTH_DARK),
     "turned-away-counted-dark": Plan(1, None, _turned_away_counted, HALF_DARK),
+    "turned-away-lossy-evacuation": Plan(1, None, _turned_away_evacuation, MOST_LOST),
+    "busy-store": Plan(1, None, _busy_store),
+    "busy-store-counted": Plan(1, None, _busy_store_counted),
+    "large-configurations": Plan(1, None, _large_configurations),
     # One seed that hears no other and that the store turns away.
     "isolated": Plan(1, None, _changes, Loss(0.0, 0.0, isolated=(2,))),
     "isolated-turned-away": Plan(1, None, _first_turned_away, Loss(0.0, 0.0, isolated=(2,))),
--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -251,15 +251,22 @@
                 await asyncio.wait_for(self.changed.wait(), deadline - time.monotonic())
             except asyncio.TimeoutError:
                 break
-        events = []
-        for _, revision, key, data in reversed(self.history):
-            if revision <= after:
+        answer = web.json_response(self._changes(after))
+        await asyncio.sleep(self.rng.uniform(*self.watch_delay))
+        return answer
+
+    def _changes(self, after):
+        """Returns the changes after a revision, the oldest ones if an answer does not hold all."""
+        events, size, as_of = [], 0, self.revision
+        first = bisect.bisect_right(self.history, after, key=lambda each: each[1])
+        for _, revision, key, data in self.history[first:]:
+            size += len(data or b"")
+            if len(events) >= PAGE_ITEMS or (events and size > PAGE_BYTES):
+                as_of = events[-1]["revision"]
                 break
             events.append({"key": key, "revision": revision, "deleted": True} if data is None
                           else self._item(key, revision, revision, data))
-        answer = web.json_response({"events": events[::-1], "as_of": self.revision})
-        await asyncio.sleep(self.rng.uniform(*self.watch_delay))
-        return answer
+        return {"events": events, "as_of": as_of}
 
     async def on_key(self, request):
         for key, (revision, created, data) in self.items(time.monotonic()):
--- a/experiments/realfleet/test_store.py
+++ b/experiments/realfleet/test_store.py
@@ -79,6 +79,18 @@
         self.assertFalse(self.store.was_disturbed(0, float("inf")))
         self.assertEqual(200, (await self.store.on_range(request(prefix=""))).status)
 
+    async def test_an_answer_of_changes_holds_the_oldest_of_more_than_500(self):
+        after = self.store.revision
+        for number in range(501):
+            self.store.put(f"servers/a-{number}", {})
+        query = request(prefix="", after=str(after), wait_ms="0")
+        answer = json.loads((await self.store.on_watch(query)).body)
+        self.assertEqual(500, len(answer["events"]))
+        self.assertEqual(after + 500, answer["as_of"])
+        query.query["after"] = str(answer["as_of"])
+        answer = json.loads((await self.store.on_watch(query)).body)
+        self.assertEqual((1, self.store.revision), (len(answer["events"]), answer["as_of"]))
+
     async def test_a_connection_that_lost_an_answer_returns_nothing_more(self):
         self.store.answer_faults = {1: {"lost": 1.0}}
         query = request(prefix="")
