Log the end of an attempt that outlives its call with the request of its caller

A reader got to the call by the number of the attempt only, if the routine line attempt-sent was there.

The id is now kept until the attempt ends, where requests are logged. The test failed before: request "".

--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -27,6 +27,8 @@
   DecisionLog(framework::LogWriter *Writer, bool IsRequestLogEnabled)
       : Writer_(Writer), IsRequestLogEnabled_(IsRequestLogEnabled) {}
 
+  bool isRequestLogEnabled() const { return IsRequestLogEnabled_; }
+
   /// Logs a change of the view, whose version and age are read from `View`.
   void log(const decision::ReportChange &Change,
            const decision::Core &View) const;
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -176,6 +176,8 @@
     return;
   Found->second.Attempts_.push_back(Action.Attempt_);
   CallOfAttempt_.emplace(Action.Attempt_, Action.Call_);
+  if (Log_.isRequestLogEnabled())
+    RequestIds_.emplace(Action.Attempt_, requestId(Action.Call_));
   Targets_.send(SendRequest{Action, Found->second.Request_});
 }
 
@@ -252,7 +254,8 @@
 }
 
 void Dispatcher::execute(const decision::ReportAttemptEnd &Action) {
-  Log_.log(Action, requestId(Action.Call_));
+  const auto Sent = RequestIds_.extract(Action.Attempt_);
+  Log_.log(Action, Sent ? Sent.mapped() : requestId(Action.Call_));
 }
 
 std::string_view Dispatcher::requestId(framework::CallId Call) const {
--- a/src/entry/internal/dispatcher.h
+++ b/src/entry/internal/dispatcher.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -92,6 +93,9 @@
   framework::Instant HandlingSince_{};
   std::unordered_map<framework::CallId, PendingCall> Calls_;
   std::unordered_map<framework::AttemptId, framework::CallId> CallOfAttempt_;
+  /// The ids that the callers sent with the requests of attempts that have not
+  /// ended, for the log. An attempt may outlive its call.
+  std::unordered_map<framework::AttemptId, std::string> RequestIds_;
   std::unordered_map<framework::AttemptId,
                      std::shared_ptr<const TargetResponse>>
       Responses_;
--- a/src/entry/tests/entryinstance_test.cpp
+++ b/src/entry/tests/entryinstance_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/entryinstance.h"
 #include "entry/tests/rawclient.h"
+#include "framework/log/logwriter.h"
 #include "standins/deployment.h"
 
 #include <catch2/catch.hpp>
@@ -27,6 +28,9 @@
     "groups": [{"name": "records-yaba", "zone": "yaba"}],
     "kinds": [{"name": "get", "method": "GET", "path": "/records/*",
                "idempotent": true, "urgency": "ordinary",
+               "deadline": "30s"},
+              {"name": "add", "method": "POST", "path": "/records/*",
+               "idempotent": false, "urgency": "ordinary",
                "deadline": "30s"}],
     "objectives": []
   }]
@@ -160,3 +164,35 @@
              StartsWith("HTTP/1.1 50"));
   CHECK(Instance.waitUntilStopped() == ExitCode::Stopped);
 }
+
+TEST_CASE("the end of an attempt that outlives its call is logged with its "
+          "request",
+          "[entry]") {
+  std::FILE *File = std::tmpfile();
+  const DeploymentFixture Deployment(400ms);
+  {
+    framework::LogWriter Log(fileno(File), "entry-1");
+    EntrySettings Settings = instanceSettings();
+    Settings.Log_ = &Log;
+    Settings.IsRequestLogEnabled_ = true;
+    EntryInstance Instance(Settings);
+    REQUIRE(Instance.start());
+    awaitReady(Instance);
+    RawClient Caller(Instance.callerEndpoint());
+    Caller.send("POST /records/7 HTTP/1.1\r\nHost: x\r\nAttempt-Id: a7\r\n"
+                "Request-Timeout-Ms: 100\r\nContent-Length: 0\r\n\r\n");
+    CHECK_THAT(Caller.receiveResponse(), StartsWith("HTTP/1.1 502 "));
+    // The target's response comes later and ends the attempt.
+    Caller.send("GET /records/8 HTTP/1.1\r\nHost: x\r\nAttempt-Id: a8\r\n\r\n");
+    CHECK_THAT(Caller.receiveResponse(), StartsWith("HTTP/1.1 200 "));
+    Instance.requestStop();
+    CHECK(Instance.waitUntilStopped() == ExitCode::Stopped);
+  }
+  std::string Text;
+  std::rewind(File);
+  for (int Next = std::fgetc(File); Next != EOF; Next = std::fgetc(File))
+    Text += static_cast<char>(Next);
+  std::fclose(File);
+  CHECK_THAT(Text, Contains("\"event\":\"attempt-ended\",\"request\":\"a7\""));
+  CHECK_THAT(Text, !Contains("\"event\":\"attempt-ended\",\"request\":\"\""));
+}
