Ask for changes over connections when datagrams are lost

Cause: datagrams were its only way to others. Requests for changes, their answers and the leaders' updates are all lost alike; a lost request counted as "nothing newer", so that the pause until the next one grew to 0.6 s, as in an outage of the store for all; and after 6 s without a datagram all others counted as lost and nobody was asked. Class: a state that depends on a single way, whose silence is taken for the absence of news.

Now every request is answered, without news with what is known of the store's availability; a request without an answer, or a member that hears no updates, means lost datagrams, and requests go over a TCP connection to the same port and are answered over one. An instance whose reads fail asks at a smaller age of its view, each 150 ms while others say that the store answers them. Members that are all taken for lost are asked as well.

--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -36,6 +36,8 @@
     return ChangeKind::StoreReadSlow;
   case fleet::ViewEvent::StoreReadPartial:
     return ChangeKind::StoreReadPartial;
+  case fleet::ViewEvent::DatagramsLost:
+    return ChangeKind::DatagramsLost;
   case fleet::ViewEvent::TargetDraining:
     return ChangeKind::TargetDraining;
   case fleet::ViewEvent::TargetRemoved:
@@ -88,7 +90,7 @@
                           const PeerMessageReceived &Input) {
   if (Quota_.tryHandle(Context, Input.Message_))
     return;
-  Core_.Fleet_.handlePeerMessage(Input.Message_, Context.Now_,
+  Core_.Fleet_.handlePeerMessage(Input.Message_, Input.Via_, Context.Now_,
                                  Core_.FleetOutput_);
 }
 
@@ -317,7 +319,7 @@
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::SendMessage &Output) {
   Context.Output_.push_back(
-      SendPeerMessage{Output.PeerAddress_, Output.Message_});
+      SendPeerMessage{Output.PeerAddress_, Output.Message_, Output.Via_});
 }
 
 void FleetAdapter::apply(const EventContext &Context,
--- a/src/decision/types/actions/sendpeermessage.h
+++ b/src/decision/types/actions/sendpeermessage.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_DECISION_TYPES_ACTIONS_SENDPEERMESSAGE_H
 
 #include "fleet/peermessage.h"
+#include "fleet/types/transport.h"
 
 #include <string>
 
@@ -12,6 +13,7 @@
 struct SendPeerMessage {
   std::string PeerAddress_;
   fleet::PeerMessage Message_;
+  fleet::Transport Via_ = fleet::Transport::Datagram;
 };
 
 } // namespace cranberryspool::decision
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -33,6 +33,7 @@
   StoreAvailable,
   StoreReadSlow,
   StoreReadPartial,
+  DatagramsLost,
   TargetDraining,
   TargetRemoved,
   TargetRemovalDeferred,
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -98,7 +98,8 @@
   /// Binds the metrics endpoint; an instance that cannot do so serves without
   /// it.
   void bindMetrics();
-  void startPeerMessenger();
+  /// Only one worker may accept connections at the peer endpoint.
+  void startPeerMessenger(bool AcceptsConnections);
   void startPeerWorkers();
   void setExitCode(ExitCode Code);
   void onRestartLimitReached(const std::string &Worker);
@@ -246,7 +247,7 @@
       return std::make_unique<StoreReader>(Io, Settings_.StoreFactory_,
                                            Mailboxes_);
     });
-    startPeerMessenger();
+    startPeerMessenger(true);
     return;
   }
   startWorker(Control_, "platform", [this](net::io_context &Io) {
@@ -255,15 +256,20 @@
   startPeerWorkers();
 }
 
-void EntryInstance::Impl::startPeerMessenger() {
-  startWorker(Control_, "peer-messages", [this](net::io_context &Io) {
-    return std::make_unique<PeerMessenger>(Io, duplicateSocket(Io, PeerSocket_),
-                                           Mailboxes_);
-  });
+void EntryInstance::Impl::startPeerMessenger(bool AcceptsConnections) {
+  startWorker(Control_, "peer-messages",
+              [this, AcceptsConnections](net::io_context &Io) {
+                std::optional<tcp::acceptor> Acceptor;
+                if (AcceptsConnections)
+                  Acceptor = duplicateListener(Io, PeerListener_);
+                return std::make_unique<PeerMessenger>(
+                    Io, duplicateSocket(Io, PeerSocket_), std::move(Acceptor),
+                    Mailboxes_);
+              });
 }
 
 void EntryInstance::Impl::startPeerWorkers() {
-  startPeerMessenger();
+  startPeerMessenger(false);
   startWorker(Control_, "peer-server", [this](net::io_context &Io) {
     return std::make_unique<HttpService>(
         Io, duplicateListener(Io, PeerListener_),
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,6 +16,7 @@
 #include "fleet/types/sectionreply.h"
 #include "fleet/types/sectionrequest.h"
 #include "fleet/types/storedrecord.h"
+#include "fleet/types/transport.h"
 #include "fleet/types/zoneposition.h"
 #include "framework/ids.h"
 #include "framework/moment.h"
@@ -92,8 +93,9 @@
   /// Replaces the addresses of the seeds.
   void setSeeds(std::vector<std::string> Addresses);
 
-  void handlePeerMessage(const PeerMessage &Message, framework::Moment Now,
-                         OutputList &Output);
+  /// A request that came over a connection is answered over one.
+  void handlePeerMessage(const PeerMessage &Message, Transport Via,
+                         framework::Moment Now, OutputList &Output);
   /// Handles a peer's response to `FetchSections`.
   void handleSections(const std::string &PeerAddress, const SectionReply &Reply,
                       framework::Moment Now, OutputList &Output);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -107,8 +107,8 @@
     Seeded_->setSeeds(std::move(Addresses));
 }
 
-void Fleet::handlePeerMessage(const PeerMessage &Message, framework::Moment Now,
-                              OutputList &Output) {
+void Fleet::handlePeerMessage(const PeerMessage &Message, Transport Via,
+                              framework::Moment Now, OutputList &Output) {
   // Messages for the other mode of peer discovery are ignored, like unknown
   // ones.
   std::visit(
@@ -125,12 +125,14 @@
           // For the quota coordinator, which is not part of the fleet module.
         } else if constexpr (std::is_same_v<MessageType, RecordFragment>) {
           // Sent by earlier builds only; the record is requested instead.
+        } else if constexpr (std::is_same_v<MessageType, RecordRequest>) {
+          if (Seeded_)
+            Seeded_->handle(Item, Via, Now, Output);
         } else if constexpr (std::is_same_v<MessageType, GossipMessage> ||
                              std::is_same_v<MessageType, LoadUpdate> ||
                              std::is_same_v<MessageType,
                                             capacity::DemandUpdate> ||
                              std::is_same_v<MessageType, RecordUpdate> ||
-                             std::is_same_v<MessageType, RecordRequest> ||
                              std::is_same_v<MessageType, StoreAvailability> ||
                              std::is_same_v<MessageType, RecordPart>) {
           if (Seeded_)
--- a/src/fleet/internal/seeded/eventcontext.h
+++ b/src/fleet/internal/seeded/eventcontext.h
@@ -32,9 +32,10 @@
       Output_.push_back(SendMessage{Address, Message});
   }
   void sendTo(const std::vector<std::string> &Addresses,
-              const PeerMessage &Message) const {
+              const PeerMessage &Message,
+              Transport Via = Transport::Datagram) const {
     for (const std::string &Address : Addresses)
-      Output_.push_back(SendMessage{Address, Message});
+      Output_.push_back(SendMessage{Address, Message, Via});
   }
 };
 
--- a/src/fleet/internal/seeded/recordreports.cpp
+++ b/src/fleet/internal/seeded/recordreports.cpp
@@ -64,6 +64,14 @@
   Context.Output_.push_back(std::move(Report));
 }
 
+void StoreReplicator::reportLostDatagrams(const MemberInfo &Asked,
+                                          const EventContext &Context) const {
+  ViewChanged Report{ViewEvent::DatagramsLost, Asked.Name_.value(),
+                     Context.self().Name_.value()};
+  Report.Elapsed_ = Context.Now_ - HeardAt_;
+  Context.Output_.push_back(std::move(Report));
+}
+
 void StoreReplicator::reportChanges(const StoreView::Changes &Changed,
                                     const std::string &Source,
                                     OutputList &Output) const {
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -15,11 +15,18 @@
 
 /// Another instance is asked when a read of the store takes longer than this.
 constexpr Duration ReadPatience = milliseconds(150);
-/// While nothing newer is known to exist, as in an outage of the store, the
+/// While nothing newer is known to exist and the store answers nobody, the
 /// delay between requests grows up to this.
 constexpr Duration MaxRequestDelay = milliseconds(600);
-/// A request that could only make the view younger by less is not answered.
+/// The view is not sent to an instance whose view it would make younger by
+/// less.
 constexpr Duration MinAgeGain = milliseconds(200);
+/// Group leaders send updates each 200 ms. When a member gets none for this
+/// long, datagrams are taken to be lost.
+constexpr Duration MaxSilence = milliseconds(500);
+/// After a request without an answer, others are sent over connections for this
+/// long.
+constexpr Duration ConnectionPeriod = milliseconds(2000);
 
 } // namespace
 
@@ -30,11 +37,38 @@
   if (View_.outages().isRecovering(Context.Now_))
     return true;
   const bool IsBehind = IsRestMissing_ || isBehind(Context.Now_);
-  if (!IsBehind && !isViewTooOld(Context))
+  const bool IsDependent = isDependentOnOthers(Context.Now_);
+  if (!IsBehind && !IsDependent && !isViewTooOld(Context))
     return false;
-  if (const auto Oldest = Reads_.oldestStart())
+  if (const auto Oldest = Reads_.oldestStart(); Oldest && !IsDependent)
     return Context.Now_ >= *Oldest + ReadPatience;
-  return IsBehind || Context.Now_ < NextReadAt_;
+  return IsBehind || IsDependent || Context.Now_ < NextReadAt_;
+}
+
+bool StoreReplicator::isDependentOnOthers(framework::Instant Now) const {
+  const auto Age = View_.age(Now);
+  return Failures_ > 0 && Age && *Age > Timing_.MaxViewAgeWhileLate_;
+}
+
+Transport StoreReplicator::chooseTransport(const MemberInfo &Source,
+                                           const EventContext &Context) {
+  if (!IsLastRequestAnswered_)
+    ConnectionsUntil_ = Context.Now_ + ConnectionPeriod;
+  // A group leader is sent no updates unless it asks.
+  const bool AreUpdatesArriving =
+      Context.isGroupLeader() || Context.Now_ < HeardAt_ + MaxSilence;
+  const bool AreLost = Context.Now_ < ConnectionsUntil_ || !AreUpdatesArriving;
+  if (AreLost && !AreDatagramsLost_)
+    reportLostDatagrams(Source, Context);
+  AreDatagramsLost_ = AreLost;
+  return AreLost ? Transport::Connection : Transport::Datagram;
+}
+
+void StoreReplicator::recordHeard(const framework::InstanceName &From,
+                                  framework::Instant Now) {
+  HeardAt_ = Now;
+  if (Asked_ && Asked_->Name_ == From)
+    IsLastRequestAnswered_ = true;
 }
 
 void StoreReplicator::requestIfDue(const EventContext &Context) {
@@ -45,17 +79,23 @@
     return;
   const bool IsNothingNewer =
       !isAnnouncedMissing() && View_.revision() == RevisionAtRequest_;
-  NextRequestDelay_ = IsNothingNewer
-                          ? std::min(2 * NextRequestDelay_, MaxRequestDelay)
-                          : RequestDelay;
+  const bool IsStoreThereForOthers =
+      View_.outages().age(Context.Now_) < Timing_.MaxViewAge_;
+  // Without an answer it is not known whether anything is newer.
+  if (!IsNothingNewer || IsStoreThereForOthers)
+    NextRequestDelay_ = RequestDelay;
+  else if (IsLastRequestAnswered_)
+    NextRequestDelay_ = std::min(2 * NextRequestDelay_, MaxRequestDelay);
   sendRequest(*Source, Context);
 }
 
 const MemberInfo *StoreReplicator::chooseSource(const EventContext &Context) {
   std::vector<const MemberInfo *> OwnZone;
   std::vector<const MemberInfo *> OtherZones;
+  // Members whose datagrams are lost may be reached over connections.
+  const bool AreAllLost = Context.Membership_.runningCount() == 1;
   for (const auto &[Name, State] : Context.Membership_.members()) {
-    if (State.IsLost_ || State.IsStopping_)
+    if ((State.IsLost_ && !AreAllLost) || State.IsStopping_)
       continue;
     const bool IsAnnouncer = AnnouncedRevision_ && Name == AnnouncedBy_;
     const bool WasAsked =
@@ -74,8 +114,10 @@
 
 void StoreReplicator::sendRequest(const MemberInfo &Source,
                                   const EventContext &Context) {
+  const Transport Via = chooseTransport(Source, Context);
   Asked_ = Source;
   AskedAt_ = Context.Now_;
+  IsLastRequestAnswered_ = false;
   RevisionAtRequest_ = View_.revision();
   RecordRequest Request;
   Request.From_ = Context.self().Name_;
@@ -94,25 +136,22 @@
                            ? static_cast<std::uint32_t>(MaxMessagesAtOnce) - 1
                            : Request.MissingParts_.back();
   NextRequestAt_ = Context.Now_ + NextRequestDelay_;
-  Context.sendTo({Source.Address_}, Request);
+  Context.sendTo({Source.Address_}, Request, Via);
 }
 
 void StoreReplicator::answer(const RecordRequest &Message,
-                             const std::string &Address,
+                             const std::string &Address, Transport Via,
                              const EventContext &Context) {
   const auto Age = View_.age(Context.Now_);
   const bool HasNews = View_.revision() > Message.After_ ||
                        (Age && *Age + MinAgeGain < Message.Age_ &&
                         View_.revision() == Message.After_);
-  if (!Age || !HasNews)
+  if (!Age)
+    return;
+  // Also without news, so that the sender does not take its request for lost.
+  sendAvailability(Address, Via, Context);
+  if (!HasNews)
     return;
-  Context.sendTo(
-      {Address},
-      StoreAvailability{.From_ = Context.self().Name_,
-                        .Incarnation_ = Context.self().Incarnation_,
-                        .Age_ = View_.outages().age(Context.Now_),
-                        .AvailableFor_ =
-                            View_.outages().availableFor(Context.Now_)});
   std::vector<RecordUpdate> Updates =
       Message.After_ < View_.records().completeSince()
           ? makeUpdatesAhead(Message.After_)
@@ -129,12 +168,12 @@
     stamp(Update, Context);
     Update.Incarnation_ = Context.self().Incarnation_;
     if (RecordTable::fitsInMessage(Update)) {
-      Context.sendTo({Address}, Update);
+      Context.sendTo({Address}, Update, Via);
       ++Sent;
       continue;
     }
-    const auto Parts =
-        sendParts(Update, Message, Address, MaxMessagesAtOnce - Sent, Context);
+    const auto Parts = sendParts(Update, Message, Address, Via,
+                                 MaxMessagesAtOnce - Sent, Context);
     // What follows cannot be applied before this record is complete.
     if (!Parts)
       return;
@@ -142,6 +181,19 @@
   }
 }
 
+void StoreReplicator::sendAvailability(const std::string &Address,
+                                       Transport Via,
+                                       const EventContext &Context) const {
+  Context.sendTo(
+      {Address},
+      StoreAvailability{.From_ = Context.self().Name_,
+                        .Incarnation_ = Context.self().Incarnation_,
+                        .Age_ = View_.outages().age(Context.Now_),
+                        .AvailableFor_ =
+                            View_.outages().availableFor(Context.Now_)},
+      Via);
+}
+
 std::vector<RecordUpdate>
 StoreReplicator::makeUpdatesAhead(Revision After) const {
   std::vector<RecordUpdate> Updates =
@@ -158,8 +210,8 @@
 std::optional<std::size_t>
 StoreReplicator::sendParts(const RecordUpdate &Update,
                            const RecordRequest &Request,
-                           const std::string &Address, std::size_t Limit,
-                           const EventContext &Context) {
+                           const std::string &Address, Transport Via,
+                           std::size_t Limit, const EventContext &Context) {
   const CompressedRecord *Large = compress(Update.Records_.front());
   if (!Large)
     return std::nullopt;
@@ -177,7 +229,7 @@
       return std::nullopt;
     RecordPart Part = Large->makePart(Update, Index);
     stamp(Part, Context);
-    Context.sendTo({Address}, Part);
+    Context.sendTo({Address}, Part, Via);
   }
   return AreAllSent ? std::optional(Indices.size()) : std::nullopt;
 }
@@ -197,6 +249,7 @@
 
 void StoreReplicator::handle(const RecordPart &Message,
                              const EventContext &Context) {
+  recordHeard(Message.From_, Context.Now_);
   const std::size_t MissingBefore = Reassembler_.missingCount();
   if (const auto Update = Reassembler_.add(Message)) {
     handle(*Update, Context);
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -314,8 +314,8 @@
   Replicator_.handle(Message, makeContext(Now, Output));
 }
 
-void SeededFleet::handle(const RecordRequest &Message, framework::Moment Now,
-                         OutputList &Output) {
+void SeededFleet::handle(const RecordRequest &Message, Transport Via,
+                         framework::Moment Now, OutputList &Output) {
   const auto Sender = Membership_.members().find(Message.From_);
   if (Sender == Membership_.members().end() ||
       Sender->second.Info_.Incarnation_ != Message.Incarnation_) {
@@ -324,7 +324,7 @@
     return;
   }
   Group_.recordActivity(Message.From_, Now.Monotonic_);
-  Replicator_.answer(Message, Sender->second.Info_.Address_,
+  Replicator_.answer(Message, Sender->second.Info_.Address_, Via,
                      makeContext(Now, Output));
 }
 
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -47,8 +47,8 @@
               OutputList &Output);
   void handle(const StoreAvailability &Message, framework::Moment Now,
               OutputList &Output);
-  void handle(const RecordRequest &Message, framework::Moment Now,
-              OutputList &Output);
+  void handle(const RecordRequest &Message, Transport Via,
+              framework::Moment Now, OutputList &Output);
   void handle(const CrashUpdate &Message, framework::Moment Now,
               OutputList &Output);
   void handle(const capacity::DemandUpdate &Message, framework::Moment Now,
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -387,6 +387,7 @@
 
 void StoreReplicator::handle(const RecordUpdate &Message,
                              const EventContext &Context) {
+  recordHeard(Message.From_, Context.Now_);
   const Revision Before = View_.revision();
   if (!View_.isLoaded() || Message.ToRevision_ < Before)
     return;
@@ -439,6 +440,7 @@
 
 void StoreReplicator::handle(const StoreAvailability &Message,
                              const EventContext &Context) {
+  recordHeard(Message.From_, Context.Now_);
   View_.outages().recordAnswerToOther(Context.Now_ - Message.Age_,
                                       Context.Now_ - Message.AvailableFor_);
 }
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -14,6 +14,7 @@
 #include "fleet/types/recordupdate.h"
 #include "fleet/types/storeavailability.h"
 #include "fleet/types/storedrecord.h"
+#include "fleet/types/transport.h"
 #include "framework/ids.h"
 #include "framework/random.h"
 #include "framework/time.h"
@@ -68,10 +69,10 @@
   void handle(const RecordUpdate &Message, const EventContext &Context);
   void handle(const RecordPart &Message, const EventContext &Context);
   void handle(const StoreAvailability &Message, const EventContext &Context);
-  /// Answers the request of the instance at `Address` unless it has all that
-  /// this instance knows.
+  /// Answers the request of the instance at `Address` with what it lacks and
+  /// with what this instance knows of the store's availability.
   void answer(const RecordRequest &Message, const std::string &Address,
-              const EventContext &Context);
+              Transport Via, const EventContext &Context);
 
 private:
   /// The time after which an instance that is behind asks the next one.
@@ -116,8 +117,21 @@
   /// not answer.
   void requestIfDue(const EventContext &Context);
   /// Returns true when a read is needed and either waits for its next try or
-  /// has been under way for a while.
+  /// has been under way for a while, and earlier while the store refuses reads.
   bool isHelpNeeded(const EventContext &Context) const;
+  /// Returns true when the store refuses the reads of this instance and the
+  /// view gets old.
+  bool isDependentOnOthers(framework::Instant Now) const;
+  /// Chooses how the next request is sent: over a connection when datagrams
+  /// seem to be lost.
+  Transport chooseTransport(const MemberInfo &Source,
+                            const EventContext &Context);
+  void reportLostDatagrams(const MemberInfo &Asked,
+                           const EventContext &Context) const;
+  /// Records that a message with changes has arrived from another instance.
+  void recordHeard(const framework::InstanceName &From, framework::Instant Now);
+  void sendAvailability(const std::string &Address, Transport Via,
+                        const EventContext &Context) const;
   void sendRequest(const MemberInfo &Source, const EventContext &Context);
   /// Chooses the instance to ask: in turn the one that has announced a newer
   /// revision and any other, since a whole zone may lack the changes.
@@ -190,7 +204,7 @@
   std::optional<std::size_t> sendParts(const RecordUpdate &Update,
                                        const RecordRequest &Request,
                                        const std::string &Address,
-                                       std::size_t Limit,
+                                       Transport Via, std::size_t Limit,
                                        const EventContext &Context);
   /// Sets the sender and the age of the view in an update or a part. Those that
   /// lead to an earlier revision than the view's say that more follows.
@@ -225,12 +239,17 @@
   /// The instance that was asked last, and the view at that time.
   std::optional<MemberInfo> Asked_;
   framework::Instant AskedAt_{};
+  bool IsLastRequestAnswered_ = true;
+  framework::Instant ConnectionsUntil_{};
+  bool AreDatagramsLost_ = false;
   framework::Revision RevisionAtRequest_;
   /// After this part of a large record, the next ones are requested.
   std::uint32_t LastRequestedPart_ = 0;
   framework::Instant NextRequestAt_{};
   framework::Duration NextRequestDelay_ = RequestDelay;
   framework::Instant GapSince_{};
+  /// When the last message with changes arrived from another instance.
+  framework::Instant HeardAt_{};
   /// When another instance last gave a part of what is missing.
   framework::Instant HelpedAt_{};
   /// When another instance last stated that what is missing is on its way to
--- a/src/fleet/tests/configuration_test.cpp
+++ b/src/fleet/tests/configuration_test.cpp
@@ -210,7 +210,7 @@
   Newer.Address_ = Fleet.instance(2).Address_;
   Fleet.run(0,
             [&](class Fleet &Self, framework::Moment Now, OutputList &Output) {
-              Self.handlePeerMessage(Newer, Now, Output);
+              Self.handlePeerMessage(Newer, Transport::Datagram, Now, Output);
             });
   Fleet.advance(10s);
   CHECK_FALSE(Fleet.isFresh(2));
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -86,8 +86,11 @@
   static constexpr std::size_t MaxAnswerRecords = 500;
   int ReadCount_ = 0;
   std::size_t LargestMessage_ = 0;
+  std::size_t ConnectionMessageCount_ = 0;
   /// Instances whose messages are all lost, in both directions.
   std::set<std::size_t> Isolated_;
+  /// The same, but for messages over connections.
+  std::set<std::size_t> DatagramsLost_;
   /// Instances whose reads the store refuses.
   std::set<std::size_t> TurnedAway_;
   /// The bytes that the link of an instance carries in a millisecond; unlimited
@@ -166,6 +169,13 @@
     const std::size_t Receiver = Found->second;
     if (Isolated_.contains(Receiver) || Isolated_.contains(Sender))
       return;
+    if (Message.Via_ == Transport::Connection) {
+      ++ConnectionMessageCount_;
+      deliverNow(Receiver, Message);
+      return;
+    }
+    if (DatagramsLost_.contains(Receiver) || DatagramsLost_.contains(Sender))
+      return;
     if (IsLost_ && IsLost_(Receiver, Message.Message_))
       return;
     if (isLinkFull(Receiver))
@@ -182,10 +192,14 @@
     OutputList Output;
     std::visit(
         [&](const auto &Kind) {
-          if constexpr (requires {
-                          Instances_[Receiver].handle(Kind, Now_, Output);
-                        })
-            Instances_[Receiver].handle(Kind, Now_, Output);
+          SeededFleet &Instance = Instances_[Receiver];
+          if constexpr (requires { Instance.handle(Kind, Now_, Output); })
+            Instance.handle(Kind, Now_, Output);
+          else if constexpr (requires {
+                               Instance.handle(Kind, Message.Via_, Now_,
+                                               Output);
+                             })
+            Instance.handle(Kind, Message.Via_, Now_, Output);
         },
         Message.Message_);
     process(Receiver, Output);
--- a/src/fleet/tests/simulatedfleet.cpp
+++ b/src/fleet/tests/simulatedfleet.cpp
@@ -243,7 +243,7 @@
   if (!Message)
     throw std::logic_error("datagram could not be decoded");
   run(Index, [&](Fleet &Self, framework::Moment Now, OutputList &Output) {
-    Self.handlePeerMessage(Message.value(), Now, Output);
+    Self.handlePeerMessage(Message.value(), Transport::Datagram, Now, Output);
   });
 }
 
--- a/src/fleet/types/outputs/sendmessage.h
+++ b/src/fleet/types/outputs/sendmessage.h
@@ -2,6 +2,7 @@
 #define CRANBERRYSPOOL_FLEET_TYPES_OUTPUTS_SENDMESSAGE_H
 
 #include "fleet/peermessage.h"
+#include "fleet/types/transport.h"
 
 #include <string>
 
@@ -12,6 +13,7 @@
 struct SendMessage {
   std::string PeerAddress_;
   PeerMessage Message_;
+  Transport Via_ = Transport::Datagram;
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/types/viewevent.h
+++ b/src/fleet/types/viewevent.h
@@ -18,6 +18,9 @@
   /// The store may have left out later changes of an answer; they are read at
   /// once.
   StoreReadPartial,
+  /// Datagrams seem to be lost between this instance and others, which it asks
+  /// for changes over connections.
+  DatagramsLost,
   /// The record of a target states that it leaves.
   TargetDraining,
   /// The record of a target was deleted; the target is no longer used.
