Find other instances over connections while no datagram arrives

Cause: seeds were contacted by datagrams only.

An instance that hears no member a second after its start contacts the seeds over connections as well, each 0.5 s (2 s once it knows members), and is answered over one. Members that are lost are asked for changes while datagrams seem to be lost, since only their datagrams may be. The test fails without either.

--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -125,11 +125,11 @@
           // For the quota coordinator, which is not part of the fleet module.
         } else if constexpr (std::is_same_v<MessageType, RecordFragment>) {
           // Sent by earlier builds only; the record is requested instead.
-        } else if constexpr (std::is_same_v<MessageType, RecordRequest>) {
+        } else if constexpr (std::is_same_v<MessageType, GossipMessage> ||
+                             std::is_same_v<MessageType, RecordRequest>) {
           if (Seeded_)
             Seeded_->handle(Item, Via, Now, Output);
-        } else if constexpr (std::is_same_v<MessageType, GossipMessage> ||
-                             std::is_same_v<MessageType, LoadUpdate> ||
+        } else if constexpr (std::is_same_v<MessageType, LoadUpdate> ||
                              std::is_same_v<MessageType,
                                             capacity::DemandUpdate> ||
                              std::is_same_v<MessageType, RecordUpdate> ||
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -92,10 +92,12 @@
 const MemberInfo *StoreReplicator::chooseSource(const EventContext &Context) {
   std::vector<const MemberInfo *> OwnZone;
   std::vector<const MemberInfo *> OtherZones;
-  // Members whose datagrams are lost may be reached over connections.
-  const bool AreAllLost = Context.Membership_.runningCount() == 1;
+  // Members that are lost because of their datagrams may be reached over
+  // connections.
+  const bool AreLostAsked =
+      AreDatagramsLost_ || Context.Membership_.runningCount() == 1;
   for (const auto &[Name, State] : Context.Membership_.members()) {
-    if ((State.IsLost_ && !AreAllLost) || State.IsStopping_)
+    if ((State.IsLost_ && !AreLostAsked) || State.IsStopping_)
       continue;
     const bool IsAnnouncer = AnnouncedRevision_ && Name == AnnouncedBy_;
     const bool WasAsked =
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -32,6 +32,9 @@
 /// again after a network partition.
 constexpr Duration SeedIntervalWhileAlone = milliseconds(100);
 constexpr Duration SeedInterval = seconds(2);
+/// While no datagram of another member arrives, seeds are contacted over
+/// connections as well.
+constexpr Duration SeedConnectionInterval = milliseconds(500);
 /// The rate of a cold target is divided among this many instances, which are
 /// chosen by rendezvous hashing.
 constexpr std::size_t SendersPerColdTarget = 3;
@@ -76,8 +79,8 @@
     contactSeeds(MonotonicNow, Output);
 }
 
-void SeededFleet::handle(const GossipMessage &Message, framework::Moment Now,
-                         OutputList &Output) {
+void SeededFleet::handle(const GossipMessage &Message, Transport Via,
+                         framework::Moment Now, OutputList &Output) {
   if (Message.Members_.empty())
     return;
   const MemberInfo &Sender = Message.Members_.front();
@@ -85,7 +88,7 @@
   if (HasSenderJoined)
     Output.push_back(PeerReachabilityChanged{Sender.Name_, true});
   if (Message.IsReplyRequested_ || HasSenderJoined)
-    sendGossip(Sender.Address_, false, Now.Monotonic_, Output);
+    sendGossip(Sender.Address_, false, Via, Now.Monotonic_, Output);
 }
 
 bool SeededFleet::isDiscoveryComplete(Instant Now) const {
@@ -125,7 +128,8 @@
     if (Candidates.empty())
       return;
     const std::size_t Chosen = Rng_.index(Candidates.size());
-    sendGossip(Candidates[Chosen]->Info_.Address_, false, Now, Output);
+    sendGossip(Candidates[Chosen]->Info_.Address_, false, Transport::Datagram,
+               Now, Output);
     Candidates.erase(Candidates.begin() + static_cast<std::ptrdiff_t>(Chosen));
   }
 }
@@ -135,24 +139,35 @@
   NextSeedContactAt_ = Now + (IsAlone ? SeedIntervalWhileAlone : SeedInterval);
   if (Seeds_.Addresses_.empty())
     return;
+  contactSeedsOverConnections(Now, Output);
   if (!IsAlone) {
     sendGossip(Seeds_.Addresses_[Rng_.index(Seeds_.Addresses_.size())], false,
-               Now, Output);
+               Transport::Datagram, Now, Output);
     return;
   }
   for (const std::string &Address : Seeds_.Addresses_)
-    sendGossip(Address, true, Now, Output);
+    sendGossip(Address, true, Transport::Datagram, Now, Output);
+}
+
+void SeededFleet::contactSeedsOverConnections(Instant Now, OutputList &Output) {
+  const bool HearsNobody =
+      isDiscoveryComplete(Now) && Membership_.runningCount() == 1;
+  if (!HearsNobody || Now < NextSeedConnectionAt_)
+    return;
+  NextSeedConnectionAt_ = Now + SeedConnectionInterval;
+  for (const std::string &Address : Seeds_.Addresses_)
+    sendGossip(Address, true, Transport::Connection, Now, Output);
 }
 
 void SeededFleet::sendGossip(const std::string &Address, bool IsReplyRequested,
-                             Instant Now, OutputList &Output) {
+                             Transport Via, Instant Now, OutputList &Output) {
   if (Address == Membership_.self().Address_)
     return;
   GossipMessage Message;
   Message.Members_ = Membership_.sample(MaxMembersPerGossip, Now, Rng_);
   Message.IsReplyRequested_ = IsReplyRequested;
   Message.IsStopping_ = IsStopping_;
-  Output.push_back(SendMessage{Address, std::move(Message)});
+  Output.push_back(SendMessage{Address, std::move(Message), Via});
 }
 
 void SeededFleet::handleAllRecords(const std::vector<StoredRecord> &Records,
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -37,8 +37,8 @@
   void tick(framework::Moment Now, OutputList &Output);
   framework::Instant nextWakeUp() const { return NextTickAt_; }
 
-  void handle(const GossipMessage &Message, framework::Moment Now,
-              OutputList &Output);
+  void handle(const GossipMessage &Message, Transport Via,
+              framework::Moment Now, OutputList &Output);
   void handle(const LoadUpdate &Message, framework::Moment Now,
               OutputList &Output);
   void handle(const RecordUpdate &Message, framework::Moment Now,
@@ -177,8 +177,9 @@
   bool isInOwnZone(const framework::TargetName &Target) const;
   void sendGossipRound(framework::Instant Now, OutputList &Output);
   void sendGossip(const std::string &Address, bool IsReplyRequested,
-                  framework::Instant Now, OutputList &Output);
+                  Transport Via, framework::Instant Now, OutputList &Output);
   void contactSeeds(framework::Instant Now, OutputList &Output);
+  void contactSeedsOverConnections(framework::Instant Now, OutputList &Output);
 
   SeedSettings Seeds_;
   framework::Random Rng_;
@@ -199,6 +200,7 @@
   framework::Instant NextTickAt_{};
   framework::Instant NextGossipAt_{};
   framework::Instant NextSeedContactAt_{};
+  framework::Instant NextSeedConnectionAt_{};
   framework::Instant NextGroupUpdateAt_{};
   framework::Instant NextOtherGroupsUpdateAt_{};
   framework::Instant NextOtherZonesUpdateAt_{};
--- a/src/fleet/tests/lostdatagrams_test.cpp
+++ b/src/fleet/tests/lostdatagrams_test.cpp
@@ -37,6 +37,22 @@
   CHECK(Fleet.staleCount() == 0);
 }
 
+TEST_CASE("an instance that starts while no datagrams reach it finds others that "
+          "give it changes",
+          "[lostdatagrams]") {
+  SeededSimulation Fleet(17, {"a", "b", "c"}, 9);
+  Fleet.pass(seconds(4));
+  Fleet.DatagramsLost_ = {2};
+  Fleet.restart(2);
+  Fleet.pass(seconds(3));
+  Fleet.turnAway({2});
+  for (int Change = 0; Change < 10; ++Change) {
+    Fleet.changeConfiguration("small");
+    Fleet.pass(MaxChangeDelay);
+    CHECK(Fleet.staleCount() == 0);
+  }
+}
+
 TEST_CASE("instances that hear each other send no messages over connections "
           "while the store turns some away",
           "[lostdatagrams]") {
--- a/src/fleet/tests/retryslack_test.cpp
+++ b/src/fleet/tests/retryslack_test.cpp
@@ -38,7 +38,7 @@
     for (const int Each : Members) {
       GossipMessage Message;
       Message.Members_ = {makeMember(Each)};
-      Fleet_->handle(Message, Now_, Output_);
+      Fleet_->handle(Message, Transport::Datagram, Now_, Output_);
     }
   }
 
