--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -7,6 +7,7 @@
 
 from realfleet import endless
 from realfleet.tests.datagramloss import Loss
+from realfleet.routes import MOVING_ROUTES
 from realfleet.store import ANSWER_FAULTS
 
 MOST_ADDED_ROUTES = 4000
@@ -67,7 +68,9 @@
             choice = self.rng.random()
             if choice < invalid:
                 routes.publish_invalid(store)
-            elif choice < 0.6 or not routes.added and choice > 0.85:
+            elif choice < 0.5 and routes.moved < MOVING_ROUTES:
+                routes.move_next(store)
+            elif choice < 0.65 or not routes.added and choice > 0.85:
                 routes.move(store)
             elif choice < 0.85 and routes.added + added <= MOST_ADDED_ROUTES:
                 routes.add_routes(added, store)
--- a/experiments/realfleet/routes.py
+++ b/experiments/realfleet/routes.py
@@ -1,11 +1,17 @@
 """The configurations that the operator publishes, and what each version allows."""
 
+import bisect
 import dataclasses
 import json
 import time
 
 # The share of the first kind's requests that use routes that were added during the run.
 ADDED_ROUTE_SHARE = 0.3
+# Routes that move to another service for good, one after the other, and the share of the first
+# kind's requests that use one of the last that must have moved everywhere.
+MOVING_ROUTES = 60
+MOVED_ROUTE_SHARE = 0.4
+LAST_MOVED_ROUTES = 5
 # The share of the requests to added routes that use one which a plan has removed and may add again.
 REMOVED_ROUTE_SHARE = 0.2
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 67108864,
@@ -32,7 +38,7 @@
 def prefix_of(path):
     """Returns the prefix of the route of a path: `/added/7/` or `/kind/`."""
     parts = path.split("/")
-    return "/".join(parts[:3 if parts[1] == "added" else 2]) + "/"
+    return "/".join(parts[:3 if parts[1] in ("added", "moving") else 2]) + "/"
 
 
 class Routes:
@@ -43,13 +49,14 @@
     def __init__(self, deployment, rng):
         self.deployment, self.rng = deployment, rng
         self.version = 5
-        self.added = 0
+        self.added = self.moved = 0
         self.removed = set()  # numbers of added routes that are not in the configuration
         # (time of the acknowledgement, number of routes added until then)
         self.additions = []
         # {request kind: {service: weight}}
         self.services = {kind.name: {kind.service: 1} for kind in deployment.kinds}
         self.versions = []  # oldest first
+        self.moves = []  # times of the acknowledgements of the routes that have moved
         # Configurations that must never be in force, with the time of their writing.
         self.invalid = []
 
@@ -68,6 +75,8 @@
         """Returns the routes of the present configuration, as in `Version`."""
         table = {f"/{name}/": dict(services) for name, services in self.services.items()}
         first = self.deployment.kinds[0].service
+        table.update({f"/moving/{index}/": {self._other_service() if index < self.moved else first:
+                                            1} for index in range(MOVING_ROUTES)})
         table.update({f"/added/{index}/": {first: 1} for index in range(self.added)
                       if index not in self.removed})
         return table
@@ -104,6 +113,10 @@
             value = json.dumps(document).encode()
         self.invalid.append(Version(store.put_bytes("op/config", value), table))
 
+    def _other_service(self):
+        first = self.deployment.kinds[0].service
+        return next(name for name in self.deployment.targets if name != first)
+
     def _unused_service(self):
         return list(self.deployment.targets)[-1]
 
@@ -118,10 +131,16 @@
         self.removed ^= chosen
         self.publish(store)
 
+    def move_next(self, store):
+        """Moves one route for good."""
+        self.moved += 1
+        self.publish(store)
+        self.moves.append(self.versions[-1].acknowledged)
+
     def move(self, store):
         """Moves the first route between its own service, another one and a split of both."""
         kind = self.deployment.kinds[0]
-        other = next(name for name in self.deployment.targets if name != kind.service)
+        other = self._other_service()
         choices = [{kind.service: 1}, {other: 1}, {kind.service: 3, other: 1}]
         choices.remove(self.services[kind.name])
         self.services[kind.name] = self.rng.choice(choices)
@@ -130,6 +149,10 @@
     def choose(self, kind, rng):
         """Returns host and path of a request; some use a route that must be in force everywhere."""
         settled = time.monotonic() - self.deployment.seconds("config_apply")
+        moved = bisect.bisect_left(self.moves, settled)
+        if moved and kind is self.deployment.kinds[0] and rng.random() < MOVED_ROUTE_SHARE:
+            index = rng.randrange(max(0, moved - LAST_MOVED_ROUTES), moved)
+            return self.HOST, f"/moving/{index}/{rng.randrange(1000)}"
         added = max((count for when, count in self.additions if when < settled), default=0)
         if added and kind is self.deployment.kinds[0] and rng.random() < ADDED_ROUTE_SHARE:
             if self.removed and rng.random() < REMOVED_ROUTE_SHARE:
