--- a/src/fleet/tests/lostdatagrams_test.cpp
+++ b/src/fleet/tests/lostdatagrams_test.cpp
@@ -37,9 +37,10 @@
   CHECK(Fleet.staleCount() == 0);
 }
 
-TEST_CASE("an instance that starts while no datagrams reach it finds others that "
-          "give it changes",
-          "[lostdatagrams]") {
+TEST_CASE(
+    "an instance that starts while no datagrams reach it finds others that "
+    "give it changes",
+    "[lostdatagrams]") {
   SeededSimulation Fleet(17, {"a", "b", "c"}, 9);
   Fleet.pass(seconds(4));
   Fleet.DatagramsLost_ = {2};
