--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -220,7 +220,7 @@
         """Sends requests without end to the ports of all instances."""
         kinds = itertools.cycle(endless.REQUESTS)
         addresses = [(each.ip, each.ports[port]) for each in self.fleet.instances[:3]
-                     for port in ("front", "readiness") for _ in range(count)]
+                     for port in ("front", "readiness", "control") for _ in range(count)]
         while True:
             await asyncio.gather(*(
                 endless.send(address, *next(kinds), is_slow=index % 5 == 4)
