--- a/experiments/realfleet/callers.py
+++ b/experiments/realfleet/callers.py
@@ -85,6 +85,7 @@
         host, path = self.routes.choose(kind, self.rng)
         left = deadline - time.monotonic()
         self.record.sent(attempt, kind, instance, path)
+        self.record.behind = self.pipelines.behind
         url = f"http://{instance.ip}:{instance.ports['front']}{path}"
         # What the instance is told, which is up to 1 ms less than what is left.
         milliseconds = max(1, int(left * 1000))
--- a/experiments/realfleet/instance.py
+++ b/experiments/realfleet/instance.py
@@ -42,6 +42,7 @@
         self.freezes = set()  # those that stopped the present process by SIGSTOP
         self.disturbances = []  # [begin, end or None]
         self.disturbance_count = 0
+        self.unplanned = []  # the same, without stops and starts
         self.starts = []  # times of the starts of its processes
         self.stops = []  # times of SIGTERM
         self.peak_megabytes = 0.0
@@ -148,6 +149,21 @@
         return any(first <= end and (last is None or last >= begin)
                    for first, last in self.disturbances)
 
+    @contextlib.contextmanager
+    def hit(self):
+        """An unplanned disturbance."""
+        span = [time.monotonic(), None]
+        self.unplanned.append(span)
+        with self.disturbed():
+            try:
+                yield
+            finally:
+                span[1] = time.monotonic()
+
+    def was_hit(self, begin, end):
+        return any(first <= end and (last is None or last >= begin)
+                   for first, last in self.unplanned)
+
     def send_signal(self, number):
         if self.is_running:
             self.process.send_signal(number)
@@ -158,7 +174,7 @@
             self.process.wait()
 
     async def restart(self, pause):
-        with self.disturbed(), self.kept_down():
+        with self.hit(), self.kept_down():
             self.kill()
             await asyncio.sleep(pause)
 
@@ -178,7 +194,7 @@
                 self.kill()
 
     async def freeze(self, seconds):
-        with self.disturbed(), self.frozen():
+        with self.hit(), self.frozen():
             await asyncio.sleep(seconds)
 
     def resident_megabytes(self):
--- a/experiments/realfleet/judges.py
+++ b/experiments/realfleet/judges.py
@@ -257,6 +257,7 @@
     after its last byte was sent"; "After a SIGTERM it is the same if you break off a request at
     which its server is at work and give an answer of your own in its place"."""
     grace, slack = deployment.seconds("grace"), deployment.seconds("loss_slack")
+    contact = deployment.seconds("contact")
     by_name = {each.name: each for each in instances}
     passed_on = {attempt for _, attempt, _, _ in record.arrivals}
     cases = []
@@ -269,6 +270,12 @@
         # "a SIGTERM of the machine that took the request from the client, until 1 s after `grace`"
         if stop is None or ended > stop + grace + 1:
             continue
+        # "a request that was sent behind another on its connection and wasn't passed on to a server"
+        if attempt in record.behind and attempt not in passed_on:
+            continue
+        # "with no unplanned disruption from `contact` before the request to its end"
+        if by_name[request["instance"]].was_hit(request["sent"] - contact, ended):
+            continue
         # "the deadline or the route's timeout was reached"
         if ended - request["sent"] >= request["limit"]:
             continue
--- a/experiments/realfleet/pipeline.py
+++ b/experiments/realfleet/pipeline.py
@@ -78,6 +78,8 @@
         self.rng = rng
         self.connections = {}  # (host, port) -> connections
         self.locks = collections.defaultdict(asyncio.Lock)
+        # The ids of requests that were sent behind another one on their connection.
+        self.behind = set()
 
     async def _connect(self, address):
         async with self.locks[address]:
@@ -106,6 +108,8 @@
 
         async def exchange():
             connection = await self._connect((name, int(port)))
+            if connection.waiting:
+                self.behind.add(headers.get("X-Attempt-Id"))
             return await connection.request(data)
 
         yield await asyncio.wait_for(exchange(), timeout.total)
--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -514,6 +514,21 @@
     return _turned_away(faults) + [faults.evacuate_zones(1.0, beyond=2.0)]
 
 
+def _storm(faults):
+    """All that the rules excuse for a while only: what lasts longer is a state that nobody mends."""
+    store = faults.fleet.store
+    store.put_foreign_entries(600)
+    store.page_age = lambda after: faults.rng.uniform(0.0, 6.0)
+    return [faults.change_routes(0.7, added=350), faults.replace_targets(0.3),
+            faults.kill_in_turn(4.0), faults.freeze(6.0, 3.0), faults.compact_store(5.0),
+            faults.stop_overlapping(4.0, 0.2), faults.write_foreign_entries(20.0),
+            faults.turn_away(0.33, 10.0, 9.0, is_counted=True)]
+
+
+def _storm_spoiled(faults):
+    return _storm(faults) + [faults.spoil_answers(0.1, 0.6), faults.interrupt_store(15.0, 3.0)]
+
+
 HALF_DARK, FIFTH_DARK = Loss(0.05, 0.5), Loss(0.02, 0.2)
 MOST_LOST, SOME_LOST = Loss(0.6, 0.0), Loss(0.3, 0.0)
 
@@ -568,6 +583,8 @@
     "busy-store": Plan(1, None, _busy_store),
     "busy-store-counted": Plan(1, None, _busy_store_counted),
     "large-configurations": Plan(1, None, _large_configurations),
+    "storm": Plan(1, None, _storm),
+    "storm-spoiled": Plan(1, None, _storm_spoiled),
     # One seed that hears no other and that the store turns away.
     "isolated": Plan(1, None, _changes, Loss(0.0, 0.0, isolated=(2,))),
     "isolated-turned-away": Plan(1, None, _first_turned_away, Loss(0.0, 0.0, isolated=(2,))),
--- a/experiments/realfleet/record.py
+++ b/experiments/realfleet/record.py
@@ -16,6 +16,7 @@
         self.evacuations = []  # [zone, time of the acknowledgement, when taken back or None]
         # {"services": those of which all records lapsed, "begin", "returned": of the store or None}
         self.lapses = []
+        self.behind = set()  # requests that were sent behind another one on their connection
         self.worst_lag = 0.0
         # What a plan has measured, by name.
         self.notes = {}
