Name and comment the connections between instances for a newcomer

Read again from: `startPeerMessenger(true)` did not say what is true, `HearsNobody` and `AreLostAsked` were no predicates, a local stood for a member of nearly the same name, and two limits were explained by "elsewhere" and "more than the answer". No behaviour changes.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -247,7 +247,7 @@
       return std::make_unique<StoreReader>(Io, Settings_.StoreFactory_,
                                            Mailboxes_);
     });
-    startPeerMessenger(true);
+    startPeerMessenger(/*AcceptsConnections=*/true);
     return;
   }
   startWorker(Control_, "platform", [this](net::io_context &Io) {
@@ -269,7 +269,7 @@
 }
 
 void EntryInstance::Impl::startPeerWorkers() {
-  startPeerMessenger(false);
+  startPeerMessenger(/*AcceptsConnections=*/false);
   startWorker(Control_, "peer-server", [this](net::io_context &Io) {
     return std::make_unique<HttpService>(
         Io, duplicateListener(Io, PeerListener_),
--- a/src/entry/internal/peerconnection.cpp
+++ b/src/entry/internal/peerconnection.cpp
@@ -18,10 +18,10 @@
 
 /// A connection that was not used for this long is closed.
 constexpr std::chrono::seconds IdleTimeout{10};
-/// The longest time for opening a connection or sending a message. What is
-/// older has been asked for elsewhere.
+/// The longest time for opening a connection or sending a message. A requester
+/// without an answer has asked another instance by then.
 constexpr std::chrono::seconds SendTimeout{1};
-/// More than the answer to a request.
+/// The answer to a request is at most 33 messages; further ones are dropped.
 constexpr std::size_t MaxWaitingMessages = 64;
 
 } // namespace
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace cranberryspool::fleet {
 
@@ -57,11 +58,12 @@
   // A group leader is sent no updates unless it asks.
   const bool AreUpdatesArriving =
       Context.isGroupLeader() || Context.Now_ < HeardAt_ + MaxSilence;
-  const bool AreLost = Context.Now_ < ConnectionsUntil_ || !AreUpdatesArriving;
-  if (AreLost && !AreDatagramsLost_)
+  const bool WereDatagramsLost =
+      std::exchange(AreDatagramsLost_,
+                    Context.Now_ < ConnectionsUntil_ || !AreUpdatesArriving);
+  if (AreDatagramsLost_ && !WereDatagramsLost)
     reportLostDatagrams(Source, Context);
-  AreDatagramsLost_ = AreLost;
-  return AreLost ? Transport::Connection : Transport::Datagram;
+  return AreDatagramsLost_ ? Transport::Connection : Transport::Datagram;
 }
 
 void StoreReplicator::recordHeard(const framework::InstanceName &From,
@@ -94,10 +96,10 @@
   std::vector<const MemberInfo *> OtherZones;
   // Members that are lost because of their datagrams may be reached over
   // connections.
-  const bool AreLostAsked =
+  const bool MayAskLost =
       AreDatagramsLost_ || Context.Membership_.runningCount() == 1;
   for (const auto &[Name, State] : Context.Membership_.members()) {
-    if ((State.IsLost_ && !AreLostAsked) || State.IsStopping_)
+    if ((State.IsLost_ && !MayAskLost) || State.IsStopping_)
       continue;
     const bool IsAnnouncer = AnnouncedRevision_ && Name == AnnouncedBy_;
     const bool WasAsked =
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -150,9 +150,9 @@
 }
 
 void SeededFleet::contactSeedsOverConnections(Instant Now, OutputList &Output) {
-  const bool HearsNobody =
+  const bool IsHearingNobody =
       isDiscoveryComplete(Now) && Membership_.runningCount() == 1;
-  if (!HearsNobody || Now < NextSeedConnectionAt_)
+  if (!IsHearingNobody || Now < NextSeedConnectionAt_)
     return;
   NextSeedConnectionAt_ = Now + SeedConnectionInterval;
   for (const std::string &Address : Seeds_.Addresses_)
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -240,6 +240,7 @@
   std::optional<MemberInfo> Asked_;
   framework::Instant AskedAt_{};
   bool IsLastRequestAnswered_ = true;
+  /// Until then requests go over connections, since one had no answer.
   framework::Instant ConnectionsUntil_{};
   bool AreDatagramsLost_ = false;
   framework::Revision RevisionAtRequest_;
