Let the rig's store forget its history after a second without news

The rig's store only dropped its history, after its watches had heard all of it.

Four plans of it are new.

--- a/experiments/realfleet/plans.py
+++ b/experiments/realfleet/plans.py
@@ -11,6 +11,7 @@
 from realfleet.store import ANSWER_FAULTS
 
 MOST_ADDED_ROUTES = 4000
+STALE_SECONDS = 5.5
 TURN_AWAY_MODES = ("busy", "many", "reset", "silent")
 
 
@@ -297,6 +298,28 @@
             self.fleet.store.compact()
 
 
+    async def forget_history(self, gap, ends_waits, is_counted):
+        """The store forgets its history, and watches miss what is changed shortly before. Reads
+        that may be stale are `STALE_SECONDS` behind then."""
+        fleet, store = self.fleet, self.fleet.store
+        while True:
+            await asyncio.sleep(gap * self.rng.uniform(0.5, 1.5))
+            store.page_age = lambda after: STALE_SECONDS
+            store.refusals.append([time.monotonic(), None])
+            store.begin_silence(ends_waits)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.4))
+            fleet.routes.move_next(store)
+            fleet.routes.add_routes(20, store)
+            target = self.rng.choice(self._staying_targets())
+            await fleet.add_target(f"i-{next(self.numbers)}", target.service, target.zone)
+            fleet.run(fleet.remove_target(target, is_stated=True))
+            await asyncio.sleep(0.6)
+            store.end_silence()
+            store.refusals[-1][1] = time.monotonic()
+            if not is_counted:
+                store.refusals.pop()
+
+
 class Plan(typing.NamedTuple):
     # The number of parts that cannot hear each other; with 0 each instance is alone.
     parts: int
@@ -514,6 +537,22 @@
     return _turned_away(faults) + [faults.evacuate_zones(1.0, beyond=2.0)]
 
 
+def _forgotten_history(faults):
+    return [faults.forget_history(8.0, ends_waits=False, is_counted=False)]
+
+
+def _forgotten_history_ended_waits(faults):
+    return [faults.forget_history(8.0, ends_waits=True, is_counted=False)]
+
+
+def _forgotten_history_kills(faults):
+    return _forgotten_history_ended_waits(faults) + [faults.kill_in_turn(1.5)]
+
+
+def _forgotten_history_changes(faults):
+    return _changes(faults) + _forgotten_history_ended_waits(faults)
+
+
 def _storm(faults):
     """All that the rules excuse for a while only: what lasts longer is a state that nobody mends."""
     store = faults.fleet.store
@@ -583,6 +622,10 @@
     "busy-store": Plan(1, None, _busy_store),
     "busy-store-counted": Plan(1, None, _busy_store_counted),
     "large-configurations": Plan(1, None, _large_configurations),
+    "forgotten-history": Plan(1, None, _forgotten_history),
+    "forgotten-history-ended-waits": Plan(1, None, _forgotten_history_ended_waits),
+    "forgotten-history-kills": Plan(1, None, _forgotten_history_kills),
+    "forgotten-history-changes": Plan(1, None, _forgotten_history_changes),
     "storm": Plan(1, None, _storm),
     "storm-spoiled": Plan(1, None, _storm_spoiled),
     # One seed that hears no other and that the store turns away.
--- a/experiments/realfleet/store.py
+++ b/experiments/realfleet/store.py
@@ -48,6 +48,10 @@
         self.endless_response = None
         self.outages = []  # [begin, end or None]
         self.refusals = []  # the same, while it serves other readers
+        # Whether watches hear nothing of changes, and then whether one is answered at the end of
+        # its wait; see `begin_silence`.
+        self.is_silent = self.ends_waits = False
+        self.watching = weakref.WeakSet()  # connections with a watch that waits
         # How long the store keeps its history, in seconds.
         self.history_length = float("inf")
         # "page" and "stale page" count pages of reads of all records.
@@ -95,6 +99,18 @@
         """Forgets the history up to the present."""
         self.oldest_revision = self.revision
 
+    def begin_silence(self, ends_waits):
+        """"Watches hear nothing for a second while changes are made, then the history is dropped
+        and they are cut". What a watch gets whose wait ends in that time is not stated: no answer,
+        or with `ends_waits` one without changes that names the present revision."""
+        self.is_silent, self.ends_waits = True, ends_waits
+
+    def end_silence(self):
+        self.is_silent = self.ends_waits = False
+        self.compact()
+        for transport in list(self.watching):
+            transport.abort()
+
     def begin_outage(self, mode):
         self.outage = mode
         self.outages.append([time.monotonic(), None])
@@ -246,12 +262,19 @@
             self.calls["history lost"] += 1
             return web.json_response({"as_of": self.revision}, status=410)
         deadline = time.monotonic() + int(request.query.get("wait_ms", 0)) / 1000
+        self.watching.add(request.transport)
         while self.revision <= after and time.monotonic() < deadline:
             try:
                 await asyncio.wait_for(self.changed.wait(), deadline - time.monotonic())
             except asyncio.TimeoutError:
                 break
-        answer = web.json_response(self._changes(after))
+        if self.is_silent:
+            await asyncio.sleep(max(0.0, deadline - time.monotonic()) if self.ends_waits else 3600)
+        if self.is_silent:
+            answer = web.json_response({"events": [], "as_of": self.revision})
+        else:
+            answer = web.json_response(self._changes(after))
+        self.watching.discard(request.transport)
         await asyncio.sleep(self.rng.uniform(*self.watch_delay))
         return answer
 
--- a/experiments/realfleet/test_store.py
+++ b/experiments/realfleet/test_store.py
@@ -91,6 +91,29 @@
         answer = json.loads((await self.store.on_watch(query)).body)
         self.assertEqual((1, self.store.revision), (len(answer["events"]), answer["as_of"]))
 
+    async def watch_during_silence(self, ends_waits):
+        query = request(prefix="", after=str(self.store.revision), wait_ms="50")
+        watch = asyncio.ensure_future(self.store.on_watch(query))
+        await asyncio.sleep(0)
+        self.store.begin_silence(ends_waits)
+        self.store.put("servers/i-2", {})
+        await asyncio.wait({watch}, timeout=0.2)
+        self.addCleanup(watch.cancel)
+        return query, watch
+
+    async def test_a_watch_hears_nothing_before_history_is_forgotten_and_is_cut(self):
+        query, watch = await self.watch_during_silence(ends_waits=False)
+        self.assertFalse(watch.done())
+        self.store.end_silence()
+        self.assertTrue(query.transport.is_aborted)
+        late = request(prefix="", after=query.query["after"])
+        self.assertEqual(410, (await self.store.on_watch(late)).status)
+
+    async def test_a_watch_whose_wait_ends_before_history_is_forgotten_names_the_revision(self):
+        _, watch = await self.watch_during_silence(ends_waits=True)
+        answer = json.loads(watch.result().body)
+        self.assertEqual({"events": [], "as_of": self.store.revision}, answer)
+
     async def test_a_connection_that_lost_an_answer_returns_nothing_more(self):
         self.store.answer_faults = {1: {"lost": 1.0}}
         query = request(prefix="")
