--- a/src/fleet/tests/hiddenchanges_test.cpp
+++ b/src/fleet/tests/hiddenchanges_test.cpp
@@ -67,16 +67,16 @@
   const int Instances = GENERATE(17, 48);
   CAPTURE(Instances);
   SeededSimulation Fleet(Instances, Zones, Targets);
-  const auto pass = [&Fleet](framework::Duration Time) {
+  const auto Pass = [&Fleet](framework::Duration Time) {
     for (framework::Duration Passed{}; Passed < Time;
          Passed += milliseconds(100)) {
       Fleet.countUp();
       Fleet.pass(milliseconds(100));
     }
   };
-  pass(seconds(5));
+  Pass(seconds(5));
   const int Before = Fleet.FullReadCount_;
-  pass(seconds(20));
+  Pass(seconds(20));
   // Two reads that find nothing are followed by 10 s of trust.
   CHECK(Fleet.FullReadCount_ - Before <= 2 * 3 * Instances);
   for (const SeededFleet &Each : Fleet.Instances_)
--- a/src/fleet/tests/revisionaccount_test.cpp
+++ b/src/fleet/tests/revisionaccount_test.cpp
@@ -23,16 +23,16 @@
 
 TEST_CASE("changes account for the revisions up to the first one that none has",
           "[revisionaccount]") {
-  const auto lastAccounted = [](std::initializer_list<int> Revisions) {
+  const auto LastAccounted = [](std::initializer_list<int> Revisions) {
     return RevisionAccount::lastAccounted(changesAt(Revisions), Revision(5),
                                           Revision(8));
   };
-  CHECK(lastAccounted({6, 7, 8}) == Revision(8));
-  CHECK(lastAccounted({4, 5, 6, 6, 7, 8}) == Revision(8));
-  CHECK(lastAccounted({8, 7, 6}) == Revision(8));
-  CHECK(lastAccounted({6, 8}) == Revision(6));
-  CHECK(lastAccounted({6}) == Revision(6));
-  CHECK(lastAccounted({}) == Revision(5));
+  CHECK(LastAccounted({6, 7, 8}) == Revision(8));
+  CHECK(LastAccounted({4, 5, 6, 6, 7, 8}) == Revision(8));
+  CHECK(LastAccounted({8, 7, 6}) == Revision(8));
+  CHECK(LastAccounted({6, 8}) == Revision(6));
+  CHECK(LastAccounted({6}) == Revision(6));
+  CHECK(LastAccounted({}) == Revision(5));
 }
 
 TEST_CASE("a gap is closed only by a read that reaches it",
@@ -53,15 +53,15 @@
           "not after one that did",
           "[revisionaccount]") {
   RevisionAccount Account;
-  const auto read = [&Account](bool HasFound) {
+  const auto Read = [&Account](bool HasFound) {
     Account.recordGap(Revision(9));
     Account.recordFullRead(Revision(9), HasFound, Begin);
   };
-  read(false);
-  read(true);
-  read(false);
+  Read(false);
+  Read(true);
+  Read(false);
   CHECK_FALSE(Account.isStoreTrusted(Begin));
-  read(false);
+  Read(false);
   CHECK(Account.isStoreTrusted(Begin));
   CHECK_FALSE(Account.isStoreTrusted(Begin + std::chrono::seconds(10)));
 }
