Trust a store that counts without changes only if nothing it left out is known

"Nothing new" was asked of the read alone: where other instances had given the missing change first, the read found nothing, and the next change that the store left out was missed, as before.

Now it is asked whether a change of a revision that was left out is known by any way once the read has ended, or a target was removed.

Ruled out: slow reads as such; the bound holds with the same delays.

--- a/src/fleet/internal/seeded/recordtable.cpp
+++ b/src/fleet/internal/seeded/recordtable.cpp
@@ -84,6 +84,15 @@
   return Found;
 }
 
+std::vector<framework::Revision>
+RecordTable::revisionsAfter(framework::Revision After) const {
+  std::vector<framework::Revision> Found;
+  for (auto Each = KeysByRevision_.upper_bound(After);
+       Each != KeysByRevision_.end(); ++Each)
+    Found.push_back(Each->first);
+  return Found;
+}
+
 framework::Revision
 RecordTable::lastChangeUpTo(framework::Revision Limit) const {
   const auto Next = KeysByRevision_.upper_bound(Limit);
--- a/src/fleet/internal/seeded/recordtable.h
+++ b/src/fleet/internal/seeded/recordtable.h
@@ -29,6 +29,11 @@
   std::vector<std::string> findMissing(const std::set<std::string> &Present,
                                        framework::Revision AsOf) const;
 
+  /// Returns the revisions of the records that have changed last after a
+  /// revision.
+  std::vector<framework::Revision>
+  revisionsAfter(framework::Revision After) const;
+
   /// Records that only the changes after this revision are known completely.
   void setCompleteSince(framework::Revision Revision) {
     CompleteSince_ = std::max(CompleteSince_, Revision);
--- a/src/fleet/internal/seeded/revisionaccount.cpp
+++ b/src/fleet/internal/seeded/revisionaccount.cpp
@@ -1,7 +1,6 @@
 #include "fleet/internal/seeded/revisionaccount.h"
 
 #include <algorithm>
-#include <set>
 
 namespace cranberryspool::fleet {
 
@@ -27,10 +26,22 @@
   return Last;
 }
 
-void RevisionAccount::recordGap(Revision AsOf) {
+void RevisionAccount::recordGap(const std::vector<StoredRecord> &Changes,
+                                Revision Accounted, Revision AsOf) {
+  if (!Needed_) {
+    Returned_.clear();
+    Accounted_ = Accounted;
+  }
+  for (const StoredRecord &Each : Changes)
+    Returned_.insert(Each.Revision_);
   Needed_ = std::max(Needed_.value_or(AsOf), AsOf);
 }
 
+bool RevisionAccount::isMissing(Revision Each) const {
+  return Needed_ && Each > Accounted_ && Each <= *Needed_ &&
+         !Returned_.contains(Each);
+}
+
 void RevisionAccount::recordFullRead(Revision AsOf, bool HasFound,
                                      framework::Instant Now) {
   if (!Needed_ || AsOf < *Needed_)
--- a/src/fleet/internal/seeded/revisionaccount.h
+++ b/src/fleet/internal/seeded/revisionaccount.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace cranberryspool::fleet {
@@ -24,14 +25,19 @@
   lastAccounted(const std::vector<StoredRecord> &Changes,
                 framework::Revision From, framework::Revision AsOf);
 
-  /// Records that an answer led to a revision without accounting for it.
-  void recordGap(framework::Revision AsOf);
+  /// Records that an answer led to a revision with changes that account for
+  /// those up to `Accounted` only.
+  void recordGap(const std::vector<StoredRecord> &Changes,
+                 framework::Revision Accounted, framework::Revision AsOf);
   /// Returns true while a read of all records is needed.
   bool isReadNeeded() const { return Needed_.has_value(); }
-  /// Returns the revision that this read must reach.
-  std::optional<framework::Revision> needed() const { return Needed_; }
+  /// Returns the revision up to which nothing was left out.
+  framework::Revision accounted() const { return Accounted_; }
+  /// Returns true for a revision of which a change was left out.
+  bool isMissing(framework::Revision Each) const;
   /// Records that a read of all records has reached a revision. `HasFound` says
-  /// whether it held a change that the answer had left out.
+  /// whether a change is known by now, from this instance's reads or from other
+  /// instances, that the answer had left out.
   void recordFullRead(framework::Revision AsOf, bool HasFound,
                       framework::Instant Now);
   /// Records that the view has reached a revision by other instances' updates.
@@ -44,6 +50,10 @@
 
 private:
   std::optional<framework::Revision> Needed_;
+  /// Up to this revision nothing was left out.
+  framework::Revision Accounted_;
+  /// The revisions of the changes that were returned.
+  std::set<framework::Revision> Returned_;
   /// The number of reads in a row that have found nothing.
   std::uint32_t FruitlessReads_ = 0;
   framework::Instant TrustedUntil_{};
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -1,7 +1,6 @@
 #include "fleet/internal/seeded/storereplicator.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace cranberryspool::fleet {
@@ -227,10 +226,6 @@
                                        const EventContext &Context) {
   const PendingRead Read = Reads_.end(ReadKind::AllRecords, Context.Now_);
   IsRestMissing_ = false;
-  if (Account_.isReadNeeded() && !Read.IsStaleAllowed_)
-    Account_.recordFullRead(AsOf, hasUnknownChange(Records, *Account_.needed()),
-                            Context.Now_);
-  IsFullReadNeeded_ = Account_.isReadNeeded();
   IsFullReadFailed_ = false;
   Reads_.recordAnswer(ReadKind::AllRecords, Context.Now_ - Read.StartedAt_);
   reportSlowRead(Read, Records, AsOf, Context);
@@ -239,10 +234,15 @@
   View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   if (!Read.IsStaleAllowed_)
     AnsweredWallTime_ = Context.Wall_ - (Context.Now_ - AnsweredAt);
-  reportChanges(Read.IsStaleAllowed_
-                    ? View_.replaceAllStale(Records, AsOf, Context.Now_)
-                    : View_.replaceAll(Records, AsOf, AnsweredAt),
-                ViewChanged::StoreSource, Context.Output_);
+  const auto Changed = Read.IsStaleAllowed_
+                           ? View_.replaceAllStale(Records, AsOf, Context.Now_)
+                           : View_.replaceAll(Records, AsOf, AnsweredAt);
+  reportChanges(Changed, ViewChanged::StoreSource, Context.Output_);
+  if (!Read.IsStaleAllowed_)
+    Account_.recordFullRead(AsOf,
+                            !Changed.Removed_.empty() || isMissingChangeKnown(),
+                            Context.Now_);
+  IsFullReadNeeded_ = Account_.isReadNeeded();
   forgetReachedAnnouncement();
   reportProgress(ViewChanged::StoreSource, Context);
   // What was deleted before is not known completely, so that others have to
@@ -313,7 +313,7 @@
     Revision Accounted, Revision AsOf, const EventContext &Context) {
   IsRestMissing_ = false;
   IsFullReadNeeded_ = true;
-  Account_.recordGap(AsOf);
+  Account_.recordGap(Records, Accounted, AsOf);
   reportIncompleteRead(ViewEvent::StoreReadIncomplete, Read, Records, AsOf,
                        Context);
   applyPartOfChanges(Read, Records, Accounted, Context);
@@ -334,15 +334,12 @@
   readIfDue(Context);
 }
 
-bool StoreReplicator::hasUnknownChange(const std::vector<StoredRecord> &Records,
-                                       Revision UpTo) const {
-  std::set<std::string> Present;
-  for (const StoredRecord &Each : Records) {
-    if (Each.Revision_ <= UpTo && View_.records().isNewer(Each))
-      return true;
-    Present.insert(Each.Key_);
-  }
-  return !View_.records().findMissing(Present, UpTo).empty();
+bool StoreReplicator::isMissingChangeKnown() const {
+  const std::vector<Revision> Known =
+      View_.records().revisionsAfter(Account_.accounted());
+  return std::any_of(Known.begin(), Known.end(), [this](Revision Each) {
+    return Account_.isMissing(Each);
+  });
 }
 
 Duration StoreReplicator::watchPause(Duration Age,
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -122,10 +122,9 @@
                           const std::vector<StoredRecord> &Records,
                           framework::Revision UpTo,
                           const EventContext &Context);
-  /// Returns true when records that were read hold a change up to a revision
-  /// that is not known here.
-  bool hasUnknownChange(const std::vector<StoredRecord> &Records,
-                        framework::Revision UpTo) const;
+  /// Returns true when the view holds a change by now that an answer had left
+  /// out.
+  bool isMissingChangeKnown() const;
   /// Handles the statement of an instance that newer changes are on their way
   /// to it.
   void recordPromise(const RecordUpdate &Message, framework::Instant Now);
--- a/src/fleet/tests/hiddenchanges_test.cpp
+++ b/src/fleet/tests/hiddenchanges_test.cpp
@@ -82,3 +82,27 @@
   for (const SeededFleet &Each : Fleet.Instances_)
     CHECK(Each.view().age(Fleet.Now_.Monotonic_) < MaxChangeDelay);
 }
+
+TEST_CASE("configurations that watches do not return again and again all take "
+          "effect",
+          "[hiddenchanges]") {
+  const int Instances = GENERATE(3, 17, 48);
+  SeededSimulation Fleet(Instances, Zones, Targets);
+  // Other instances may give what a read was to find before it ends.
+  framework::Random Rng(1);
+  Fleet.FullReadDelay_ = [&Rng] {
+    return milliseconds(static_cast<int>(Rng.index(200)));
+  };
+  Fleet.pass(seconds(3));
+  for (int Round = 0; Round < 12; ++Round) {
+    CAPTURE(Instances, Round);
+    Fleet.AreChangesHidden_ = true;
+    Fleet.changeConfiguration("new");
+    Fleet.pass(milliseconds(900));
+    Fleet.AreChangesHidden_ = false;
+    Fleet.forgetHistory();
+    Fleet.pass(MaxChangeDelay - milliseconds(900));
+    CHECK(Fleet.staleCount() == 0);
+    Fleet.pass(milliseconds(70 * Round));
+  }
+}
--- a/src/fleet/tests/revisionaccount_test.cpp
+++ b/src/fleet/tests/revisionaccount_test.cpp
@@ -38,8 +38,13 @@
 TEST_CASE("a gap is closed only by a read that reaches it",
           "[revisionaccount]") {
   RevisionAccount Account;
-  Account.recordGap(Revision(9));
-  Account.recordGap(Revision(7));
+  Account.recordGap(changesAt({6, 8}), Revision(6), Revision(9));
+  Account.recordGap({}, Revision(6), Revision(7));
+  CHECK_FALSE(Account.isMissing(Revision(6)));
+  CHECK(Account.isMissing(Revision(7)));
+  CHECK_FALSE(Account.isMissing(Revision(8)));
+  CHECK(Account.isMissing(Revision(9)));
+  CHECK_FALSE(Account.isMissing(Revision(10)));
   Account.recordFullRead(Revision(8), true, Begin);
   CHECK(Account.isReadNeeded());
   SECTION("of this instance") {
@@ -54,7 +59,7 @@
           "[revisionaccount]") {
   RevisionAccount Account;
   const auto Read = [&Account](bool HasFound) {
-    Account.recordGap(Revision(9));
+    Account.recordGap({}, Revision(8), Revision(9));
     Account.recordFullRead(Revision(9), HasFound, Begin);
   };
   Read(false);
