Name the detection of left-out changes by its usual terms, in files of its own

"RevisionAccount" and "accounted" stop a reader: nothing is billed. What the class does is detect gaps in contiguous revisions, so it is RevisionGaps now, with lastContiguous and contiguousUpTo.

No logic changes: functions are moved, names and comments replaced.

--- a/src/fleet/internal/seeded/revisionaccount.cpp
+++ b/src/fleet/internal/seeded/revisiongaps.cpp
@@ -1,4 +1,4 @@
-#include "fleet/internal/seeded/revisionaccount.h"
+#include "fleet/internal/seeded/revisiongaps.h"
 
 #include <algorithm>
 
@@ -9,14 +9,13 @@
 using framework::Revision;
 
 /// After this many reads that found nothing, the store is trusted for a while.
-constexpr std::uint32_t MaxFruitlessReads = 2;
+constexpr std::uint32_t MaxReadsWithoutFinding = 2;
 constexpr framework::Duration TrustPeriod = std::chrono::seconds(10);
 
 } // namespace
 
-Revision
-RevisionAccount::lastAccounted(const std::vector<StoredRecord> &Changes,
-                               Revision From, Revision AsOf) {
+Revision RevisionGaps::lastContiguous(const std::vector<StoredRecord> &Changes,
+                                      Revision From, Revision AsOf) {
   std::set<Revision> Known;
   for (const StoredRecord &Each : Changes)
     Known.insert(Each.Revision_);
@@ -26,33 +25,33 @@
   return Last;
 }
 
-void RevisionAccount::recordGap(const std::vector<StoredRecord> &Changes,
-                                Revision Accounted, Revision AsOf) {
+void RevisionGaps::recordGap(const std::vector<StoredRecord> &Changes,
+                             Revision Contiguous, Revision AsOf) {
   if (!Needed_) {
     Returned_.clear();
-    Accounted_ = Accounted;
+    ContiguousUpTo_ = Contiguous;
   }
   for (const StoredRecord &Each : Changes)
     Returned_.insert(Each.Revision_);
   Needed_ = std::max(Needed_.value_or(AsOf), AsOf);
 }
 
-bool RevisionAccount::isMissing(Revision Each) const {
-  return Needed_ && Each > Accounted_ && Each <= *Needed_ &&
+bool RevisionGaps::isMissing(Revision Each) const {
+  return Needed_ && Each > ContiguousUpTo_ && Each <= *Needed_ &&
          !Returned_.contains(Each);
 }
 
-void RevisionAccount::recordFullRead(Revision AsOf, bool HasFound,
-                                     framework::Instant Now) {
+void RevisionGaps::recordFullRead(Revision AsOf, bool HasFound,
+                                  framework::Instant Now) {
   if (!Needed_ || AsOf < *Needed_)
     return;
   Needed_.reset();
-  FruitlessReads_ = HasFound ? 0 : FruitlessReads_ + 1;
-  if (FruitlessReads_ >= MaxFruitlessReads)
+  ReadsWithoutFinding_ = HasFound ? 0 : ReadsWithoutFinding_ + 1;
+  if (ReadsWithoutFinding_ >= MaxReadsWithoutFinding)
     TrustedUntil_ = Now + TrustPeriod;
 }
 
-void RevisionAccount::recordProgress(Revision Reached) {
+void RevisionGaps::recordProgress(Revision Reached) {
   if (Needed_ && Reached >= *Needed_)
     Needed_.reset();
 }
--- a/src/fleet/internal/seeded/revisionaccount.h
+++ b/src/fleet/internal/seeded/revisiongaps.h
@@ -1,5 +1,5 @@
-#ifndef CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_REVISIONACCOUNT_H
-#define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_REVISIONACCOUNT_H
+#ifndef CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_REVISIONGAPS_H
+#define CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_REVISIONGAPS_H
 
 #include "fleet/types/storedrecord.h"
 #include "framework/ids.h"
@@ -12,27 +12,27 @@
 
 namespace cranberryspool::fleet {
 
-/// Checks that answers to reads of changes account for every revision that they
-/// claim to lead to. The store counts its revision up by one with each change,
-/// so that an answer of all keys without a change for some revision has left a
-/// change out, and no later read of changes returns it. A read of all records
-/// then shows what the store holds.
-class RevisionAccount {
+/// Detects changes that an answer to a read of changes has left out. The store
+/// counts its revision up by one with each change, so that the changes of all
+/// keys have contiguous revisions up to the one that the answer states. What is
+/// left out is not returned by later reads of changes either, so that all
+/// records have to be read.
+class RevisionGaps {
 public:
-  /// Returns the last revision up to which the changes account for each one
-  /// after `From`.
+  /// Returns the last revision, from `From` to `AsOf`, up to which the changes
+  /// are contiguous.
   static framework::Revision
-  lastAccounted(const std::vector<StoredRecord> &Changes,
-                framework::Revision From, framework::Revision AsOf);
+  lastContiguous(const std::vector<StoredRecord> &Changes,
+                 framework::Revision From, framework::Revision AsOf);
 
-  /// Records that an answer led to a revision with changes that account for
-  /// those up to `Accounted` only.
+  /// Records that the changes of an answer are contiguous up to a revision
+  /// before `AsOf` only, which the answer states.
   void recordGap(const std::vector<StoredRecord> &Changes,
-                 framework::Revision Accounted, framework::Revision AsOf);
+                 framework::Revision Contiguous, framework::Revision AsOf);
   /// Returns true while a read of all records is needed.
   bool isReadNeeded() const { return Needed_.has_value(); }
   /// Returns the revision up to which nothing was left out.
-  framework::Revision accounted() const { return Accounted_; }
+  framework::Revision contiguousUpTo() const { return ContiguousUpTo_; }
   /// Returns true for a revision of which a change was left out.
   bool isMissing(framework::Revision Each) const;
   /// Records that a read of all records has reached a revision. `HasFound` says
@@ -49,16 +49,18 @@
   }
 
 private:
+  /// The revision that a read of all records must reach, while one is needed.
   std::optional<framework::Revision> Needed_;
   /// Up to this revision nothing was left out.
-  framework::Revision Accounted_;
+  framework::Revision ContiguousUpTo_;
   /// The revisions of the changes that were returned.
   std::set<framework::Revision> Returned_;
   /// The number of reads in a row that have found nothing.
-  std::uint32_t FruitlessReads_ = 0;
+  std::uint32_t ReadsWithoutFinding_ = 0;
+  /// Until then the store is taken to count revisions without changes.
   framework::Instant TrustedUntil_{};
 };
 
 } // namespace cranberryspool::fleet
 
-#endif // CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_REVISIONACCOUNT_H
+#endif // CRANBERRYSPOOL_FLEET_INTERNAL_SEEDED_REVISIONGAPS_H
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -239,10 +239,10 @@
                            : View_.replaceAll(Records, AsOf, AnsweredAt);
   reportChanges(Changed, ViewChanged::StoreSource, Context.Output_);
   if (!Read.IsStaleAllowed_)
-    Account_.recordFullRead(AsOf,
-                            !Changed.Removed_.empty() || isMissingChangeKnown(),
-                            Context.Now_);
-  IsFullReadNeeded_ = Account_.isReadNeeded();
+    Gaps_.recordFullRead(AsOf,
+                         !Changed.Removed_.empty() || isMissingChangeKnown(),
+                         Context.Now_);
+  IsFullReadNeeded_ = Gaps_.isReadNeeded();
   forgetReachedAnnouncement();
   reportProgress(ViewChanged::StoreSource, Context);
   // What was deleted before is not known completely, so that others have to
@@ -257,10 +257,10 @@
     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
   const PendingRead Read = Reads_.end(ReadKind::Changes, Context.Now_);
-  const Revision Accounted = RevisionAccount::lastAccounted(
+  const Revision Contiguous = RevisionGaps::lastContiguous(
       Records, std::max(Read.After_, View_.revision()), AsOf);
-  if (Accounted < AsOf && !Account_.isStoreTrusted(Context.Now_)) {
-    handleIncompleteChanges(Read, Records, Accounted, AsOf, Context);
+  if (Contiguous < AsOf && !Gaps_.isStoreTrusted(Context.Now_)) {
+    handleIncompleteChanges(Read, Records, Contiguous, AsOf, Context);
     return;
   }
   const Instant AnsweredAt = answeredAt(Read, !Records.empty(), Context.Now_);
@@ -292,56 +292,6 @@
   readIfDue(Context);
 }
 
-void StoreReplicator::handlePartOfChanges(
-    const std::vector<StoredRecord> &Records, Revision UpTo,
-    const EventContext &Context) {
-  const PendingRead Read = Reads_.end(ReadKind::Changes, Context.Now_);
-  const Revision Accounted = RevisionAccount::lastAccounted(
-      Records, std::max(Read.After_, View_.revision()), UpTo);
-  if (Accounted < UpTo && !Account_.isStoreTrusted(Context.Now_)) {
-    handleIncompleteChanges(Read, Records, Accounted, UpTo, Context);
-    return;
-  }
-  IsRestMissing_ = true;
-  reportIncompleteRead(ViewEvent::StoreReadPartial, Read, Records, UpTo,
-                       Context);
-  applyPartOfChanges(Read, Records, UpTo, Context);
-}
-
-void StoreReplicator::handleIncompleteChanges(
-    const PendingRead &Read, const std::vector<StoredRecord> &Records,
-    Revision Accounted, Revision AsOf, const EventContext &Context) {
-  IsRestMissing_ = false;
-  IsFullReadNeeded_ = true;
-  Account_.recordGap(Records, Accounted, AsOf);
-  reportIncompleteRead(ViewEvent::StoreReadIncomplete, Read, Records, AsOf,
-                       Context);
-  applyPartOfChanges(Read, Records, Accounted, Context);
-}
-
-void StoreReplicator::applyPartOfChanges(
-    const PendingRead &Read, const std::vector<StoredRecord> &Records,
-    Revision UpTo, const EventContext &Context) {
-  const bool WasBehind = isBehind(Context.Now_);
-  recordReadSuccess(Context);
-  View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
-  const Revision Before = View_.revision();
-  reportChanges(View_.applyPart(Records, UpTo, Context.Now_),
-                ViewChanged::StoreSource, Context.Output_);
-  forgetReachedAnnouncement();
-  NextReadAt_ = Context.Now_;
-  shareAnswer(Before, WasBehind, Context);
-  readIfDue(Context);
-}
-
-bool StoreReplicator::isMissingChangeKnown() const {
-  const std::vector<Revision> Known =
-      View_.records().revisionsAfter(Account_.accounted());
-  return std::any_of(Known.begin(), Known.end(), [this](Revision Each) {
-    return Account_.isMissing(Each);
-  });
-}
-
 Duration StoreReplicator::watchPause(Duration Age,
                                      const EventContext &Context) const {
   const Duration Pause =
@@ -450,7 +400,7 @@
   recordAdvance(Before, Context.Now_);
   if (View_.revision() > Before)
     HelpedAt_ = Context.Now_;
-  Account_.recordProgress(View_.revision());
+  Gaps_.recordProgress(View_.revision());
   forgetReachedAnnouncement();
   reportProgress(Message.From_.value(), Context);
   passOn(Message, Context);
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -5,7 +5,7 @@
 #include "fleet/internal/seeded/eventcontext.h"
 #include "fleet/internal/seeded/readtiming.h"
 #include "fleet/internal/seeded/recordreassembler.h"
-#include "fleet/internal/seeded/revisionaccount.h"
+#include "fleet/internal/seeded/revisiongaps.h"
 #include "fleet/internal/seeded/storereads.h"
 #include "fleet/internal/seeded/storeview.h"
 #include "fleet/recorddecoder.h"
@@ -108,13 +108,13 @@
   /// Returns true when this instance knows that newer changes exist.
   bool areChangesMissing() const {
     return Reads_.isAnswerArriving() || IsRestMissing_ ||
-           isAnnouncedMissing() || Account_.isReadNeeded();
+           isAnnouncedMissing() || Gaps_.isReadNeeded();
   }
-  /// Handles an answer that leads to a revision without a change for each one
-  /// after `Accounted`.
+  /// Handles an answer whose changes are contiguous up to a revision before
+  /// `AsOf` only, which it states.
   void handleIncompleteChanges(const PendingRead &Read,
                                const std::vector<StoredRecord> &Records,
-                               framework::Revision Accounted,
+                               framework::Revision Contiguous,
                                framework::Revision AsOf,
                                const EventContext &Context);
   /// Applies changes that do not lead to the present state of the store.
@@ -239,7 +239,7 @@
   ReadTiming Timing_;
   StoreReads Reads_;
   StoreView View_;
-  RevisionAccount Account_;
+  RevisionGaps Gaps_;
   /// The advances whose changes are still sent repeatedly, oldest first.
   std::deque<Advance> Advances_;
   /// The changes up to this revision have been sent, or need not be.
