Ask another instance when neither the store nor others tell anything

What callers saw: a target that leaves was used on for 1.28 s of 2 s by instances that no datagrams reached, for 1.28 s in zones whose leader had gone while the store did not answer the rest, and for 1.04 s in a zone whose leader the store turned away (virtual time). No line said what the instances waited for.

Cause: an instance that is not known to be behind asked nobody before its view was 1.2 to 1.3 s old, though updates come each 0.2 s; so silence cost half of the bound before anything was done.

After 0.5 s without an update or an answer an instance asks another one, of another zone if there is one, as others of its zone hear the same leader. One that waits for a watch is not silent until the watch is overdue. news-overdue says so once for each silence.

Tried and reverted: asking also while a watch is held, and watches of 0.75 s for a bound of 2 s: up to twice as many reads of all records from a store that hides changes and forgets its history (the existing test failed).

--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -37,6 +37,7 @@
   StoreReadPartial,
   StoreReadIncomplete,
   StoreChangesFound,
+  NewsOverdue,
   DatagramsLost,
   TargetDraining,
   TargetRemoved,
--- a/src/fleet/internal/seeded/recordreports.cpp
+++ b/src/fleet/internal/seeded/recordreports.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/internal/seeded/storereplicator.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cranberryspool::fleet {
@@ -73,6 +74,15 @@
   Context.Output_.push_back(std::move(Report));
 }
 
+void StoreReplicator::reportSilence(const EventContext &Context) {
+  if (!isNewsOverdue(Context.Now_) || std::exchange(IsSilenceReported_, true))
+    return;
+  ViewChanged Report{ViewEvent::NewsOverdue, Context.self().Name_.value(),
+                     Context.self().Name_.value()};
+  Report.Elapsed_ = Context.Now_ - std::max(HeardAt_, AnswerReceivedAt_);
+  Context.Output_.push_back(std::move(Report));
+}
+
 void StoreReplicator::reportChanges(const StoreView::Changes &Changed,
                                     const std::string &Source,
                                     OutputList &Output) const {
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using framework::Duration;
+using framework::Instant;
 using framework::Revision;
 using std::chrono::milliseconds;
 
@@ -22,9 +23,12 @@
 /// The view is not sent to an instance whose view it would make younger by
 /// less.
 constexpr Duration MinAgeGain = milliseconds(200);
-/// Group leaders send updates each 200 ms. When a member gets none for this
-/// long, datagrams are taken to be lost.
+/// Group leaders send updates each 200 ms, and a zone's leader to them. An
+/// instance that hears nothing for this long asks another one; if it is a
+/// member, over a connection, as datagrams may be lost.
 constexpr Duration MaxSilence = milliseconds(500);
+/// An answer to a watch arrives this long after its wait at the latest.
+constexpr Duration WatchReturnTime = milliseconds(100);
 /// Updates of an instance that was asked may be answers for this long.
 constexpr Duration AnswerPeriod = milliseconds(500);
 /// After a request without an answer, others are sent over connections for this
@@ -39,6 +43,8 @@
   // Another instance may know that there was no outage.
   if (View_.outages().isRecovering(Context.Now_))
     return true;
+  if (isNewsOverdue(Context.Now_))
+    return true;
   const bool IsBehind = IsRestMissing_ || isBehind(Context.Now_);
   const bool IsDependent = isDependentOnOthers(Context.Now_);
   if (!IsBehind && !IsDependent && !isViewTooOld(Context))
@@ -48,6 +54,15 @@
   return IsBehind || IsDependent || Context.Now_ < NextReadAt_;
 }
 
+bool StoreReplicator::isNewsOverdue(Instant Now) const {
+  // The store holds a watch while nothing changes.
+  const bool IsWatchHeld =
+      Reads_.isWatchOpen() &&
+      Now < AnswerReceivedAt_ + Timing_.MaxWatchWait_ + WatchReturnTime;
+  return !IsWatchHeld &&
+         Now >= std::max(HeardAt_, AnswerReceivedAt_) + MaxSilence;
+}
+
 bool StoreReplicator::isDependentOnOthers(framework::Instant Now) const {
   const auto Age = View_.age(Now);
   return Failures_ > 0 && Age && *Age > Timing_.MaxViewAgeWhileLate_;
@@ -76,6 +91,7 @@
 void StoreReplicator::recordHeard(const framework::InstanceName &From,
                                   framework::Instant Now) {
   HeardAt_ = Now;
+  IsSilenceReported_ = false;
   if (Asked_ && Asked_->Name_ == From)
     IsLastRequestAnswered_ = true;
 }
@@ -86,6 +102,7 @@
   const MemberInfo *Source = chooseSource(Context);
   if (!Source)
     return;
+  reportSilence(Context);
   const bool IsNothingNewer =
       !isAnnouncedMissing() && View_.revision() == RevisionAtRequest_;
   const bool IsStoreThereForOthers =
@@ -116,8 +133,10 @@
     const bool IsInOwnZone = State.Info_.Zone_ == Context.self().Zone_;
     (IsInOwnZone ? OwnZone : OtherZones).push_back(&State.Info_);
   }
+  // Others of the zone hear the same leader.
   const bool IsOwnZoneAsked =
-      OtherZones.empty() || (!OwnZone.empty() && Rng_.index(2) == 0);
+      OtherZones.empty() ||
+      (!OwnZone.empty() && !isNewsOverdue(Context.Now_) && Rng_.index(2) == 0);
   const auto &Candidates = IsOwnZoneAsked ? OwnZone : OtherZones;
   return Candidates.empty() ? nullptr
                             : Candidates[Rng_.index(Candidates.size())];
--- a/src/fleet/internal/seeded/storereads.cpp
+++ b/src/fleet/internal/seeded/storereads.cpp
@@ -59,6 +59,12 @@
   });
 }
 
+bool StoreReads::isWatchOpen() const {
+  const auto Found = Pending_.find(ReadKind::Changes);
+  return Found != Pending_.end() && Found->second.Wait_ > Duration{} &&
+         !Found->second.IsArriving_;
+}
+
 Duration StoreReads::lateAnswerTime() const {
   Duration Fastest = Duration::max();
   for (const ReadKind Kind : {ReadKind::AllRecords, ReadKind::Changes}) {
--- a/src/fleet/internal/seeded/storereads.h
+++ b/src/fleet/internal/seeded/storereads.h
@@ -39,6 +39,8 @@
   /// Returns true when every read under way has had no answer for so long that
   /// another one is to be made beside it.
   bool areLate(framework::Instant Now) const;
+  /// Returns true while a watch is under way whose answer has not begun.
+  bool isWatchOpen() const;
   /// Returns when the oldest read under way began.
   std::optional<framework::Instant> oldestStart() const;
   /// Returns the time limit of the next read, besides its wait. While nothing
--- a/src/fleet/tests/silentsenders_test.cpp
+++ b/src/fleet/tests/silentsenders_test.cpp
@@ -100,6 +100,20 @@
   CHECK(Leaving.longestUse() <= MaxWait);
 }
 
+TEST_CASE("a target that leaves is not used on for half of the bound in a zone "
+          "whose leader the store turns away",
+          "[silentsenders]") {
+  const int Instances = GENERATE(13, 48);
+  const auto Shift = milliseconds(GENERATE(0, 270, 610));
+  CAPTURE(Instances, Shift.count());
+  SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
+  Fleet.pass(seconds(4) + Shift);
+  Fleet.turnAway({*watchersOf(Fleet).begin()});
+  LeavingTargets Leaving(Fleet);
+  Leaving.pass(seconds(5));
+  CHECK(Leaving.longestUse() <= MaxWait);
+}
+
 TEST_CASE("a target that leaves is not used on for half of the bound while a "
           "zone's leader returns that the store does not answer",
           "[silentsenders]") {
@@ -117,3 +131,36 @@
   Leaving.pass(seconds(4), {Leader});
   CHECK(Leaving.longestUse() <= MaxWait);
 }
+
+TEST_CASE("a target that leaves is not used on for half of the bound by "
+          "instances that no datagrams reach",
+          "[silentsenders]") {
+  const auto [Instances, Zones] = anyDeployment();
+  CAPTURE(Instances);
+  SeededSimulation Fleet(Instances, Zones, Targets);
+  Fleet.pass(seconds(4));
+  for (std::size_t Each = 0; Each < Fleet.Instances_.size(); Each += 3)
+    Fleet.DatagramsLost_.insert(Each);
+  LeavingTargets Leaving(Fleet);
+  Leaving.pass(seconds(5));
+  CHECK(Leaving.longestUse() <= MaxWait);
+}
+
+TEST_CASE("a target that leaves is not used on for half of the bound in a zone "
+          "whose leader has gone and whose reads the store does not answer",
+          "[silentsenders]") {
+  const int Instances = GENERATE(48, 100);
+  const auto Shift = milliseconds(GENERATE(0, 270, 610));
+  CAPTURE(Instances, Shift.count());
+  const std::vector<std::string> Zones{"a", "b", "c"};
+  SeededSimulation Fleet(Instances, Zones, Targets);
+  Fleet.pass(seconds(4) + Shift);
+  const std::size_t Leader = *watchersOf(Fleet).begin();
+  for (std::size_t Each = Leader % Zones.size(); Each < Fleet.Instances_.size();
+       Each += Zones.size())
+    Fleet.Unanswered_.insert(Each);
+  Fleet.Isolated_ = {Leader};
+  LeavingTargets Leaving(Fleet);
+  Leaving.pass(seconds(5), {Leader});
+  CHECK(Leaving.longestUse() <= MaxWait);
+}
