--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -68,8 +68,8 @@
     return "store-read-incomplete";
   case ChangeKind::StoreChangesFound:
     return "store-changes-found";
-  case ChangeKind::NewsOverdue:
-    return "news-overdue";
+  case ChangeKind::UpdatesOverdue:
+    return "updates-overdue";
   case ChangeKind::DatagramsLost:
     return "datagrams-lost";
   case ChangeKind::TargetDraining:
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -40,8 +40,8 @@
     return ChangeKind::StoreReadIncomplete;
   case fleet::ViewEvent::ChangesFound:
     return ChangeKind::StoreChangesFound;
-  case fleet::ViewEvent::NewsOverdue:
-    return ChangeKind::NewsOverdue;
+  case fleet::ViewEvent::UpdatesOverdue:
+    return ChangeKind::UpdatesOverdue;
   case fleet::ViewEvent::DatagramsLost:
     return ChangeKind::DatagramsLost;
   case fleet::ViewEvent::TargetDraining:
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -37,7 +37,7 @@
   StoreReadPartial,
   StoreReadIncomplete,
   StoreChangesFound,
-  NewsOverdue,
+  UpdatesOverdue,
   DatagramsLost,
   TargetDraining,
   TargetRemoved,
--- a/src/fleet/internal/seeded/peergroup.cpp
+++ b/src/fleet/internal/seeded/peergroup.cpp
@@ -104,7 +104,7 @@
 
 bool PeerGroup::isGroupLeader(const framework::InstanceName &Self,
                               framework::Instant Now) const {
-  return !isAnyHigherRecent(StoreReadTask, Self, LastUpdateAt_, Now);
+  return !isHigherRankedActive(StoreReadTask, Self, LastUpdateAt_, Now);
 }
 
 bool PeerGroup::isZoneLeader(const framework::InstanceName &Self,
@@ -129,12 +129,12 @@
                     [Own](std::uint64_t Each) { return Each > Own; }));
 }
 
-bool PeerGroup::isAnyHigherRecent(
+bool PeerGroup::isHigherRankedActive(
     std::string_view Task, const framework::InstanceName &Self,
-    const std::map<framework::InstanceName, framework::Instant> &Times,
+    const std::map<framework::InstanceName, framework::Instant> &ActiveAt,
     framework::Instant Now) {
   const std::uint64_t Own = rendezvousWeight(Task, Self.value());
-  return std::any_of(Times.begin(), Times.end(), [&](const auto &Each) {
+  return std::any_of(ActiveAt.begin(), ActiveAt.end(), [&](const auto &Each) {
     return Now - Each.second < SilenceTimeout &&
            rendezvousWeight(Task, Each.first.value()) > Own;
   });
@@ -160,7 +160,7 @@
 bool PeerGroup::isResponsibleInGroup(std::string_view Task,
                                      const framework::InstanceName &Self,
                                      framework::Instant Now) const {
-  return !isAnyHigherRecent(Task, Self, LastSeenAt_, Now);
+  return !isHigherRankedActive(Task, Self, LastSeenAt_, Now);
 }
 
 bool PeerGroup::isResponsibleInZone(std::string_view Task,
--- a/src/fleet/internal/seeded/peergroup.h
+++ b/src/fleet/internal/seeded/peergroup.h
@@ -64,11 +64,12 @@
 
   /// Returns true when this instance watches the metadata store on behalf of
   /// its zone: it leads its group, and no instance of another group that ranks
-  /// higher sends updates.
+  /// higher has sent updates within the silence timeout.
   bool isZoneLeader(const framework::InstanceName &Self,
                     framework::Instant Now) const;
   /// Returns true when this instance sends changes of the metadata store to its
-  /// group: none of the group that ranks higher sends them.
+  /// group: no member that ranks higher has sent any within the silence
+  /// timeout.
   bool isGroupLeader(const framework::InstanceName &Self,
                      framework::Instant Now) const;
 
@@ -100,17 +101,20 @@
   /// responsibilities to the next in rank.
   static constexpr framework::Duration SilenceTimeout =
       std::chrono::milliseconds(700);
-  /// The zone's next leaders wait this much longer for each other group that
-  /// ranks higher, so that not all of them read the store at once.
+  /// When a zone's leader is silent, the leader of the highest-ranked other
+  /// group takes over, and each further one waits this much longer, up to
+  /// `MaxTakeoverIntervals` times, so that not all of them read the store at
+  /// once.
   static constexpr framework::Duration TakeoverInterval =
       std::chrono::milliseconds(100);
   static constexpr std::size_t MaxTakeoverIntervals = 4;
 
-  /// Returns true when an instance that ranks above this one for the task has a
-  /// time within the silence timeout.
-  static bool isAnyHigherRecent(
+  /// Returns true when an instance that ranks above this one for the task was
+  /// active within the silence timeout, by the given times of its last
+  /// activity.
+  static bool isHigherRankedActive(
       std::string_view Task, const framework::InstanceName &Self,
-      const std::map<framework::InstanceName, framework::Instant> &Times,
+      const std::map<framework::InstanceName, framework::Instant> &ActiveAt,
       framework::Instant Now);
   /// Counts the other groups of the zone with an instance that ranks above this
   /// one for reading the store.
--- a/src/fleet/internal/seeded/recordreports.cpp
+++ b/src/fleet/internal/seeded/recordreports.cpp
@@ -74,10 +74,12 @@
   Context.Output_.push_back(std::move(Report));
 }
 
-void StoreReplicator::reportSilence(const EventContext &Context) {
-  if (!isNewsOverdue(Context.Now_) || std::exchange(IsSilenceReported_, true))
+void StoreReplicator::reportOverdueUpdates(const MemberInfo &Asked,
+                                           const EventContext &Context) {
+  if (!areUpdatesOverdue(Context.Now_) ||
+      std::exchange(AreOverdueUpdatesReported_, true))
     return;
-  ViewChanged Report{ViewEvent::NewsOverdue, Context.self().Name_.value(),
+  ViewChanged Report{ViewEvent::UpdatesOverdue, Asked.Name_.value(),
                      Context.self().Name_.value()};
   Report.Elapsed_ = Context.Now_ - std::max(HeardAt_, AnswerReceivedAt_);
   Context.Output_.push_back(std::move(Report));
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -43,7 +43,7 @@
   // Another instance may know that there was no outage.
   if (View_.outages().isRecovering(Context.Now_))
     return true;
-  if (isNewsOverdue(Context.Now_))
+  if (areUpdatesOverdue(Context.Now_))
     return true;
   const bool IsBehind = IsRestMissing_ || isBehind(Context.Now_);
   const bool IsDependent = isDependentOnOthers(Context.Now_);
@@ -54,7 +54,7 @@
   return IsBehind || IsDependent || Context.Now_ < NextReadAt_;
 }
 
-bool StoreReplicator::isNewsOverdue(Instant Now) const {
+bool StoreReplicator::areUpdatesOverdue(Instant Now) const {
   // The store holds a watch while nothing changes.
   const bool IsWatchHeld =
       Reads_.isWatchOpen() &&
@@ -91,7 +91,7 @@
 void StoreReplicator::recordHeard(const framework::InstanceName &From,
                                   framework::Instant Now) {
   HeardAt_ = Now;
-  IsSilenceReported_ = false;
+  AreOverdueUpdatesReported_ = false;
   if (Asked_ && Asked_->Name_ == From)
     IsLastRequestAnswered_ = true;
 }
@@ -102,7 +102,7 @@
   const MemberInfo *Source = chooseSource(Context);
   if (!Source)
     return;
-  reportSilence(Context);
+  reportOverdueUpdates(*Source, Context);
   const bool IsNothingNewer =
       !isAnnouncedMissing() && View_.revision() == RevisionAtRequest_;
   const bool IsStoreThereForOthers =
@@ -133,10 +133,11 @@
     const bool IsInOwnZone = State.Info_.Zone_ == Context.self().Zone_;
     (IsInOwnZone ? OwnZone : OtherZones).push_back(&State.Info_);
   }
-  // Others of the zone hear the same leader.
+  // The rest of the zone depends on the same leader.
   const bool IsOwnZoneAsked =
       OtherZones.empty() ||
-      (!OwnZone.empty() && !isNewsOverdue(Context.Now_) && Rng_.index(2) == 0);
+      (!OwnZone.empty() && !areUpdatesOverdue(Context.Now_) &&
+       Rng_.index(2) == 0);
   const auto &Candidates = IsOwnZoneAsked ? OwnZone : OtherZones;
   return Candidates.empty() ? nullptr
                             : Candidates[Rng_.index(Candidates.size())];
--- a/src/fleet/internal/seeded/storereads.h
+++ b/src/fleet/internal/seeded/storereads.h
@@ -39,7 +39,8 @@
   /// Returns true when every read under way has had no answer for so long that
   /// another one is to be made beside it.
   bool areLate(framework::Instant Now) const;
-  /// Returns true while a watch is under way whose answer has not begun.
+  /// Returns true while a watch is under way whose answer has not begun to
+  /// arrive.
   bool isWatchOpen() const;
   /// Returns when the oldest read under way began.
   std::optional<framework::Instant> oldestStart() const;
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -214,11 +214,13 @@
   /// Returns true when a read is needed and either waits for its next try or
   /// has been under way for a while, and earlier while the store refuses reads.
   bool isHelpNeeded(const EventContext &Context) const;
-  /// Returns true when neither the store nor another instance has told anything
-  /// for a while, also not that nothing has changed, and no watch is open.
-  bool isNewsOverdue(framework::Instant Now) const;
-  /// Reports that news is overdue, once until it arrives.
-  void reportSilence(const EventContext &Context);
+  /// Returns true when neither an update of another instance nor an answer of
+  /// the store has arrived for a while, and the store is not holding a watch.
+  bool areUpdatesOverdue(framework::Instant Now) const;
+  /// Reports that updates are overdue and whom this instance asks, once until
+  /// another instance is heard.
+  void reportOverdueUpdates(const MemberInfo &Asked,
+                            const EventContext &Context);
   /// Returns true when the store refuses the reads of this instance and the
   /// view gets old.
   bool isDependentOnOthers(framework::Instant Now) const;
@@ -390,8 +392,8 @@
   framework::Instant GapSince_{};
   /// When the last message with changes arrived from another instance.
   framework::Instant HeardAt_{};
-  /// Whether the present silence of other instances has been reported.
-  bool IsSilenceReported_ = false;
+  /// Whether it was reported since then that updates are overdue.
+  bool AreOverdueUpdatesReported_ = false;
   /// When another instance last gave a part of what is missing.
   framework::Instant HelpedAt_{};
   /// When another instance last stated that what is missing is on its way to
--- a/src/fleet/tests/silentsenders_test.cpp
+++ b/src/fleet/tests/silentsenders_test.cpp
@@ -10,10 +10,11 @@
 namespace {
 
 constexpr int Targets = 60;
-constexpr Duration LeaveInterval = milliseconds(70);
+constexpr Duration ChangeInterval = milliseconds(70);
+constexpr std::size_t ChangesPerVersion = 7;
 constexpr Duration CheckInterval = milliseconds(10);
-/// Leaves the other half of the bound to a second wait.
-constexpr Duration MaxWait = MaxChangeDelay / 2;
+/// Leaves time for a second delay.
+constexpr Duration MaxDelay = MaxChangeDelay / 2;
 
 struct Deployment {
   int Instances_;
@@ -34,73 +35,86 @@
   return Watchers;
 }
 
-/// Records the targets that leave, and for how long others use them on.
-class LeavingTargets {
+/// Lets targets leave and publishes versions of the configuration in turn, and
+/// measures how long instances use the former state.
+class ChangeSeries {
 public:
-  explicit LeavingTargets(SeededSimulation &Fleet) : Fleet_(Fleet) {}
+  explicit ChangeSeries(SeededSimulation &Fleet) : Fleet_(Fleet) {}
 
-  /// Lets one target after the other leave, as seen by all instances but those
-  /// that are gone.
-  void pass(Duration Length, const std::set<std::size_t> &Gone = {}) {
+  /// Runs the fleet; the instances in `Stopped` are not checked.
+  void run(Duration Length, const std::set<std::size_t> &Stopped = {}) {
     const Instant End = Fleet_.Now_.Monotonic_ + Length;
     while (Fleet_.Now_.Monotonic_ < End) {
-      leaveIfDue();
+      changeIfDue();
       Fleet_.pass(CheckInterval);
       for (std::size_t Each = 0; Each < Fleet_.Instances_.size(); ++Each)
-        if (!Gone.contains(Each))
+        if (!Stopped.contains(Each))
           check(Fleet_.Instances_[Each]);
     }
   }
 
-  Duration longestUse() const { return Longest_; }
+  Duration longestDelay() const { return LongestDelay_; }
 
 private:
-  void leaveIfDue() {
+  void changeIfDue() {
     const Instant Now = Fleet_.Now_.Monotonic_;
-    if (Now < NextLeave_ || LeftAt_.size() >= Targets)
+    if (Now < NextChange_ || LeftAt_.size() >= Targets)
       return;
     const std::string Target = "t" + std::to_string(LeftAt_.size());
     Fleet_.change(Target, "target a draining");
     LeftAt_[Target] = Now;
-    NextLeave_ = Now + LeaveInterval;
+    NextChange_ = Now + ChangeInterval;
+    if (LeftAt_.size() % ChangesPerVersion != 0)
+      return;
+    Fleet_.changeConfiguration("new");
+    PublishedAt_[Fleet_.Version_] = Now;
   }
 
   void check(const SeededFleet &Instance) {
     for (const PublishedTarget &Target : Instance.view().targets()) {
       const auto Left = LeftAt_.find(Target.Name_.value());
       if (Left != LeftAt_.end() && !Target.IsDraining_)
-        Longest_ = std::max(Longest_, Fleet_.Now_.Monotonic_ - Left->second);
+        recordDelay(Left->second);
     }
+    const auto Newer =
+        PublishedAt_.upper_bound(Instance.view().configuration().Version_);
+    if (Newer != PublishedAt_.end())
+      recordDelay(Newer->second);
+  }
+
+  void recordDelay(Instant ChangedAt) {
+    LongestDelay_ = std::max(LongestDelay_, Fleet_.Now_.Monotonic_ - ChangedAt);
   }
 
   SeededSimulation &Fleet_;
   std::map<std::string, Instant> LeftAt_;
-  Instant NextLeave_{};
-  Duration Longest_{};
+  std::map<std::uint64_t, Instant> PublishedAt_;
+  Instant NextChange_{};
+  Duration LongestDelay_{};
 };
 
 } // namespace
 
-TEST_CASE("a target that leaves is not used on for half of the bound by those "
-          "whose zone's leader has gone without a word",
+TEST_CASE("a change takes effect within half of the bound at those "
+          "whose zone's leader has stopped without notice",
           "[silentsenders]") {
   const auto [Instances, Zones] = anyDeployment();
-  const bool AreAllGone = GENERATE(false, true);
+  const bool AreAllStopped = GENERATE(false, true);
   const auto Shift = milliseconds(GENERATE(0, 270, 610));
-  CAPTURE(Instances, AreAllGone, Shift.count());
+  CAPTURE(Instances, AreAllStopped, Shift.count());
   SeededSimulation Fleet(Instances, Zones, Targets);
   Fleet.pass(seconds(4) + Shift);
-  std::set<std::size_t> Gone = watchersOf(Fleet);
-  REQUIRE(Gone.size() == Zones.size());
-  if (!AreAllGone)
-    Gone = {*Gone.begin()};
-  Fleet.Isolated_ = Gone;
-  LeavingTargets Leaving(Fleet);
-  Leaving.pass(seconds(5), Gone);
-  CHECK(Leaving.longestUse() <= MaxWait);
+  std::set<std::size_t> Stopped = watchersOf(Fleet);
+  REQUIRE(Stopped.size() == Zones.size());
+  if (!AreAllStopped)
+    Stopped = {*Stopped.begin()};
+  Fleet.Isolated_ = Stopped;
+  ChangeSeries Changes(Fleet);
+  Changes.run(seconds(5), Stopped);
+  CHECK(Changes.longestDelay() <= MaxDelay);
 }
 
-TEST_CASE("a target that leaves is not used on for half of the bound in a zone "
+TEST_CASE("a change takes effect within half of the bound in a zone "
           "whose leader the store turns away",
           "[silentsenders]") {
   const int Instances = GENERATE(13, 48);
@@ -109,12 +123,12 @@
   SeededSimulation Fleet(Instances, {"a", "b", "c"}, Targets);
   Fleet.pass(seconds(4) + Shift);
   Fleet.turnAway({*watchersOf(Fleet).begin()});
-  LeavingTargets Leaving(Fleet);
-  Leaving.pass(seconds(5));
-  CHECK(Leaving.longestUse() <= MaxWait);
+  ChangeSeries Changes(Fleet);
+  Changes.run(seconds(5));
+  CHECK(Changes.longestDelay() <= MaxDelay);
 }
 
-TEST_CASE("a target that leaves is not used on for half of the bound while a "
+TEST_CASE("a change takes effect within half of the bound while a "
           "zone's leader returns that the store does not answer",
           "[silentsenders]") {
   const auto [Instances, Zones] = anyDeployment();
@@ -123,16 +137,16 @@
   Fleet.pass(seconds(4));
   const std::size_t Leader = *watchersOf(Fleet).begin();
   Fleet.Isolated_ = {Leader};
-  LeavingTargets Leaving(Fleet);
-  Leaving.pass(seconds(2), {Leader});
+  ChangeSeries Changes(Fleet);
+  Changes.run(seconds(2), {Leader});
   Fleet.Isolated_.clear();
   Fleet.Unanswered_ = {Leader};
   Fleet.restart(Leader);
-  Leaving.pass(seconds(4), {Leader});
-  CHECK(Leaving.longestUse() <= MaxWait);
+  Changes.run(seconds(4), {Leader});
+  CHECK(Changes.longestDelay() <= MaxDelay);
 }
 
-TEST_CASE("a target that leaves is not used on for half of the bound by "
+TEST_CASE("a change takes effect within half of the bound at "
           "instances that no datagrams reach",
           "[silentsenders]") {
   const auto [Instances, Zones] = anyDeployment();
@@ -141,13 +155,13 @@
   Fleet.pass(seconds(4));
   for (std::size_t Each = 0; Each < Fleet.Instances_.size(); Each += 3)
     Fleet.DatagramsLost_.insert(Each);
-  LeavingTargets Leaving(Fleet);
-  Leaving.pass(seconds(5));
-  CHECK(Leaving.longestUse() <= MaxWait);
+  ChangeSeries Changes(Fleet);
+  Changes.run(seconds(5));
+  CHECK(Changes.longestDelay() <= MaxDelay);
 }
 
-TEST_CASE("a target that leaves is not used on for half of the bound in a zone "
-          "whose leader has gone and whose reads the store does not answer",
+TEST_CASE("a change takes effect within half of the bound in a zone "
+          "whose leader has stopped and whose reads the store does not answer",
           "[silentsenders]") {
   const int Instances = GENERATE(48, 100);
   const auto Shift = milliseconds(GENERATE(0, 270, 610));
@@ -160,7 +174,7 @@
        Each += Zones.size())
     Fleet.Unanswered_.insert(Each);
   Fleet.Isolated_ = {Leader};
-  LeavingTargets Leaving(Fleet);
-  Leaving.pass(seconds(5), {Leader});
-  CHECK(Leaving.longestUse() <= MaxWait);
+  ChangeSeries Changes(Fleet);
+  Changes.run(seconds(5), {Leader});
+  CHECK(Changes.longestDelay() <= MaxDelay);
 }
--- a/src/fleet/types/viewevent.h
+++ b/src/fleet/types/viewevent.h
@@ -24,9 +24,9 @@
   /// A read of all records has found changes that answers to reads of changes
   /// had left out, or may have.
   ChangesFound,
-  /// Neither the store nor another instance has told anything for a while;
-  /// another instance is asked.
-  NewsOverdue,
+  /// Neither an update of another instance nor an answer of the store has
+  /// arrived for a while; another instance is asked.
+  UpdatesOverdue,
   /// Datagrams seem to be lost between this instance and others, which it asks
   /// for changes over connections.
   DatagramsLost,
