Log what the own store stated last and at which revision a document was written

No line told whether the own store had stated less than the view holds, nor of which history the version in force was.

Lines on beliefs and endings now carry store_revision, store_age_ms (what the store last stated to this instance itself) and version_revision (at which the document in force was written); lines of requests carry decided_revision, and the end of an attempt store_revision before the attempt, where a cut line still shows it. The three hypotheses differ in them: a store that states less has store_revision below revision at all old instances; a record of another store has source other than store and a version_revision that the own store's answers do not reach; a missed change has store_revision at or above revision.

--- a/src/decision/internal/engine.cpp
+++ b/src/decision/internal/engine.cpp
@@ -75,12 +75,14 @@
 
 ViewStatus Engine::view() const {
   const framework::Instant Now = LastEventAt_.value_or(framework::Instant{});
+  const calls::DocumentOrigin Origin =
+      Core_.DocumentOrigin_ ? *Core_.DocumentOrigin_ : calls::DocumentOrigin();
   return ViewStatus{.Document_ = Core_.Fleet_.documentRevision(),
-                    .DocumentSource_ = Core_.DocumentOrigin_
-                                           ? Core_.DocumentOrigin_->Source_
-                                           : std::string(),
+                    .DocumentSource_ = Origin.Source_,
+                    .DocumentRecord_ = Origin.RecordRevision_,
                     .Revision_ = Core_.Fleet_.listRevision(),
-                    .Age_ = Core_.Fleet_.viewAge(Now)};
+                    .Age_ = Core_.Fleet_.viewAge(Now),
+                    .Store_ = Core_.Fleet_.lastStoreStatement(Now)};
 }
 
 void Engine::start(const EventContext &Context) {
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -234,8 +234,9 @@
 
 void FleetAdapter::apply(const EventContext &Context,
                          const fleet::DocumentApplied &Output) {
-  Core_.DocumentOrigin_ = std::make_shared<const calls::DocumentOrigin>(
-      calls::DocumentOrigin{Output.Revision_, Output.Source_});
+  Core_.DocumentOrigin_ =
+      std::make_shared<const calls::DocumentOrigin>(calls::DocumentOrigin{
+          Output.Revision_, Output.Source_, Output.RecordRevision_});
   EnvironmentUpdater_.setDocument(Context, *Core_.Fleet_.currentDocument());
   Access_.updateWorkspaces(Context);
   Quota_.updateQuotas(Context);
--- a/src/decision/tests/routes_test.cpp
+++ b/src/decision/tests/routes_test.cpp
@@ -189,6 +189,7 @@
   REQUIRE(Reports.back().DecidedBy_);
   CHECK(Reports.back().DecidedBy_->Version_ == framework::Revision(1));
   CHECK(Reports.back().DecidedBy_->Source_ == "store");
+  CHECK(Reports.back().DecidedBy_->RecordRevision_ == framework::Revision(5));
   Fixture.deliver(RecordsChanged{{{"c", "2", framework::Revision(6), false}},
                                  framework::Revision(6)});
   const auto Sent = StoreFixture::actionsOf<SendAttempt>(Actions);
@@ -196,5 +197,9 @@
       Fixture.deliver(StoreFixture::makeAnswer(Sent.at(0))));
   REQUIRE(Ended.size() == 1);
   CHECK(Ended[0].DecidedBy_->Version_ == framework::Revision(1));
-  CHECK(Fixture.Core_.view().DocumentSource_ == "store");
+  const ViewStatus View = Fixture.Core_.view();
+  CHECK(View.DocumentSource_ == "store");
+  CHECK(View.DocumentRecord_ == framework::Revision(6));
+  REQUIRE(View.Store_);
+  CHECK(View.Store_->Revision_ == framework::Revision(6));
 }
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -68,6 +68,13 @@
   return "other";
 }
 
+/// Adds the revision that the own store has last stated.
+void addStatement(LogLine &Line, const decision::ViewStatus &Status) {
+  if (Status.Store_)
+    Line.number("store_revision",
+                static_cast<std::int64_t>(Status.Store_->Revision_.value()));
+}
+
 /// Adds the version and the age of the view on which a decision was based.
 void addView(LogLine &Line, const decision::Core &View) {
   const decision::ViewStatus Status = View.view();
@@ -77,6 +84,12 @@
     Line.unknown("view_age_ms");
   else
     Line.millis("view_age_ms", Status.Age_);
+  addStatement(Line, Status);
+  if (Status.Store_)
+    Line.millis("store_age_ms", Status.Store_->Age_);
+  if (Status.DocumentRecord_ != framework::Revision())
+    Line.number("version_revision",
+                static_cast<std::int64_t>(Status.DocumentRecord_.value()));
 }
 
 /// Adds the document by which a request was decided. It stands before the other
@@ -89,6 +102,9 @@
               static_cast<std::int64_t>(DecidedBy->Version_.value()));
   if (!DecidedBy->Source_.empty())
     Line.text("source", DecidedBy->Source_);
+  if (DecidedBy->RecordRevision_ != framework::Revision())
+    Line.number("decided_revision",
+                static_cast<std::int64_t>(DecidedBy->RecordRevision_.value()));
 }
 
 } // namespace
@@ -158,7 +174,8 @@
 }
 
 void DecisionLog::log(const decision::ReportAttemptEnd &Ended,
-                      std::string_view RequestId) const {
+                      std::string_view RequestId,
+                      const decision::Core &View) const {
   if (!Writer_ || !IsRequestLogEnabled_)
     return;
   const bool IsRoutine = Ended.Result_ == routing::AttemptResult::Answered;
@@ -166,6 +183,7 @@
                IsRoutine ? LogImportance::Routine : LogImportance::Significant);
   Line.text("request", RequestId);
   addOrigin(Line, Ended.DecidedBy_);
+  addStatement(Line, View.view());
   Line.number("attempt", static_cast<std::int64_t>(Ended.Attempt_.value()));
   Line.text("target", Ended.Target_.value());
   Line.text("result", nameOf(Ended.Result_));
--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -34,8 +34,9 @@
            const decision::Core &View) const;
   void log(const decision::ReportAttempt &Report,
            std::string_view RequestId) const;
-  void log(const decision::ReportAttemptEnd &Ended,
-           std::string_view RequestId) const;
+  /// Logs the end of an attempt with what the store has last stated.
+  void log(const decision::ReportAttemptEnd &Ended, std::string_view RequestId,
+           const decision::Core &View) const;
   void logCallEnd(const decision::EndedCall &Call, std::string_view RequestId,
                   const decision::Core &View) const;
 
--- a/src/entry/internal/dispatcher.cpp
+++ b/src/entry/internal/dispatcher.cpp
@@ -255,7 +255,7 @@
 
 void Dispatcher::execute(const decision::ReportAttemptEnd &Action) {
   const auto Sent = RequestIds_.extract(Action.Attempt_);
-  Log_.log(Action, Sent ? Sent.mapped() : requestId(Action.Call_));
+  Log_.log(Action, Sent ? Sent.mapped() : requestId(Action.Call_), Core_);
 }
 
 std::string_view Dispatcher::requestId(framework::CallId Call) const {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,6 +16,7 @@
 #include "fleet/types/sectionreply.h"
 #include "fleet/types/sectionrequest.h"
 #include "fleet/types/storedrecord.h"
+#include "fleet/types/storestatement.h"
 #include "fleet/types/transport.h"
 #include "fleet/types/zoneposition.h"
 #include "framework/ids.h"
@@ -188,6 +189,12 @@
   /// the platform publishes a list of instances instead.
   framework::Duration viewAge(framework::Instant Now) const;
 
+  /// Returns what the metadata store has last stated to this instance itself;
+  /// nothing before its first answer, and where the platform publishes a list
+  /// of instances instead.
+  std::optional<StoreStatement>
+  lastStoreStatement(framework::Instant Now) const;
+
   /// Returns true while other instances are known to have newer changes of the
   /// metadata store.
   bool isViewBehind() const;
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -308,6 +308,11 @@
   return Seeded_->view().age(Now).value_or(framework::Duration::max());
 }
 
+std::optional<StoreStatement>
+Fleet::lastStoreStatement(framework::Instant Now) const {
+  return Seeded_ ? Seeded_->lastStatement(Now) : std::nullopt;
+}
+
 bool Fleet::isViewBehind() const { return Seeded_ && Seeded_->isViewBehind(); }
 
 bool Fleet::isViewFresh(framework::Instant Now) const {
--- a/src/fleet/internal/seeded/changeanswers.cpp
+++ b/src/fleet/internal/seeded/changeanswers.cpp
@@ -51,7 +51,7 @@
                          Read, Records, AsOf, Context);
   else
     recordWholeAnswer(Read, Records, AsOf, Context);
-  recordReadSuccess(Context);
+  recordReadSuccess(AsOf, Context);
   View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   applyAnswer(Records, AsOf, Confirmed, Context);
   if (!IsPart && !IsIncomplete && !Confirmation_.isPending())
--- a/src/fleet/internal/seeded/recordreports.cpp
+++ b/src/fleet/internal/seeded/recordreports.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using framework::Duration;
+using framework::Instant;
 using framework::Revision;
 using std::chrono::milliseconds;
 
@@ -27,6 +28,13 @@
 
 } // namespace
 
+std::optional<StoreStatement>
+StoreReplicator::lastStatement(Instant Now) const {
+  if (!StatedRevision_)
+    return std::nullopt;
+  return StoreStatement{*StatedRevision_, Now - AnswerReceivedAt_};
+}
+
 std::string
 StoreReplicator::describeAnswer(const std::vector<StoredRecord> &Records,
                                 Revision AsOf) const {
@@ -100,8 +108,8 @@
   for (const auto &[Key, Reason] : Changed.Rejected_)
     Output.push_back(RecordRejected{Key, Reason});
   if (Changed.IsDocumentChanged_)
-    Output.push_back(
-        DocumentApplied{Revision(View_.configuration().Version_), Source});
+    Output.push_back(DocumentApplied{Revision(View_.configuration().Version_),
+                                     Source, View_.configurationRevision()});
   if (Changed.AreTargetsChanged_)
     Output.push_back(TargetsChanged{});
 }
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -92,6 +92,9 @@
   const StoreView &view() const { return Replicator_.view(); }
   bool isViewFresh(framework::Instant Now) const;
   bool isViewBehind() const { return Replicator_.isAnnouncedMissing(); }
+  std::optional<StoreStatement> lastStatement(framework::Instant Now) const {
+    return Replicator_.lastStatement(Now);
+  }
   std::vector<document::PublishedInstance> peers() const;
   std::vector<document::PublishedInstance> runningPeers() const;
   /// Returns the other instances that are neither lost nor stopping.
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -242,7 +242,7 @@
   IsFullReadFailed_ = false;
   Reads_.recordAnswer(ReadKind::AllRecords, Context.Now_ - Read.StartedAt_);
   reportSlowRead(Read, Records, AsOf, Context);
-  recordReadSuccess(Context);
+  recordReadSuccess(AsOf, Context);
   View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   const Revision Before = View_.revision();
   auto News = View_.isLoaded() && !Read.IsStaleAllowed_
@@ -333,8 +333,10 @@
   return std::min(Now, Read.StartedAt_ + Wait);
 }
 
-void StoreReplicator::recordReadSuccess(const EventContext &Context) {
+void StoreReplicator::recordReadSuccess(Revision Stated,
+                                        const EventContext &Context) {
   AnswerReceivedAt_ = Context.Now_;
+  StatedRevision_ = Stated;
   // The delay after a failed read of the other kind is over.
   if (Failures_ > 0)
     NextReadAt_ = Context.Now_;
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -18,6 +18,7 @@
 #include "fleet/types/recordupdate.h"
 #include "fleet/types/storeavailability.h"
 #include "fleet/types/storedrecord.h"
+#include "fleet/types/storestatement.h"
 #include "fleet/types/transport.h"
 #include "fleet/types/viewevent.h"
 #include "framework/ids.h"
@@ -44,6 +45,9 @@
                   framework::Random Rng);
 
   const StoreView &view() const { return View_; }
+  /// Returns what the store has last stated to this instance itself, or nothing
+  /// before its first answer.
+  std::optional<StoreStatement> lastStatement(framework::Instant Now) const;
   /// Returns true while other instances have announced a revision whose changes
   /// are missing here.
   bool isAnnouncedMissing() const {
@@ -296,8 +300,9 @@
                             const std::vector<StoredRecord> &Records,
                             framework::Revision UpTo,
                             const EventContext &Context) const;
-  /// Ends a series of failed reads.
-  void recordReadSuccess(const EventContext &Context);
+  /// Ends a series of failed reads with an answer that states a revision.
+  void recordReadSuccess(framework::Revision Stated,
+                         const EventContext &Context);
   /// Sends on what the store has answered to this instance.
   void shareAnswer(framework::Revision Before, bool WasBehind,
                    const EventContext &Context);
@@ -409,6 +414,8 @@
   framework::Instant ChangesLateUntil_{};
   /// When the store last answered a read of this instance.
   framework::Instant AnswerReceivedAt_{};
+  /// The revision that this answer stated.
+  std::optional<framework::Revision> StatedRevision_;
   std::uint32_t Failures_ = 0;
   framework::Instant FailingSince_{};
   framework::Instant NextReadAt_{};
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -126,6 +126,11 @@
   return Now - *AnsweredAt_;
 }
 
+framework::Revision StoreView::configurationRevision() const {
+  const StoredRecord *Record = Records_.find(ConfigurationKey_);
+  return Record ? Record->Revision_ : framework::Revision();
+}
+
 const framework::ZoneName *
 StoreView::zoneOf(const framework::TargetName &Target) const {
   const auto Found = Zones_.find(Target);
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -82,6 +82,8 @@
   std::optional<framework::Duration> age(framework::Instant Now) const;
 
   const PublishedConfiguration &configuration() const { return Configuration_; }
+  /// Returns the revision at which the configuration was written.
+  framework::Revision configurationRevision() const;
   /// Returns the availability zone of a target, or null when it is unknown.
   const framework::ZoneName *zoneOf(const framework::TargetName &Target) const;
 
--- a/src/fleet/types/outputs/documentapplied.h
+++ b/src/fleet/types/outputs/documentapplied.h
@@ -13,6 +13,9 @@
   /// `store`, or the name of the instance from which the document came; empty
   /// where documents are not replicated as records.
   std::string Source_{};
+  /// The revision of the store at which it was written; zero where documents
+  /// are not replicated as records.
+  framework::Revision RecordRevision_{};
 };
 
 } // namespace cranberryspool::fleet
