Let the own store replace a view that its answers contradict

Cause: a view never went back. Answers of the own store below the view's revision were taken for old ones for good, whether the view was of a store that had been exchanged or of records that instances of another run had sent; a higher version or registration stayed in force the same way. Only revisions 20,000 apart were refused.

ViewCheck now replaces the view, with its versions, registrations, evacuations, deferred removals and large records under way, by what the own store states, once three answers in a row contradict it over 200 ms at least, each to a read that began after the one before was answered: by a revision below what was known when the read began, or by an older record. A single stale or late answer, or one to a read that began before, replaces nothing. Evidence comes first: an own answer below the view, a record of the same key and revision with another value, a refused version, another instance whose store states less later, a connection to the store that ended, or the notice of an instance that has replaced its view (a new message, which earlier builds reject by itself; it carries a digest, so that nobody reads who holds the same). A view in doubt is not passed on. After a replacement only the own store is believed for a second, longer each time, and members have to show again that they read the same store.

--- a/src/decision/internal/changenames.cpp
+++ b/src/decision/internal/changenames.cpp
@@ -68,6 +68,10 @@
     return "store-read-incomplete";
   case ChangeKind::StoreChangesFound:
     return "store-changes-found";
+  case ChangeKind::ViewContradicted:
+    return "view-contradicted";
+  case ChangeKind::ViewReplaced:
+    return "view-replaced";
   case ChangeKind::UpdatesOverdue:
     return "updates-overdue";
   case ChangeKind::DatagramsLost:
--- a/src/decision/internal/fleetadapter.cpp
+++ b/src/decision/internal/fleetadapter.cpp
@@ -40,6 +40,10 @@
     return ChangeKind::StoreReadIncomplete;
   case fleet::ViewEvent::ChangesFound:
     return ChangeKind::StoreChangesFound;
+  case fleet::ViewEvent::Contradicted:
+    return ChangeKind::ViewContradicted;
+  case fleet::ViewEvent::Replaced:
+    return ChangeKind::ViewReplaced;
   case fleet::ViewEvent::UpdatesOverdue:
     return ChangeKind::UpdatesOverdue;
   case fleet::ViewEvent::DatagramsLost:
--- a/src/decision/types/changekind.h
+++ b/src/decision/types/changekind.h
@@ -37,6 +37,8 @@
   StoreReadPartial,
   StoreReadIncomplete,
   StoreChangesFound,
+  ViewContradicted,
+  ViewReplaced,
   UpdatesOverdue,
   DatagramsLost,
   TargetDraining,
--- a/src/fleet/internal/fieldlists.h
+++ b/src/fleet/internal/fieldlists.h
@@ -251,6 +251,14 @@
   Visit(Item.AvailableFor_);
 }
 
+template <typename Visitor>
+void visitFields(ViewReplaced &Item, Visitor &&Visit) {
+  Visit(Item.From_);
+  Visit(Item.Incarnation_);
+  Visit(Item.Revision_);
+  Visit(Item.Digest_);
+}
+
 template <typename Visitor>
 void visitFields(RecordPart &Item, Visitor &&Visit) {
   Visit(Item.From_);
--- a/src/fleet/internal/fleet.cpp
+++ b/src/fleet/internal/fleet.cpp
@@ -134,6 +134,7 @@
                                             capacity::DemandUpdate> ||
                              std::is_same_v<MessageType, RecordUpdate> ||
                              std::is_same_v<MessageType, StoreAvailability> ||
+                             std::is_same_v<MessageType, ViewReplaced> ||
                              std::is_same_v<MessageType, RecordPart>) {
           if (Seeded_)
             Seeded_->handle(Item, Now, Output);
--- a/src/fleet/internal/seeded/changeanswers.cpp
+++ b/src/fleet/internal/seeded/changeanswers.cpp
@@ -29,6 +29,9 @@
                                     const EventContext &Context) {
   const bool WasBehind = isBehind(Context.Now_);
   const PendingRead Read = Reads_.end(ReadKind::Changes, Context.Now_);
+  // Of a part it is not known which revision the store has reached.
+  if (!IsPart)
+    replaceIfContradicted(Records, AsOf, ReadKind::Changes, Read, Context);
   const Revision Before = View_.revision();
   const Revision From = std::max(Read.After_, Before);
   ConfirmedChanges Confirmed = Confirmation_.recordAnswer(
@@ -54,6 +57,8 @@
   recordReadSuccess(AsOf, Context);
   View_.outages().recordAnswer(Read.StartedAt_, Context.Now_);
   applyAnswer(Records, AsOf, Confirmed, Context);
+  if (!IsPart)
+    compareWithView(Records, Context);
   if (!IsPart && !IsIncomplete && !Confirmation_.isPending())
     settleAnnouncement(Read, AsOf, Context);
   forgetReachedAnnouncement();
--- a/src/fleet/internal/seeded/droppedhistory.cpp
+++ b/src/fleet/internal/seeded/droppedhistory.cpp
@@ -190,6 +190,8 @@
 }
 
 void StoreReplicator::sendFound(const EventContext &Context) {
+  if (Check_.isInDoubt())
+    return;
   const auto Send = [&](const PeerMessage &Message) {
     const FoundRecipients &Recipients = Found_.recipients();
     if (Recipients.OwnGroup_)
--- a/src/fleet/internal/seeded/memberadmission.cpp
+++ b/src/fleet/internal/seeded/memberadmission.cpp
@@ -86,6 +86,8 @@
   if (Membership_.isAdmitted(Message.From_, Message.Incarnation_))
     return true;
   const std::string *Evidence = PeerEvidence(view()).find(Message.Records_);
+  if (!Evidence)
+    Replicator_.compareWithStranger(Message, Now);
   if (!Evidence || Membership_.isSucceeded(Message.From_, Message.Incarnation_))
     return false;
   const auto *Candidate = Admission_.find(Message.From_, Message.Incarnation_);
@@ -147,6 +149,15 @@
   }
 }
 
+void SeededFleet::withdrawAdmissions() {
+  if (AdmittedSince_ == Replicator_.replacements())
+    return;
+  AdmittedSince_ = Replicator_.replacements();
+  Membership_.withdrawAdmissions();
+  AdmissionRequiredSince_.reset();
+  IntroducedTo_.clear();
+}
+
 void SeededFleet::removeUnconfirmed(OutputList &Output) {
   std::vector<MemberInfo> Unconfirmed;
   for (const auto &[Name, State] : Membership_.members())
--- a/src/fleet/internal/seeded/membership.cpp
+++ b/src/fleet/internal/seeded/membership.cpp
@@ -84,6 +84,12 @@
   Version_ += Members_.erase(Name);
 }
 
+void Membership::withdrawAdmissions() {
+  for (auto &[Name, State] : Members_)
+    State.IsAdmitted_ = false;
+  ++Version_;
+}
+
 const Membership::MemberState *
 Membership::find(const framework::InstanceName &Name,
                  framework::Incarnation Incarnation) const {
--- a/src/fleet/internal/seeded/membership.h
+++ b/src/fleet/internal/seeded/membership.h
@@ -46,6 +46,8 @@
   /// one is admitted and newer.
   void admit(const MemberInfo &Member, framework::Instant Now);
   void remove(const framework::InstanceName &Name);
+  /// Makes all members provisional.
+  void withdrawAdmissions();
 
   /// Returns the member of this name and incarnation, or null.
   const MemberState *find(const framework::InstanceName &Name,
--- a/src/fleet/internal/seeded/pendingread.h
+++ b/src/fleet/internal/seeded/pendingread.h
@@ -13,6 +13,8 @@
   framework::Duration Wait_{};
   /// Only the changes after this revision are read.
   framework::Revision After_{};
+  /// The newest revision that was known when the read began.
+  framework::Revision Known_{};
   /// Whether the store may answer with stale records.
   bool IsStaleAllowed_ = false;
   /// Whether a large answer has begun to arrive.
--- a/src/fleet/internal/seeded/recordrequests.cpp
+++ b/src/fleet/internal/seeded/recordrequests.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 bool StoreReplicator::isHelpNeeded(const EventContext &Context) const {
-  if (!View_.isLoaded())
+  if (!View_.isLoaded() || isSettling(Context.Now_))
     return false;
   // Another instance may know that there was no outage.
   if (View_.outages().isRecovering(Context.Now_))
@@ -181,7 +181,7 @@
     return;
   // Also without news, so that the sender does not take its request for lost.
   sendAvailability(Address, Via, Context);
-  if (!HasNews)
+  if (!HasNews || Check_.isInDoubt())
     return;
   std::vector<RecordUpdate> Updates =
       Message.After_ < View_.records().completeSince()
@@ -294,7 +294,7 @@
 void StoreReplicator::handle(const RecordPart &Message,
                              const EventContext &Context) {
   recordHeard(Message.From_, Context.Now_);
-  if (!isExpected(Message))
+  if (isSettling(Context.Now_) || !isExpected(Message))
     return;
   const std::size_t MissingBefore = Reassembler_.missingCount();
   if (const auto Update = Reassembler_.add(Message)) {
--- a/src/fleet/internal/seeded/recordtable.cpp
+++ b/src/fleet/internal/seeded/recordtable.cpp
@@ -1,5 +1,7 @@
 #include "fleet/internal/seeded/recordtable.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -97,6 +99,18 @@
                                  : std::prev(KeysByRevision_.end())->first;
 }
 
+std::uint64_t RecordTable::digest() const {
+  std::uint64_t Digest = 0;
+  for (const auto &[Key, Record] : Records_) {
+    if (Record.IsDeleted_)
+      continue;
+    Digest = XXH64(Key.data(), Key.size(), Digest);
+    Digest = XXH64(Record.Value_.data(), Record.Value_.size(),
+                   Digest ^ Record.Revision_.value());
+  }
+  return Digest;
+}
+
 framework::Revision
 RecordTable::lastChangeUpTo(framework::Revision Limit) const {
   const auto Next = KeysByRevision_.upper_bound(Limit);
--- a/src/fleet/internal/seeded/recordtable.h
+++ b/src/fleet/internal/seeded/recordtable.h
@@ -6,6 +6,7 @@
 #include "framework/ids.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -43,6 +44,10 @@
   /// Returns the revision of the last known change.
   framework::Revision newestRevision() const;
 
+  /// Returns a hash of the records that are not deleted, whichever way they
+  /// were learned.
+  std::uint64_t digest() const;
+
   /// Records that only the changes after this revision are known completely.
   void setCompleteSince(framework::Revision Revision) {
     CompleteSince_ = std::max(CompleteSince_, Revision);
--- a/src/fleet/internal/seeded/recordupdates.cpp
+++ b/src/fleet/internal/seeded/recordupdates.cpp
@@ -43,7 +43,8 @@
 }
 
 void StoreReplicator::sendRecentChanges(const EventContext &Context) {
-  if (!View_.age(Context.Now_))
+  // What the own store contradicts is not passed on.
+  if (!View_.age(Context.Now_) || Check_.isInDoubt())
     return;
   NextUpdateAt_ = Context.Now_ + UpdateInterval;
   recordAdvance(View_.revision(), Context.Now_);
@@ -56,6 +57,8 @@
 }
 
 void StoreReplicator::sendNewChanges(const EventContext &Context) {
+  if (Check_.isInDoubt())
+    return;
   const Revision After = std::exchange(SentRevision_, View_.revision());
   std::vector<RecordUpdate> Updates =
       View_.records().updatesAfter(After, View_.revision());
--- a/src/fleet/internal/seeded/seededfleet.cpp
+++ b/src/fleet/internal/seeded/seededfleet.cpp
@@ -198,6 +198,7 @@
                                    framework::Moment Now, OutputList &Output) {
   const bool WasLoaded = view().isLoaded();
   Replicator_.handleAllRecords(Records, AsOf, makeContext(Now, Output));
+  withdrawAdmissions();
   if (!WasLoaded && isDiscoveryComplete(Now.Monotonic_))
     LoadedLateAt_ = Now.Monotonic_;
 }
@@ -207,6 +208,7 @@
                                        framework::Moment Now,
                                        OutputList &Output) {
   Replicator_.handleChangedRecords(Records, AsOf, makeContext(Now, Output));
+  withdrawAdmissions();
 }
 
 void SeededFleet::handlePartOfChanges(const std::vector<StoredRecord> &Records,
@@ -377,6 +379,15 @@
   Replicator_.handle(Message, makeContext(Now, Output));
 }
 
+void SeededFleet::handle(const ViewReplaced &Message, framework::Moment Now,
+                         OutputList &Output) {
+  if (!checkSender(Message.From_, Message.Incarnation_, "replaced view",
+                   Now.Monotonic_, Output))
+    return;
+  Group_.recordActivity(Message.From_, Now.Monotonic_);
+  Replicator_.handle(Message, makeContext(Now, Output));
+}
+
 void SeededFleet::handle(const RecordRequest &Message, Transport Via,
                          framework::Moment Now, OutputList &Output) {
   if (Message.isForEvidence() ||
--- a/src/fleet/internal/seeded/seededfleet.h
+++ b/src/fleet/internal/seeded/seededfleet.h
@@ -48,6 +48,8 @@
               OutputList &Output);
   void handle(const StoreAvailability &Message, framework::Moment Now,
               OutputList &Output);
+  void handle(const ViewReplaced &Message, framework::Moment Now,
+              OutputList &Output);
   void handle(const RecordRequest &Message, Transport Via,
               framework::Moment Now, OutputList &Output);
   void handle(const CrashUpdate &Message, framework::Moment Now,
@@ -184,6 +186,9 @@
   /// shown none in time.
   void confirmMembers(framework::Instant Now, OutputList &Output);
   void removeUnconfirmed(OutputList &Output);
+  /// Withdraws the admission of all members once the view was replaced: they
+  /// have to show a record of the store that the new view holds.
+  void withdrawAdmissions();
   /// Sends gossip once to each instance of the group, which ignores the updates
   /// of this one as long as nobody has told it of it.
   void introduceToGroup(framework::Instant Now, OutputList &Output);
@@ -240,6 +245,8 @@
   framework::Random Rng_;
   Membership Membership_;
   PeerAdmission Admission_;
+  /// The replacement of the view after which members were admitted.
+  std::uint64_t AdmittedSince_ = 0;
   /// When admission was last found to be required, while it is.
   std::optional<framework::Instant> AdmissionRequiredSince_;
   /// The instances of the group that this one has sent gossip to.
--- a/src/fleet/internal/seeded/storereplicator.cpp
+++ b/src/fleet/internal/seeded/storereplicator.cpp
@@ -1,7 +1,5 @@
 #include "fleet/internal/seeded/storereplicator.h"
 
-#include "fleet/internal/seeded/storedrecords.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -50,9 +48,6 @@
 /// The longest time for which a statement is relied on: that of an answer of
 /// the largest size on a link of 10 Mbit/s.
 constexpr Duration MaxPromiseTime = milliseconds(1300);
-/// Watches are interrupted in normal operation, so that a single failure does
-/// not mean that the store is unavailable.
-constexpr std::uint32_t FailuresOfUnavailableStore = 2;
 } // namespace
 
 StoreReplicator::StoreReplicator(RecordDecoder Decode,
@@ -73,6 +68,8 @@
     sendRecentChanges(Context);
   if (Found_.isDue(Context.Now_))
     sendFound(Context);
+  if (Context.Now_ < NoticesUntil_ && Context.Now_ >= NextNoticeAt_)
+    sendNotice(Context);
 }
 
 bool StoreReplicator::isDiscoveryComplete(Instant Now) const {
@@ -149,27 +146,33 @@
   // watch or from other instances.
   const bool IsStaleAllowed = !View_.isLoaded() && Failures_ == 0;
   HistoryCheck_.recordStart(Context.Now_);
-  Reads_.start(ReadKind::AllRecords,
-               {.StartedAt_ = Context.Now_, .IsStaleAllowed_ = IsStaleAllowed});
+  Check_.recordStart(Context.Now_);
+  Reads_.start(ReadKind::AllRecords, {.StartedAt_ = Context.Now_,
+                                      .Known_ = newestKnown(),
+                                      .IsStaleAllowed_ = IsStaleAllowed});
   Context.Output_.push_back(ReadRecords{
       .After_ = std::nullopt,
       .TimeLimit_ = Reads_.timeLimit(ReadKind::AllRecords, View_.isLoaded()),
       .IsStaleAllowed_ = IsStaleAllowed});
 }
 
-void StoreReplicator::startReadOfChanges(Duration Wait,
+void StoreReplicator::startReadOfChanges(Revision After, Duration Wait,
                                          const EventContext &Context) {
-  Reads_.start(
-      ReadKind::Changes,
-      {.StartedAt_ = Context.Now_, .Wait_ = Wait, .After_ = View_.revision()});
+  Reads_.start(ReadKind::Changes, {.StartedAt_ = Context.Now_,
+                                   .Wait_ = Wait,
+                                   .After_ = After,
+                                   .Known_ = newestKnown()});
   Context.Output_.push_back(
-      ReadRecords{.After_ = View_.revision(),
+      ReadRecords{.After_ = After,
                   .Wait_ = Wait,
                   .TimeLimit_ = Reads_.timeLimit(ReadKind::Changes, true)});
 }
 
 void StoreReplicator::readIfDue(const EventContext &Context) {
-  if (Context.Now_ < NextReadAt_)
+  const bool IsCheckDue =
+      Failures_ == 0 && (Check_.isFullReadDue(Context.Now_) ||
+                         Check_.isReadOfChangesDue(Context.Now_));
+  if (Context.Now_ < NextReadAt_ && !IsCheckDue)
     return;
   if (Reads_.isIdle())
     startFirstRead(Context);
@@ -179,18 +182,23 @@
 
 void StoreReplicator::startFirstRead(const EventContext &Context) {
   const Instant Now = Context.Now_;
-  if (IsFullReadNeeded_ || !View_.isLoaded() || HistoryCheck_.isDue(Now)) {
+  if (IsFullReadNeeded_ || !View_.isLoaded() || HistoryCheck_.isDue(Now) ||
+      Check_.isFullReadDue(Now)) {
     startFullRead(Context);
     return;
   }
+  if (Check_.isReadOfChangesDue(Now)) {
+    startReadOfChanges(ContradictingAnswer_->AsOf_, Duration{}, Context);
+    return;
+  }
   // After a failure the store must answer at once, so that the view is
   // refreshed without the wait of a watch.
   const bool IsCutShort = Failures_ > 0 && HistoryCheck_.isPending();
   const bool IsRestDue =
       IsRestMissing_ || Confirmation_.isPending() || IsCutShort;
   const bool IsWaitAllowed = Failures_ == 0 && !IsRestDue && View_.age(Now);
-  const bool IsWatch =
-      isDiscoveryComplete(Now) && IsWaitAllowed && Context.isZoneLeader();
+  const bool IsWatch = isDiscoveryComplete(Now) && IsWaitAllowed &&
+                       (Context.isZoneLeader() || isSettling(Now));
   if (!IsWatch && !IsRestDue && !isReadNeeded(Context))
     return;
   if (!IsWatch && areChangesLate(Now) && !IsFullReadFailed_) {
@@ -201,6 +209,7 @@
   // make other instances wait longer for an update.
   const bool IsLong = IsWatch && !areChangesLate(Now);
   startReadOfChanges(
+      IsWatch ? watchAfter(Now) : View_.revision(),
       IsLong ? std::max(MinWatchWait, Timing_.MaxWatchWait_ - *View_.age(Now))
       : IsWatch ? MinWatchWait
                 : Duration{},
@@ -210,15 +219,22 @@
 void StoreReplicator::startReadBeside(const EventContext &Context) {
   const bool IsChangesUnderWay = Reads_.isUnderWay(ReadKind::Changes);
   if (IsRestMissing_ && !IsChangesUnderWay) {
-    startReadOfChanges(Duration{}, Context);
+    startReadOfChanges(View_.revision(), Duration{}, Context);
     return;
   }
   const bool IsFullUnderWay = Reads_.isUnderWay(ReadKind::AllRecords);
-  const bool IsFullDue = IsFullReadNeeded_ || HistoryCheck_.isDue(Context.Now_);
+  const bool IsFullDue = IsFullReadNeeded_ ||
+                         HistoryCheck_.isDue(Context.Now_) ||
+                         Check_.isFullReadDue(Context.Now_);
   if (IsFullDue && !IsFullUnderWay) {
     startFullRead(Context);
     return;
   }
+  if (Check_.isReadOfChangesDue(Context.Now_)) {
+    // Takes the place of a watch.
+    startReadOfChanges(ContradictingAnswer_->AsOf_, Duration{}, Context);
+    return;
+  }
   const bool IsLate = Reads_.areLate(Context.Now_);
   const bool IsExpectedLate = IsChangesUnderWay && areChangesLate(Context.Now_);
   const bool IsCheckUnderWay = IsFullUnderWay && HistoryCheck_.isPending();
@@ -230,7 +246,7 @@
       ChangesLateUntil_ = Context.Now_ + LateChangesPeriod;
     startFullRead(Context);
   } else if (!IsChangesUnderWay && View_.isLoaded()) {
-    startReadOfChanges(Duration{}, Context);
+    startReadOfChanges(View_.revision(), Duration{}, Context);
   }
 }
 
@@ -255,6 +271,14 @@
     applyChecked(News, IsAnyHeld, Read, Context);
   else
     replaceRecords(Records, AsOf, Read, Context);
+  if (replaceIfContradicted(Records, AsOf, ReadKind::AllRecords, Read,
+                            Context)) {
+    // The read of changes under way begins after a revision of another history.
+    Reads_.end(ReadKind::Changes, Context.Now_);
+    NextReadAt_ = Context.Now_;
+    readIfDue(Context);
+    return;
+  }
   eraseUnused(News);
   if (IsAnyHeld && !IsCheckOnly)
     MissingUpTo_.reset();
@@ -295,6 +319,8 @@
     return Duration{};
   if (Confirmation_.isPending())
     return ConfirmationPause;
+  if (Check_.isInDoubt())
+    return ViewCheck::ReadInterval;
   if (!Records.empty()) {
     const Instant AnsweredAt = answeredAt(Read, true, Context.Now_);
     return watchPause(Context.Now_ - AnsweredAt, Context);
@@ -337,6 +363,11 @@
                                         const EventContext &Context) {
   AnswerReceivedAt_ = Context.Now_;
   StatedRevision_ = Stated;
+  Lead_.settle(Stated);
+  // Another store may have taken its place.
+  if (std::exchange(WasCutOff_, false) &&
+      Failures_ >= FailuresOfUnavailableStore && Context.isGroupLeader())
+    HistoryCheck_.require(Context.Now_);
   // The delay after a failed read of the other kind is over.
   if (Failures_ > 0)
     NextReadAt_ = Context.Now_;
@@ -354,6 +385,7 @@
   const PendingRead Read = Reads_.end(Failure.Kind_, Context.Now_);
   reportSlowRead(Read, Reason, 0, Context);
   checkCutWatch(Failure, Read, Context);
+  WasCutOff_ = WasCutOff_ || (Failure.IsCut_ && !Failure.IsTimeout_);
   if (Failure.IsTimeout_)
     Reads_.recordTimeout(Failure.Kind_);
   if (Failure.IsTimeout_ && Failure.Kind_ == ReadKind::Changes)
@@ -393,103 +425,6 @@
   readIfDue(Context);
 }
 
-void StoreReplicator::handle(const RecordUpdate &Message,
-                             const EventContext &Context) {
-  recordHeard(Message.From_, Context.Now_);
-  const Revision Before = View_.revision();
-  if (!View_.isLoaded() || isImplausible(Message.ToRevision_))
-    return;
-  const auto News = listFoundByOther(Message);
-  if (isOutdated(Message)) {
-    applyOutdated(News, Message.From_, Context);
-    return;
-  }
-  if (Message.FromRevision_ > Before) {
-    recordGap(Message.ToRevision_, Message.From_, Context.Now_);
-    const Instant AnsweredAt = Context.Now_ - Message.Age_;
-    if (Message.Age_ < RecordUpdate::MoreFollows)
-      View_.outages().recordAnswerToOther(AnsweredAt, AnsweredAt);
-    reportChanges(
-        View_.applyAhead(storedRecords(Message.Records_), Context.Now_),
-        Message.From_.value(), Context.Output_);
-    return;
-  }
-  reportChanges(applyNext(Message, Context), Message.From_.value(),
-                Context.Output_);
-  recordAdvance(Before, Context.Now_);
-  if (View_.revision() > Before)
-    HelpedAt_ = Context.Now_;
-  forgetReachedAnnouncement();
-  reportProgress(Message.From_.value(), Context);
-  passOn(Message, Context);
-  passOnFound(Message.From_, News, Context);
-}
-
-bool StoreReplicator::isOutdated(const RecordUpdate &Message) const {
-  if (Message.ToRevision_ >= View_.revision())
-    return false;
-  // The revision of a read of all records may be after the last change.
-  return Message.Age_ >= RecordUpdate::MoreFollows ||
-         Message.ToRevision_ < View_.records().newestRevision();
-}
-
-StoreView::Changes StoreReplicator::applyNext(const RecordUpdate &Message,
-                                              const EventContext &Context) {
-  if (Message.Age_ < RecordUpdate::MoreFollows)
-    return applyWhole(Message, Context);
-  if (Message.Records_.empty()) {
-    recordPromise(Message, Context.Now_);
-    return {};
-  }
-  const auto Changed = View_.applyPart(storedRecords(Message.Records_),
-                                       Message.ToRevision_, Context.Now_);
-  recordMore(Message.ToRevision_, Message.From_, Context.Now_);
-  return Changed;
-}
-
-StoreView::Changes StoreReplicator::applyWhole(const RecordUpdate &Message,
-                                               const EventContext &Context) {
-  const auto Records = storedRecords(Message.Records_);
-  // What this instance has read itself is not contradicted by an update that
-  // leads no further.
-  const Revision From =
-      Message.ToRevision_ > View_.revision()
-          ? Message.FromRevision_
-          : std::max(Message.FromRevision_, FullReadRevision_);
-  if (lackKnownChange(Records, From, Message.ToRevision_)) {
-    requireFullRead(Context.Now_);
-    Context.Output_.push_back(ViewChanged{
-        ViewEvent::StoreReadIncomplete,
-        describeAnswer(Records, Message.ToRevision_), Message.From_.value()});
-    return View_.applyAhead(Records, Context.Now_);
-  }
-  // A clock difference may make the update look older, never younger than its
-  // own age says.
-  const Duration Age =
-      std::max(Message.Age_, Context.Wall_ - Message.AnsweredAt_);
-  const auto Changed =
-      View_.apply(Records, std::max(Message.ToRevision_, View_.revision()),
-                  Context.Now_ - Age);
-  IsRestMissing_ = false;
-  forgetAnnouncementOfMore(Message);
-  if (View_.age(Context.Now_) == Age)
-    AnsweredWallTime_ = Message.AnsweredAt_;
-  return Changed;
-}
-
-void StoreReplicator::handle(const StoreAvailability &Message,
-                             const EventContext &Context) {
-  recordHeard(Message.From_, Context.Now_);
-  View_.outages().recordAnswerToOther(Context.Now_ - Message.Age_,
-                                      Context.Now_ - Message.AvailableFor_);
-}
-
-void StoreReplicator::forgetAnnouncementOfMore(const RecordUpdate &Message) {
-  const Revision Next(Message.ToRevision_.value() + 1);
-  if (Message.From_ == AnnouncedBy_ && AnnouncedRevision_ == Next)
-    AnnouncedRevision_.reset();
-}
-
 void StoreReplicator::recordPromise(const RecordUpdate &Message, Instant Now) {
   // The store has just stated the opposite: the sender may not know yet.
   const auto Age = View_.age(Now);
--- a/src/fleet/internal/seeded/storereplicator.h
+++ b/src/fleet/internal/seeded/storereplicator.h
@@ -6,11 +6,14 @@
 #include "fleet/internal/seeded/eventcontext.h"
 #include "fleet/internal/seeded/foundrecords.h"
 #include "fleet/internal/seeded/historycheck.h"
+#include "fleet/internal/seeded/ownanswer.h"
 #include "fleet/internal/seeded/readtiming.h"
 #include "fleet/internal/seeded/recordreassembler.h"
 #include "fleet/internal/seeded/revisioncounting.h"
 #include "fleet/internal/seeded/storereads.h"
 #include "fleet/internal/seeded/storeview.h"
+#include "fleet/internal/seeded/viewcheck.h"
+#include "fleet/internal/seeded/viewlead.h"
 #include "fleet/recorddecoder.h"
 #include "fleet/types/readfailure.h"
 #include "fleet/types/recordpart.h"
@@ -21,6 +24,7 @@
 #include "fleet/types/storestatement.h"
 #include "fleet/types/transport.h"
 #include "fleet/types/viewevent.h"
+#include "fleet/types/viewreplaced.h"
 #include "framework/ids.h"
 #include "framework/random.h"
 #include "framework/time.h"
@@ -48,6 +52,9 @@
   /// Returns what the store has last stated to this instance itself, or nothing
   /// before its first answer.
   std::optional<StoreStatement> lastStatement(framework::Instant Now) const;
+  std::uint64_t replacements() const { return Replacements_; }
+  /// Returns true while only the own store is believed.
+  bool isSettling(framework::Instant Now) const;
   /// Returns true while other instances have announced a revision whose changes
   /// are missing here.
   bool isAnnouncedMissing() const {
@@ -83,6 +90,10 @@
   void handle(const RecordUpdate &Message, const EventContext &Context);
   void handle(const RecordPart &Message, const EventContext &Context);
   void handle(const StoreAvailability &Message, const EventContext &Context);
+  void handle(const ViewReplaced &Message, const EventContext &Context);
+  /// Compares the records that an instance has shown which is not known to
+  /// belong to the fleet. They change nothing.
+  void compareWithStranger(const RecordUpdate &Message, framework::Instant Now);
   /// Answers the request of the instance at `Address` with what it lacks and
   /// with what this instance knows of the store's availability.
   void answer(const RecordRequest &Message, const std::string &Address,
@@ -99,9 +110,14 @@
   /// record that are sent without a request.
   static constexpr std::size_t MaxMessagesAtOnce = 32;
 
+  /// Watches are interrupted in normal operation, so that a single failure does
+  /// not mean that the store is unavailable.
+  static constexpr std::uint32_t FailuresOfUnavailableStore = 2;
+
   void startFullRead(const EventContext &Context);
-  /// Starts a read of changes. The store may hold it for `Wait`.
-  void startReadOfChanges(framework::Duration Wait,
+  /// Starts a read of the changes after a revision. The store may hold it for
+  /// `Wait`.
+  void startReadOfChanges(framework::Revision After, framework::Duration Wait,
                           const EventContext &Context);
   /// Starts a read or watch of the store when one is needed and due: beside one
   /// that is late, if it is of the other kind.
@@ -253,6 +269,37 @@
   /// Forgets that the sender announced more changes, which turned out to be
   /// none.
   void forgetAnnouncementOfMore(const RecordUpdate &Message);
+  /// Returns the newest revision that is known, also of changes ahead of the
+  /// view's revision.
+  framework::Revision newestKnown() const;
+  /// Returns the revision after which a watch begins. What other instances have
+  /// told is read as well.
+  framework::Revision watchAfter(framework::Instant Now) const;
+  /// Compares an answer of the own store with the view, and replaces the view
+  /// by the last read of all records once answers have contradicted it often
+  /// enough. Returns true when it was replaced.
+  bool replaceIfContradicted(const std::vector<StoredRecord> &Records,
+                             framework::Revision AsOf, ReadKind Kind,
+                             const PendingRead &Read,
+                             const EventContext &Context);
+  /// Reports the first answer that contradicts the view.
+  void reportContradiction(const std::string &Answer, framework::Revision Known,
+                           const EventContext &Context) const;
+  /// Replaces the view, whatever it held.
+  void replaceView(const OwnAnswer &Answer, const EventContext &Context);
+  /// Forgets what rests on the revisions of another history.
+  void forgetHistory();
+  /// Tells other instances that the view was replaced.
+  void sendNotice(const EventContext &Context);
+  /// Requires a comparison with the own store when an update and the view
+  /// cannot be of one history.
+  void compareWithView(const RecordUpdate &Message,
+                       const EventContext &Context);
+  /// The same after an update whose configuration the view has refused.
+  void checkRefused(const RecordUpdate &Message, const EventContext &Context);
+  /// The same for changes of the own store, after they were applied.
+  void compareWithView(const std::vector<StoredRecord> &Changes,
+                       const EventContext &Context);
   /// Returns true for a revision that the store cannot have reached since this
   /// instance has read it. While the store does not answer, none is refused.
   bool isImplausible(framework::Revision Stated) const {
@@ -351,6 +398,14 @@
   StoreView View_;
   AnswerConfirmation Confirmation_;
   HistoryCheck HistoryCheck_;
+  ViewCheck Check_;
+  /// The last read of all records that has contradicted the view.
+  std::optional<OwnAnswer> ContradictingAnswer_;
+  std::uint64_t Replacements_ = 0;
+  /// Until then, other instances are told that the view was replaced.
+  framework::Instant NoticesUntil_{};
+  framework::Instant NextNoticeAt_{};
+  ViewLead Lead_;
   /// The keys whose records the last check was the first one to lack.
   std::set<std::string> AbsentKeys_;
   RevisionCounting Counting_;
@@ -417,6 +472,9 @@
   /// The revision that this answer stated.
   std::optional<framework::Revision> StatedRevision_;
   std::uint32_t Failures_ = 0;
+  /// Whether a connection to the store has ended or was refused since its last
+  /// answer.
+  bool WasCutOff_ = false;
   framework::Instant FailingSince_{};
   framework::Instant NextReadAt_{};
   framework::Instant NextUpdateAt_{};
--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -66,6 +66,64 @@
   IsLoaded_ = true;
 }
 
+StoreView::Changes StoreView::reset(const std::vector<StoredRecord> &Records,
+                                    framework::Revision AsOf,
+                                    framework::Instant Now) {
+  Changes Result;
+  Records_ = RecordTable();
+  LastRegistrations_.clear();
+  IsConfigurationOutdated_ = true;
+  Revision_ = AsOf;
+  AnsweredAt_ = Now;
+  Outages_.recordAnswerToOther(Now, Now);
+  std::set<std::string> Before;
+  for (const auto &[Key, Target] : Targets_)
+    Before.insert(Key);
+  for (const auto &[Key, Zone] : EvacuatedZones_)
+    Before.insert(Key);
+  for (const StoredRecord &Each : Records) {
+    Before.erase(Each.Key_);
+    put(Each, Result);
+  }
+  for (const std::string &Key : Before)
+    remove(Key, Now, Result);
+  Records_.setCompleteSince(AsOf);
+  return Result;
+}
+
+const std::string *
+StoreView::findContradicted(const std::vector<StoredRecord> &Records,
+                            framework::Revision Known) const {
+  for (const StoredRecord &Each : Records) {
+    const StoredRecord *Own = Records_.find(Each.Key_);
+    if (!Own)
+      continue;
+    const bool IsOlder =
+        Each.Revision_ < Own->Revision_ && Own->Revision_ <= Known;
+    if (IsOlder || isOtherValue(Each) || isRefusedConfiguration(Each))
+      return &Each.Key_;
+  }
+  return nullptr;
+}
+
+bool StoreView::isOtherValue(const StoredRecord &Record) const {
+  const StoredRecord *Known = Records_.find(Record.Key_);
+  if (!Known || Known->Revision_ != Record.Revision_)
+    return false;
+  // The value of a record that is not used is not kept.
+  return Known->IsDeleted_ != Record.IsDeleted_ ||
+         (!Known->Value_.empty() && Known->Value_ != Record.Value_);
+}
+
+bool StoreView::isRefusedConfiguration(const StoredRecord &Record) const {
+  if (Record.Key_ != ConfigurationKey_ || !Records_.isNewer(Record) ||
+      Records_.find(Record.Key_)->Value_ == Record.Value_)
+    return false;
+  const PublishedItem Item = Decode_(Record.Key_, Record.Value_);
+  const auto *Configuration = std::get_if<PublishedConfiguration>(&Item);
+  return Configuration && Configuration->Version_ <= Configuration_.Version_;
+}
+
 StoreView::Changes StoreView::apply(const std::vector<StoredRecord> &Records,
                                     framework::Revision AsOf,
                                     framework::Instant Now) {
@@ -193,10 +251,11 @@
 void StoreView::putConfiguration(const StoredRecord &Record,
                                  PublishedConfiguration Configuration,
                                  Changes &Result) {
-  const bool IsNewer = !Configuration_.Document_ ||
+  const bool IsNewer = !Configuration_.Document_ || IsConfigurationOutdated_ ||
                        Configuration.Version_ > Configuration_.Version_;
   if (!IsNewer)
     return;
+  IsConfigurationOutdated_ = false;
   Records_.put(Record);
   ConfigurationKey_ = Record.Key_;
   Configuration_ = std::move(Configuration);
--- a/src/fleet/internal/seeded/storeview.h
+++ b/src/fleet/internal/seeded/storeview.h
@@ -59,6 +59,22 @@
   /// only, so that later changes are read. Its age is not refreshed.
   Changes replaceAllStale(const std::vector<StoredRecord> &Records,
                           framework::Revision AsOf, framework::Instant Now);
+  /// Replaces the view by a full read of another history: versions,
+  /// registrations and revisions may be lower than before.
+  Changes reset(const std::vector<StoredRecord> &Records,
+                framework::Revision AsOf, framework::Instant Now);
+  /// Returns the key of a record of a full read that cannot be of the same
+  /// history as the view, which holds a later one of its key. `Known` is the
+  /// newest revision that was known when the read began. Null when there is
+  /// none.
+  const std::string *findContradicted(const std::vector<StoredRecord> &Records,
+                                      framework::Revision Known) const;
+  /// Returns true for a record that differs from the one that the view holds of
+  /// the same key and revision.
+  bool isOtherValue(const StoredRecord &Record) const;
+  /// Returns true for a configuration that the view has refused, though it was
+  /// written later: its version is not higher.
+  bool isRefusedConfiguration(const StoredRecord &Record) const;
   /// Applies changes, which must be in the order of their revisions.
   Changes apply(const std::vector<StoredRecord> &Records,
                 framework::Revision AsOf, framework::Instant Now);
@@ -143,6 +159,9 @@
   PublishedConfiguration Configuration_;
   /// The key of the record that holds the configuration.
   std::string ConfigurationKey_;
+  /// Whether the configuration is of another history, so that any other one
+  /// takes its place.
+  bool IsConfigurationOutdated_ = false;
   /// The targets by the keys of their records.
   std::map<std::string, TargetEntry> Targets_;
   std::map<framework::ZoneName, std::size_t> TargetCounts_;
--- a/src/fleet/peermessage.h
+++ b/src/fleet/peermessage.h
@@ -18,6 +18,7 @@
 #include "fleet/types/recordrequest.h"
 #include "fleet/types/recordupdate.h"
 #include "fleet/types/storeavailability.h"
+#include "fleet/types/viewreplaced.h"
 #include "quotas/types/quotagrant.h"
 #include "quotas/types/quotarequest.h"
 
@@ -27,11 +28,13 @@
 
 /// A datagram message between instances. The order of the alternatives is part
 /// of the encoding.
-using PeerMessage = std::variant<
-    Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded, KeyEndedAck,
-    KeyHandover, KeyHandoverAck, GossipMessage, LoadUpdate, RecordUpdate,
-    RecordFragment, CrashUpdate, quotas::QuotaRequest, quotas::QuotaGrant,
-    capacity::DemandUpdate, RecordRequest, RecordPart, StoreAvailability>;
+using PeerMessage =
+    std::variant<Heartbeat, HeartbeatAck, KeyRequest, KeyReply, KeyEnded,
+                 KeyEndedAck, KeyHandover, KeyHandoverAck, GossipMessage,
+                 LoadUpdate, RecordUpdate, RecordFragment, CrashUpdate,
+                 quotas::QuotaRequest, quotas::QuotaGrant,
+                 capacity::DemandUpdate, RecordRequest, RecordPart,
+                 StoreAvailability, ViewReplaced>;
 
 } // namespace cranberryspool::fleet
 
--- a/src/fleet/tests/peercodec_test.cpp
+++ b/src/fleet/tests/peercodec_test.cpp
@@ -147,6 +147,8 @@
                  {0, 0xff, 'x'}},
       StoreAvailability{Name, Incarnation, std::chrono::milliseconds(3),
                         std::chrono::seconds(60)},
+      ViewReplaced{Name, Incarnation, framework::Revision(77),
+                   0x0123456789abcdef},
   };
 }
 
--- a/src/fleet/tests/seededsimulation.h
+++ b/src/fleet/tests/seededsimulation.h
@@ -21,7 +21,7 @@
 /// The platform requires that changes take effect within this time.
 inline constexpr framework::Duration MaxChangeDelay = seconds(2);
 
-/// Decodes the values `document`, `document VERSION TEXT` and
+/// Decodes the values `document`, `document VERSION TEXT`, `evacuated ZONE` and
 /// `target ZONE [draining]`; rejects all others.
 inline PublishedItem decode(const std::string &Key, const std::string &Value) {
   if (Value.starts_with("target ")) {
@@ -32,6 +32,8 @@
     Target.IsDraining_ = Value.ends_with(" draining");
     return Target;
   }
+  if (Value.starts_with("evacuated "))
+    return EvacuatedZone{framework::ZoneName(Value.substr(10))};
   if (!Value.starts_with("document"))
     return UnreadableRecord{"unknown value"};
   PublishedConfiguration Item;
@@ -113,6 +115,8 @@
   static constexpr std::size_t LargeAnswerBytes = 64 * 1024;
   /// Returns true for a message to the given instance that is lost.
   std::function<bool(std::size_t, const PeerMessage &)> IsLost_;
+  /// Changes an answer of the store before it arrives.
+  std::function<void(ArrivingAnswer &)> Spoil_;
   /// Receives the messages to addresses of no instance.
   std::function<void(const SendMessage &)> Elsewhere_;
   /// Changes the settings of a new process.
@@ -320,6 +324,8 @@
   void transmit(ArrivingAnswer Answer) {
     if (Unanswered_.contains(Answer.Instance_))
       return;
+    if (Spoil_)
+      Spoil_(Answer);
     const auto Link = LinkBytesPerMs_.find(Answer.Instance_);
     if (Link == LinkBytesPerMs_.end()) {
       if (Answer.At_ > Now_.Monotonic_)
--- a/src/fleet/types/viewevent.h
+++ b/src/fleet/types/viewevent.h
@@ -24,6 +24,12 @@
   /// A read of all records has found changes that answers to reads of changes
   /// had left out, or may have.
   ChangesFound,
+  /// An answer of the own store cannot be of the same history as the view; the
+  /// store is read again.
+  Contradicted,
+  /// Several answers of the own store have contradicted the view, which the
+  /// last one has replaced.
+  Replaced,
   /// Neither an update of another instance nor an answer of the store has
   /// arrived for a while; another instance is asked.
   UpdatesOverdue,
