Believe the own store alone for a minute once a view is replaced again

Callers got old configurations from instances beside processes of an earlier build that outlive their run: those never replace their views, show records of both stores and are admitted again, and lead the others' views away again each time the second of settling, doubled each time, was over.

A period of a minute at once, not longer steps: what makes it happen again does not end.

--- a/src/fleet/internal/seeded/viewcheck.cpp
+++ b/src/fleet/internal/seeded/viewcheck.cpp
@@ -66,10 +66,8 @@
   endDoubt();
   ReplacedAt_ = Now;
   const bool IsRepeated =
-      SettledAt_ != Instant{} && Now < SettledAt_ + MaxSettlingTime;
-  SettlingTime_ = IsRepeated ? std::min(2 * SettlingTime_, MaxSettlingTime)
-                             : MinSettlingTime;
-  SettledAt_ = Now + SettlingTime_;
+      SettledAt_ != Instant{} && Now < SettledAt_ + RepeatedSettlingTime;
+  SettledAt_ = Now + (IsRepeated ? RepeatedSettlingTime : SettlingTime);
 }
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/internal/seeded/viewcheck.h
+++ b/src/fleet/internal/seeded/viewcheck.h
@@ -32,9 +32,9 @@
   /// to replace the view.
   bool recordContradiction(const PendingRead &Read, ReadKind Kind,
                            bool IsByRecord, framework::Instant Now);
-  /// Records that the view was replaced. For a while, which gets longer when
-  /// this happens again and again, only the own store is believed: other
-  /// instances may not have replaced their views yet.
+  /// Records that the view was replaced. For a while only the own store is
+  /// believed, since other instances may not have replaced their views yet; for
+  /// longer when this has happened before, since some may never do so.
   void recordReplacement(framework::Instant Now);
 
   /// Returns true when a read of all records is to be made.
@@ -73,9 +73,8 @@
       std::chrono::milliseconds(200);
   /// Contradictions further apart than this do not confirm each other.
   static constexpr framework::Duration MaxDoubtTime = std::chrono::seconds(5);
-  static constexpr framework::Duration MinSettlingTime =
-      std::chrono::seconds(1);
-  static constexpr framework::Duration MaxSettlingTime =
+  static constexpr framework::Duration SettlingTime = std::chrono::seconds(1);
+  static constexpr framework::Duration RepeatedSettlingTime =
       std::chrono::seconds(60);
   /// How long evidence of each kind is ignored.
   static constexpr framework::Duration RevisionsIgnoredPeriod =
@@ -100,7 +99,6 @@
   /// Answers to reads that began earlier say nothing about the present view.
   framework::Instant ReplacedAt_{};
   framework::Instant SettledAt_{};
-  framework::Duration SettlingTime_{};
 };
 
 } // namespace cranberryspool::fleet
--- a/src/fleet/tests/storeview_test.cpp
+++ b/src/fleet/tests/storeview_test.cpp
@@ -246,3 +246,54 @@
   Test.View_.apply({}, Revision(6), at(milliseconds(300)));
   CHECK(Test.View_.age(at(milliseconds(600))) == Duration(milliseconds(100)));
 }
+
+TEST_CASE("a view that is replaced by another history takes lower versions and "
+          "earlier registrations, and drops what that does not hold",
+          "[store]") {
+  Fixture Test;
+  Test.View_.apply({put("z", "zone", 7), put("t2", "target 60 1", 8)},
+                   Revision(8), at(milliseconds(10)));
+  const std::vector<StoredRecord> Other{put("t1", "target 40 1", 2),
+                                        put("c", "version 5", 3)};
+  CHECK(Test.View_.findContradicted(Other, Revision(8)));
+  const auto Changed =
+      Test.View_.reset(Other, Revision(4), at(milliseconds(20)));
+  CHECK(Changed.IsDocumentChanged_);
+  CHECK(Changed.Removed_ == std::vector<std::string>{"t2"});
+  CHECK(Test.View_.revision() == Revision(4));
+  CHECK(Test.View_.configuration().Version_ == 5);
+  CHECK(Test.View_.configurationRevision() == Revision(3));
+  REQUIRE(Test.View_.targets().size() == 1);
+  CHECK(Test.View_.targets().front().Start_ == framework::Incarnation(40));
+  CHECK_FALSE(Test.View_.targets().front().IsDraining_);
+  CHECK_FALSE(Test.View_.findContradicted(Other, Revision(4)));
+  // From then on versions only grow again.
+  Test.View_.apply({put("c", "version 4", 5)}, Revision(5),
+                   at(milliseconds(30)));
+  CHECK(Test.View_.configuration().Version_ == 5);
+}
+
+TEST_CASE("a replaced view without a configuration takes the next one",
+          "[store]") {
+  Fixture Test;
+  Test.View_.reset({}, Revision(2), at(milliseconds(10)));
+  CHECK(Test.View_.configuration().Version_ == 7);
+  Test.View_.apply({put("c", "version 3", 3)}, Revision(3),
+                   at(milliseconds(20)));
+  CHECK(Test.View_.configuration().Version_ == 3);
+}
+
+TEST_CASE("a later record, and one that became known during the read, do not "
+          "contradict the view",
+          "[store]") {
+  Fixture Test;
+  const std::vector<StoredRecord> Records{put("t1", "target 50 4", 7),
+                                          put("c", "version 7", 6)};
+  CHECK_FALSE(Test.View_.findContradicted(Records, Revision(6)));
+  Test.View_.apply({put("c", "version 9", 9)}, Revision(9),
+                   at(milliseconds(10)));
+  CHECK_FALSE(Test.View_.findContradicted(Records, Revision(8)));
+  CHECK(Test.View_.findContradicted(Records, Revision(9)));
+  // The same version with other content, written later.
+  CHECK(Test.View_.findContradicted({put("c", "version 9 ", 10)}, Revision(9)));
+}
