--- a/src/fleet/internal/seeded/storeview.cpp
+++ b/src/fleet/internal/seeded/storeview.cpp
@@ -116,8 +116,10 @@
 }
 
 bool StoreView::isRefusedConfiguration(const StoredRecord &Record) const {
-  if (Record.Key_ != ConfigurationKey_ || !Records_.isNewer(Record) ||
-      Records_.find(Record.Key_)->Value_ == Record.Value_)
+  // After the view was replaced, the configuration in force may have no record.
+  const StoredRecord *Known = Records_.find(Record.Key_);
+  if (Record.Key_ != ConfigurationKey_ || !Known || !Records_.isNewer(Record) ||
+      Known->Value_ == Record.Value_)
     return false;
   const PublishedItem Item = Decode_(Record.Key_, Record.Value_);
   const auto *Configuration = std::get_if<PublishedConfiguration>(&Item);
--- a/src/fleet/internal/seeded/viewreplacement.cpp
+++ b/src/fleet/internal/seeded/viewreplacement.cpp
@@ -54,6 +54,8 @@
                                : nullptr;
   if (!IsRevisionLower && !Key) {
     Check_.recordAgreement(Read, Kind, Context.Now_);
+    if (!Check_.isInDoubt())
+      ContradictingAnswer_.reset();
     return false;
   }
   const bool WasInDoubt = Check_.isInDoubt();
--- a/src/fleet/tests/storeview_test.cpp
+++ b/src/fleet/tests/storeview_test.cpp
@@ -278,8 +278,11 @@
   Fixture Test;
   Test.View_.reset({}, Revision(2), at(milliseconds(10)));
   CHECK(Test.View_.configuration().Version_ == 7);
-  Test.View_.apply({put("c", "version 3", 3)}, Revision(3),
-                   at(milliseconds(20)));
+  const StoredRecord Unreadable = put("c", "?", 3);
+  Test.View_.apply({Unreadable}, Revision(3), at(milliseconds(20)));
+  CHECK_FALSE(Test.View_.isRefusedConfiguration(Unreadable));
+  Test.View_.apply({put("c", "version 3", 4)}, Revision(4),
+                   at(milliseconds(30)));
   CHECK(Test.View_.configuration().Version_ == 3);
 }
 
